--- /dev/null
+++ b/src/masticward/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and reports."""
--- /dev/null
+++ b/src/masticward/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module for each subcommand."""
--- /dev/null
+++ b/src/masticward/cli/exit_codes.py
@@ -0,0 +1,9 @@
+"""Exit codes of the masticward command."""
+
+SUCCESS = 0
+FAILURE = 1
+USAGE = 2
+INVALID_FILES = 3
+CONFLICT = 4
+STORE_UNAVAILABLE = 5
+OUTCOME_UNKNOWN = 6
--- /dev/null
+++ b/src/masticward/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What processes do together: routing, dispatch, recovery."""
--- /dev/null
+++ b/src/masticward/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring and shutdown of the two programs."""
--- /dev/null
+++ b/src/masticward/errors.py
@@ -0,0 +1,96 @@
+"""Every failure of masticward, as one typed hierarchy."""
+
+
+class MasticwardError(Exception):
+    """Base of all failures raised or returned by this package."""
+
+
+class SettingsError(MasticwardError):
+    """Raised when a settings file has errors; ``problems`` holds one line for each."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class ConfigurationError(MasticwardError):
+    """Returned when collected configuration files have errors; ``problems`` holds all of them."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class StoreError(MasticwardError):
+    """Base of failures of the platform's object API."""
+
+    def __init__(self, name: str, detail: str = "") -> None:
+        super().__init__(f"object {name!r}: {detail}" if detail else f"object {name!r}")
+        self.name = name
+        self.detail = detail
+
+
+class ObjectNotFoundError(StoreError):
+    """Returned when the named object does not exist."""
+
+
+class VersionConflictError(StoreError):
+    """Returned when a conditional write met another version than the expected one."""
+
+    def __init__(self, name: str, current_version: int) -> None:
+        super().__init__(name, f"current version is {current_version}")
+        self.current_version = current_version
+
+
+class StoreUnavailableError(StoreError):
+    """Returned when the object API surely did not carry out the call."""
+
+
+class StoreAnswerLostError(StoreError):
+    """Returned when a write may have taken effect although no answer came."""
+
+
+class InstanceListError(MasticwardError):
+    """Returned when the instance list could not be read."""
+
+
+class EndpointError(MasticwardError):
+    """Base of failures of a call to an endpoint."""
+
+
+class EndpointNotStartedError(EndpointError):
+    """Raised when the endpoint surely did not start the call."""
+
+    def __init__(self, detail: str, overloaded: bool = False) -> None:
+        super().__init__(detail)
+        self.overloaded = overloaded
+
+
+class EndpointBrokenError(EndpointError):
+    """Raised when the endpoint may have run the call but gave no whole answer."""
+
+
+class LoadReportError(EndpointError):
+    """Returned when the endpoint's load report could not be read."""
+
+
+class AttemptRefusedError(MasticwardError):
+    """Raised when an agent refused an attempt; the call was not started."""
+
+    def __init__(self, reason: str, retry_after_ms: int = 0, detail: str = "") -> None:
+        super().__init__(f"attempt refused: {reason} {detail}".rstrip())
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        self.detail = detail
+
+
+class AttemptFailedError(MasticwardError):
+    """Raised when an attempt may have run but its whole answer did not arrive."""
+
+
+class FrameError(MasticwardError):
+    """Raised when a frame is late, crossed, out of order or does not match the digest."""
+
+
+class PeerUnavailableError(MasticwardError):
+    """Returned when a peer process did not answer in time."""
--- /dev/null
+++ b/src/masticward/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data that only holds values."""
--- /dev/null
+++ b/src/masticward/models/membership.py
@@ -0,0 +1,24 @@
+"""Instances as the instance list and heartbeats tell of them."""
+
+import enum
+
+import msgspec
+
+
+class Role(enum.StrEnum):
+    """The program that runs on an instance."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class Instance(msgspec.Struct, frozen=True, kw_only=True):
+    """One instance of the fleet. ``service`` is empty for entries. Addresses are ``host:port``."""
+
+    id: str
+    role: Role
+    service: str
+    availability_zone: str
+    peer_address: str
+    admin_address: str = ""
+    leaving: bool = False
--- /dev/null
+++ b/src/masticward/models/work.py
@@ -0,0 +1,83 @@
+"""Tickets, slots, attempts and their outcomes. Deadlines are monotonic seconds."""
+
+import enum
+
+import msgspec
+
+
+class Outcome(enum.StrEnum):
+    """What a caller is told about its request (header ``Masticward-Outcome``)."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(enum.StrEnum):
+    """Why an agent did not run an attempt. Each reason means that the call was not started."""
+
+    WRONG_INCARNATION = "wrong-incarnation"
+    DUPLICATE_ATTEMPT = "duplicate-attempt"
+    SLOT_UNKNOWN = "slot-unknown"
+    SLOT_EXPIRED = "slot-expired"
+    DEADLINE_PASSED = "deadline-passed"
+    OLDER_CONFIGURATION = "older-configuration"
+    OLDER_OPERATIONS = "older-operations"
+    NEWER_CONFIGURATION = "newer-configuration"
+    NEWER_OPERATIONS = "newer-operations"
+    ZONE_OUT = "zone-out"
+    INSTANCE_OUT = "instance-out"
+    LEAVING = "leaving"
+    AT_LIMIT = "at-limit"
+    STALE_VIEW = "stale-view"
+    NO_CONFIGURATION = "no-configuration"
+    ENDPOINT_NOT_STARTED = "endpoint-not-started"
+    UNREACHABLE = "unreachable"
+
+
+class Ticket(msgspec.Struct, kw_only=True):
+    """A request that waits for a slot, without its body."""
+
+    id: str
+    team: str
+    service: str
+    entry_id: str
+    cost_hint: float
+    arrived_at: float
+    deadline: float
+    retried: bool = False
+
+
+class Slot(msgspec.Struct, kw_only=True):
+    """Permission to send one attempt to one agent incarnation until its deadline."""
+
+    id: int
+    agent_id: str
+    agent_incarnation: int
+    agent_address: str
+    availability_zone: str
+    deadline: float
+
+
+class Assignment(msgspec.Struct, kw_only=True):
+    """A ticket with the slot that it was given."""
+
+    ticket_id: str
+    slot: Slot
+    virtual_time: float
+    queue_ms: float
+
+
+class CallRequest(msgspec.Struct, kw_only=True):
+    """A caller's request as it is sent to an endpoint."""
+
+    request_id: str
+    team: str
+    service: str
+    operation: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline: float
+    cost_hint: float = 0.0
--- /dev/null
+++ b/src/masticward/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The messages between the processes of the system."""
--- /dev/null
+++ b/src/masticward/publishing/__init__.py
@@ -0,0 +1,1 @@
+"""Collecting, checking and publishing configuration, and operator changes."""
--- /dev/null
+++ b/src/masticward/state/__init__.py
@@ -0,0 +1,1 @@
+"""State of one process, without input or output."""
--- /dev/null
+++ b/src/masticward/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Clients and servers of the protocols that masticward speaks."""
--- /dev/null
+++ b/src/masticward/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state."""
--- /dev/null
+++ b/src/masticward/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protobuf messages and generated gRPC code."""
