--- /dev/null
+++ b/src/masticward/daemons/entry.py
@@ -0,0 +1,79 @@
+"""The entry program: wiring and shutdown."""
+
+import asyncio
+import typing
+
+from masticward import settings
+from masticward.coordination import claims, router, tickets
+from masticward.daemons import common
+from masticward.models import membership
+from masticward.protocol import attempt_client
+from masticward.transport import entry_http
+
+
+class EntryDaemon(common.Node):
+    """One entry instance. ``http_port`` is the port in use after ``start``."""
+
+    role = membership.Role.ENTRY
+
+    def __init__(self, entry_settings: settings.EntrySettings) -> None:
+        super().__init__(entry_settings)
+        self.settings = entry_settings
+        self.http_port = 0
+        self.router: router.Router
+        self.tickets: tickets.DispatchTicketExchange
+        self.http: entry_http.EntryHttpServer
+
+    async def start(self) -> None:
+        """Start all parts; callers are served as soon as a configuration is known."""
+        instance = await self.bind(service="")
+        self.create_view(instance, watches=True)
+        self.claims = claims.ClaimService(self.store, instance.id)
+        self.router = router.Router(
+            self.view,
+            self.settings.limits,
+            instance.id,
+            attempt_client.GrpcAttemptClient(self.channels),
+            self.claims,
+            self.metrics,
+        )
+        self.tickets = tickets.DispatchTicketExchange(
+            self.view, self.channels, instance.id, self.incarnation, self.router.on_assign
+        )
+        self.router.tickets = self.tickets
+        self.http = entry_http.EntryHttpServer(
+            self.router, self.settings.http_address, self.settings.limits
+        )
+        await self.start_serving()
+        await self.tickets.start()
+        self.http_port = await self.http.start()
+
+    async def shutdown(self) -> None:
+        """Finish queued and running requests, then stop."""
+        self.stopping = True
+        self.view.announce_leaving()
+        # The balancer needs this time to notice that readiness has failed.
+        await asyncio.sleep(self.settings.limits.drain_notice_seconds)
+        self.http.stop_listening()
+        self.router.begin_drain()
+        await self.router.drained()
+        await self.http.close()
+        await self.tickets.close()
+        await self.close_common()
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return versions, queue figures and the dispatcher of each service."""
+        configuration = self.view.configuration
+        services = configuration.services if configuration is not None else ()
+        return {
+            **self.common_status(),
+            "http_port": self.http_port,
+            "dispatchers": {
+                service.name: self.tickets.dispatcher_of(service.name) for service in services
+            },
+            "requests": self.router.status(),
+        }
+
+    def explain(self, request_id: str) -> dict[str, typing.Any] | None:
+        """Return the record of a request that this entry handled."""
+        return self.router.explain(request_id)
