--- /dev/null
+++ b/src/masticward/cli/config.py
@@ -0,0 +1,136 @@
+"""``masticward config``: the published configuration, its differences and its history."""
+
+import pathlib
+
+import msgspec
+import typer
+from returns import result
+
+from masticward.cli import audit, base, check
+from masticward.models import configuration as configuration_models
+from masticward.publishing import differences, publisher
+from masticward.transport import instance_list as instance_list_module
+from masticward.transport import object_api
+
+
+async def read_configuration(
+    store: object_api.ObjectStore, deadline: float
+) -> configuration_models.Configuration | None:
+    """Return the published configuration, None if there is none. Raises PublishingError."""
+    read = await publisher.read_published(store, deadline)
+    if isinstance(read, result.Failure):
+        raise read.failure()
+    return read.unwrap()[1]
+
+
+class ShowCommand(base.StoreCommand):
+    """Shows the published configuration."""
+
+    async def work(
+        self,
+        store: object_api.ObjectStore,
+        instance_list: instance_list_module.InstanceList,
+        deadline: float,
+    ) -> base.Report:
+        """Read manifest and shards."""
+        self.stage = "reading the configuration"
+        found = await read_configuration(store, deadline)
+        if found is None:
+            return base.Report(lines=["no configuration is published"], data={"version": 0})
+        lines = [
+            f"version {found.version}",
+            f"availability zones: {', '.join(found.availability_zones)}",
+        ]
+        for service in found.services:
+            lines.append(
+                f"service {service.name} ({service.kind}): {service.endpoints} endpoints, limits"
+                f" {service.cold_limit} cold, {service.warm_limit} warm"
+            )
+            lines += [
+                f"  {operation.method} {operation.path} {operation.name}"
+                f"{' idempotent' if operation.idempotent else ''}"
+                for operation in service.operations
+            ]
+        lines += [f"team {team.name}: share {team.share:g}" for team in found.teams]
+        return base.Report(lines=lines, data=msgspec.to_builtins(found))
+
+
+class DiffCommand(base.StoreCommand):
+    """Shows what publishing some files would change."""
+
+    def __init__(self, options: base.Options, paths: list[pathlib.Path]) -> None:
+        super().__init__(options)
+        self.paths = paths
+
+    async def work(
+        self,
+        store: object_api.ObjectStore,
+        instance_list: instance_list_module.InstanceList,
+        deadline: float,
+    ) -> base.Report:
+        """Compare the files with the published configuration."""
+        self.stage = "comparing"
+        wanted = check.collect_and_check(self.paths)
+        found = await read_configuration(store, deadline)
+        lines = differences.describe(found, wanted)
+        return base.Report(
+            lines=lines or ["no differences"],
+            data={"version": found.version if found else 0, "differences": lines},
+        )
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands to the program."""
+    group = typer.Typer(help="Show the published configuration, its differences and history.")
+    app.add_typer(group, name="config")
+
+    @group.command("show")
+    def show(
+        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
+        settings: base.SettingsOption = None,
+        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
+        json: base.JsonOption = False,
+    ) -> None:
+        """Show the published configuration.
+
+        Example: masticward config show --json
+        """
+        ShowCommand(
+            base.Options(
+                object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
+            )
+        ).run()
+
+    @group.command("diff")
+    def diff(
+        paths: base.PathsArgument,
+        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
+        settings: base.SettingsOption = None,
+        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
+        json: base.JsonOption = False,
+    ) -> None:
+        """Show what publishing the files would change.
+
+        Example: masticward config diff services/
+        """
+        options = base.Options(
+            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
+        )
+        DiffCommand(options, paths).run()
+
+    @group.command("history")
+    def history(
+        limit: audit.LimitOption = audit.DEFAULT_LIMIT,
+        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
+        settings: base.SettingsOption = None,
+        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
+        json: base.JsonOption = False,
+    ) -> None:
+        """List the published versions, the newest last.
+
+        Example: masticward config history --limit 5
+        """
+        options = base.Options(
+            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
+        )
+        audit.AuditCommand(options, ("config",), limit).run()
--- a/src/masticward/cli/main.py
+++ b/src/masticward/cli/main.py
@@ -2,8 +2,11 @@
 
 import typer
 
+from masticward.cli import audit, check, config, publish, service_state, settings
 from masticward.utils import programs
 
+COMMAND_MODULES = (check, publish, service_state, audit, config, settings)
+
 app = typer.Typer(
     name="masticward",
     help="A router fleet through which teams share the capacity of endpoints fairly.",
@@ -19,6 +22,10 @@
     programs.disable_io_uring()
 
 
+for module in COMMAND_MODULES:
+    module.register(app)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- /dev/null
+++ b/src/masticward/cli/publish.py
@@ -0,0 +1,76 @@
+"""``masticward publish``: makes the collected files the configuration of the fleet."""
+
+import pathlib
+
+import typer
+from returns import result
+
+from masticward.cli import base, change_report, check
+from masticward.publishing import publisher
+from masticward.transport import instance_list as instance_list_module
+from masticward.transport import object_api
+
+
+class PublishCommand(base.StoreCommand):
+    """Publishes the files below some paths."""
+
+    def __init__(self, options: base.Options, paths: list[pathlib.Path], wait: bool) -> None:
+        super().__init__(options)
+        self.paths = paths
+        self.wait = wait
+
+    async def work(
+        self,
+        store: object_api.ObjectStore,
+        instance_list: instance_list_module.InstanceList,
+        deadline: float,
+    ) -> base.Report:
+        """Check, publish and, if asked for, wait."""
+        self.stage = "checking files"
+        wanted = check.collect_and_check(self.paths)
+        self.stage = "publishing"
+        outcome = await publisher.Publisher(store, self.operator).publish(wanted, deadline)
+        if isinstance(outcome, result.Failure):
+            raise outcome.failure()
+        accepted = outcome.unwrap()
+        return await change_report.report_change(
+            self,
+            accepted,
+            "configuration",
+            instance_list,
+            self.wait,
+            (accepted.version, 0),
+            deadline,
+        )
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to the program."""
+
+    @app.command("publish")
+    def publish(
+        paths: base.PathsArgument,
+        wait: base.WaitOption = False,
+        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
+        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
+        settings: base.SettingsOption = None,
+        operator: base.OperatorOption = "",
+        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
+        json: base.JsonOption = False,
+    ) -> None:
+        """Publish all masticward.json files below the paths as one configuration.
+
+        Exit codes: 3 problems in the files, 4 somebody else published meanwhile, 5 object API
+        unavailable and nothing published, 6 outcome unknown or not yet in force everywhere.
+
+        Example: masticward publish services/ --wait --object-api http://10.0.0.5:7100
+        """
+        options = base.Options(
+            object_api=object_api,
+            instance_list=instance_list,
+            settings=settings,
+            json=json,
+            deadline_seconds=deadline,
+            operator=operator,
+        )
+        PublishCommand(options, paths, wait).run()
--- /dev/null
+++ b/src/masticward/cli/service_state.py
@@ -0,0 +1,114 @@
+"""``masticward zone`` and ``masticward instance``: out of service and back."""
+
+import typing
+
+import typer
+from returns import result
+
+from masticward.cli import base, change_report
+from masticward.publishing import operations
+from masticward.transport import instance_list as instance_list_module
+from masticward.transport import object_api
+
+TargetArgument = typing.Annotated[str, typer.Argument(help="Name of the zone or id.")]
+
+
+class MoveCommand(base.StoreCommand):
+    """Takes a zone or instance out of service or brings it back."""
+
+    def __init__(
+        self, options: base.Options, kind: str, target: str, out: bool, force: bool, wait: bool
+    ) -> None:
+        super().__init__(options)
+        self.kind = kind
+        self.target = target
+        self.out = out
+        self.force = force
+        self.wait = wait
+
+    async def work(
+        self,
+        store: object_api.ObjectStore,
+        instance_list: instance_list_module.InstanceList,
+        deadline: float,
+    ) -> base.Report:
+        """Change the operations state and, if asked for, wait."""
+        what = f"{self.kind} {self.target} {'out' if self.out else 'in'}"
+        self.stage = f"changing {what}"
+        changes = operations.OperationsChange(store, instance_list, self.operator)
+        outcome = await changes.move(self.target, self.kind, self.out, self.force, deadline)
+        if isinstance(outcome, result.Failure):
+            raise outcome.failure()
+        accepted = outcome.unwrap()
+        return await change_report.report_change(
+            self, accepted, what, instance_list, self.wait, (0, accepted.version), deadline
+        )
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands to the program."""
+    for kind in ("zone", "instance"):
+        app.add_typer(create_group(kind), name=kind)
+
+
+def create_group(kind: str) -> typer.Typer:
+    """Return the command group of zones or instances."""
+    thing = "an availability zone" if kind == "zone" else "an instance"
+    example = "port-louis" if kind == "zone" else "agent-7"
+    group = typer.Typer(help=f"Take {thing} out of service or bring it back.")
+    common_help = (
+        "\n\nA change is conditional: whoever loses a race is told who changed what (exit code 4)."
+    )
+
+    @group.command(
+        "out",
+        help=f"Take {thing} out of service: it gets no new work within 3 s, running work ends."
+        f"{common_help}\n\nExample: masticward {kind} out {example} --wait",
+    )
+    def take_out(
+        target: TargetArgument,
+        force: base.ForceOption = False,
+        wait: base.WaitOption = False,
+        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
+        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
+        settings: base.SettingsOption = None,
+        operator: base.OperatorOption = "",
+        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
+        json: base.JsonOption = False,
+    ) -> None:
+        options = base.Options(
+            object_api=object_api,
+            instance_list=instance_list,
+            settings=settings,
+            json=json,
+            deadline_seconds=deadline,
+            operator=operator,
+        )
+        MoveCommand(options, kind, target, True, force, wait).run()
+
+    @group.command(
+        "in",
+        help=f"Bring {thing} back into service.{common_help}\n\n"
+        f"Example: masticward {kind} in {example}",
+    )
+    def bring_in(
+        target: TargetArgument,
+        wait: base.WaitOption = False,
+        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
+        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
+        settings: base.SettingsOption = None,
+        operator: base.OperatorOption = "",
+        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
+        json: base.JsonOption = False,
+    ) -> None:
+        options = base.Options(
+            object_api=object_api,
+            instance_list=instance_list,
+            settings=settings,
+            json=json,
+            deadline_seconds=deadline,
+            operator=operator,
+        )
+        MoveCommand(options, kind, target, False, False, wait).run()
+
+    return group
--- /dev/null
+++ b/src/masticward/coordination/peer_rotation.py
@@ -0,0 +1,76 @@
+"""Chooses the peers of each exchange round."""
+
+import collections.abc
+
+from masticward.models import membership
+from masticward.utils import identifiers
+
+PEERS_PER_ROUND = 3
+# Peers that did not answer are tried in addition, so that a healed partition is noticed within
+# one round; a failed try costs one small packet.
+PROBES_PER_ROUND = 8
+# In a large fleet each process exchanges with a fixed random part of the others, which bounds its
+# connections; the parts of all processes overlap enough to reach everyone in a few rounds.
+ENTRY_PARTNERS = 16
+OTHER_PARTNERS = 32
+
+
+class PeerRotation:
+    """Rotates through the partners of one process."""
+
+    __slots__ = ("entry_turn", "own_id", "partner_entries", "partner_others", "probe_turn", "turn")
+
+    def __init__(self, own_id: str) -> None:
+        self.own_id = own_id
+        self.partner_entries: list[membership.Instance] = []
+        self.partner_others: list[membership.Instance] = []
+        self.entry_turn = 0
+        self.turn = 0
+        self.probe_turn = 0
+
+    def set_members(self, members: collections.abc.Iterable[membership.Instance]) -> None:
+        """Choose the partners among the members."""
+        others = [instance for instance in members if instance.id != self.own_id]
+        entries = [item for item in others if item.role is membership.Role.ENTRY]
+        agents = [item for item in others if item.role is not membership.Role.ENTRY]
+        self.partner_entries = self.partners(entries, ENTRY_PARTNERS)
+        self.partner_others = self.partners(agents, OTHER_PARTNERS)
+
+    def partners(
+        self, candidates: list[membership.Instance], limit: int
+    ) -> list[membership.Instance]:
+        """Return at most ``limit`` candidates, chosen by rendezvous hashing."""
+        if len(candidates) <= limit:
+            return candidates
+        ranked = sorted(candidates, key=lambda item: identifiers.stable_hash(self.own_id, item.id))
+        return ranked[:limit]
+
+    def all_partners(self) -> list[membership.Instance]:
+        """Return all partners."""
+        return [*self.partner_entries, *self.partner_others]
+
+    def pick(self, unanswered: collections.abc.Container[str]) -> list[membership.Instance]:
+        """Return the peers of the next round: at least one entry that answers, if there is any.
+
+        ``unanswered`` holds the ids of the instances whose last exchange failed.
+        """
+        entries = [item for item in self.partner_entries if item.id not in unanswered]
+        everyone = [item for item in self.all_partners() if item.id not in unanswered]
+        silent = [item for item in self.all_partners() if item.id in unanswered]
+        chosen = take_turn(entries, self.entry_turn, 1)
+        self.entry_turn += 1
+        rest = [item for item in everyone if item not in chosen]
+        count = PEERS_PER_ROUND - len(chosen)
+        chosen.extend(take_turn(rest, self.turn, count))
+        self.turn += count
+        chosen.extend(take_turn(silent, self.probe_turn, PROBES_PER_ROUND))
+        self.probe_turn += PROBES_PER_ROUND
+        return chosen
+
+
+def take_turn(
+    candidates: list[membership.Instance], start: int, count: int
+) -> list[membership.Instance]:
+    """Return up to ``count`` candidates from position ``start`` on, around the end."""
+    size = len(candidates)
+    return [candidates[(start + offset) % size] for offset in range(min(count, size))]
--- /dev/null
+++ b/src/masticward/coordination/view.py
@@ -0,0 +1,496 @@
+"""One process's view of the fleet: watches, instance list and exchanges with peers."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+import msgspec
+from returns import result
+
+from masticward import errors, events, logs
+from masticward import settings as settings_module
+from masticward.coordination import configuration_reader, fleet_view, peer_rotation
+from masticward.models import configuration as configuration_models
+from masticward.models import membership as membership_models
+from masticward.models import objects
+from masticward.protocol import peers
+from masticward.state import membership, versions
+from masticward.transport import channels as channels_module
+from masticward.transport import instance_list as instance_list_module
+from masticward.transport import object_api
+from masticward.utils import clocks, tasks
+from masticward.wire import masticward_pb2
+
+EXCHANGE_PERIOD_SECONDS = 0.5
+EXCHANGE_TIMEOUT_SECONDS = 0.6
+# An extra round spreads a new version at once; this bounds the rate of such rounds.
+MINIMUM_ROUND_GAP_SECONDS = 0.05
+CONFIGURATION_FETCH_SECONDS = 2.0
+OPERATIONS_FETCH_SECONDS = 0.6
+FRESH_SECONDS = 2.0
+# One lost exchange may be a pause of a busy machine.
+FAILURES_BEFORE_SUSPICION = 2
+# Each pending watch counts as one call of the object API.
+WATCH_SECONDS = 10.0
+WATCH_RETRY_SECONDS = 0.5
+FALLBACK_SECONDS = 10.0
+# Bounds what all processes without a watch read together, whatever the size of the fleet.
+FALLBACK_READS_PER_SECOND_OF_FLEET = 20.0
+JITTER = 0.25
+
+CONFIGURATION = masticward_pb2.FetchRequest.Kind.CONFIGURATION
+OPERATIONS = masticward_pb2.FetchRequest.Kind.OPERATIONS
+
+logger = logs.get_logger(__name__)
+
+
+class PlatformFleetView(fleet_view.FleetView, peers.PeerHandler):
+    """The view of one process, kept by background tasks between ``start`` and ``close``.
+
+    A process with ``watches`` follows the object API; every other learns from peers and reads the
+    object API only if no peer has a version, and rarely otherwise.
+    """
+
+    def __init__(
+        self,
+        instance: membership_models.Instance,
+        incarnation: int,
+        platform: settings_module.PlatformSettings,
+        channels: channels_module.ChannelPool,
+        store: object_api.ObjectStore,
+        instance_list: instance_list_module.InstanceList,
+        watches: bool,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.platform = platform
+        self.store = store
+        self.instance_list = instance_list
+        self.watches = watches
+        # Connections of their own: a reset after a silent partition must not break running calls.
+        self.exchange_channels = channels_module.ChannelPool(channels.transport)
+        self.versions = versions.VersionStore()
+        self.membership = membership.MembershipView(instance)
+        self.reader = configuration_reader.ConfigurationReader(store)
+        self.rotation = peer_rotation.PeerRotation(instance.id)
+        self.rotation_revision = -1
+        self.agents_key: tuple[int, int, int] = (-1, -1, -1)
+        self.agents_by_service: dict[str, list[membership_models.Instance]] = {}
+        self.latest_answered_send = float("-inf")
+        self.failures: dict[str, int] = {}
+        self.exchanging: set[str] = set()
+        # A configuration can be megabytes, so only one is fetched at a time.
+        self.configuration_lock = asyncio.Lock()
+        self.pulling: set[tuple[str, int, int]] = set()
+        self.round_wanted = asyncio.Event()
+        self.callbacks: list[collections.abc.Callable[[], None]] = []
+        self.notified_revision = -1
+        self.store_available = True
+        self.list_available = True
+        self.tasks = tasks.TaskGroup()
+
+    # FleetView
+
+    @property
+    def configuration(self) -> configuration_models.Configuration | None:
+        """The newest configuration, None before the first one arrived."""
+        return self.versions.configuration
+
+    @property
+    def operations(self) -> configuration_models.OperationsState:
+        """The newest operations state; version 0 before the first one arrived."""
+        return self.versions.operations
+
+    def members(self) -> list[membership_models.Instance]:
+        """Return every instance known, this one included, whether or not it responds."""
+        return self.membership.members(time.monotonic())
+
+    def agents_of(self, service: str) -> list[membership_models.Instance]:
+        """Return the agents of a service that may receive work, sorted by id."""
+        now = time.monotonic()
+        key = (self.membership.revision, self.versions.operations_version, int(now))
+        if key != self.agents_key:
+            self.agents_by_service = self.usable_agents(now)
+            self.agents_key = key
+        return list(self.agents_by_service.get(service, ()))
+
+    def usable_agents(self, now: float) -> dict[str, list[membership_models.Instance]]:
+        """Return the agents that may receive work, by service."""
+        usable: dict[str, list[membership_models.Instance]] = {}
+        for instance in self.membership.members(now):
+            if (
+                instance.role is membership_models.Role.AGENT
+                and not instance.leaving
+                and not self.membership.is_suspected(instance.id)
+                and not self.is_out(instance.id, instance.availability_zone)
+            ):
+                usable.setdefault(instance.service, []).append(instance)
+        return usable
+
+    def is_out(self, instance_id: str, availability_zone: str) -> bool:
+        """Tell whether operators have taken the instance or its zone out of service."""
+        operations = self.versions.operations
+        return availability_zone in operations.zones_out or instance_id in operations.instances_out
+
+    def is_leaving(self, instance_id: str) -> bool:
+        """Tell whether the instance is listed or has announced itself as leaving."""
+        return self.membership.is_leaving(instance_id)
+
+    def fresh_until(self) -> float:
+        """Return the monotonic time until which the view counts as fresh."""
+        return self.latest_answered_send + FRESH_SECONDS
+
+    def suspect(self, instance_id: str) -> None:
+        """Leave an instance out of ``agents_of`` until it answers an exchange again."""
+        if self.membership.suspect(instance_id, time.monotonic()):
+            logger.log(events.Event.MEMBER_SUSPECTED, instance=instance_id)
+            self.notify()
+        self.round_wanted.set()
+
+    def note_versions(
+        self, config_version: int, operations_version: int, peer_address: str
+    ) -> None:
+        """Pull from the peer at once if it has a newer version."""
+        if not self.is_behind(config_version, operations_version) or not peer_address:
+            return
+        key = (peer_address, config_version, operations_version)
+        if key in self.pulling:
+            return
+        self.pulling.add(key)
+        task = self.tasks.spawn(
+            self.catch_up(peer_address, config_version, operations_version), "pull"
+        )
+        task.add_done_callback(lambda _: self.pulling.discard(key))
+
+    def announce_leaving(self) -> None:
+        """Tell the peers from now on that this instance is leaving."""
+        self.membership.announce_own_leaving()
+        self.notify()
+        for peer in self.rotation.all_partners():
+            self.start_exchange(peer)
+
+    def subscribe(self, callback: collections.abc.Callable[[], None]) -> None:
+        """Call back after each change of configuration, operations state or members."""
+        self.callbacks.append(callback)
+
+    # PeerHandler
+
+    def digest(self) -> masticward_pb2.ViewDigest:
+        """Return who this process is and which versions it holds."""
+        return masticward_pb2.ViewDigest(
+            instance_id=self.instance.id,
+            incarnation=self.incarnation,
+            role=self.instance.role.value,
+            service=self.instance.service,
+            availability_zone=self.instance.availability_zone,
+            peer_address=self.instance.peer_address,
+            admin_address=self.instance.admin_address,
+            config_version=self.versions.config_version,
+            operations_version=self.versions.operations_version,
+            leaving=self.membership.is_leaving(self.instance.id),
+        )
+
+    def receive_digest(self, digest: masticward_pb2.ViewDigest) -> None:
+        """Note the digest of a peer that has called; call back a peer that seemed unreachable."""
+        try:
+            instance = peers.as_instance(digest)
+        except ValueError:
+            return
+        member = self.membership.note_announcement(instance, digest.incarnation)
+        self.notify_members()
+        if member is None:
+            return
+        self.note_versions(digest.config_version, digest.operations_version, digest.peer_address)
+        unknown = not member.listed and member.contact_at is None
+        if unknown or instance.id in self.failures or member.suspected_at is not None:
+            self.start_exchange(instance)
+
+    def newest(self, kind: int) -> tuple[int, bytes]:
+        """Return version and bytes of the newest value of a ``FetchRequest.Kind``; 0 if none."""
+        if kind == CONFIGURATION:
+            return self.versions.config_version, self.versions.configuration_bytes
+        return self.versions.operations_version, self.versions.operations_bytes
+
+    # Life cycle
+
+    async def start(self) -> None:
+        """Read the list, ask the peers once, and keep the view from then on.
+
+        Returns within a few call timeouts even if nothing answers.
+        """
+        await self.read_list()
+        self.update_rotation()
+        first = [self.exchange_with(peer) for peer in self.rotation.pick(frozenset())]
+        await asyncio.gather(*first)
+        if not self.versions.config_version:
+            await self.read_store()
+        self.tasks.spawn(self.poll_list(), "poll-list")
+        self.tasks.spawn(self.exchange_rounds(), "exchange-rounds")
+        if self.watches:
+            self.tasks.spawn(self.watch(objects.MANIFEST), "watch-manifest")
+            self.tasks.spawn(self.watch(objects.OPERATIONS), "watch-operations")
+        else:
+            self.tasks.spawn(self.read_store_rarely(), "read-store")
+
+    async def close(self) -> None:
+        """Stop the background tasks and close the connections of the exchanges."""
+        await self.tasks.cancel()
+        await self.exchange_channels.close()
+
+    # Instance list
+
+    async def poll_list(self) -> None:
+        """Read the instance list once per period."""
+        while True:
+            await asyncio.sleep(jittered(self.platform.instance_list_period_seconds))
+            await self.read_list()
+
+    async def read_list(self) -> None:
+        """Read the instance list; the last one is kept if that fails."""
+        deadline = clocks.deadline_after(self.platform.call_timeout_seconds)
+        answer = await self.instance_list.fetch(deadline)
+        available = isinstance(answer, result.Success)
+        if available != self.list_available:
+            self.list_available = available
+            event = events.Event.INSTANCE_LIST_RESTORED
+            if not available:
+                event = events.Event.INSTANCE_LIST_UNAVAILABLE
+            logger.log(event, detail="" if available else str(answer.failure()))
+        if not available:
+            return
+        now = time.monotonic()
+        before = {instance.id for instance in self.membership.members(now)}
+        self.membership.apply_list(answer.unwrap(), now)
+        after = {instance.id for instance in self.membership.members(now)}
+        for instance_id in sorted(after - before):
+            logger.log(events.Event.MEMBER_ADDED, instance=instance_id)
+        for instance_id in sorted(before - after):
+            logger.log(events.Event.MEMBER_REMOVED, instance=instance_id)
+        self.notify_members()
+
+    # Object API
+
+    async def watch(self, name: str) -> None:
+        """Follow one object; a peer may still bring a version earlier."""
+        known_version = 0
+        while True:
+            deadline = clocks.deadline_after(WATCH_SECONDS)
+            answer = await self.store.watch(name, known_version, deadline)
+            self.note_store(answer)
+            if isinstance(answer, result.Failure):
+                await asyncio.sleep(jittered(WATCH_RETRY_SECONDS))
+                continue
+            stored = answer.unwrap()
+            if stored is None:
+                continue
+            if await self.take_stored(stored):
+                known_version = stored.version
+            else:
+                await asyncio.sleep(jittered(WATCH_RETRY_SECONDS))
+
+    async def read_store_rarely(self) -> None:
+        """Read the object API at a period that grows with the fleet, in case all peers are old."""
+        while True:
+            members = len(self.members())
+            period = max(FALLBACK_SECONDS, members / FALLBACK_READS_PER_SECOND_OF_FLEET)
+            if time.monotonic() >= self.fresh_until() or not self.versions.config_version:
+                period = FALLBACK_SECONDS
+            await asyncio.sleep(jittered(period))
+            await self.read_store()
+
+    async def read_store(self) -> None:
+        """Read both objects once."""
+        deadline = clocks.deadline_after(self.platform.call_timeout_seconds)
+        names = (objects.MANIFEST, objects.OPERATIONS)
+        answers = await asyncio.gather(*(self.store.get(name, deadline) for name in names))
+        for answer in answers:
+            self.note_store(answer)
+            if isinstance(answer, result.Success):
+                await self.take_stored(answer.unwrap())
+
+    async def take_stored(self, stored: object_api.StoredObject) -> bool:
+        """Take a value from the object API; False if it must be read again."""
+        if stored.name == objects.OPERATIONS:
+            self.take(OPERATIONS, stored.value, "object API")
+            return True
+        decoded = configuration_reader.decode_manifest(stored.value)
+        if isinstance(decoded, result.Failure):
+            logger.log(events.Event.VERSION_REFUSED, reason=str(decoded.failure()))
+            return True
+        manifest = decoded.unwrap()
+        if manifest.version <= self.versions.config_version:
+            return True
+        deadline = clocks.deadline_after(self.platform.call_timeout_seconds)
+        assembled = await self.reader.assemble(manifest, deadline)
+        if isinstance(assembled, result.Failure):
+            error = assembled.failure()
+            if isinstance(error, errors.VersionRefusedError):
+                logger.log(events.Event.VERSION_REFUSED, reason=str(error))
+            return False
+        self.take(CONFIGURATION, msgspec.json.encode(assembled.unwrap()), "object API")
+        return True
+
+    def note_store(self, answer: result.Result[object, errors.StoreError]) -> None:
+        """Log when the object API becomes unavailable and when it is back."""
+        available = isinstance(answer, result.Success) or isinstance(
+            answer.failure(), errors.ObjectNotFoundError
+        )
+        if available != self.store_available:
+            self.store_available = available
+            if available:
+                logger.log(events.Event.OBJECT_API_RESTORED)
+            else:
+                logger.log(events.Event.OBJECT_API_UNAVAILABLE, detail=str(answer.failure()))
+
+    # Exchanges
+
+    async def exchange_rounds(self) -> None:
+        """Exchange with a few peers per period, and at once after a new version."""
+        while True:
+            self.update_rotation()
+            self.round_wanted.clear()
+            for peer in self.rotation.pick(self.failures):
+                self.start_exchange(peer)
+            await asyncio.sleep(MINIMUM_ROUND_GAP_SECONDS)
+            rest = jittered(EXCHANGE_PERIOD_SECONDS) - MINIMUM_ROUND_GAP_SECONDS
+            try:
+                await asyncio.wait_for(self.round_wanted.wait(), rest)
+            except TimeoutError:
+                continue
+
+    def update_rotation(self) -> None:
+        """Choose the partners again if the members have changed."""
+        if self.rotation_revision == self.membership.revision:
+            return
+        self.rotation_revision = self.membership.revision
+        members = self.members()
+        self.rotation.set_members(members)
+        present = {instance.id for instance in members}
+        for instance_id in [known for known in self.failures if known not in present]:
+            del self.failures[instance_id]
+
+    def start_exchange(self, peer: membership_models.Instance) -> None:
+        """Exchange with a peer in the background, unless an exchange with it is under way."""
+        if peer.id not in self.exchanging and peer.id != self.instance.id:
+            self.tasks.spawn(self.exchange_with(peer), f"exchange-{peer.id}")
+
+    async def exchange_with(self, peer: membership_models.Instance) -> None:
+        """Exchange digests with a peer and pull what it has newer."""
+        self.exchanging.add(peer.id)
+        try:
+            # The time of sending counts: an answer that waited in a buffer while this process was
+            # paused says nothing about the present.
+            sent_at = time.monotonic()
+            answer = await peers.exchange(
+                self.exchange_channels,
+                peer.peer_address,
+                self.digest(),
+                sent_at + EXCHANGE_TIMEOUT_SECONDS,
+                wait_for_connection=peer.id in self.failures,
+            )
+        finally:
+            self.exchanging.discard(peer.id)
+        if isinstance(answer, result.Failure):
+            await self.note_silence(peer)
+            return
+        digest = answer.unwrap()
+        if digest.instance_id == self.instance.id:
+            return
+        if digest.instance_id != peer.id:
+            # Another instance has taken over the address.
+            await self.note_silence(peer)
+        self.note_answer(digest, sent_at)
+        versions_of_peer = (digest.config_version, digest.operations_version)
+        if await self.catch_up(peer.peer_address, *versions_of_peer):
+            self.latest_answered_send = max(self.latest_answered_send, sent_at)
+
+    def note_answer(self, digest: masticward_pb2.ViewDigest, sent_at: float) -> None:
+        """Record that a peer answered an exchange."""
+        try:
+            instance = peers.as_instance(digest)
+        except ValueError:
+            return
+        was_suspected = self.membership.is_suspected(instance.id)
+        self.failures.pop(instance.id, None)
+        self.membership.note_contact(instance, digest.incarnation, sent_at, time.monotonic())
+        if was_suspected and not self.membership.is_suspected(instance.id):
+            logger.log(events.Event.MEMBER_RESPONDS, instance=instance.id)
+        self.notify_members()
+
+    async def note_silence(self, peer: membership_models.Instance) -> None:
+        """Record that a peer did not answer, and suspect it if that repeats."""
+        self.failures[peer.id] = self.failures.get(peer.id, 0) + 1
+        if self.failures[peer.id] != FAILURES_BEFORE_SUSPICION:
+            return
+        self.suspect(peer.id)
+        # A connection that a partition has silenced would wait out TCP's back-off after healing.
+        channel = self.exchange_channels.channels.pop(peer.peer_address, None)
+        if channel is not None:
+            await channel.close()
+
+    # Versions
+
+    def is_behind(self, config_version: int, operations_version: int) -> bool:
+        """Tell whether one of the versions is newer than this process's own."""
+        return (
+            config_version > self.versions.config_version
+            or operations_version > self.versions.operations_version
+        )
+
+    async def catch_up(self, address: str, config_version: int, operations_version: int) -> bool:
+        """Pull what a peer has newer; tells whether this process is as new as the peer now."""
+        if operations_version > self.versions.operations_version:
+            await self.pull(address, OPERATIONS)
+        if config_version > self.versions.config_version:
+            await self.pull(address, CONFIGURATION)
+        return not self.is_behind(config_version, operations_version)
+
+    async def pull(self, address: str, kind: masticward_pb2.FetchRequest.Kind) -> None:
+        """Fetch one kind of value from a peer and take it if it is newer."""
+        if kind == CONFIGURATION:
+            async with self.configuration_lock:
+                await self.fetch_and_take(address, kind, CONFIGURATION_FETCH_SECONDS)
+        else:
+            await self.fetch_and_take(address, kind, OPERATIONS_FETCH_SECONDS)
+
+    async def fetch_and_take(
+        self, address: str, kind: masticward_pb2.FetchRequest.Kind, timeout: float
+    ) -> None:
+        """Fetch one kind of value within ``timeout`` seconds and take it."""
+        known_version, _ = self.newest(kind)
+        deadline = clocks.deadline_after(timeout)
+        answer = await peers.fetch(self.exchange_channels, address, kind, known_version, deadline)
+        if isinstance(answer, result.Success) and answer.unwrap().version > known_version:
+            self.take(kind, answer.unwrap().value, address)
+
+    def take(self, kind: masticward_pb2.FetchRequest.Kind, raw: bytes, source: str) -> None:
+        """Take a value if it is newer, then tell the subscribers and the peers."""
+        if kind == CONFIGURATION:
+            taken = self.versions.take_configuration(raw)
+            event = events.Event.CONFIGURATION_TAKEN
+        else:
+            taken = self.versions.take_operations(raw)
+            event = events.Event.OPERATIONS_TAKEN
+        if isinstance(taken, result.Failure):
+            logger.log(events.Event.VERSION_REFUSED, source=source, reason=str(taken.failure()))
+        elif taken.unwrap():
+            logger.log(event, version=self.newest(kind)[0], source=source)
+            self.round_wanted.set()
+            self.notify()
+
+    def notify_members(self) -> None:
+        """Tell the subscribers if the members have changed."""
+        if self.membership.revision != self.notified_revision:
+            self.notify()
+
+    def notify(self) -> None:
+        """Tell the subscribers."""
+        self.notified_revision = self.membership.revision
+        for callback in list(self.callbacks):
+            callback()
+
+
+def jittered(seconds: float) -> float:
+    """Return a random time within JITTER of ``seconds``, so that processes do not act at once."""
+    return seconds * random.uniform(1 - JITTER, 1 + JITTER)
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -1,5 +1,7 @@
 """Every failure of masticward, as one typed hierarchy."""
 
+import typing
+
 
 class MasticwardError(Exception):
     """Base of all failures raised or returned by this package."""
@@ -94,3 +96,40 @@
 
 class PeerUnavailableError(MasticwardError):
     """Returned when a peer process did not answer in time."""
+
+
+class VersionRefusedError(MasticwardError):
+    """Returned when a configuration or operations state does not decode or contradicts itself."""
+
+
+class PublishingError(MasticwardError):
+    """Base of failures to change the configuration or the operations state."""
+
+
+class ChangeConflictError(PublishingError):
+    """Returned when somebody else changed the object first; nothing was changed.
+
+    ``entries`` holds the audit entries of the changes in between.
+    """
+
+    def __init__(self, name: str, entries: tuple[typing.Any, ...]) -> None:
+        lines = [
+            f"version {entry.to_version} by {entry.operator} at {entry.time}: {entry.action}"
+            f" ({'; '.join(entry.changes)})"
+            for entry in entries
+        ]
+        super().__init__(f"{name} was changed meanwhile: {' | '.join(lines) or 'unknown change'}")
+        self.name = name
+        self.entries = entries
+
+
+class ChangeNotMadeError(PublishingError):
+    """Returned when the object API was unavailable and the change surely had no effect."""
+
+
+class ChangeOutcomeUnknownError(PublishingError):
+    """Returned when a change may have taken effect and could not be read back in time."""
+
+
+class ChangeRefusedError(PublishingError):
+    """Returned when a change is not allowed as asked for; nothing was changed."""
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -16,6 +16,24 @@
     PROCESS_STOPPED = (1003, "process_stopped", logging.INFO)
     TASK_FAILED = (1004, "task_failed", logging.ERROR)
 
+    CONFIGURATION_TAKEN = (5001, "configuration_taken", logging.INFO)
+    OPERATIONS_TAKEN = (5002, "operations_taken", logging.INFO)
+    VERSION_REFUSED = (5003, "version_refused", logging.ERROR)
+    MEMBER_ADDED = (5101, "member_added", logging.INFO)
+    MEMBER_REMOVED = (5102, "member_removed", logging.INFO)
+    MEMBER_LEAVING = (5103, "member_leaving", logging.INFO)
+    MEMBER_SUSPECTED = (5104, "member_suspected", logging.WARNING)
+    MEMBER_RESPONDS = (5105, "member_responds", logging.INFO)
+    INSTANCE_LIST_UNAVAILABLE = (5201, "instance_list_unavailable", logging.WARNING)
+    INSTANCE_LIST_RESTORED = (5202, "instance_list_restored", logging.INFO)
+
+    OBJECT_API_UNAVAILABLE = (6101, "object_api_unavailable", logging.WARNING)
+    OBJECT_API_RESTORED = (6102, "object_api_restored", logging.INFO)
+
+    CHANGE_ACCEPTED = (7001, "change_accepted", logging.INFO)
+    CHANGE_CONFLICT = (7002, "change_conflict", logging.WARNING)
+    CHANGE_ANSWER_LOST = (7003, "change_answer_lost", logging.WARNING)
+
     @property
     def number(self) -> int:
         """The number of the event, which never changes."""
--- a/src/masticward/models/configuration.py
+++ b/src/masticward/models/configuration.py
@@ -63,7 +63,10 @@
 
 
 class AuditEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """One accepted change. ``time`` is the operator's wall clock in ISO 8601, for people only."""
+    """One accepted change. ``time`` is the operator's wall clock in ISO 8601, for people only.
+
+    ``change_id`` is random; it tells the writer whether its own write took effect.
+    """
 
     time: str
     operator: str
@@ -71,10 +74,14 @@
     from_version: int
     to_version: int
     changes: tuple[str, ...]
+    change_id: str = ""
 
 
 class Manifest(msgspec.Struct, frozen=True, kw_only=True):
-    """The small object that names the shards of one configuration."""
+    """The small object that names the shards of one configuration.
+
+    ``audit_rolled`` counts the oldest audit entries, which are in ``audit/config/<n>`` objects.
+    """
 
     version: int
     availability_zones: tuple[str, ...]
@@ -92,3 +99,9 @@
     instances_out: tuple[str, ...] = ()
     audit: tuple[AuditEntry, ...] = ()
     audit_rolled: int = 0
+
+
+class TeamShard(msgspec.Struct, frozen=True, kw_only=True):
+    """A part of the teams, stored as ``config/shard/<hash of the content>``."""
+
+    teams: tuple[Team, ...]
--- /dev/null
+++ b/src/masticward/models/objects.py
@@ -0,0 +1,12 @@
+"""Names of the objects in the object API."""
+
+MANIFEST = "config/manifest"
+OPERATIONS = "ops/state"
+SHARD_PREFIX = "config/shard/"
+CONFIGURATION_AUDIT_PREFIX = "audit/config/"
+OPERATIONS_AUDIT_PREFIX = "audit/ops/"
+
+
+def shard_name(content_hash: str) -> str:
+    """Return the name of a shard of teams."""
+    return SHARD_PREFIX + content_hash
--- /dev/null
+++ b/src/masticward/protocol/peers.py
@@ -0,0 +1,119 @@
+"""Exchange of versions between any two processes, and the fetch of what is newer."""
+
+import abc
+import typing
+
+import grpc
+import grpc.aio
+from returns import result
+
+from masticward import errors
+from masticward.models import membership
+from masticward.transport import channels
+from masticward.utils import clocks
+from masticward.wire import masticward_pb2, masticward_pb2_grpc
+
+
+class PeerHandler(abc.ABC):
+    """The side of a process's view that answers peers."""
+
+    @abc.abstractmethod
+    def digest(self) -> masticward_pb2.ViewDigest:
+        """Return who this process is and which versions it holds."""
+
+    @abc.abstractmethod
+    def receive_digest(self, digest: masticward_pb2.ViewDigest) -> None:
+        """Note the digest of a peer that has called."""
+
+    @abc.abstractmethod
+    def newest(self, kind: int) -> tuple[int, bytes]:
+        """Return version and bytes of the newest value of a ``FetchRequest.Kind``; 0 if none."""
+
+
+class PeerServicer(masticward_pb2_grpc.PeerServicer):
+    """Answers the calls of peers from the process's view."""
+
+    def __init__(self, view: PeerHandler) -> None:
+        self.view = view
+
+    async def Exchange(  # noqa: N802
+        self, request: masticward_pb2.ViewDigest, context: typing.Any
+    ) -> masticward_pb2.ViewDigest:
+        """Note the caller's digest and return this process's own."""
+        self.view.receive_digest(request)
+        return self.view.digest()
+
+    async def Fetch(  # noqa: N802
+        self, request: masticward_pb2.FetchRequest, context: typing.Any
+    ) -> masticward_pb2.FetchReply:
+        """Return the newest value if it is newer than the caller's."""
+        version, value = self.view.newest(request.kind)
+        if version <= request.known_version:
+            return masticward_pb2.FetchReply(version=0)
+        return masticward_pb2.FetchReply(version=version, value=value)
+
+
+async def exchange(
+    pool: channels.ChannelPool,
+    address: str,
+    digest: masticward_pb2.ViewDigest,
+    deadline: float,
+    wait_for_connection: bool = False,
+) -> result.Result[masticward_pb2.ViewDigest, errors.PeerUnavailableError]:
+    """Send a digest to a peer and return the peer's, before a monotonic deadline.
+
+    With ``wait_for_connection`` the call waits until the peer can be reached again, so that no
+    back-off of the connection delays it.
+    """
+    stub = masticward_pb2_grpc.PeerStub(pool.get(address))  # type: ignore[no-untyped-call]
+    return await call(pool, address, stub.Exchange, digest, deadline, wait_for_connection)
+
+
+async def fetch(
+    pool: channels.ChannelPool, address: str, kind: int, known_version: int, deadline: float
+) -> result.Result[masticward_pb2.FetchReply, errors.PeerUnavailableError]:
+    """Fetch a value newer than ``known_version`` from a peer; version 0 if it has none."""
+    stub = masticward_pb2_grpc.PeerStub(pool.get(address))  # type: ignore[no-untyped-call]
+    request = masticward_pb2.FetchRequest(
+        kind=typing.cast(masticward_pb2.FetchRequest.Kind, kind), known_version=known_version
+    )
+    return await call(pool, address, stub.Fetch, request, deadline)
+
+
+async def call(
+    pool: channels.ChannelPool,
+    address: str,
+    method: typing.Any,
+    request: typing.Any,
+    deadline: float,
+    wait_for_connection: bool = False,
+) -> result.Result[typing.Any, errors.PeerUnavailableError]:
+    """Make one unary call to a peer."""
+    try:
+        return result.Success(
+            await method(
+                request,
+                timeout=clocks.remaining_seconds(deadline),
+                metadata=pool.transport.metadata,
+                wait_for_ready=wait_for_connection,
+            )
+        )
+    except grpc.aio.AioRpcError as error:
+        detail = f"{address}: {error.code().name} {error.details()}"
+        return result.Failure(errors.PeerUnavailableError(detail))
+    except grpc.aio.UsageError as error:
+        # The channel was closed because the peer is no longer a member.
+        return result.Failure(errors.PeerUnavailableError(f"{address}: {error}"))
+
+
+def as_instance(digest: masticward_pb2.ViewDigest) -> membership.Instance:
+    """Return the sender of a digest. Raises ValueError if its role is unknown."""
+    return membership.Instance(
+        id=digest.instance_id,
+        role=membership.Role(digest.role),
+        service=digest.service,
+        availability_zone=digest.availability_zone,
+        peer_address=digest.peer_address,
+        admin_address=digest.admin_address,
+        leaving=digest.leaving,
+    )
--- /dev/null
+++ b/src/masticward/publishing/rollout.py
@@ -0,0 +1,103 @@
+"""Waits until a change is in force in every listed process."""
+
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+from returns import result
+
+from masticward.models import membership
+from masticward.publishing import change
+from masticward.transport import instance_list as instance_list_module
+from masticward.transport import object_api
+
+POLL_SECONDS = 0.25
+
+
+class Status(msgspec.Struct, frozen=True):
+    """What a process's ``/status`` says about its versions."""
+
+    config_version: int = 0
+    operations_version: int = 0
+
+
+class Rollout(msgspec.Struct, frozen=True):
+    """Which processes have the wanted versions, and why the others are not known to."""
+
+    in_force: tuple[str, ...]
+    missing: dict[str, str]
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether the change is in force in every process, of which there is one at least."""
+        return bool(self.in_force) and not self.missing
+
+
+async def wait_in_force(
+    instance_list: instance_list_module.InstanceList,
+    config_version: int,
+    operations_version: int,
+    deadline: float,
+) -> Rollout:
+    """Ask all listed processes until they have both versions or the deadline passes."""
+    async with aiohttp.ClientSession(trust_env=False) as session:
+        while True:
+            rollout = await ask_all(
+                session, instance_list, config_version, operations_version, deadline
+            )
+            if rollout.complete or time.monotonic() + POLL_SECONDS >= deadline:
+                return rollout
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def ask_all(
+    session: aiohttp.ClientSession,
+    instance_list: instance_list_module.InstanceList,
+    config_version: int,
+    operations_version: int,
+    deadline: float,
+) -> Rollout:
+    """Ask all listed processes once."""
+    answer = await instance_list.fetch(change.call_deadline(deadline))
+    if isinstance(answer, result.Failure):
+        return Rollout((), {"instance list": str(answer.failure())})
+    instances = answer.unwrap()
+    if not instances:
+        return Rollout((), {"instance list": "holds no instance"})
+    replies = await asyncio.gather(
+        *(
+            ask(session, instance, config_version, operations_version, deadline)
+            for instance in instances
+        )
+    )
+    reasons = dict(zip((instance.id for instance in instances), replies, strict=True))
+    return Rollout(
+        tuple(name for name, reason in reasons.items() if not reason),
+        {name: reason for name, reason in reasons.items() if reason},
+    )
+
+
+async def ask(
+    session: aiohttp.ClientSession,
+    instance: membership.Instance,
+    config_version: int,
+    operations_version: int,
+    deadline: float,
+) -> str:
+    """Return why a process is not known to have the versions, an empty string if it has them."""
+    if not instance.admin_address:
+        return "no admin address is listed"
+    try:
+        async with session.get(
+            f"http://{instance.admin_address}/status",
+            timeout=object_api.client_timeout(change.call_deadline(deadline)),
+        ) as response:
+            status = msgspec.json.decode(await response.read(), type=Status)
+    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
+        return object_api.describe(error)
+    if status.config_version < config_version:
+        return f"has configuration {status.config_version}"
+    if status.operations_version < operations_version:
+        return f"has operations state {status.operations_version}"
+    return ""
--- /dev/null
+++ b/src/masticward/state/shards.py
@@ -0,0 +1,71 @@
+"""Splits the teams of a configuration into immutable shards and joins them again."""
+
+import hashlib
+
+import msgspec
+
+from masticward.models import configuration as configuration_models
+from masticward.utils import identifiers
+
+MAXIMUM_SHARD_BYTES = 512 * 1024
+# A change of one team rewrites one shard, so small shards keep the traffic of a change small.
+PREFERRED_SHARD_BYTES = 64 * 1024
+MAXIMUM_SHARDS = 4096
+HASH_HEX_DIGITS = 32
+
+
+def split(teams: tuple[configuration_models.Team, ...]) -> dict[str, bytes]:
+    """Return the encoded shards by content hash.
+
+    Teams are assigned by the hash of their name, so that one changed team changes one shard.
+    Raises ValueError if a shard stays above MAXIMUM_SHARD_BYTES.
+    """
+    count = 1
+    while True:
+        encoded = encode_buckets(teams, count)
+        largest = max((len(content) for content in encoded), default=0)
+        if largest <= PREFERRED_SHARD_BYTES:
+            break
+        if count >= MAXIMUM_SHARDS:
+            if largest <= MAXIMUM_SHARD_BYTES:
+                break
+            raise ValueError(f"a shard of {largest} bytes exceeds {MAXIMUM_SHARD_BYTES}")
+        count *= 2
+    return {content_hash(content): content for content in encoded}
+
+
+def encode_buckets(teams: tuple[configuration_models.Team, ...], count: int) -> list[bytes]:
+    """Return the encoded non-empty buckets of teams."""
+    buckets: list[list[configuration_models.Team]] = [[] for _ in range(count)]
+    for team in sorted(teams, key=lambda item: item.name):
+        buckets[identifiers.stable_hash(team.name) % count].append(team)
+    return [
+        msgspec.json.encode(configuration_models.TeamShard(teams=tuple(bucket)))
+        for bucket in buckets
+        if bucket
+    ]
+
+
+def content_hash(content: bytes) -> str:
+    """Return the name of a shard's content."""
+    return hashlib.sha256(content).hexdigest()[:HASH_HEX_DIGITS]
+
+
+def join(
+    manifest: configuration_models.Manifest, shards: dict[str, bytes]
+) -> configuration_models.Configuration:
+    """Return the configuration that a manifest names, with the teams sorted by name.
+
+    Raises ValueError or msgspec.DecodeError if a shard does not match its hash or decode.
+    """
+    teams: list[configuration_models.Team] = []
+    for name in manifest.team_shards:
+        if content_hash(shards[name]) != name:
+            raise ValueError(f"shard {name} does not match its hash")
+        teams.extend(msgspec.json.decode(shards[name], type=configuration_models.TeamShard).teams)
+    return configuration_models.Configuration(
+        version=manifest.version,
+        availability_zones=manifest.availability_zones,
+        services=manifest.services,
+        teams=tuple(sorted(teams, key=lambda item: item.name)),
+    )
--- /dev/null
+++ b/src/masticward/state/versions.py
@@ -0,0 +1,70 @@
+"""The newest configuration and operations state that a process has seen."""
+
+import typing
+
+import msgspec
+from returns import result
+
+from masticward import errors
+from masticward.models import configuration as configuration_models
+
+ValueT = typing.TypeVar(
+    "ValueT", configuration_models.Configuration, configuration_models.OperationsState
+)
+
+
+class VersionStore:
+    """Holds the newest value of each kind, decoded and as bytes for peers. Never goes back."""
+
+    __slots__ = ("configuration", "configuration_bytes", "operations", "operations_bytes")
+
+    def __init__(self) -> None:
+        self.configuration: configuration_models.Configuration | None = None
+        self.configuration_bytes = b""
+        self.operations = configuration_models.OperationsState(version=0)
+        self.operations_bytes = b""
+
+    @property
+    def config_version(self) -> int:
+        """The version of the configuration, 0 before the first one."""
+        return self.configuration.version if self.configuration is not None else 0
+
+    @property
+    def operations_version(self) -> int:
+        """The version of the operations state, 0 before the first one."""
+        return self.operations.version
+
+    def take_configuration(self, raw: bytes) -> result.Result[bool, errors.VersionRefusedError]:
+        """Take an encoded configuration if it is newer; tells whether it was taken."""
+        decoded = decode(raw, configuration_models.Configuration)
+        if isinstance(decoded, result.Failure):
+            return result.Failure(decoded.failure())
+        value = decoded.unwrap()
+        if value.version <= self.config_version:
+            return result.Success(False)
+        self.configuration, self.configuration_bytes = value, raw
+        return result.Success(True)
+
+    def take_operations(self, raw: bytes) -> result.Result[bool, errors.VersionRefusedError]:
+        """Take an encoded operations state if it is newer; tells whether it was taken."""
+        decoded = decode(raw, configuration_models.OperationsState)
+        if isinstance(decoded, result.Failure):
+            return result.Failure(decoded.failure())
+        value = decoded.unwrap()
+        if value.version <= self.operations_version:
+            return result.Success(False)
+        self.operations, self.operations_bytes = value, raw
+        return result.Success(True)
+
+
+def decode(raw: bytes, kind: type[ValueT]) -> result.Result[ValueT, errors.VersionRefusedError]:
+    """Decode a value of one kind, whose version must be above 0."""
+    try:
+        value = msgspec.json.decode(raw, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Failure(errors.VersionRefusedError(f"{kind.__name__}: {error}"))
+    if value.version <= 0:
+        return result.Failure(
+            errors.VersionRefusedError(f"{kind.__name__}: version {value.version} is not above 0")
+        )
+    return result.Success(value)
