--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -16,6 +16,16 @@
     PROCESS_STOPPED = (1003, "process_stopped", logging.INFO)
     TASK_FAILED = (1004, "task_failed", logging.ERROR)
 
+    ENDPOINT_COLD = (3001, "endpoint_cold", logging.WARNING)
+    ENDPOINT_WARM = (3002, "endpoint_warm", logging.INFO)
+    LOAD_REPORT_MISSING = (3003, "load_report_missing", logging.WARNING)
+    LOAD_REPORT_BACK = (3004, "load_report_back", logging.INFO)
+    ENDPOINT_BROKEN = (3005, "endpoint_broken", logging.WARNING)
+    ENDPOINT_NOT_STARTED = (3006, "endpoint_not_started", logging.WARNING)
+    STAGED_REFUSED = (3007, "staged_refused", logging.INFO)
+    AGENT_DRAINING = (3008, "agent_draining", logging.INFO)
+    ADMISSION_OPENED = (3009, "admission_opened", logging.INFO)
+
     @property
     def number(self) -> int:
         """The number of the event, which never changes."""
--- /dev/null
+++ b/src/masticward/protocol/attempt_server.py
@@ -0,0 +1,122 @@
+"""The Attempt service of an agent."""
+
+import abc
+import collections.abc
+import contextlib
+import typing
+
+import grpc.aio
+import xxhash
+
+from masticward.models import attempts, work
+from masticward.utils import clocks
+from masticward.wire import masticward_pb2, masticward_pb2_grpc
+
+
+class AttemptRunner(abc.ABC):
+    """What the servicer needs of the agent's runner."""
+
+    @abc.abstractmethod
+    def run(
+        self, request: attempts.AttemptRequest
+    ) -> collections.abc.AsyncGenerator[attempts.AttemptEvent, None]:
+        """Run one attempt at most once and yield its events; the last one ends it."""
+
+
+class FrameWriter:
+    """Numbers the frames of one attempt and sums up the body for the end frame."""
+
+    __slots__ = ("attempt_id", "digest", "length", "sequence")
+
+    def __init__(self, attempt_id: str) -> None:
+        self.attempt_id = attempt_id
+        self.sequence = 0
+        self.length = 0
+        self.digest = xxhash.xxh3_64()
+
+    def frame(self, event: attempts.AttemptEvent) -> masticward_pb2.RunFrame:
+        """Return the next frame."""
+        frame = masticward_pb2.RunFrame(attempt_id=self.attempt_id, sequence=self.sequence)
+        self.sequence += 1
+        self.fill(frame, event)
+        return frame
+
+    def fill(self, frame: masticward_pb2.RunFrame, event: attempts.AttemptEvent) -> None:
+        """Put the event into the frame."""
+        match event:
+            case attempts.Accepted():
+                frame.accepted.SetInParent()
+            case attempts.ResponseHead(status=status, headers=headers):
+                frame.head.status = status
+                for name, value in headers:
+                    frame.head.headers.add(name=name, value=value)
+                frame.head.SetInParent()
+            case attempts.ResponseChunk(data=data):
+                self.length += len(data)
+                self.digest.update(data)
+                frame.chunk.data = data
+            case attempts.Finished(cost=cost):
+                frame.end.frame_count = self.sequence
+                frame.end.length = self.length
+                frame.end.digest = self.digest.intdigest()
+                frame.end.cost = cost
+            case attempts.Refused(reason=reason, retry_after_ms=retry_after_ms, detail=detail):
+                frame.refused.reason = reason.value
+                frame.refused.retry_after_ms = retry_after_ms
+                frame.refused.detail = detail
+            case attempts.Failed(reason=text, may_have_run=may_have_run):
+                frame.failed.may_have_run = may_have_run
+                frame.failed.reason = text
+
+
+class AttemptServicer(masticward_pb2_grpc.AttemptServicer):
+    """Streams the frames of attempts.
+
+    Accepted says only that the attempt was taken in: the call runs or waits to start. An entry that
+    loses the stream after it must reckon with a start; a Refused that follows is still true.
+    """
+
+    def __init__(self, runner: AttemptRunner) -> None:
+        self.runner = runner
+
+    async def Run(  # noqa: N802
+        self,
+        request: masticward_pb2.RunRequest,
+        context: "grpc.aio.ServicerContext[typing.Any, typing.Any]",
+    ) -> None:
+        """Run an attempt. If the entry cancels, the stream of events is closed at once.
+
+        Frames are written here instead of yielded, because grpc does not close a generator whose
+        caller has gone.
+        """
+        writer = FrameWriter(request.attempt_id)
+        stream = self.runner.run(attempt_request(request))
+        async with contextlib.aclosing(stream) as events:
+            async for event in events:
+                await context.write(writer.frame(event))
+
+
+def attempt_request(request: masticward_pb2.RunRequest) -> attempts.AttemptRequest:
+    """Return the attempt with its deadline on this instance's clock."""
+    return attempts.AttemptRequest(
+        attempt_id=request.attempt_id,
+        ticket_id=request.ticket_id,
+        agent_id=request.agent_id,
+        agent_incarnation=request.agent_incarnation,
+        slot_id=request.slot_id,
+        config_version=request.config_version,
+        operations_version=request.operations_version,
+        entry_peer_address=request.entry_peer_address,
+        call=work.CallRequest(
+            request_id=request.request_id,
+            team=request.team,
+            service=request.service,
+            operation=request.operation,
+            method=request.method,
+            path=request.path,
+            headers=tuple((header.name, header.value) for header in request.headers),
+            body=request.body,
+            deadline=clocks.deadline_from_remaining_ms(request.remaining_ms),
+            cost_hint=request.cost_hint,
+        ),
+    )
--- /dev/null
+++ b/src/masticward/state/admission.py
@@ -0,0 +1,160 @@
+"""How many calls one endpoint bears at a time: cold, warming and warm."""
+
+import enum
+
+FIRST_REPORT_WAIT_SECONDS = 3.0
+REPORT_MISSING_SECONDS = 3.0
+SLOW_FIRST_TOKEN_FACTOR = 4.0
+# Scheduling pauses of a busy instance reach tens of milliseconds and are no sign of a cold engine.
+SLOW_FIRST_TOKEN_FLOOR_SECONDS = 0.1
+FIRST_TOKEN_SAMPLES_NEEDED = 5
+MEAN_SMOOTHING = 0.05
+
+
+class AdmissionState(enum.StrEnum):
+    """The state of one endpoint as its agent judges it."""
+
+    COLD = "cold"
+    WARMING = "warming"
+    WARM = "warm"
+
+
+class AdmissionLimit:
+    """The concurrency limit of one endpoint. Times are monotonic seconds.
+
+    ``epoch`` grows with each return to cold; successes of runs that were started in an earlier
+    epoch tell nothing about the endpoint as it is now and are not counted.
+    """
+
+    __slots__ = (
+        "cold_limit",
+        "endpoint_incarnation",
+        "epoch",
+        "first_token_mean",
+        "first_token_samples",
+        "last_report_at",
+        "limit_hint",
+        "raw_limit",
+        "report_settle_seconds",
+        "reported_cold",
+        "started_at",
+        "successes",
+        "warm_limit",
+    )
+
+    def __init__(
+        self, cold_limit: int, warm_limit: int, started_at: float, report_settle_seconds: float
+    ) -> None:
+        self.warm_limit = max(1, warm_limit)
+        self.cold_limit = min(max(1, cold_limit), self.warm_limit)
+        self.started_at = started_at
+        # A lagging report may not yet show calls that a previous agent started just before its end.
+        self.report_settle_seconds = report_settle_seconds
+        self.raw_limit = self.cold_limit
+        self.limit_hint = 0
+        self.epoch = 0
+        self.successes = 0
+        self.reported_cold = False
+        self.endpoint_incarnation: int | None = None
+        self.last_report_at: float | None = None
+        self.first_token_mean = 0.0
+        self.first_token_samples = 0
+
+    @property
+    def limit(self) -> int:
+        """The calls that may be in flight now, at least 1."""
+        if self.limit_hint > 0:
+            return min(self.raw_limit, self.limit_hint)
+        return self.raw_limit
+
+    @property
+    def state(self) -> AdmissionState:
+        """The state that follows from the limit; warm wins if both limits are equal."""
+        if self.reported_cold:
+            return AdmissionState.COLD
+        if self.raw_limit >= self.warm_limit:
+            return AdmissionState.WARM
+        if self.raw_limit > self.cold_limit:
+            return AdmissionState.WARMING
+        return AdmissionState.COLD
+
+    def is_open(self, now: float) -> bool:
+        """Tell whether anything may be admitted: a load report came or the wait for it is over."""
+        if now >= self.started_at + FIRST_REPORT_WAIT_SECONDS:
+            return True
+        settled = now >= self.started_at + self.report_settle_seconds
+        return settled and self.last_report_at is not None
+
+    def set_limits(self, cold_limit: int, warm_limit: int) -> None:
+        """Take over the limits of a newer configuration; the limit itself is never raised here."""
+        self.warm_limit = max(1, warm_limit)
+        self.cold_limit = min(max(1, cold_limit), self.warm_limit)
+        self.raw_limit = min(max(self.raw_limit, self.cold_limit), self.warm_limit)
+
+    def go_cold(self) -> None:
+        """Return to the cold limit at once."""
+        self.raw_limit = self.cold_limit
+        self.successes = 0
+        self.epoch += 1
+
+    def note_report(self, cold: bool, incarnation: int, limit_hint: int, now: float) -> bool:
+        """Take a load report into account; True if it led back to cold."""
+        restarted = self.endpoint_incarnation not in (None, incarnation)
+        self.endpoint_incarnation = incarnation
+        self.last_report_at = now
+        self.limit_hint = limit_hint
+        became_cold = restarted or (cold and not self.reported_cold)
+        self.reported_cold = cold
+        if restarted or cold:
+            self.go_cold()
+        return became_cold
+
+    def note_success(self, epoch: int, now: float) -> bool:
+        """Count a call that ended well; True if it raised the limit."""
+        if epoch != self.epoch or self.raw_limit >= self.warm_limit:
+            return False
+        if self.reported_cold or self.is_report_missing(now):
+            self.successes = 0
+            return False
+        self.successes += 1
+        if self.successes < self.raw_limit:
+            return False
+        self.successes = 0
+        self.raw_limit += 1
+        return True
+
+    def note_failure(self) -> None:
+        """End the run of successes without a return to cold, for example after a timeout."""
+        self.successes = 0
+
+    def is_report_missing(self, now: float) -> bool:
+        """Tell whether no load report has come for 3 s."""
+        return self.last_report_at is None or now - self.last_report_at >= REPORT_MISSING_SECONDS
+
+    def first_token_bound(self) -> float | None:
+        """Return the first-token time in seconds above which the endpoint counts as cold."""
+        if self.first_token_samples < FIRST_TOKEN_SAMPLES_NEEDED:
+            return None
+        bound = SLOW_FIRST_TOKEN_FACTOR * self.first_token_mean
+        return max(bound, SLOW_FIRST_TOKEN_FLOOR_SECONDS)
+
+    def note_first_token(self, seconds: float, epoch: int) -> bool:
+        """Take a first-token time into account; True if it led back to cold.
+
+        The mean is learned while warm. A slow sample moves it too, clipped to the bound, so that
+        lastingly longer prompts do not hold the endpoint at its cold limit for ever.
+        """
+        bound = self.first_token_bound()
+        slow = bound is not None and seconds > bound
+        if slow or self.state is AdmissionState.WARM:
+            self.learn_first_token(seconds if bound is None else min(seconds, bound))
+        if not slow or epoch != self.epoch:
+            return False
+        self.go_cold()
+        return True
+
+    def learn_first_token(self, seconds: float) -> None:
+        """Move the mean towards one sample; the first samples are averaged plainly."""
+        self.first_token_samples += 1
+        weight = max(MEAN_SMOOTHING, 1.0 / self.first_token_samples)
+        self.first_token_mean += weight * (seconds - self.first_token_mean)
--- /dev/null
+++ b/src/masticward/state/attempts.py
@@ -0,0 +1,39 @@
+"""Attempt ids that one agent incarnation has accepted."""
+
+import heapq
+
+# A duplicate that was delayed on its way carries a remaining time from before the delay.
+MEMORY_AFTER_DEADLINE_SECONDS = 60.0
+
+
+class AttemptTable:
+    """Accepts each attempt id once. Times are monotonic seconds.
+
+    An id is kept until 60 s after its deadline, so memory is bounded by the rate of attempts times
+    their deadlines. A duplicate that comes later still is refused for its slot, which is used up.
+    """
+
+    __slots__ = ("accepted", "expiries")
+
+    def __init__(self) -> None:
+        self.accepted: dict[str, float] = {}
+        self.expiries: list[tuple[float, str]] = []
+
+    def is_known(self, attempt_id: str) -> bool:
+        """Tell whether the id was accepted before and is still kept."""
+        return attempt_id in self.accepted
+
+    def accept(self, attempt_id: str, deadline: float, now: float) -> bool:
+        """Accept an id; False if it was accepted before."""
+        self.forget(now)
+        if attempt_id in self.accepted:
+            return False
+        expiry = max(deadline, now) + MEMORY_AFTER_DEADLINE_SECONDS
+        self.accepted[attempt_id] = expiry
+        heapq.heappush(self.expiries, (expiry, attempt_id))
+        return True
+
+    def forget(self, now: float) -> None:
+        """Drop the ids whose time is over."""
+        while self.expiries and self.expiries[0][0] <= now:
+            del self.accepted[heapq.heappop(self.expiries)[1]]
