Add the entry's router, attempt client, claims and HTTP server

Cause: the entry had no path from a caller's request to an outcome. Change: request life cycle with bounded queues, ticket windows, refusals within a retry budget and one second attempt of idempotent calls; checked frames; claims by group commit; sanic front. The request and response interfaces of the HTTP server live in transport, so that transport does not import coordination. Claims, frames, gRPC and HTTP are not tested yet.

--- /dev/null
+++ b/src/masticward/coordination/entry_meters.py
@@ -0,0 +1,54 @@
+"""Metrics of the entry. Label values are bounded: outcomes, statuses and refusal reasons."""
+
+import prometheus_client
+
+from masticward import metrics
+from masticward.models import work
+
+QUEUE_SECONDS_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0, 60.0, 300.0)
+OTHER_REASON = "other"
+KNOWN_REASONS = frozenset(reason.value for reason in work.RefusalReason)
+
+
+class EntryMeters:
+    """The entry's counters, gauges and histograms."""
+
+    __slots__ = ("bytes_held", "held", "queue_length", "queue_seconds", "refusals", "requests")
+
+    def __init__(self, process_metrics: metrics.ProcessMetrics) -> None:
+        registry = process_metrics.registry
+        self.requests = prometheus_client.Counter(
+            "masticward_entry_requests_total",
+            "Requests by outcome and by the kind of refusal or failure.",
+            ("outcome", "kind"),
+            registry=registry,
+        )
+        self.refusals = prometheus_client.Counter(
+            "masticward_entry_attempt_refusals_total",
+            "Attempts that agents refused, by reason.",
+            ("reason",),
+            registry=registry,
+        )
+        self.queue_length = prometheus_client.Gauge(
+            "masticward_entry_queue_requests", "Requests that wait for a slot.", registry=registry
+        )
+        self.held = prometheus_client.Gauge(
+            "masticward_entry_held_requests", "Requests that are not finished.", registry=registry
+        )
+        self.bytes_held = prometheus_client.Gauge(
+            "masticward_entry_held_body_bytes", "Bytes of request bodies held.", registry=registry
+        )
+        self.queue_seconds = prometheus_client.Histogram(
+            "masticward_entry_queue_seconds",
+            "Time from arrival to the first slot.",
+            buckets=QUEUE_SECONDS_BUCKETS,
+            registry=registry,
+        )
+
+    def count_outcome(self, outcome: work.Outcome, kind: str) -> None:
+        """Count a finished request; ``kind`` is a refusal type or ``answered``."""
+        self.requests.labels(outcome.value, kind).inc()
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a refused attempt."""
+        self.refusals.labels(reason if reason in KNOWN_REASONS else OTHER_REASON).inc()
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -94,3 +94,53 @@
 
 class PeerUnavailableError(MasticwardError):
     """Returned when a peer process did not answer in time."""
+
+
+class RequestRefusedError(MasticwardError):
+    """Raised when a caller's request surely was not run; ``status`` is the HTTP status."""
+
+    def __init__(self, status: int, kind: str, message: str, retry_after_ms: int = 0) -> None:
+        super().__init__(message)
+        self.status = status
+        self.kind = kind
+        self.message = message
+        self.retry_after_ms = retry_after_ms
+
+
+class OutcomeUnknownError(MasticwardError):
+    """Raised when a caller's request may have run without a whole response."""
+
+    def __init__(self, status: int, kind: str, message: str, retry_after_ms: int = 0) -> None:
+        super().__init__(message)
+        self.status = status
+        self.kind = kind
+        self.message = message
+        self.retry_after_ms = retry_after_ms
+
+
+class QueueFullError(MasticwardError):
+    """Raised when a team or the entry holds as many requests or bytes as it may."""
+
+    def __init__(self, scope: str, detail: str) -> None:
+        super().__init__(detail)
+        self.scope = scope
+
+
+class CallerGoneError(MasticwardError):
+    """Raised when the caller's connection is lost and nothing more can be sent to it."""
+
+
+class ClaimError(MasticwardError):
+    """Base of failures to claim an idempotency key; the call was not run under this claim."""
+
+
+class ClaimUnavailableError(ClaimError):
+    """Returned when the claim was surely not given, because the object API or the shard is full."""
+
+    def __init__(self, detail: str, retry_after_ms: int) -> None:
+        super().__init__(detail)
+        self.retry_after_ms = retry_after_ms
+
+
+class ClaimShardError(ClaimError):
+    """Raised when a claims object holds no valid shard."""
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -16,6 +16,25 @@
     PROCESS_STOPPED = (1003, "process_stopped", logging.INFO)
     TASK_FAILED = (1004, "task_failed", logging.ERROR)
 
+    ENTRY_LISTENING = (2001, "entry_listening", logging.INFO)
+    ENTRY_STOPPED_LISTENING = (2002, "entry_stopped_listening", logging.INFO)
+    ENTRY_DRAINING = (2003, "entry_draining", logging.INFO)
+    REQUEST_REFUSED = (2010, "request_refused", logging.DEBUG)
+    REQUEST_UNKNOWN = (2011, "request_unknown", logging.WARNING)
+    REQUEST_EVICTED = (2012, "request_evicted", logging.DEBUG)
+    REQUEST_BROKEN = (2013, "request_broken", logging.ERROR)
+    CALLER_GONE = (2014, "caller_gone", logging.DEBUG)
+    ATTEMPT_REFUSED = (2020, "attempt_refused", logging.DEBUG)
+    ATTEMPT_FAILED = (2021, "attempt_failed", logging.WARNING)
+    FRAME_REJECTED = (2022, "frame_rejected", logging.WARNING)
+
+    CLAIM_WRITE_ANSWER_LOST = (6001, "claim_write_answer_lost", logging.WARNING)
+    CLAIM_STORE_UNAVAILABLE = (6002, "claim_store_unavailable", logging.WARNING)
+    CLAIM_SHARD_FULL = (6003, "claim_shard_full", logging.ERROR)
+    CLAIM_SHARD_UNREADABLE = (6004, "claim_shard_unreadable", logging.ERROR)
+    CLAIM_CHANGE_DROPPED = (6005, "claim_change_dropped", logging.ERROR)
+    CLAIM_RECORDS_PRUNED = (6006, "claim_records_pruned", logging.INFO)
+
     @property
     def number(self) -> int:
         """The number of the event, which never changes."""
--- /dev/null
+++ b/src/masticward/protocol/attempt_client.py
@@ -0,0 +1,149 @@
+"""The entry's side of Attempt.Run: one attempt, sent once, as a stream of checked events."""
+
+import abc
+import asyncio
+import collections.abc
+import typing
+
+import grpc
+import grpc.aio
+import msgspec
+
+from masticward import errors, events, logs
+from masticward.models import work
+from masticward.state import frames
+from masticward.transport import channels as channels_module
+from masticward.utils import clocks
+from masticward.wire import masticward_pb2, masticward_pb2_grpc
+
+logger = logs.get_logger(__name__)
+
+
+class AttemptRequest(msgspec.Struct, kw_only=True):
+    """One attempt of a call on one slot. ``deadline`` is in monotonic seconds.
+
+    ``answer_deadline`` bounds how long the client listens; it lies after ``deadline`` if the
+    outcome matters even when the caller no longer waits.
+    """
+
+    attempt_id: str
+    ticket_id: str
+    slot: work.Slot
+    call: work.CallRequest
+    config_version: int
+    operations_version: int
+    answer_deadline: float
+    sent: bool = False
+
+
+class AttemptClient(abc.ABC):
+    """Runs attempts on agents."""
+
+    @abc.abstractmethod
+    def run(
+        self, attempt: AttemptRequest
+    ) -> collections.abc.AsyncGenerator[frames.AttemptEvent, None]:
+        """Send an attempt and yield its events; the last one is ResponseEnd.
+
+        Raises AttemptRefusedError if the call surely did not run, AttemptFailedError if it may
+        have. Closing the generator cancels the attempt.
+        """
+
+
+class GrpcAttemptClient(AttemptClient):
+    """Sends attempts over the channels to the agents."""
+
+    __slots__ = ("channels",)
+
+    def __init__(self, channels: channels_module.ChannelPool) -> None:
+        self.channels = channels
+
+    async def run(
+        self, attempt: AttemptRequest
+    ) -> collections.abc.AsyncGenerator[frames.AttemptEvent, None]:
+        """Send an attempt and yield its events, as described by the base class."""
+        if attempt.sent:
+            raise errors.AttemptFailedError(f"attempt {attempt.attempt_id} was sent before")
+        channel = self.channels.get(attempt.slot.agent_address)
+        await wait_until_ready(channel, attempt)
+        attempt.sent = True
+        stub: typing.Any = masticward_pb2_grpc.AttemptStub(channel)  # type: ignore[no-untyped-call]
+        call = stub.Run(
+            to_wire(attempt),
+            metadata=self.channels.transport.metadata,
+            timeout=clocks.remaining_seconds(attempt.answer_deadline),
+        )
+        try:
+            async for event in checked_events(call, attempt.attempt_id):
+                yield event
+        finally:
+            call.cancel()
+
+
+async def wait_until_ready(channel: grpc.aio.Channel, attempt: AttemptRequest) -> None:
+    """Wait for the channel to connect, at most until the slot or the call expires.
+
+    A call that fails on a channel that was ready may have been received, so the only failure to
+    connect that surely means "not run" is the one seen before the call is made.
+    """
+    deadline = min(attempt.slot.deadline, attempt.call.deadline)
+    try:
+        async with asyncio.timeout(clocks.remaining_seconds(deadline)):
+            await channel.channel_ready()
+    except TimeoutError:
+        detail = "the agent was not reached before the slot expired"
+    except grpc.aio.UsageError:
+        detail = "the channel was closed"
+    else:
+        return
+    raise errors.AttemptRefusedError(work.RefusalReason.UNREACHABLE, 0, detail)
+
+
+async def checked_events(
+    call: typing.Any, attempt_id: str
+) -> collections.abc.AsyncGenerator[frames.AttemptEvent, None]:
+    """Yield the events of a sent call. Every end but ResponseEnd raises."""
+    assembler = frames.FrameAssembler(attempt_id)
+    try:
+        async for frame in call:
+            event = assembler.add(frame)
+            yield event
+            if assembler.complete:
+                return
+    except errors.FrameError as error:
+        logger.log(events.Event.FRAME_REJECTED, attempt_id=attempt_id, detail=str(error))
+        raise errors.AttemptFailedError(str(error)) from error
+    except grpc.aio.AioRpcError as error:
+        detail = f"{error.code().name}: {error.details()}"
+        raise errors.AttemptFailedError(detail) from error
+    except asyncio.CancelledError:
+        # grpc.aio raises CancelledError also when the channel is closed under the call.
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
+        raise errors.AttemptFailedError("the channel was closed during the call") from None
+    raise errors.AttemptFailedError("the stream ended without its end frame")
+
+
+def to_wire(attempt: AttemptRequest) -> masticward_pb2.RunRequest:
+    """Return the wire form of an attempt."""
+    call = attempt.call
+    return masticward_pb2.RunRequest(
+        attempt_id=attempt.attempt_id,
+        ticket_id=attempt.ticket_id,
+        request_id=call.request_id,
+        agent_id=attempt.slot.agent_id,
+        agent_incarnation=attempt.slot.agent_incarnation,
+        slot_id=attempt.slot.id,
+        service=call.service,
+        operation=call.operation,
+        team=call.team,
+        config_version=attempt.config_version,
+        operations_version=attempt.operations_version,
+        remaining_ms=clocks.remaining_ms(call.deadline),
+        method=call.method,
+        path=call.path,
+        headers=[masticward_pb2.Header(name=name, value=value) for name, value in call.headers],
+        body=call.body,
+        cost_hint=call.cost_hint,
+    )
--- /dev/null
+++ b/src/masticward/state/route_table.py
@@ -0,0 +1,65 @@
+"""Finds the team of a credential and the operation of a call in one configuration."""
+
+import hashlib
+import hmac
+
+from masticward.models import configuration as configuration_models
+
+WILDCARD_SUFFIX = "/*"
+
+
+class RouteTable:
+    """Indexes of one configuration version."""
+
+    __slots__ = ("exact", "teams", "version", "wildcard")
+
+    def __init__(self, configuration: configuration_models.Configuration) -> None:
+        self.version = configuration.version
+        self.teams: dict[str, tuple[str, str]] = {}
+        self.exact: dict[tuple[str, str], Route] = {}
+        self.wildcard: dict[tuple[str, str], Route] = {}
+        for team in configuration.teams:
+            for digest in team.credential_digests:
+                self.teams[digest.lower()] = (digest.lower(), team.name)
+        for service in configuration.services:
+            for operation in service.operations:
+                self.add_operation(service, operation)
+
+    def add_operation(
+        self, service: configuration_models.Service, operation: configuration_models.Operation
+    ) -> None:
+        """Index one operation; the first one declared for a method and path is kept."""
+        method = operation.method.upper()
+        if operation.path.endswith(WILDCARD_SUFFIX):
+            prefix = operation.path.removesuffix(WILDCARD_SUFFIX)
+            self.wildcard.setdefault((method, prefix), Route(service, operation))
+        else:
+            self.exact.setdefault((method, operation.path), Route(service, operation))
+
+    def team_of(self, credential: str) -> str | None:
+        """Return the name of the team that owns a credential."""
+        digest = hashlib.sha256(credential.encode()).hexdigest()
+        stored, team = self.teams.get(digest, ("", ""))
+        # The index is by digest, so its timing depends on nothing a caller can choose to steer.
+        return team if hmac.compare_digest(digest, stored) else None
+
+    def find(self, method: str, path: str) -> "Route | None":
+        """Return the route for a method and a path without query; longest wildcard prefix wins."""
+        route = self.exact.get((method, path))
+        prefix = path
+        while route is None and "/" in prefix:
+            prefix = prefix.rpartition("/")[0]
+            route = self.wildcard.get((method, prefix))
+        return route
+
+
+class Route:
+    """A service with one of its operations."""
+
+    __slots__ = ("operation", "service")
+
+    def __init__(
+        self, service: configuration_models.Service, operation: configuration_models.Operation
+    ) -> None:
+        self.service = service
+        self.operation = operation
--- /dev/null
+++ b/tests/lib/entry_fakes.py
@@ -0,0 +1,283 @@
+"""Fakes around the router: view, ticket exchange, attempts and a caller's connection."""
+
+import asyncio
+import collections.abc
+import hashlib
+import time
+
+from masticward import errors, settings
+from masticward.coordination import claims as claims_module
+from masticward.coordination import fleet_view, router, tickets
+from masticward.models import configuration as configuration_models
+from masticward.models import membership, work
+from masticward.protocol import attempt_client
+from masticward.state import frames
+from masticward.transport import request_gate, response_sink
+
+Events = collections.abc.AsyncGenerator[frames.AttemptEvent, None]
+Step = collections.abc.Callable[[attempt_client.AttemptRequest], Events]
+
+
+def operation(name: str, path: str, idempotent: bool) -> configuration_models.Operation:
+    return configuration_models.Operation(
+        name=name, method="POST", path=path, idempotent=idempotent
+    )
+
+
+def build_configuration(version: int = 1) -> configuration_models.Configuration:
+    common = {"cold_limit": 1, "warm_limit": 4, "endpoints": 1}
+    return configuration_models.Configuration(
+        version=version,
+        availability_zones=("ebene",),
+        services=(
+            configuration_models.Service(
+                name="model",
+                kind=configuration_models.ServiceKind.LANGUAGE_MODEL,
+                operations=(operation("generate", "/v1/generate", True),),
+                **common,
+            ),
+            configuration_models.Service(
+                name="booking",
+                kind=configuration_models.ServiceKind.PLAIN,
+                operations=(
+                    operation("book", "/v1/book", False),
+                    operation("look", "/v1/look/*", True),
+                ),
+                **common,
+            ),
+        ),
+        teams=tuple(
+            configuration_models.Team(
+                name=name,
+                share=1.0,
+                credential_digests=(hashlib.sha256(f"{name}-key".encode()).hexdigest(),),
+            )
+            for name in ("mango", "papaya", "litchi")
+        ),
+    )
+
+
+class FakeView(fleet_view.FleetView):
+    def __init__(self) -> None:
+        self.stored: configuration_models.Configuration | None = build_configuration()
+        self.out: set[str] = set()
+        self.suspected: list[str] = []
+        self.noted: list[tuple[int, int, str]] = []
+
+    @property
+    def configuration(self) -> configuration_models.Configuration | None:
+        return self.stored
+
+    @property
+    def operations(self) -> configuration_models.OperationsState:
+        return configuration_models.OperationsState(version=1)
+
+    def members(self) -> list[membership.Instance]:
+        return []
+
+    def agents_of(self, service: str) -> list[membership.Instance]:
+        return []
+
+    def is_out(self, instance_id: str, availability_zone: str) -> bool:
+        return instance_id in self.out
+
+    def is_leaving(self, instance_id: str) -> bool:
+        return False
+
+    def fresh_until(self) -> float:
+        return time.monotonic() + 2.0
+
+    def suspect(self, instance_id: str) -> None:
+        self.suspected.append(instance_id)
+
+    def note_versions(
+        self, config_version: int, operations_version: int, peer_address: str
+    ) -> None:
+        self.noted.append((config_version, operations_version, peer_address))
+
+    def announce_leaving(self) -> None:
+        pass
+
+    def subscribe(self, callback: collections.abc.Callable[[], None]) -> None:
+        pass
+
+
+class FakeExchange(tickets.TicketExchange):
+    """Gives each ticket a slot at once while ``automatic``, else when told to."""
+
+    def __init__(self, target: router.Router) -> None:
+        self.router = target
+        self.automatic = True
+        self.queued: dict[str, work.Ticket] = {}
+        self.submitted: list[work.Ticket] = []
+        self.withdrawn: list[str] = []
+        self.declined: list[tuple[work.Assignment, bool]] = []
+        self.agents: list[str] = []
+
+    def submit(self, ticket: work.Ticket) -> None:
+        self.queued[ticket.id] = ticket
+        self.submitted.append(ticket)
+        if self.automatic:
+            asyncio.get_running_loop().call_soon(self.assign, ticket.id)
+
+    def assign(self, ticket_id: str, slot_seconds: float = 2.0) -> bool:
+        agent = self.agents.pop(0) if self.agents else "agent-1"
+        slot = work.Slot(
+            id=len(self.submitted),
+            agent_id=agent,
+            agent_incarnation=1,
+            agent_address="127.0.0.1:1",
+            availability_zone="ebene",
+            deadline=time.monotonic() + slot_seconds,
+        )
+        assignment = work.Assignment(ticket_id=ticket_id, slot=slot, virtual_time=3.0, queue_ms=1.0)
+        taken = self.router.on_assign(assignment)
+        self.queued.pop(ticket_id, None)
+        return taken
+
+    def withdraw(self, ticket_id: str) -> None:
+        self.withdrawn.append(ticket_id)
+        self.queued.pop(ticket_id, None)
+
+    def decline(self, assignment: work.Assignment, slot_valid: bool) -> None:
+        self.declined.append((assignment, slot_valid))
+
+    def dispatcher_of(self, service: str) -> str:
+        return "agent-1"
+
+
+class ScriptedAttempts(attempt_client.AttemptClient):
+    """Runs one scripted step for each attempt; the last step repeats."""
+
+    def __init__(self, *steps: Step) -> None:
+        self.steps = list(steps) or [answer()]
+        self.runs: list[attempt_client.AttemptRequest] = []
+        self.closed = 0
+
+    async def run(self, attempt: attempt_client.AttemptRequest) -> Events:
+        step = self.steps.pop(0) if len(self.steps) > 1 else self.steps[0]
+        self.runs.append(attempt)
+        attempt.sent = True
+        try:
+            async for event in step(attempt):
+                yield event
+        finally:
+            self.closed += 1
+
+
+def answer(*parts: bytes, gate: asyncio.Event | None = None, cut: bool = False) -> Step:
+    """Return a step that answers 200 with parts; with a gate it waits before the last part."""
+
+    async def step(attempt: attempt_client.AttemptRequest) -> Events:
+        yield frames.AttemptAccepted()
+        yield frames.ResponseHead(200, (("content-type", "text/plain"),))
+        for part in parts[:-1]:
+            yield frames.ResponseChunk(part)
+        if gate is not None:
+            await gate.wait()
+        if cut:
+            raise errors.AttemptFailedError("cut")
+        for part in parts[-1:]:
+            yield frames.ResponseChunk(part)
+        yield frames.ResponseEnd(1.0)
+
+    return step
+
+
+def refuse(reason: str = "at-limit", gate: asyncio.Event | None = None) -> Step:
+    async def step(attempt: attempt_client.AttemptRequest) -> Events:
+        if gate is not None:
+            await gate.wait()
+        raise errors.AttemptRefusedError(reason)
+        yield
+
+    return step
+
+
+class MemorySink(response_sink.ResponseSink):
+    """Keeps what a caller would have received."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.outcome = ""
+        self.body = b""
+        self.whole = False
+        self.cut = False
+        self.first_data = asyncio.Event()
+
+    async def send_whole(
+        self, status: int, headers: response_sink.Headers, body: bytes, outcome: work.Outcome
+    ) -> None:
+        self.started = True
+        self.status, self.body, self.outcome = status, body, outcome.value
+        self.whole = True
+
+    async def start(self, status: int, headers: response_sink.Headers) -> None:
+        self.started = True
+        self.status, self.outcome = status, "complete"
+
+    async def send(self, data: bytes) -> None:
+        self.body += data
+        self.first_data.set()
+
+    async def finish(self) -> None:
+        self.whole = True
+
+    def abort(self) -> None:
+        self.cut = True
+
+
+class EntryFixture:
+    """A router with fakes around it."""
+
+    def __init__(
+        self,
+        *steps: Step,
+        limits: settings.EntryLimits | None = None,
+        claims: claims_module.ClaimService | None = None,
+    ) -> None:
+        self.view = FakeView()
+        self.attempts = ScriptedAttempts(*steps)
+        self.limits = limits or settings.EntryLimits()
+        self.router = router.Router(self.view, self.limits, "entry-1", self.attempts, claims)
+        self.exchange = FakeExchange(self.router)
+        self.router.tickets = self.exchange
+
+    async def call(
+        self,
+        path: str = "/v1/generate",
+        *,
+        team: str = "mango",
+        body: bytes = b"{}",
+        key: str = "",
+        seconds: float = 5.0,
+        sink: MemorySink | None = None,
+    ) -> MemorySink:
+        """Make one call and return its sink. Raises RequestRefusedError of the admission."""
+        head = request_gate.RequestHead(
+            method="POST",
+            path=path,
+            target=path,
+            headers=(),
+            credential=f"{team}-key",
+            deadline_seconds=seconds,
+            idempotency_key=key,
+        )
+        admission = self.router.admit(head)
+        sink = sink or MemorySink()
+        try:
+            admission.grow(len(body))
+            await admission.serve(body, sink)
+        finally:
+            admission.close()
+        return sink
+
+    def start(self, path: str = "/v1/generate", **options: object) -> asyncio.Task[MemorySink]:
+        return asyncio.ensure_future(self.call(path, **options))
+
+
+async def until(condition: collections.abc.Callable[[], object], seconds: float = 10.0) -> None:
+    """Wait until a condition holds. Raises TimeoutError."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.001)
--- /dev/null
+++ b/tests/unit/test_router.py
@@ -0,0 +1,251 @@
+"""Guards against false "not run" answers, double runs, lost callers and unbounded queues."""
+
+import asyncio
+import unittest
+
+from masticward import errors, settings
+from tests.lib import entry_fakes
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refused_attempt_goes_back_to_the_queue_with_a_new_ticket(self) -> None:
+        fixture = entry_fakes.EntryFixture(entry_fakes.refuse(), entry_fakes.answer(b"ok"))
+        sink = await fixture.call("/v1/book")
+        self.assertEqual((200, b"ok", "complete"), (sink.status, sink.body, sink.outcome))
+        first, second = fixture.exchange.submitted
+        self.assertNotEqual(first.id, second.id)
+        self.assertEqual((False, True), (first.retried, second.retried))
+        self.assertEqual(first.arrived_at, second.arrived_at)
+        self.assertEqual([False], [valid for _, valid in fixture.exchange.declined])
+        self.assertEqual(2, len({run.attempt_id for run in fixture.attempts.runs}))
+
+    async def test_ends_not_run_after_the_refusal_limit(self) -> None:
+        fixture = entry_fakes.EntryFixture(
+            entry_fakes.refuse(), limits=settings.EntryLimits(refusals_per_request=3)
+        )
+        sink = await fixture.call("/v1/book")
+        self.assertEqual((503, "not-run"), (sink.status, sink.outcome))
+        self.assertEqual(3, len(fixture.attempts.runs))
+
+    async def test_retry_budget_stops_a_storm_of_refusals(self) -> None:
+        fixture = entry_fakes.EntryFixture(
+            entry_fakes.refuse(), limits=settings.EntryLimits(retry_budget_ratio=0.0)
+        )
+        fixture.router.context.budget.tokens = 1.5
+        sinks = [await fixture.call("/v1/book") for _ in range(3)]
+        self.assertEqual({"not-run"}, {sink.outcome for sink in sinks})
+        self.assertEqual(2 + 1 + 1, len(fixture.attempts.runs))
+
+    async def test_refusal_after_a_failed_start_is_not_called_not_run(self) -> None:
+        fixture = entry_fakes.EntryFixture(
+            entry_fakes.answer(b"x", cut=True),
+            entry_fakes.refuse(),
+            limits=settings.EntryLimits(refusals_per_request=1),
+        )
+        sink = await fixture.call("/v1/look/a")
+        self.assertEqual("unknown", sink.outcome)
+
+    async def test_slot_of_an_instance_that_is_out_is_not_used(self) -> None:
+        fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"ok"))
+        fixture.view.out.add("agent-2")
+        fixture.exchange.agents = ["agent-2", "agent-1"]
+        sink = await fixture.call("/v1/book")
+        self.assertEqual("complete", sink.outcome)
+        self.assertEqual(["agent-1"], [run.slot.agent_id for run in fixture.attempts.runs])
+
+
+class PossibleStartTest(unittest.IsolatedAsyncioTestCase):
+    async def test_non_idempotent_call_is_never_sent_twice(self) -> None:
+        fixture = entry_fakes.EntryFixture(
+            entry_fakes.answer(b"x", cut=True), entry_fakes.answer(b"ok")
+        )
+        sink = await fixture.call("/v1/book")
+        self.assertEqual((502, "unknown"), (sink.status, sink.outcome))
+        self.assertEqual(1, len(fixture.attempts.runs))
+
+    async def test_idempotent_call_is_sent_a_second_time_and_no_third(self) -> None:
+        cut = entry_fakes.answer(b"x", cut=True)
+        fixture = entry_fakes.EntryFixture(cut, entry_fakes.answer(b"ok"))
+        self.assertEqual(b"ok", (await fixture.call("/v1/look/a")).body)
+        fixture = entry_fakes.EntryFixture(cut)
+        sink = await fixture.call("/v1/look/a")
+        self.assertEqual((502, "unknown"), (sink.status, sink.outcome))
+        self.assertEqual(2, len(fixture.attempts.runs))
+
+    async def test_stream_that_was_begun_is_cut_and_not_repeated(self) -> None:
+        fixture = entry_fakes.EntryFixture(
+            entry_fakes.answer(b"token", b"", cut=True), entry_fakes.answer(b"ok")
+        )
+        sink = await fixture.call("/v1/generate")
+        self.assertTrue(sink.cut)
+        self.assertFalse(sink.whole)
+        self.assertEqual(1, len(fixture.attempts.runs))
+
+
+class DeadlineTest(unittest.IsolatedAsyncioTestCase):
+    async def test_deadline_in_the_queue_is_not_run_and_withdraws_the_ticket(self) -> None:
+        fixture = entry_fakes.EntryFixture()
+        fixture.exchange.automatic = False
+        sink = await fixture.call("/v1/book", seconds=0.05)
+        self.assertEqual((503, "not-run"), (sink.status, sink.outcome))
+        self.assertEqual([fixture.exchange.submitted[0].id], fixture.exchange.withdrawn)
+        self.assertFalse(fixture.exchange.assign(fixture.exchange.submitted[0].id))
+
+    async def test_deadline_in_flight_cancels_a_model_stream(self) -> None:
+        gate = asyncio.Event()
+        fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"x", gate=gate))
+        sink = await fixture.call("/v1/generate", seconds=0.05)
+        self.assertEqual((504, "unknown"), (sink.status, sink.outcome))
+        self.assertEqual(1, fixture.attempts.closed)
+
+    async def test_deadline_in_flight_answers_but_does_not_cancel_a_plain_call(self) -> None:
+        gate = asyncio.Event()
+        fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"x", gate=gate))
+        sink = await fixture.call("/v1/book", seconds=0.05)
+        self.assertEqual((504, "unknown"), (sink.status, sink.outcome))
+        self.assertEqual(0, fixture.attempts.closed)
+        gate.set()
+        await fixture.router.drained()
+        self.assertEqual(504, sink.status)
+
+
+class VanishedCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def vanish_in_flight(self, path: str) -> tuple[entry_fakes.EntryFixture, asyncio.Event]:
+        gate = asyncio.Event()
+        fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"x", gate=gate))
+        task = fixture.start(path)
+        await entry_fakes.until(lambda: fixture.attempts.runs)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0.01)
+        return fixture, gate
+
+    async def test_model_attempt_is_cancelled(self) -> None:
+        fixture, _ = await self.vanish_in_flight("/v1/generate")
+        self.assertEqual(1, fixture.attempts.closed)
+        await fixture.router.drained()
+
+    async def test_plain_attempt_runs_to_its_end(self) -> None:
+        fixture, gate = await self.vanish_in_flight("/v1/book")
+        self.assertEqual(0, fixture.attempts.closed)
+        gate.set()
+        await fixture.router.drained()
+        record = fixture.router.explain_log.newest(1)[0]
+        self.assertEqual("complete", record.outcome)
+
+    async def test_plain_call_that_is_refused_later_is_not_queued_again(self) -> None:
+        gate = asyncio.Event()
+        fixture = entry_fakes.EntryFixture(entry_fakes.refuse(gate=gate))
+        task = fixture.start("/v1/book")
+        await entry_fakes.until(lambda: fixture.attempts.runs)
+        task.cancel()
+        gate.set()
+        await fixture.router.drained()
+        self.assertEqual(1, len(fixture.exchange.submitted))
+
+    async def test_waiting_ticket_is_withdrawn_for_both_kinds(self) -> None:
+        for path in ("/v1/generate", "/v1/book"):
+            fixture = entry_fakes.EntryFixture()
+            fixture.exchange.automatic = False
+            task = fixture.start(path)
+            await entry_fakes.until(lambda used=fixture: used.exchange.submitted)
+            task.cancel()
+            await fixture.router.drained()
+            self.assertEqual(1, len(fixture.exchange.withdrawn))
+            self.assertEqual(0, fixture.router.queue.body_bytes)
+            self.assertEqual({}, fixture.router.queue.teams)
+
+    async def test_slot_given_to_a_vanished_caller_is_declined_as_valid(self) -> None:
+        fixture = entry_fakes.EntryFixture()
+        fixture.exchange.automatic = False
+        task = fixture.start("/v1/book")
+        await entry_fakes.until(lambda: fixture.exchange.submitted)
+        life = next(iter(fixture.router.lives.values()))
+        fixture.exchange.assign(fixture.exchange.submitted[0].id)
+        life.on_caller_gone()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual([True], [valid for _, valid in fixture.exchange.declined])
+        self.assertEqual([], fixture.attempts.runs)
+
+
+class BoundsTest(unittest.IsolatedAsyncioTestCase):
+    async def refusal_of(self, call: asyncio.Task[entry_fakes.MemorySink]) -> tuple[int, str]:
+        try:
+            sink = await call
+        except errors.RequestRefusedError as error:
+            return error.status, error.kind
+        return sink.status, sink.body.decode()
+
+    async def test_team_bounds_by_count_and_bytes(self) -> None:
+        limits = settings.EntryLimits(team_queue_requests=2, team_queue_bytes=100)
+        fixture = entry_fakes.EntryFixture(limits=limits)
+        fixture.exchange.automatic = False
+        waiting = [fixture.start(body=b"x" * 40) for _ in range(2)]
+        await entry_fakes.until(lambda: len(fixture.exchange.submitted) == 2)
+        status, body = await self.refusal_of(fixture.start(body=b"x"))
+        self.assertEqual((429, True), (status, "team-queue-full" in body))
+        self.assertEqual(
+            (429, "team-queue-full"), await self.refusal_of(fixture.start(body=b"x" * 21))
+        )
+        for task in waiting:
+            task.cancel()
+        await fixture.router.drained()
+        self.assertEqual(0, fixture.router.queue.body_bytes)
+
+    async def test_flooding_team_does_not_keep_others_out_of_a_full_entry(self) -> None:
+        fixture = entry_fakes.EntryFixture(limits=settings.EntryLimits(queue_requests=3))
+        fixture.exchange.automatic = False
+        flood = [fixture.start(team="mango") for _ in range(3)]
+        await entry_fakes.until(lambda: len(fixture.exchange.submitted) == 3)
+        small = fixture.start(team="papaya")
+        status, body = await self.refusal_of(flood[2])
+        self.assertEqual((429, True), (status, "team-queue-full" in body))
+        status, body = await self.refusal_of(fixture.start(team="mango"))
+        self.assertEqual((429, True), (status, "entry-queue-full" in body))
+        for task in (*flood[:2], small):
+            task.cancel()
+        await fixture.router.drained()
+
+    async def test_outstanding_tickets_are_limited_and_the_rest_keeps_its_order(self) -> None:
+        fixture = entry_fakes.EntryFixture(limits=settings.EntryLimits(tickets_per_team=2))
+        fixture.exchange.automatic = False
+        calls = [fixture.start(body=bytes([index])) for index in range(4)]
+        await entry_fakes.until(lambda: len(fixture.router.desk.waiters) == 4)
+        self.assertEqual(2, len(fixture.exchange.submitted))
+        for index in range(4):
+            fixture.exchange.assign(fixture.exchange.submitted[index].id)
+            await calls[index]
+        self.assertEqual([b"\0", b"\1", b"\2", b"\3"], [r.call.body for r in fixture.attempts.runs])
+        self.assertEqual({}, fixture.router.desk.windows)
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    async def test_drain_waits_for_queued_and_running_requests(self) -> None:
+        gate = asyncio.Event()
+        fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"ok", gate=gate))
+        fixture.exchange.automatic = False
+        running, queued = fixture.start(), fixture.start("/v1/book")
+        await entry_fakes.until(lambda: len(fixture.exchange.submitted) == 2)
+        fixture.exchange.assign(fixture.exchange.submitted[0].id)
+        fixture.router.begin_drain()
+        drained = asyncio.ensure_future(fixture.router.drained())
+        await asyncio.sleep(0.02)
+        self.assertFalse(drained.done())
+        fixture.exchange.assign(fixture.exchange.submitted[1].id)
+        gate.set()
+        await drained
+        self.assertEqual([b"ok", b"ok"], [(await running).body, (await queued).body])
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refusals_before_the_queue(self) -> None:
+        fixture = entry_fakes.EntryFixture()
+        for team, path, status in (("who", "/v1/book", 401), ("mango", "/v1/none", 404)):
+            with self.assertRaises(errors.RequestRefusedError) as caught:
+                await fixture.call(path, team=team)
+            self.assertEqual(status, caught.exception.status)
+        fixture.view.stored = None
+        with self.assertRaises(errors.RequestRefusedError) as caught:
+            await fixture.call("/v1/book")
+        self.assertEqual(503, caught.exception.status)
+        await fixture.router.drained()
