--- a/src/masticward/bench/fairness.py
+++ b/src/masticward/bench/fairness.py
@@ -149,17 +149,18 @@
     history: history_module.History,
     service: str,
     shares: collections.abc.Mapping[str, float],
+    window: Interval,
     minimum_waiting: int = 1,
 ) -> Gap:
     """Return the largest gap between any two teams backlogged over the same interval.
 
     The gap of an interval is the largest change of the difference of two normalized services
-    between any two times within it. ``minimum_waiting`` is the number of waiting calls from which
-    a team counts as backlogged.
+    between any two times within it and within ``window``. ``minimum_waiting`` is the number of
+    waiting calls from which a team counts as backlogged.
     """
     curves = service_curves(history, service, shares)
     backlogged = {
-        team: intervals_at_least(waits, minimum_waiting)
+        team: overlap(intervals_at_least(waits, minimum_waiting), [window])
         for team, waits in waiting_intervals(history, service).items()
         if team in curves
     }
--- /dev/null
+++ b/src/masticward/bench/mixes.py
@@ -0,0 +1,79 @@
+"""The loads of the demo and the measurements, built from a plan."""
+
+import collections.abc
+
+from masticward.bench import calls, load, plans
+from masticward.models import configuration as configuration_models
+
+# Short prompts with long answers, long prompts with short answers, and everything between.
+TOKEN_RANGES = (((10, 50), (40, 80)), ((200, 400), (20, 40)), ((10, 400), (20, 80)))
+SERVICE_MS = (20, 80)
+KEYED_RATIO = 0.5
+FLOOD_FACTOR = 6
+
+
+def services_of(
+    plan: plans.FleetPlan, kind: configuration_models.ServiceKind
+) -> list[configuration_models.Service]:
+    """Return the services of one kind."""
+    return [service for service in plan.configuration.services if service.kind is kind]
+
+
+def language_model(plan: plans.FleetPlan) -> configuration_models.Service:
+    """Return the first language-model service of a plan."""
+    return services_of(plan, configuration_models.ServiceKind.LANGUAGE_MODEL)[0]
+
+
+def plain(plan: plans.FleetPlan) -> configuration_models.Service:
+    """Return the first plain service of a plan."""
+    return services_of(plan, configuration_models.ServiceKind.PLAIN)[0]
+
+
+def text_loads(
+    plan: plans.FleetPlan,
+    outstanding: int,
+    flooding_team: int | None = None,
+    teams: collections.abc.Sequence[str] = (),
+) -> list[load.TeamLoad]:
+    """Return language-model load for each team, or for the given teams only.
+
+    One team may flood: it keeps several times as many calls under way and ignores Retry-After.
+    """
+    service = language_model(plan)
+    operation = service.operations[0]
+    loads = []
+    for number, team in enumerate(plan.configuration.teams):
+        if teams and team.name not in teams:
+            continue
+        prompt, output = TOKEN_RANGES[number % len(TOKEN_RANGES)]
+        floods = number == flooding_team
+        loads.append(
+            load.TeamLoad(
+                team=team.name,
+                credential=plan.credentials[team.name],
+                outstanding=outstanding * FLOOD_FACTOR if floods else outstanding,
+                mix=calls.TextCalls(service, operation, prompt, output),
+                patient=not floods,
+            )
+        )
+    return loads
+
+
+def booking_loads(
+    plan: plans.FleetPlan,
+    outstanding: int,
+    service_ms: tuple[int, int] = SERVICE_MS,
+    keyed_ratio: float = KEYED_RATIO,
+) -> list[load.TeamLoad]:
+    """Return load of the plain service for each team, on operations that must not be repeated."""
+    service = plain(plan)
+    operation = next(item for item in service.operations if not item.idempotent)
+    return [
+        load.TeamLoad(
+            team=team.name,
+            credential=plan.credentials[team.name],
+            outstanding=outstanding,
+            mix=calls.PlainCalls(service, operation, service_ms, keyed_ratio),
+        )
+        for team in plan.configuration.teams
+    ]
--- a/src/masticward/transport/channels.py
+++ b/src/masticward/transport/channels.py
@@ -81,6 +81,11 @@
 
     __slots__ = ("security",)
 
+    # Set by measurements to count the bytes of messages on each channel.
+    wrap_channel: typing.ClassVar[
+        collections.abc.Callable[[grpc.aio.Channel], grpc.aio.Channel] | None
+    ] = None
+
     def __init__(self, security: settings_module.PeerSecurity) -> None:
         self.security = security
 
@@ -93,6 +98,12 @@
 
     def open_channel(self, address: str) -> grpc.aio.Channel:
         """Open a channel to ``host:port``; calls on it must pass ``metadata``."""
+        channel = self.open_plain_channel(address)
+        wrap = PeerTransport.wrap_channel
+        return channel if wrap is None else wrap(channel)
+
+    def open_plain_channel(self, address: str) -> grpc.aio.Channel:
+        """Open a channel to ``host:port`` that is not measured."""
         if self.security.mode is settings_module.SecurityMode.TLS:
             credentials = grpc.ssl_channel_credentials(
                 read_file(self.security.authority_file),
--- a/tests/unit/test_bench_fairness.py
+++ b/tests/unit/test_bench_fairness.py
@@ -4,6 +4,8 @@
 
 from masticward.bench import fairness, history
 
+WINDOW = fairness.Interval(0.0, 20.0)
+
 
 def call(team: str, digest: int, sent_at: float, ended_at: float) -> history.CallRecord:
     return history.CallRecord(
@@ -53,18 +55,18 @@
 
 class FairnessTest(unittest.TestCase):
     def test_gap_counts_only_time_in_which_both_wait(self) -> None:
-        gap = fairness.largest_gap(one_sided(), "draft", {"a": 1.0, "b": 1.0})
+        gap = fairness.largest_gap(one_sided(), "draft", {"a": 1.0, "b": 1.0}, WINDOW)
         self.assertAlmostEqual(100.0, gap.value)
         self.assertEqual(("a", "b"), gap.teams)
 
     def test_gap_is_normalized_by_share(self) -> None:
-        gap = fairness.largest_gap(one_sided(), "draft", {"a": 4.0, "b": 1.0})
+        gap = fairness.largest_gap(one_sided(), "draft", {"a": 4.0, "b": 1.0}, WINDOW)
         self.assertAlmostEqual(25.0, gap.value)
 
     def test_no_gap_without_common_backlog(self) -> None:
         records = one_sided()
         records.calls[2] = call("b", 3, 10.0, 12.0)
-        gap = fairness.largest_gap(records, "draft", {"a": 1.0, "b": 1.0})
+        gap = fairness.largest_gap(records, "draft", {"a": 1.0, "b": 1.0}, WINDOW)
         self.assertEqual(0.0, gap.value)
 
     def test_gap_finds_an_excursion_inside_the_interval(self) -> None:
@@ -73,7 +75,7 @@
         records.calls.append(call("b", 5, 0.0, 20.0))
         records.runs.append(run("b", 6, 12.0, 20.0, 100.0))
         records.calls.append(call("b", 6, 0.0, 20.0))
-        gap = fairness.largest_gap(records, "draft", {"a": 1.0, "b": 1.0})
+        gap = fairness.largest_gap(records, "draft", {"a": 1.0, "b": 1.0}, WINDOW)
         self.assertAlmostEqual(100.0, gap.value)
 
     def test_utilization_counts_idle_slots_only_while_work_waits(self) -> None:
