Add status and explain commands and wire the merged parts

Cause: operators need to see versions, queues and the fate of one request. Change: status and explain ask every process's admin port; daemons use the merged router and endpoint runner.

--- a/src/masticward/cli/main.py
+++ b/src/masticward/cli/main.py
@@ -2,10 +2,28 @@
 
 import typer
 
-from masticward.cli import audit, check, config, publish, service_state, settings
+from masticward.cli import (
+    audit,
+    check,
+    config,
+    publish,
+    service_state,
+    settings,
+    status,
+)
+from masticward.cli import programs as program_commands
 from masticward.utils import programs
 
-COMMAND_MODULES = (check, publish, service_state, audit, config, settings)
+COMMAND_MODULES = (
+    program_commands,
+    check,
+    publish,
+    service_state,
+    status,
+    audit,
+    config,
+    settings,
+)
 
 app = typer.Typer(
     name="masticward",
--- a/src/masticward/cli/programs.py
+++ b/src/masticward/cli/programs.py
@@ -53,3 +53,9 @@
         return await common.run_until_signal(kind(loaded))
 
     raise typer.Exit(programs.run(main()))
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands to the program."""
+    app.command()(entry)
+    app.command()(agent)
--- a/src/masticward/daemons/agent.py
+++ b/src/masticward/daemons/agent.py
@@ -35,8 +35,8 @@
             instance,
             self.incarnation,
             service,
-            self.settings.endpoint.load_period_seconds,
-            self.metrics,
+            process_metrics=self.metrics,
+            load_period_seconds=self.settings.endpoint.load_period_seconds,
         )
         self.dispatcher = dispatcher.Dispatcher(self.view, service, self.settings.queue_policy)
         masticward_pb2_grpc.add_AttemptServicer_to_server(
@@ -49,7 +49,7 @@
             self.view, self.channels, self.runner, instance, self.incarnation
         )
         await self.start_serving()
-        await self.runner.start()
+        self.runner.start()
         await self.dispatcher.start()
         await self.offers.start()
 
@@ -70,10 +70,22 @@
         return {
             **self.common_status(),
             "service": self.settings.endpoint.service,
-            "endpoint": self.runner.status(),
+            "endpoint": self.endpoint_figures(),
             "dispatch": self.dispatcher.status(),
         }
 
+    def endpoint_figures(self) -> dict[str, typing.Any]:
+        """Return the admission state of the endpoint and the calls at it."""
+        limit = self.runner.capacity.limit
+        return {
+            "state": limit.state.value,
+            "limit": limit.limit,
+            "running": len(self.runner.running),
+            "staged": len(self.runner.staged),
+            "leaving": self.view.is_leaving(self.settings.instance_id),
+            "out": self.view.is_out(self.settings.instance_id, self.settings.availability_zone),
+        }
+
 
 def create_endpoint(endpoint_settings: settings.EndpointSettings) -> endpoint.Endpoint:
     """Return the client for the kind of endpoint beside the agent."""
--- a/src/masticward/daemons/entry.py
+++ b/src/masticward/daemons/entry.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import msgspec
+
 from masticward import settings
 from masticward.coordination import claims, router, tickets
 from masticward.daemons import common
@@ -71,9 +73,19 @@
             "dispatchers": {
                 service.name: self.tickets.dispatcher_of(service.name) for service in services
             },
-            "requests": self.router.status(),
+            "requests": self.request_figures(),
         }
 
     def explain(self, request_id: str) -> dict[str, typing.Any] | None:
         """Return the record of a request that this entry handled."""
-        return self.router.explain(request_id)
+        record = self.router.explain_log.get(request_id)
+        return None if record is None else msgspec.structs.asdict(record)
+
+    def request_figures(self) -> dict[str, typing.Any]:
+        """Return how many requests and bytes this entry holds."""
+        return {
+            "held": len(self.router.admissions),
+            "queued": self.router.queue.waiting,
+            "body_bytes": self.router.queue.body_bytes,
+            "draining": self.router.draining,
+        }
--- a/src/masticward/protocol/attempt_client.py
+++ b/src/masticward/protocol/attempt_client.py
@@ -67,7 +67,7 @@
         channel = self.channels.get(attempt.slot.agent_address)
         await wait_until_ready(channel, attempt)
         attempt.sent = True
-        stub: typing.Any = masticward_pb2_grpc.AttemptStub(channel)  # type: ignore[no-untyped-call]
+        stub: typing.Any = masticward_pb2_grpc.AttemptStub(channel)
         call = stub.Run(
             to_wire(attempt),
             metadata=self.channels.transport.metadata,
--- a/src/masticward/protocol/peers.py
+++ b/src/masticward/protocol/peers.py
@@ -65,7 +65,7 @@
     With ``wait_for_connection`` the call waits until the peer can be reached again, so that no
     back-off of the connection delays it.
     """
-    stub = masticward_pb2_grpc.PeerStub(pool.get(address))  # type: ignore[no-untyped-call]
+    stub = masticward_pb2_grpc.PeerStub(pool.get(address))
     return await call(pool, address, stub.Exchange, digest, deadline, wait_for_connection)
 
 
@@ -73,7 +73,7 @@
     pool: channels.ChannelPool, address: str, kind: int, known_version: int, deadline: float
 ) -> result.Result[masticward_pb2.FetchReply, errors.PeerUnavailableError]:
     """Fetch a value newer than ``known_version`` from a peer; version 0 if it has none."""
-    stub = masticward_pb2_grpc.PeerStub(pool.get(address))  # type: ignore[no-untyped-call]
+    stub = masticward_pb2_grpc.PeerStub(pool.get(address))
     request = masticward_pb2.FetchRequest(
         kind=typing.cast(masticward_pb2.FetchRequest.Kind, kind), known_version=known_version
     )
--- a/src/masticward/transport/admin_http.py
+++ b/src/masticward/transport/admin_http.py
@@ -7,7 +7,6 @@
 import msgspec
 import sanic
 import sanic.response
-import sanic.server
 
 from masticward import metrics as metrics_module
 from masticward.utils import addresses, identifiers
@@ -44,11 +43,15 @@
         self.source = source
         self.metrics = metrics
         self.port = 0
-        self.server: sanic.server.AsyncioServer | None = None
+        self.server: typing.Any = None
 
     async def start(self) -> int:
         """Listen and return the port in use."""
-        listener = bind_socket(self.address)
+        # Sanic replaces port 0 by its default port, so the socket is bound here.
+        host, port = addresses.split(self.address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family)
+        listener.setblocking(False)
         self.port = listener.getsockname()[1]
         self.server = await self.create_app().create_server(
             sock=listener, return_asyncio_server=True, access_log=False
@@ -115,17 +118,3 @@
     return sanic.response.raw(
         msgspec.json.encode(value), status=status, content_type="application/json"
     )
-
-
-def bind_socket(address: str) -> socket.socket:
-    """Return a socket bound to ``IP:port``.
-
-    Sanic replaces port 0 by its default port, so the socket is bound here.
-    """
-    host, port = addresses.split(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.setblocking(False)
-    return listener
