--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -2,9 +2,31 @@
 
 import abc
 import asyncio
+import collections
+import time
+import typing
 
 import msgspec
 
+from masticward import errors, events, logs
+from masticward.coordination import fleet_view, rendezvous
+from masticward.models import membership
+from masticward.protocol import dispatch_client
+from masticward.transport import channels as channels_module
+from masticward.utils import tasks
+from masticward.wire import masticward_pb2
+
+LOG = logs.get_logger(__name__)
+REPORT_SECONDS = 0.2
+# Ends within this time share one report, which bounds the cost of agents with very short calls.
+# Offers are not delayed by it.
+REPORT_SPACING_SECONDS = 0.01
+# Deadlines within this time share one timer.
+EXPIRY_SPACING_SECONDS = 0.05
+INITIAL_BACKOFF_SECONDS = 0.05
+MAXIMUM_BACKOFF_SECONDS = 0.5
+SESSION_COUNT = 2
+
 
 class OfferedSlots(msgspec.Struct, frozen=True, kw_only=True):
     """Slot ids issued together, valid until a monotonic deadline in seconds."""
@@ -52,6 +74,332 @@
     def is_retracted(self) -> bool:
         """Tell whether every slot that was offered must be withdrawn."""
 
+    def return_slots(self, slot_ids: tuple[int, ...]) -> None:  # noqa: B027
+        """Take back slots that a dispatcher discarded unassigned, so that new ones may be issued.
+
+        A source that does not override this issues new slots when the old ones expire.
+        """
+
     @abc.abstractmethod
     def note_hop_time(self, seconds: float) -> None:
         """Record a measured one-way time to the dispatcher, used for the staged depth."""
+
+
+class DispatcherSession(dispatch_client.AgentListener):
+    """The session with one dispatcher and what it has been told."""
+
+    def __init__(self, loop: "OfferLoop", target: membership.Instance) -> None:
+        self.loop = loop
+        self.target = target
+        self.link: dispatch_client.AgentLink | None = None
+        self.waiting = 0
+        self.sent_counters: dict[str, float] = {}
+        self.sent_progress: dict[str, float] = {}
+        self.finished: dict[str, float] = {}
+        self.sent_load: tuple[int, int, int, str] | None = None
+        self.offered_until = 0.0
+        self.answered = False
+        self.backoff_seconds = INITIAL_BACKOFF_SECONDS
+        self.task: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Keep the session open until cancelled."""
+        while True:
+            self.connect()
+            try:
+                assert self.link is not None
+                await self.link.run()
+            except errors.PeerUnavailableError as error:
+                LOG.log(
+                    events.Event.DISPATCH_SESSION_LOST,
+                    service=self.loop.instance.service,
+                    dispatcher=self.target.id,
+                    error=str(error),
+                )
+            finally:
+                self.link = None
+                self.waiting = 0
+                self.offered_until = 0.0
+            self.loop.note_lost(self.target)
+            await asyncio.sleep(self.backoff_seconds)
+            self.backoff_seconds = min(MAXIMUM_BACKOFF_SECONDS, 2 * self.backoff_seconds)
+
+    def connect(self) -> None:
+        """Open a link that starts with hello and a full report."""
+        self.link = self.loop.open_link(self)
+        self.sent_counters.clear()
+        self.sent_progress.clear()
+        self.sent_load = None
+        self.answered = False
+        self.loop.reported_at = 0.0
+        self.loop.source.changed.set()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the dispatcher has answered on the present link."""
+        return self.link is not None and self.link.established
+
+    def on_pong(self, waiting: int, round_trip_seconds: float) -> None:
+        """Record the queue length; the first pong makes the session usable."""
+        first, self.answered = not self.answered, True
+        self.backoff_seconds = INITIAL_BACKOFF_SECONDS
+        self.waiting = waiting
+        self.loop.note_pong(self, round_trip_seconds, first)
+
+    def on_snapshot(self, message: masticward_pb2.Snapshot) -> None:
+        """Store the snapshot for the next hello."""
+        self.loop.store_snapshot(self, message)
+
+    def on_returned(self, slot_ids: tuple[int, ...]) -> None:
+        """Let the source issue new slots in place of the discarded ones."""
+        self.offered_until = 0.0
+        self.loop.source.return_slots(slot_ids)
+        self.loop.source.changed.set()
+
+    def send_report(self, report: ServiceReport) -> None:
+        """Send what changed since the last report of this session; nothing if nothing did."""
+        self.finished.update(report.finished)
+        if self.link is None:
+            self.finished.clear()
+            return
+        counters = changed_values(report.counters, self.sent_counters)
+        progress = changed_values(report.progress, self.sent_progress)
+        load = (report.running, report.staged, report.limit, report.admission_state)
+        if not counters and not progress and not self.finished and load == self.sent_load:
+            return
+        self.link.report(
+            masticward_pb2.ServiceReport(
+                counters=[
+                    masticward_pb2.TeamCounter(team=team, total=total)
+                    for team, total in counters.items()
+                ],
+                progress=write_costs(progress),
+                finished=write_costs(self.finished),
+                running=report.running,
+                staged=report.staged,
+                limit=report.limit,
+                admission_state=report.admission_state,
+            )
+        )
+        self.sent_counters.update(counters)
+        self.sent_progress = dict(report.progress)
+        self.sent_load = load
+        self.finished.clear()
+
+
+class OfferLoop:
+    """Offers slots to the primary dispatcher and reports to primary and standby."""
+
+    def __init__(
+        self,
+        view: fleet_view.FleetView,
+        channels: channels_module.ChannelPool,
+        source: OfferSource,
+        instance: membership.Instance,
+        incarnation: int,
+    ) -> None:
+        self.view = view
+        self.channels = channels
+        self.source = source
+        self.instance = instance
+        self.incarnation = incarnation
+        self.sessions: dict[tuple[str, str], DispatcherSession] = {}
+        self.ranked: list[tuple[str, str]] = []
+        self.snapshot: masticward_pb2.Snapshot | None = None
+        self.group = tasks.TaskGroup()
+        self.reported_at = 0.0
+        self.retracted = False
+        self.expiries: collections.deque[float] = collections.deque()
+        self.expiry_timer: asyncio.TimerHandle | None = None
+        self.report_timer: asyncio.TimerHandle | None = None
+        self.closed = False
+
+    async def start(self) -> None:
+        """Open the sessions and begin to offer."""
+        self.view.subscribe(self.follow_view)
+        self.follow_view()
+        self.group.spawn(self.offer_continuously(), "offers")
+        self.group.spawn(self.report_periodically(), "offer-reports")
+
+    async def close(self) -> None:
+        """Close the sessions; the dispatchers drop the slots."""
+        self.closed = True
+        for timer in (self.expiry_timer, self.report_timer):
+            if timer is not None:
+                timer.cancel()
+        await self.group.cancel()
+
+    def follow_view(self) -> None:
+        """Keep sessions with the first two candidates for dispatcher."""
+        if self.closed:
+            return
+        service = self.instance.service
+        ranked = rendezvous.rank(service, self.view.agents_of(service))[:SESSION_COUNT]
+        if not ranked:
+            # Sessions are kept while no candidate is known: the view may only be cut off.
+            return
+        self.ranked = [(target.id, target.peer_address) for target in ranked]
+        for key in [known for known in self.sessions if known not in self.ranked]:
+            task = self.sessions.pop(key).task
+            if task is not None:
+                task.cancel()
+        for key, target in zip(self.ranked, ranked, strict=True):
+            if key not in self.sessions:
+                session = self.sessions[key] = DispatcherSession(self, target)
+                session.task = self.group.spawn(session.run(), f"agent-session-{target.id}")
+        self.source.changed.set()
+
+    def open_link(self, session: DispatcherSession) -> dispatch_client.AgentLink:
+        """Return a link whose first message carries the stored snapshot."""
+        hello = masticward_pb2.AgentHello(
+            agent_id=self.instance.id,
+            incarnation=self.incarnation,
+            service=self.instance.service,
+            availability_zone=self.instance.availability_zone,
+            peer_address=self.instance.peer_address,
+            stored_snapshot=self.snapshot,
+        )
+        return dispatch_client.AgentLink(self.channels, session.target.peer_address, hello, session)
+
+    def note_lost(self, target: membership.Instance) -> None:
+        """Suspect a dispatcher whose session broke and choose again."""
+        self.view.suspect(target.id)
+        self.follow_view()
+
+    def note_pong(self, session: DispatcherSession, round_trip_seconds: float, first: bool) -> None:
+        """Use a pong of a dispatcher: hop time, and where slots are wanted."""
+        primary, standby = self.primary, self.standby
+        if session is primary:
+            self.source.note_hop_time(round_trip_seconds / 2)
+        if first:
+            self.source.changed.set()
+        if primary is not None and standby is not None and wants_standby(primary, standby):
+            if primary.offered_until > time.monotonic() and primary.link is not None:
+                # The dispatcher returns what it drops, and those slots are issued again.
+                primary.link.retract()
+            self.source.changed.set()
+
+    @property
+    def primary(self) -> DispatcherSession | None:
+        """The session with the first candidate."""
+        return self.sessions.get(self.ranked[0]) if self.ranked else None
+
+    @property
+    def standby(self) -> DispatcherSession | None:
+        """The session with the second candidate."""
+        return self.sessions.get(self.ranked[1]) if len(self.ranked) > 1 else None
+
+    def choose_session(self) -> DispatcherSession | None:
+        """Return the session to which slots are offered now."""
+        primary, standby = self.primary, self.standby
+        if primary is not None and primary.usable:
+            if standby is not None and wants_standby(primary, standby):
+                return standby
+            return primary
+        return standby if standby is not None and standby.usable else None
+
+    async def offer_continuously(self) -> None:
+        """Offer new slots and report ends whenever the source changed."""
+        while True:
+            await self.source.changed.wait()
+            self.source.changed.clear()
+            self.retract_if_needed()
+            self.offer()
+            self.report_soon()
+
+    def retract_if_needed(self) -> None:
+        """Withdraw all slots once after the source began to be retracted."""
+        retracted = self.source.is_retracted()
+        if retracted and not self.retracted:
+            for session in self.sessions.values():
+                if session.link is not None:
+                    session.link.retract()
+        self.retracted = retracted
+
+    def offer(self) -> None:
+        """Issue slots and send them to the dispatcher that has work for them."""
+        session = self.choose_session()
+        if session is None or session.link is None or self.retracted:
+            return
+        offered = self.source.issue_slots()
+        if offered.slot_ids:
+            session.link.offer(offered.slot_ids, offered.deadline)
+            session.offered_until = offered.deadline
+            self.note_expiry(offered.deadline)
+
+    def note_expiry(self, deadline: float) -> None:
+        """Look for slots to issue again soon after the deadline."""
+        if self.expiries and deadline - self.expiries[-1] < EXPIRY_SPACING_SECONDS:
+            return
+        self.expiries.append(deadline)
+        if self.expiry_timer is None:
+            self.arm_expiry_timer()
+
+    def arm_expiry_timer(self) -> None:
+        """Wake the offers when the earliest noted deadline has certainly passed."""
+        now = time.monotonic()
+        while self.expiries and self.expiries[0] + EXPIRY_SPACING_SECONDS <= now:
+            self.expiries.popleft()
+            self.source.changed.set()
+        self.expiry_timer = None
+        if self.expiries:
+            delay = self.expiries[0] + EXPIRY_SPACING_SECONDS - now
+            loop = asyncio.get_running_loop()
+            self.expiry_timer = loop.call_later(delay, self.arm_expiry_timer)
+
+    def report_soon(self) -> None:
+        """Report now, or as soon as the spacing between two reports allows."""
+        delay = self.reported_at + REPORT_SPACING_SECONDS - time.monotonic()
+        if delay <= 0.0:
+            self.send_reports()
+        elif self.report_timer is None:
+            loop = asyncio.get_running_loop()
+            self.report_timer = loop.call_later(delay, self.send_reports)
+
+    def send_reports(self) -> None:
+        """Send to each session what it has not been told."""
+        if self.report_timer is not None:
+            self.report_timer.cancel()
+            self.report_timer = None
+        self.reported_at = time.monotonic()
+        report = self.source.report()
+        for session in self.sessions.values():
+            session.send_report(report)
+
+    async def report_periodically(self) -> None:
+        """Report the progress of running work."""
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            if time.monotonic() - self.reported_at >= REPORT_SECONDS / 2:
+                self.send_reports()
+
+    def store_snapshot(self, sender: DispatcherSession, message: masticward_pb2.Snapshot) -> None:
+        """Keep the newest snapshot and pass it to the dispatcher in this agent's own process.
+
+        The standby is an agent too, so it knows the primary's snapshots before it takes over.
+        """
+        if not dispatch_client.is_newer(message, self.snapshot):
+            return
+        self.snapshot = message
+        for session in self.sessions.values():
+            own = session.target.id == self.instance.id
+            if own and session is not sender and session.link is not None:
+                session.link.pass_snapshot(message)
+
+
+def wants_standby(primary: DispatcherSession, standby: DispatcherSession) -> bool:
+    """Tell whether only the standby has waiting tickets."""
+    return standby.usable and standby.waiting > 0 and primary.waiting == 0
+
+
+def changed_values(values: dict[str, float], sent: dict[str, float]) -> dict[str, float]:
+    """Return the entries that differ from those sent before."""
+    return {key: value for key, value in values.items() if sent.get(key) != value}
+
+
+def write_costs(costs: dict[str, float]) -> list[typing.Any]:
+    """Return costs by ticket in wire form."""
+    return [
+        masticward_pb2.AttemptProgress(ticket_id=ticket_id, cost=cost)
+        for ticket_id, cost in costs.items()
+    ]
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -16,6 +16,14 @@
     PROCESS_STOPPED = (1003, "process_stopped", logging.INFO)
     TASK_FAILED = (1004, "task_failed", logging.ERROR)
 
+    DISPATCHER_CHANGED = (4001, "dispatcher_changed", logging.INFO)
+    DISPATCH_SESSION_LOST = (4002, "dispatch_session_lost", logging.WARNING)
+    ENTRY_SESSION_OPENED = (4003, "entry_session_opened", logging.INFO)
+    ENTRY_SESSION_CLOSED = (4004, "entry_session_closed", logging.INFO)
+    AGENT_SESSION_OPENED = (4005, "agent_session_opened", logging.INFO)
+    AGENT_SESSION_CLOSED = (4006, "agent_session_closed", logging.INFO)
+    SNAPSHOT_ACCEPTED = (4007, "snapshot_accepted", logging.INFO)
+
     @property
     def number(self) -> int:
         """The number of the event, which never changes."""
--- /dev/null
+++ b/src/masticward/protocol/dispatch_server.py
@@ -0,0 +1,249 @@
+"""The Dispatch servicer: sessions of entries and agents with the dispatcher of this process."""
+
+import asyncio
+import typing
+
+import grpc
+import grpc.aio
+
+from masticward import events, logs
+from masticward.models import work
+from masticward.protocol import dispatch_role, snapshots
+from masticward.utils import clocks, tasks
+from masticward.wire import masticward_pb2, masticward_pb2_grpc
+
+LOG = logs.get_logger(__name__)
+TICK_SECONDS = 0.1
+SNAPSHOT_SECONDS = 0.5
+# Peers ping every 500 ms; a peer silent for this long is frozen or cut off.
+SILENCE_SECONDS = 2.0
+SessionContext = typing.Any
+
+
+class DispatchServicer(masticward_pb2_grpc.DispatchServicer):
+    """Serves sessions: the handler's task reads, a second task writes."""
+
+    def __init__(self, dispatcher: dispatch_role.DispatchRole) -> None:
+        self.dispatcher = dispatcher
+        self.sessions = 0
+        self.background = tasks.TaskGroup()
+
+    async def EntrySession(self, request_iterator: object, context: SessionContext) -> None:  # noqa: N802
+        """Serve one entry until it closes the stream or falls silent."""
+        hello = await self.read_hello(context)
+        peer = dispatch_role.EntryPeer(hello.entry_id, hello.incarnation)
+        self.dispatcher.open_entry(peer)
+        LOG.log(events.Event.ENTRY_SESSION_OPENED, entry=peer.entry_id)
+        try:
+            await self.serve(
+                context, self.write_entry(peer, context), self.read_entry(peer, context)
+            )
+        finally:
+            self.dispatcher.close_entry(peer)
+            LOG.log(events.Event.ENTRY_SESSION_CLOSED, entry=peer.entry_id)
+
+    async def AgentSession(self, request_iterator: object, context: SessionContext) -> None:  # noqa: N802
+        """Serve one agent until it closes the stream or falls silent."""
+        hello = await self.read_hello(context)
+        peer = dispatch_role.AgentPeer(
+            hello.agent_id, hello.incarnation, hello.peer_address, hello.availability_zone
+        )
+        stored = (
+            snapshots.from_wire(hello.stored_snapshot)
+            if hello.HasField("stored_snapshot")
+            else None
+        )
+        if not self.dispatcher.open_agent(peer, stored):
+            await context.abort(
+                grpc.StatusCode.FAILED_PRECONDITION,
+                f"a later incarnation of agent {peer.agent_id!r} has a session",
+            )
+        LOG.log(events.Event.AGENT_SESSION_OPENED, agent=peer.agent_id)
+        try:
+            await self.serve(
+                context, self.write_agent(peer, context), self.read_agent(peer, context)
+            )
+        finally:
+            self.dispatcher.close_agent(peer)
+            LOG.log(events.Event.AGENT_SESSION_CLOSED, agent=peer.agent_id)
+
+    async def read_hello(self, context: SessionContext) -> typing.Any:
+        """Read the first message, which must be a hello for this dispatcher's service."""
+        async with asyncio.timeout(SILENCE_SECONDS):
+            message = await context.read()
+        if message is grpc.aio.EOF or message.WhichOneof("message") != "hello":
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT, "the first message of a session must be hello"
+            )
+        if message.hello.service != self.dispatcher.service:
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT,
+                f"this dispatcher serves {self.dispatcher.service!r}, "
+                f"not {message.hello.service!r}",
+            )
+        return message.hello
+
+    async def serve(
+        self,
+        context: SessionContext,
+        writing: typing.Coroutine[typing.Any, typing.Any, None],
+        reading: typing.Coroutine[typing.Any, typing.Any, None],
+    ) -> None:
+        """Run both directions of a session until the reading one ends."""
+        self.sessions += 1
+        if self.sessions == 1:
+            self.background.spawn(self.tick_periodically(), "dispatcher-tick")
+            self.background.spawn(self.send_snapshots(), "dispatcher-snapshots")
+        writer = asyncio.get_running_loop().create_task(writing, name="dispatch-session-writer")
+        try:
+            await reading
+        except TimeoutError:
+            await context.abort(
+                grpc.StatusCode.DEADLINE_EXCEEDED, f"no message for {SILENCE_SECONDS} s"
+            )
+        finally:
+            self.sessions -= 1
+            await tasks.cancel_and_wait(writer)
+            if self.sessions == 0:
+                await self.background.cancel()
+
+    async def read_entry(self, peer: dispatch_role.EntryPeer, context: SessionContext) -> None:
+        """Pass an entry's messages to the dispatcher."""
+        async with asyncio.timeout(SILENCE_SECONDS) as silence:
+            while (message := await context.read()) is not grpc.aio.EOF:
+                self.receive_from_entry(peer, message)
+                if message.HasField("ping"):
+                    silence.reschedule(asyncio.get_running_loop().time() + SILENCE_SECONDS)
+
+    def receive_from_entry(
+        self, peer: dispatch_role.EntryPeer, message: masticward_pb2.EntryMessage
+    ) -> None:
+        """Apply one message of an entry."""
+        kind = message.WhichOneof("message")
+        if kind == "enqueue":
+            self.dispatcher.enqueue(peer, self.read_ticket(peer, message.enqueue))
+        elif kind == "cancel":
+            self.dispatcher.cancel(peer, message.cancel.ticket_id)
+        elif kind == "decline":
+            self.dispatcher.decline(read_decline(message.decline))
+        elif kind == "ping":
+            pong = masticward_pb2.EntryPong(
+                sequence=message.ping.sequence,
+                waiting=self.dispatcher.waiting,
+                free_slots=self.dispatcher.free_slots,
+            )
+            peer.outbox.put_nowait(masticward_pb2.DispatcherToEntry(pong=pong))
+
+    def read_ticket(
+        self, peer: dispatch_role.EntryPeer, message: masticward_pb2.Enqueue
+    ) -> work.Ticket:
+        """Return the ticket of a message, with remaining times turned into monotonic times."""
+        return work.Ticket(
+            id=message.ticket_id,
+            team=message.team,
+            service=self.dispatcher.service,
+            entry_id=peer.entry_id,
+            cost_hint=message.cost_hint,
+            arrived_at=clocks.deadline_from_remaining_ms(-float(message.waited_ms)),
+            deadline=clocks.deadline_from_remaining_ms(message.remaining_ms),
+            retried=message.retried,
+        )
+
+    async def write_entry(self, peer: dispatch_role.EntryPeer, context: SessionContext) -> None:
+        """Write assignments and pongs as soon as they are there."""
+        while True:
+            item = await peer.outbox.get()
+            if isinstance(item, work.Assignment):
+                item = masticward_pb2.DispatcherToEntry(assign=write_assign(item))
+            await context.write(item)
+
+    async def read_agent(self, peer: dispatch_role.AgentPeer, context: SessionContext) -> None:
+        """Pass an agent's messages to the dispatcher."""
+        async with asyncio.timeout(SILENCE_SECONDS) as silence:
+            while (message := await context.read()) is not grpc.aio.EOF:
+                self.receive_from_agent(peer, message)
+                if message.HasField("ping"):
+                    silence.reschedule(asyncio.get_running_loop().time() + SILENCE_SECONDS)
+
+    def receive_from_agent(
+        self, peer: dispatch_role.AgentPeer, message: masticward_pb2.AgentMessage
+    ) -> None:
+        """Apply one message of an agent."""
+        kind = message.WhichOneof("message")
+        if kind == "offer":
+            deadline = clocks.deadline_from_remaining_ms(message.offer.remaining_ms)
+            self.dispatcher.offer(peer, tuple(message.offer.slot_ids), deadline)
+        elif kind == "report":
+            self.dispatcher.report(peer, read_report(message.report))
+        elif kind == "retract":
+            self.dispatcher.retract(peer)
+        elif kind == "snapshot":
+            self.dispatcher.offer_snapshot(snapshots.from_wire(message.snapshot))
+        elif kind == "ping":
+            pong = masticward_pb2.AgentPong(
+                sequence=message.ping.sequence, waiting=self.dispatcher.waiting
+            )
+            peer.outbox.put_nowait(masticward_pb2.DispatcherToAgent(pong=pong))
+
+    async def write_agent(self, peer: dispatch_role.AgentPeer, context: SessionContext) -> None:
+        """Write pongs, returned slots and snapshots as soon as they are there."""
+        while True:
+            await context.write(await peer.outbox.get())
+
+    async def tick_periodically(self) -> None:
+        """Let the dispatcher discard what has expired."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.dispatcher.tick()
+
+    async def send_snapshots(self) -> None:
+        """Send a snapshot to every agent while something changes."""
+        while True:
+            await asyncio.sleep(SNAPSHOT_SECONDS)
+            snapshot = self.dispatcher.take_snapshot()
+            if snapshot is None:
+                continue
+            message = masticward_pb2.DispatcherToAgent(
+                snapshot=snapshots.to_wire(self.dispatcher.service, snapshot)
+            )
+            for peer in self.dispatcher.agent_peers():
+                peer.outbox.put_nowait(message)
+
+
+def read_decline(message: masticward_pb2.DeclineSlot) -> dispatch_role.DeclinedSlot:
+    """Return the declined slot of a message."""
+    return dispatch_role.DeclinedSlot(
+        ticket_id=message.ticket_id,
+        agent_id=message.agent_id,
+        agent_incarnation=message.agent_incarnation,
+        slot_id=message.slot_id,
+        slot_valid=message.slot_valid,
+    )
+
+
+def read_report(message: masticward_pb2.ServiceReport) -> dispatch_role.AgentReport:
+    """Return the report of a message."""
+    return dispatch_role.AgentReport(
+        counters={entry.team: entry.total for entry in message.counters},
+        progress={entry.ticket_id: entry.cost for entry in message.progress},
+        finished={entry.ticket_id: entry.cost for entry in message.finished},
+        running=message.running,
+        staged=message.staged,
+        limit=message.limit,
+    )
+
+
+def write_assign(assignment: work.Assignment) -> masticward_pb2.Assign:
+    """Return the wire form of an assignment."""
+    slot = assignment.slot
+    return masticward_pb2.Assign(
+        ticket_id=assignment.ticket_id,
+        agent_id=slot.agent_id,
+        agent_incarnation=slot.agent_incarnation,
+        agent_address=slot.agent_address,
+        slot_id=slot.id,
+        slot_remaining_ms=clocks.remaining_ms(slot.deadline),
+        virtual_time=assignment.virtual_time,
+        queue_ms=assignment.queue_ms,
+        availability_zone=slot.availability_zone,
+    )
--- /dev/null
+++ b/src/masticward/state/fair_queue.py
@@ -0,0 +1,301 @@
+"""The tickets that wait at one dispatcher, and the order in which they are served."""
+
+import abc
+import collections.abc
+
+import msgspec
+import sortedcontainers
+
+from masticward import settings
+from masticward.models import work
+from masticward.state import ledger as ledger_module
+
+# Tickets with a lower rank are served first within their group.
+RETRIED_RANK = 0
+NEW_RANK = 1
+SINGLE_GROUP = ""
+
+
+class Reservation:
+    """What a dispatched ticket is expected to cost and has cost so far, in cost units."""
+
+    __slots__ = ("estimate", "progress", "team")
+
+    def __init__(self, team: str, estimate: float) -> None:
+        self.team = team
+        self.estimate = estimate
+        self.progress = 0.0
+
+    @property
+    def outstanding(self) -> float:
+        """The part of the estimate that the counters do not show yet."""
+        return max(0.0, self.estimate - self.progress)
+
+
+class Taken(msgspec.Struct, frozen=True):
+    """A ticket chosen for dispatch, with its team's virtual time before the reservation."""
+
+    ticket: work.Ticket
+    virtual_time: float
+    estimate: float
+
+
+class QueuePolicy(abc.ABC):
+    """Groups tickets into queues and ranks the queues; the least rank is served first."""
+
+    @abc.abstractmethod
+    def group_of(self, ticket: work.Ticket) -> str:
+        """Return the name of the queue in which the ticket waits."""
+
+    @abc.abstractmethod
+    def rank_of(self, group: str) -> float:
+        """Return the present rank of a queue."""
+
+    @abc.abstractmethod
+    def note_joined(self, group: str, least_rank: float | None) -> None:
+        """Note that an empty queue got a ticket; ``least_rank`` is that of the other queues."""
+
+    @abc.abstractmethod
+    def note_served(self, group: str) -> None:
+        """Note that a ticket of the queue was dispatched."""
+
+
+class FairSharePolicy(QueuePolicy):
+    """Serves the team with the least virtual time."""
+
+    def __init__(self, ledger: ledger_module.VirtualTimes) -> None:
+        self.ledger = ledger
+
+    def group_of(self, ticket: work.Ticket) -> str:
+        """Return the team."""
+        return ticket.team
+
+    def rank_of(self, group: str) -> float:
+        """Return the team's virtual time with its reservations."""
+        return self.ledger.effective_of(group)
+
+    def note_joined(self, group: str, least_rank: float | None) -> None:
+        """Do nothing: the ledger lifts teams."""
+
+    def note_served(self, group: str) -> None:
+        """Do nothing: the ledger holds the reservation."""
+
+
+class FirstComeFirstServedPolicy(QueuePolicy):
+    """Serves tickets by arrival, whatever their team. A baseline for measurement."""
+
+    def group_of(self, ticket: work.Ticket) -> str:
+        """Return the only queue."""
+        return SINGLE_GROUP
+
+    def rank_of(self, group: str) -> float:
+        """Return 0, because there is one queue."""
+        return 0.0
+
+    def note_joined(self, group: str, least_rank: float | None) -> None:
+        """Do nothing."""
+
+    def note_served(self, group: str) -> None:
+        """Do nothing."""
+
+
+class EqualSplitByEntryPolicy(QueuePolicy):
+    """Gives each entry with waiting tickets the same number of slots. A baseline for measurement.
+
+    It behaves like routers that split the capacity equally and exchange nothing.
+    """
+
+    def __init__(self) -> None:
+        self.served: dict[str, float] = {}
+
+    def group_of(self, ticket: work.Ticket) -> str:
+        """Return the entry."""
+        return ticket.entry_id
+
+    def rank_of(self, group: str) -> float:
+        """Return the number of tickets served, lifted when the entry returned from idle."""
+        return self.served.get(group, 0.0)
+
+    def note_joined(self, group: str, least_rank: float | None) -> None:
+        """Lift the entry, so that an idle time gives no credit."""
+        self.served[group] = max(self.served.get(group, 0.0), least_rank or 0.0)
+
+    def note_served(self, group: str) -> None:
+        """Count the ticket."""
+        self.served[group] = self.served.get(group, 0.0) + 1.0
+
+
+class Group:
+    """The waiting tickets of one queue and its key in the order of queues."""
+
+    __slots__ = ("key", "tickets")
+
+    def __init__(self) -> None:
+        self.tickets: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.key: tuple[float, float, int, str] | None = None
+
+
+class WaitingTicket:
+    """A ticket with its place in its group."""
+
+    __slots__ = ("group", "key", "ticket")
+
+    def __init__(self, ticket: work.Ticket, group: str, sequence: int) -> None:
+        rank = RETRIED_RANK if ticket.retried else NEW_RANK
+        self.ticket = ticket
+        self.group = group
+        self.key = (rank, ticket.arrived_at, sequence, ticket.id)
+
+
+class FairQueue:
+    """Waiting tickets and the reservations of dispatched ones."""
+
+    __slots__ = (
+        "deadlines",
+        "groups",
+        "ledger",
+        "order",
+        "policy",
+        "reservations",
+        "sequence",
+        "waiting",
+    )
+
+    def __init__(self, policy: QueuePolicy, ledger: ledger_module.VirtualTimes) -> None:
+        self.policy = policy
+        self.ledger = ledger
+        self.groups: dict[str, Group] = {}
+        self.order: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.deadlines: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.waiting: dict[str, WaitingTicket] = {}
+        self.reservations: dict[str, Reservation] = {}
+        self.sequence = 0
+        ledger.on_change = self.reposition
+
+    def __len__(self) -> int:
+        return len(self.waiting)
+
+    def add(self, ticket: work.Ticket) -> bool:
+        """Queue a ticket; False if a ticket with this id waits already."""
+        if ticket.id in self.waiting:
+            return False
+        self.sequence += 1
+        entry = WaitingTicket(ticket, self.policy.group_of(ticket), self.sequence)
+        self.ledger.queue(ticket.team)
+        group = self.groups.get(entry.group)
+        if group is None:
+            self.policy.note_joined(entry.group, self.order[0][0] if self.order else None)
+            group = self.groups[entry.group] = Group()
+        group.tickets.add(entry.key)
+        self.waiting[ticket.id] = entry
+        self.deadlines.add((ticket.deadline, ticket.id))
+        self.reposition(entry.group)
+        return True
+
+    def remove(self, ticket_id: str) -> work.Ticket | None:
+        """Take a waiting ticket out; None if it does not wait."""
+        entry = self.waiting.get(ticket_id)
+        if entry is None:
+            return None
+        self.take_out(entry)
+        self.ledger.unqueue(entry.ticket.team)
+        return entry.ticket
+
+    def take(self, now: float) -> Taken | None:
+        """Take the next ticket and reserve its estimate; None if no ticket within time waits."""
+        self.drop_expired(now)
+        if not self.order:
+            return None
+        group = self.groups[self.order[0][3]]
+        entry = self.waiting[group.tickets[0][3]]
+        ticket = entry.ticket
+        virtual_time = self.ledger.effective_of(ticket.team)
+        estimate = self.ledger.estimate(ticket.team, ticket.cost_hint)
+        self.take_out(entry)
+        self.reservations[ticket.id] = Reservation(ticket.team, estimate)
+        self.policy.note_served(entry.group)
+        self.ledger.reserve(ticket.team, estimate)
+        self.ledger.unqueue(ticket.team)
+        self.reposition(entry.group)
+        return Taken(ticket, virtual_time, estimate)
+
+    def drop_expired(self, now: float) -> list[work.Ticket]:
+        """Drop and return the tickets whose deadline has passed."""
+        dropped = []
+        while self.deadlines and self.deadlines[0][0] <= now:
+            ticket = self.remove(self.deadlines[0][1])
+            if ticket is not None:
+                dropped.append(ticket)
+        return dropped
+
+    def report(
+        self,
+        agent_id: str,
+        incarnation: int,
+        totals: collections.abc.Mapping[str, float],
+        progress: collections.abc.Mapping[str, float],
+        finished: collections.abc.Mapping[str, float],
+    ) -> None:
+        """Apply one report of an agent: charge counters, then adjust and end reservations."""
+        touched = {
+            account.team: account for account in self.ledger.include(agent_id, incarnation, totals)
+        }
+        for ticket_id, cost in progress.items():
+            reservation = self.reservations.get(ticket_id)
+            if reservation is not None and cost > reservation.progress:
+                before = reservation.outstanding
+                reservation.progress = cost
+                self.ledger.adjust_reservation(reservation.team, reservation.outstanding - before)
+                touched[reservation.team] = self.ledger.accounts[reservation.team]
+        for account in touched.values():
+            self.ledger.reposition(account)
+        for ticket_id, cost in finished.items():
+            self.settle(ticket_id, cost)
+
+    def settle(self, ticket_id: str, cost: float = 0.0) -> bool:
+        """End a reservation; a cost above 0 counts in the team's mean. False if there is none."""
+        reservation = self.reservations.pop(ticket_id, None)
+        if reservation is None:
+            return False
+        if cost > 0.0:
+            self.ledger.observe_cost(reservation.team, cost)
+        self.ledger.release(reservation.team, reservation.outstanding)
+        return True
+
+    def take_out(self, entry: WaitingTicket) -> None:
+        """Remove a waiting ticket from every order."""
+        del self.waiting[entry.ticket.id]
+        self.deadlines.remove((entry.ticket.deadline, entry.ticket.id))
+        group = self.groups[entry.group]
+        group.tickets.remove(entry.key)
+        self.reposition(entry.group)
+
+    def reposition(self, name: str) -> None:
+        """Move a queue to the place that its rank and its first ticket give it."""
+        group = self.groups.get(name)
+        if group is None:
+            return
+        if not group.tickets:
+            if group.key is not None:
+                self.order.remove(group.key)
+            del self.groups[name]
+            return
+        _, arrived_at, sequence, _ = group.tickets[0]
+        key = (self.policy.rank_of(name), arrived_at, sequence, name)
+        if key == group.key:
+            return
+        if group.key is not None:
+            self.order.remove(group.key)
+        group.key = key
+        self.order.add(key)
+
+
+def create_policy(
+    name: settings.QueuePolicyName, ledger: ledger_module.VirtualTimes
+) -> QueuePolicy:
+    """Return the policy with this name."""
+    if name is settings.QueuePolicyName.FAIR_SHARE:
+        return FairSharePolicy(ledger)
+    if name is settings.QueuePolicyName.FIRST_COME_FIRST_SERVED:
+        return FirstComeFirstServedPolicy()
+    return EqualSplitByEntryPolicy()
--- /dev/null
+++ b/src/masticward/state/ledger.py
@@ -0,0 +1,389 @@
+"""Virtual times of teams and the service counters that are included in them.
+
+Virtual times are in cost units divided by share. A ledger is passive while no team is active; a
+standby dispatcher stays passive and only records counters until its first ticket arrives.
+"""
+
+import collections.abc
+import math
+
+import msgspec
+import sortedcontainers
+
+UNKNOWN_TEAM_SHARE = 1.0
+# Weight of the newest finished request in a team's mean cost; about the last 9 requests count.
+MEAN_COST_WEIGHT = 0.2
+# Smaller relative changes of a virtual time are rounding errors and do not change the order.
+RELATIVE_TOLERANCE = 1e-12
+
+
+class Terms(msgspec.Struct, frozen=True, kw_only=True):
+    """What the configuration says about sharing one service. Costs are in cost units."""
+
+    shares: dict[str, float]
+    maximum_cost: float
+    debt_cap: float
+
+    def share_of(self, team: str) -> float:
+        """Return the share of a team; an unknown team has share 1."""
+        return self.shares.get(team, UNKNOWN_TEAM_SHARE)
+
+
+class TeamTime(msgspec.Struct, frozen=True):
+    """The virtual time of one active team without its reservations, and its mean cost."""
+
+    team: str
+    virtual_time: float
+    mean_cost: float
+
+
+class CounterEntry(msgspec.Struct, frozen=True):
+    """The total of one agent incarnation and team that a snapshot includes, in cost units."""
+
+    agent_id: str
+    incarnation: int
+    team: str
+    total: float
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """What a new dispatcher needs besides the agents' counters."""
+
+    system_virtual_time: float
+    teams: tuple[TeamTime, ...]
+    included: tuple[CounterEntry, ...]
+    included_total: float
+
+
+class AgentCounters:
+    """The totals that one agent incarnation last reported, in cost units by team."""
+
+    __slots__ = ("incarnation", "totals")
+
+    def __init__(self, incarnation: int, totals: dict[str, float]) -> None:
+        self.incarnation = incarnation
+        self.totals = totals
+
+
+class TeamAccount:
+    """The virtual time of one team.
+
+    ``charged`` is the virtual time without reservations, ``reserved`` the reserved cost units,
+    ``running`` and ``queued`` count tickets, ``position`` is the key in the order of active teams.
+    """
+
+    __slots__ = (
+        "charged",
+        "mean_cost",
+        "position",
+        "queued",
+        "reserved",
+        "running",
+        "share",
+        "team",
+    )
+
+    def __init__(self, team: str, share: float, charged: float) -> None:
+        self.team = team
+        self.share = share
+        self.charged = charged
+        self.reserved = 0.0
+        self.running = 0
+        self.queued = 0
+        self.mean_cost = 0.0
+        self.position: float | None = None
+
+    @property
+    def effective(self) -> float:
+        """The virtual time with reservations, by which teams are ordered."""
+        return self.charged + self.reserved / self.share
+
+
+class VirtualTimes:
+    """The virtual times of all teams of one service.
+
+    ``on_change(team)`` is called after the effective virtual time of an active team changed.
+    """
+
+    __slots__ = (
+        "accounts",
+        "active",
+        "candidate",
+        "counters",
+        "included_total",
+        "last_system_time",
+        "on_change",
+        "restored",
+        "terms",
+    )
+
+    def __init__(self, terms: Terms) -> None:
+        self.terms = terms
+        self.accounts: dict[str, TeamAccount] = {}
+        self.active: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.last_system_time = 0.0
+        self.counters: dict[str, AgentCounters] = {}
+        self.included_total = 0.0
+        self.candidate: Snapshot | None = None
+        # Teams of an adopted snapshot that have not been active here yet. They were active there,
+        # so they are not lifted: their tickets arrive one after the other.
+        self.restored: set[str] = set()
+        self.on_change: collections.abc.Callable[[str], None] = ignore_change
+
+    @property
+    def system_time(self) -> float:
+        """The least virtual time of the active teams, or the last one while none is active."""
+        return float(self.active[0][0]) if self.active else self.last_system_time
+
+    def set_terms(self, terms: Terms) -> None:
+        """Use other shares and limits from now on; earlier charges stay as they are."""
+        self.terms = terms
+        for account in self.accounts.values():
+            account.share = terms.share_of(account.team)
+            self.reposition(account)
+
+    def account_of(self, team: str) -> TeamAccount:
+        """Return the account of a team, opened at the system's virtual time if it is new."""
+        account = self.accounts.get(team)
+        if account is None:
+            account = TeamAccount(team, self.terms.share_of(team), self.system_time)
+            self.accounts[team] = account
+        return account
+
+    def effective_of(self, team: str) -> float:
+        """Return the virtual time of a team with its reservations."""
+        return self.account_of(team).effective
+
+    def estimate(self, team: str, hint: float) -> float:
+        """Return the cost units to reserve for a request: the larger of hint and recent mean."""
+        estimate = max(hint if math.isfinite(hint) else 0.0, self.account_of(team).mean_cost, 0.0)
+        return min(estimate, self.terms.maximum_cost)
+
+    def queue(self, team: str) -> None:
+        """Count one more waiting ticket of a team."""
+        self.activate(team).queued += 1
+
+    def unqueue(self, team: str) -> None:
+        """Count one waiting ticket less."""
+        account = self.accounts[team]
+        account.queued -= 1
+        self.deactivate_if_idle(account)
+
+    def reserve(self, team: str, cost: float) -> None:
+        """Count one more running ticket and reserve cost units for it."""
+        account = self.activate(team)
+        account.running += 1
+        account.reserved += cost
+        self.reposition(account)
+
+    def adjust_reservation(self, team: str, cost: float) -> None:
+        """Add cost units, which may be negative, to the reservations of a team."""
+        account = self.accounts[team]
+        account.reserved = max(0.0, account.reserved + cost)
+
+    def release(self, team: str, cost: float) -> None:
+        """End one running ticket and drop what is still reserved for it."""
+        account = self.accounts[team]
+        account.running -= 1
+        # The sum of reservations collects rounding errors, so it starts afresh when none is left.
+        account.reserved = max(0.0, account.reserved - cost) if account.running else 0.0
+        self.reposition(account)
+        self.deactivate_if_idle(account)
+
+    def observe_cost(self, team: str, cost: float) -> None:
+        """Let the cost of a finished request count in the recent mean of its team."""
+        account = self.account_of(team)
+        if account.mean_cost == 0.0:
+            account.mean_cost = cost
+        else:
+            account.mean_cost += MEAN_COST_WEIGHT * (cost - account.mean_cost)
+
+    def activate(self, team: str) -> TeamAccount:
+        """Make a team active: lift it to the system's virtual time and cap its debt."""
+        if not self.active and self.candidate is not None:
+            self.adopt(self.candidate)
+        account = self.account_of(team)
+        if account.position is None:
+            system_time = self.system_time
+            if team not in self.restored:
+                account.charged = max(account.charged, system_time)
+            self.restored.discard(team)
+            self.cap(account, system_time)
+            account.position = account.effective
+            self.active.add((account.position, account.team))
+        return account
+
+    def deactivate_if_idle(self, account: TeamAccount) -> None:
+        """Take a team without waiting and running tickets out of the active teams."""
+        if account.queued or account.running or account.position is None:
+            return
+        if len(self.active) == 1:
+            self.last_system_time = account.position
+        self.active.remove((account.position, account.team))
+        account.position = None
+
+    def cap(self, account: TeamAccount, system_time: float) -> None:
+        """Forgive the part of a team's debt that lies above the cap.
+
+        Reservations are not capped: they end by themselves, and a cap on them would credit a team
+        whose estimate was too high.
+        """
+        limit = system_time + self.terms.debt_cap / account.share
+        account.charged = min(account.charged, limit)
+
+    def reposition(self, account: TeamAccount) -> None:
+        """Move an active team to the place that its virtual time gives it."""
+        if account.position is None:
+            return
+        effective = account.effective
+        if abs(effective - account.position) <= RELATIVE_TOLERANCE * abs(effective):
+            return
+        self.active.remove((account.position, account.team))
+        account.position = effective
+        self.active.add((effective, account.team))
+        self.on_change(account.team)
+
+    def include(
+        self, agent_id: str, incarnation: int, totals: collections.abc.Mapping[str, float]
+    ) -> list[TeamAccount]:
+        """Charge the increase of an agent's counters; the caller repositions what is returned.
+
+        Counters of a lower incarnation and totals that did not grow are ignored. While no team is
+        active, totals are only recorded.
+        """
+        known = self.counters.get(agent_id)
+        if known is not None and incarnation < known.incarnation:
+            return []
+        if known is None or incarnation > known.incarnation:
+            known = AgentCounters(incarnation, {})
+            self.counters[agent_id] = known
+        charged = []
+        system_time = self.system_time
+        for team, total in totals.items():
+            increase = total - known.totals.get(team, 0.0)
+            if not math.isfinite(total) or increase <= 0.0:
+                continue
+            known.totals[team] = total
+            if self.active:
+                charged.append(self.charge(team, increase, system_time))
+        return charged
+
+    def charge(self, team: str, cost: float, system_time: float) -> TeamAccount:
+        """Add service in cost units to a team's virtual time, up to the debt cap."""
+        account = self.account_of(team)
+        account.charged += cost / account.share
+        self.cap(account, system_time)
+        self.included_total += cost
+        return account
+
+    def snapshot(self) -> Snapshot:
+        """Return the active teams and the counters included in their virtual times."""
+        names = {team for _, team in self.active}
+        teams = tuple(
+            TeamTime(name, self.accounts[name].charged, self.accounts[name].mean_cost)
+            for name in sorted(names)
+        )
+        included = tuple(
+            CounterEntry(agent_id, counters.incarnation, team, counters.totals[team])
+            for agent_id, counters in self.counters.items()
+            for team in sorted(counters.totals.keys() & names)
+        )
+        return Snapshot(
+            system_virtual_time=self.system_time,
+            teams=teams,
+            included=included,
+            included_total=self.included_total,
+        )
+
+    def forget_agents(self, members: collections.abc.Set[str]) -> None:
+        """Forget the counters of agents that are no members and served no active team."""
+        for agent_id in [known for known in self.counters if known not in members]:
+            totals = self.counters[agent_id].totals
+            if not any(
+                (account := self.accounts.get(team)) is not None and account.position is not None
+                for team in totals
+            ):
+                del self.counters[agent_id]
+
+    def offer_snapshot(self, snapshot: Snapshot) -> bool:
+        """Consider a stored snapshot; True if it includes more service than is known here.
+
+        It is adopted at once while teams are active, otherwise when the first becomes active.
+        """
+        known = self.included_total if self.candidate is None else self.candidate.included_total
+        if snapshot.included_total <= max(known, self.included_total):
+            return False
+        self.candidate = snapshot
+        if self.active:
+            self.adopt(snapshot)
+        return True
+
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Replace the virtual times by a snapshot and charge what counters grew since then."""
+        self.candidate = None
+        times = {entry.team: entry for entry in snapshot.teams}
+        for name, entry in times.items():
+            account = self.account_of(name)
+            account.charged = entry.virtual_time
+            account.mean_cost = account.mean_cost or entry.mean_cost
+        for name, account in self.accounts.items():
+            if name not in times:
+                account.charged = snapshot.system_virtual_time
+        self.last_system_time = snapshot.system_virtual_time
+        self.included_total = snapshot.included_total
+        self.restored = {name for name in times if self.accounts[name].position is None}
+        increases = self.merge_counters(snapshot.included, times.keys())
+        for account in self.accounts.values():
+            self.reposition(account)
+        system_time = self.system_time
+        for name, cost in increases.items():
+            self.reposition(self.charge(name, cost, system_time))
+
+    def end_restoration(self) -> None:
+        """Lift teams of the adopted snapshot like others when they become active from now on."""
+        self.restored.clear()
+
+    def merge_counters(
+        self,
+        included: collections.abc.Iterable[CounterEntry],
+        teams: collections.abc.Set[str],
+    ) -> dict[str, float]:
+        """Return by team what the recorded counters exceed the included ones, and record both.
+
+        A team that is not in the snapshot was idle; it starts again at the system's virtual time.
+        """
+        snapshot_counters: dict[str, AgentCounters] = {}
+        for entry in included:
+            known = snapshot_counters.setdefault(
+                entry.agent_id, AgentCounters(entry.incarnation, {})
+            )
+            known.totals[entry.team] = entry.total
+        increases: dict[str, float] = {}
+        for agent_id, counters in self.counters.items():
+            base = snapshot_counters.get(agent_id)
+            if base is None or base.incarnation < counters.incarnation:
+                base_totals: dict[str, float] = {}
+            else:
+                base_totals = base.totals
+            if base is not None and base.incarnation > counters.incarnation:
+                continue
+            for team in counters.totals.keys() & teams:
+                increase = counters.totals[team] - base_totals.get(team, 0.0)
+                if increase > 0.0:
+                    increases[team] = increases.get(team, 0.0) + increase
+        for agent_id, base in snapshot_counters.items():
+            self.record_base(agent_id, base)
+        return increases
+
+    def record_base(self, agent_id: str, base: AgentCounters) -> None:
+        """Record the counters of a snapshot, so that later reports are compared with them."""
+        known = self.counters.get(agent_id)
+        if known is None or known.incarnation < base.incarnation:
+            self.counters[agent_id] = base
+        elif known.incarnation == base.incarnation:
+            for team, total in base.totals.items():
+                known.totals[team] = max(total, known.totals.get(team, 0.0))
+
+
+def ignore_change(team: str) -> None:
+    """Do nothing; used until a queue listens."""
--- a/src/masticward/utils/tasks.py
+++ b/src/masticward/utils/tasks.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import typing
 
 
@@ -30,7 +29,11 @@
 
 
 async def cancel_and_wait(task: asyncio.Task[typing.Any]) -> None:
-    """Cancel a task and wait until it has ended, whatever it raised."""
+    """Cancel a task and wait until it has ended, whatever it raised.
+
+    A cancellation of the caller itself is passed on; awaiting the task directly would hide it.
+    """
     task.cancel()
-    with contextlib.suppress(asyncio.CancelledError, Exception):
-        await task
+    await asyncio.wait([task])
+    if not task.cancelled():
+        task.exception()
