--- a/src/masticward/cli/status.py
+++ b/src/masticward/cli/status.py
@@ -166,14 +166,14 @@
         f"dispatcher of {answer['service']}: {answer['instance_id']},"
         f" {figures['waiting']} waiting, {figures['free_slots']} free slots"
     )
-    teams = figures.get("teams", [])[:NEWEST_TEAMS]
-    return [head, *(team_line(team) for team in teams)]
+    teams = list(figures["teams"].items())[:NEWEST_TEAMS]
+    return [head, *(team_line(name, team) for name, team in teams)]
 
 
-def team_line(team: dict[str, typing.Any]) -> str:
+def team_line(name: str, team: dict[str, typing.Any]) -> str:
     """Return one team's figures at a dispatcher."""
     return (
-        f"  {team['team']:20} waiting {team['waiting']:6}  served {team['served']:14.1f}"
+        f"  {name:20} waiting {team['waiting']:6}  served {team['served']:14.1f}"
         f"  virtual time {team['virtual_time']:14.1f}"
     )
 
--- a/src/masticward/protocol/dispatch_client.py
+++ b/src/masticward/protocol/dispatch_client.py
@@ -63,7 +63,7 @@
         """
         group = tasks.TaskGroup()
         channel = self.channels.get(self.address)
-        stub = masticward_pb2_grpc.DispatchStub(channel)  # type: ignore[no-untyped-call]
+        stub = masticward_pb2_grpc.DispatchStub(channel)
         call = self.open_call(stub, self.channels.transport.metadata)
         try:
             group.spawn(self.write(call), "dispatch-link-writer")
--- a/src/masticward/transport/admin_http.py
+++ b/src/masticward/transport/admin_http.py
@@ -76,6 +76,8 @@
         app: sanic.Sanic[typing.Any, typing.Any] = sanic.Sanic(
             f"admin-{identifiers.new_identifier()}", configure_logging=False
         )
+        # The rewriting of sanic's classes fails for the second application of a process.
+        app.config.TOUCHUP = False
         app.config.REQUEST_TIMEOUT = ADMIN_TIMEOUT_SECONDS
         app.config.RESPONSE_TIMEOUT = ADMIN_TIMEOUT_SECONDS
         app.add_route(self.handle_live, "/live", name="live")
--- a/src/masticward/transport/entry_http.py
+++ b/src/masticward/transport/entry_http.py
@@ -146,8 +146,12 @@
                 "TOUCHUP": False,
             }
         )
-        app.add_route(self.handle, "/", methods=METHODS, stream=True, name="root")
-        app.add_route(self.handle, "/<path:path>", methods=METHODS, stream=True, name="path")
+
+        async def handle(request: typing.Any, path: str = "") -> None:
+            await self.handle(request, path)
+
+        app.add_route(handle, "/", methods=METHODS, stream=True, name="root")
+        app.add_route(handle, "/<path:path>", methods=METHODS, stream=True, name="path")
         app.error_handler.add(Exception, self.on_exception)
         return app
 
