--- a/src/masticward/cli/programs.py
+++ b/src/masticward/cli/programs.py
@@ -47,7 +47,7 @@
 
 def run(kind: type[common.Node], loaded: settings.EntrySettings | settings.AgentSettings) -> None:
     """Run one program until it is stopped."""
-    logs.configure(instance=loaded.instance_id)
+    logs.configure(process=loaded.instance_id)
 
     async def main() -> int:
         return await common.run_until_signal(kind(loaded))
