Return discarded slots at once and tick the dispatcher in its own task

Cause: an idle agent's slots were unusable for the last 500 ms of every 2 s, because the dispatcher discards a slot before its agent may issue a new one. Change: the slot table and the endpoint runner take back returned slots; after a change of primary the slots of the earlier one are retracted and offered again. Dispatcher has start and close. A lost session is logged once, not at each reconnect.

--- a/src/masticward/coordination/dispatcher.py
+++ b/src/masticward/coordination/dispatcher.py
@@ -1,5 +1,6 @@
 """Assigns the slots of a service's agents to the tickets of its entries."""
 
+import asyncio
 import collections
 import time
 import typing
@@ -11,6 +12,7 @@
 from masticward.models import work
 from masticward.protocol import dispatch_role
 from masticward.state import fair_queue, ledger
+from masticward.utils import tasks
 
 LOG = logs.get_logger(__name__)
 # An assignment needs time to reach the entry and the attempt to reach the agent.
@@ -20,6 +22,7 @@
 UNSTARTED_GRACE_SECONDS = 3.0
 # After adopting a snapshot, entries need up to a session timeout to queue their tickets again.
 RESTORATION_SECONDS = 3.0
+TICK_SECONDS = 0.1
 UNKNOWN_MAXIMUM_COST = 10_000.0
 
 
@@ -28,6 +31,7 @@
 
     __slots__ = (
         "assigned",
+        "counted",
         "free",
         "limit",
         "peer",
@@ -46,6 +50,7 @@
         self.limit = 1
         self.reported_load = 0
         self.turn = 0
+        self.counted = 0
         self.position: tuple[float, int, str] | None = None
 
     @property
@@ -99,9 +104,26 @@
         self.snapshot_basis: tuple[float, int] = (0.0, 0)
         self.expired_tickets = 0
         self.declined_slots = 0
+        self.free_total = 0
+        self.configuration = view.configuration
+        self.background = tasks.TaskGroup()
         view.subscribe(self.follow_view)
         self.refresh_eligible()
 
+    async def start(self) -> None:
+        """Begin to discard what expires."""
+        self.background.spawn(self.tick_periodically(), "dispatcher-tick")
+
+    async def close(self) -> None:
+        """Stop the background task; sessions end with the server."""
+        await self.background.cancel()
+
+    async def tick_periodically(self) -> None:
+        """Call ``tick`` every 100 ms."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.tick()
+
     # Entry sessions
 
     def open_entry(self, peer: dispatch_role.EntryPeer) -> None:
@@ -131,7 +153,10 @@
         if earlier is not None and earlier is not peer:
             self.queue.remove(ticket.id)
             self.forget_ticket(ticket.id)
+        candidate = self.ledger.candidate
         if self.queue.add(ticket):
+            if candidate is not None and self.ledger.candidate is None:
+                self.note_adoption(candidate)
             self.ticket_entries[ticket.id] = peer
             peer.tickets.add(ticket.id)
             self.match()
@@ -321,6 +346,8 @@
 
     def place(self, agent: AgentSlots) -> None:
         """Move an agent to its place in the order of agents with free slots."""
+        self.free_total += len(agent.free) - agent.counted
+        agent.counted = len(agent.free)
         position = (agent.load, agent.turn, agent.peer.agent_id) if agent.free else None
         if position == agent.position:
             return
@@ -365,8 +392,7 @@
             discarded.append(agent.free.popleft()[1])
         if discarded:
             agent.peer.return_slots(discarded)
-            if not agent.free:
-                self.place(agent)
+            self.place(agent)
 
     def drop_expired_tickets(self, now: float) -> None:
         """Drop tickets whose caller no longer waits."""
@@ -376,7 +402,9 @@
 
     def follow_view(self) -> None:
         """Use the newest configuration and members."""
-        self.ledger.set_terms(self.read_terms())
+        if self.view.configuration is not self.configuration:
+            self.configuration = self.view.configuration
+            self.ledger.set_terms(self.read_terms())
         self.refresh_eligible()
         self.match()
 
@@ -411,14 +439,18 @@
 
     def offer_snapshot(self, snapshot: ledger.Snapshot) -> None:
         """Adopt a snapshot that includes more service than this dispatcher knows."""
-        if self.ledger.offer_snapshot(snapshot):
-            self.restoration_deadline = time.monotonic() + RESTORATION_SECONDS
-            LOG.log(
-                events.Event.SNAPSHOT_ACCEPTED,
-                service=self.service,
-                teams=len(snapshot.teams),
-                included_total=snapshot.included_total,
-            )
+        if self.ledger.offer_snapshot(snapshot) and self.ledger.candidate is None:
+            self.note_adoption(snapshot)
+
+    def note_adoption(self, snapshot: ledger.Snapshot) -> None:
+        """Log an adopted snapshot and wait for the teams that it names."""
+        self.restoration_deadline = time.monotonic() + RESTORATION_SECONDS
+        LOG.log(
+            events.Event.SNAPSHOT_ADOPTED,
+            service=self.service,
+            teams=len(snapshot.teams),
+            included_total=snapshot.included_total,
+        )
 
     def take_snapshot(self) -> ledger.Snapshot | None:
         """Return a snapshot if service was included or tickets were dispatched since the last."""
@@ -437,7 +469,7 @@
     @property
     def free_slots(self) -> int:
         """The number of free slots."""
-        return sum(len(agent.free) for agent in self.agents.values())
+        return self.free_total
 
     def status(self) -> dict[str, typing.Any]:
         """Return figures for operators; virtual times are in cost units divided by share."""
--- a/src/masticward/coordination/endpoint_runner.py
+++ b/src/masticward/coordination/endpoint_runner.py
@@ -320,6 +320,11 @@
         slot_ids, deadline = self.slots.issue(room, now)
         return offers.OfferedSlots(slot_ids=slot_ids, deadline=deadline)
 
+    def return_slots(self, slot_ids: tuple[int, ...]) -> None:
+        """Take back slots that a dispatcher discarded, so that new ones may be issued."""
+        for slot_id in slot_ids:
+            self.slots.take_back(slot_id)
+
     def report(self) -> offers.ServiceReport:
         """Return all counters; the finished tickets are handed over once."""
         finished, self.finished = self.finished, {}
--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -110,12 +110,13 @@
                 assert self.link is not None
                 await self.link.run()
             except errors.PeerUnavailableError as error:
-                LOG.log(
-                    events.Event.DISPATCH_SESSION_LOST,
-                    service=self.loop.instance.service,
-                    dispatcher=self.target.id,
-                    error=str(error),
-                )
+                if self.answered or self.backoff_seconds == INITIAL_BACKOFF_SECONDS:
+                    LOG.log(
+                        events.Event.DISPATCH_SESSION_LOST,
+                        service=self.loop.instance.service,
+                        dispatcher=self.target.id,
+                        error=str(error),
+                    )
             finally:
                 self.link = None
                 self.waiting = 0
@@ -238,6 +239,7 @@
         if not ranked:
             # Sessions are kept while no candidate is known: the view may only be cut off.
             return
+        earlier = self.primary
         self.ranked = [(target.id, target.peer_address) for target in ranked]
         for key in [known for known in self.sessions if known not in self.ranked]:
             task = self.sessions.pop(key).task
@@ -247,6 +249,9 @@
             if key not in self.sessions:
                 session = self.sessions[key] = DispatcherSession(self, target)
                 session.task = self.group.spawn(session.run(), f"agent-session-{target.id}")
+        if earlier is not None and earlier is not self.primary and earlier.link is not None:
+            # The slots come back from the earlier primary and go to the new one.
+            earlier.link.retract()
         self.source.changed.set()
 
     def open_link(self, session: DispatcherSession) -> dispatch_client.AgentLink:
--- a/src/masticward/coordination/tickets.py
+++ b/src/masticward/coordination/tickets.py
@@ -107,12 +107,13 @@
             await tasks.cancel_and_wait(task)
         if task.cancelled():
             return True
-        LOG.log(
-            events.Event.DISPATCH_SESSION_LOST,
-            service=self.service,
-            dispatcher=target.id,
-            error=str(task.exception()),
-        )
+        if link.established or self.backoff_seconds == INITIAL_BACKOFF_SECONDS:
+            LOG.log(
+                events.Event.DISPATCH_SESSION_LOST,
+                service=self.service,
+                dispatcher=target.id,
+                error=str(task.exception()),
+            )
         self.exchange.view.suspect(target.id)
         return False
 
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -133,6 +133,8 @@
 
 class ChangeRefusedError(PublishingError):
     """Returned when a change is not allowed as asked for; nothing was changed."""
+
+
 class RequestRefusedError(MasticwardError):
     """Raised when a caller's request surely was not run; ``status`` is the HTTP status."""
 
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -22,7 +22,7 @@
     ENTRY_SESSION_CLOSED = (4004, "entry_session_closed", logging.INFO)
     AGENT_SESSION_OPENED = (4005, "agent_session_opened", logging.INFO)
     AGENT_SESSION_CLOSED = (4006, "agent_session_closed", logging.INFO)
-    SNAPSHOT_ACCEPTED = (4007, "snapshot_accepted", logging.INFO)
+    SNAPSHOT_ADOPTED = (4007, "snapshot_adopted", logging.INFO)
     CONFIGURATION_TAKEN = (5001, "configuration_taken", logging.INFO)
     OPERATIONS_TAKEN = (5002, "operations_taken", logging.INFO)
     VERSION_REFUSED = (5003, "version_refused", logging.ERROR)
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -13,7 +13,6 @@
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
 
 LOG = logs.get_logger(__name__)
-TICK_SECONDS = 0.1
 SNAPSHOT_SECONDS = 0.5
 # Peers ping every 500 ms; a peer silent for this long is frozen or cut off.
 SILENCE_SECONDS = 2.0
@@ -92,7 +91,6 @@
         """Run both directions of a session until the reading one ends."""
         self.sessions += 1
         if self.sessions == 1:
-            self.background.spawn(self.tick_periodically(), "dispatcher-tick")
             self.background.spawn(self.send_snapshots(), "dispatcher-snapshots")
         writer = asyncio.get_running_loop().create_task(writing, name="dispatch-session-writer")
         try:
@@ -190,12 +188,6 @@
         while True:
             await context.write(await peer.outbox.get())
 
-    async def tick_periodically(self) -> None:
-        """Let the dispatcher discard what has expired."""
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            self.dispatcher.tick()
-
     async def send_snapshots(self) -> None:
         """Send a snapshot to every agent while something changes."""
         while True:
--- a/src/masticward/state/slots.py
+++ b/src/masticward/state/slots.py
@@ -43,6 +43,10 @@
             del self.deadlines[slot_id]
         return refusal
 
+    def take_back(self, slot_id: int) -> None:
+        """Withdraw a slot that its dispatcher has discarded; it cannot be used any more."""
+        self.deadlines.pop(slot_id, None)
+
     def issued(self, now: float) -> int:
         """Count the slots that are neither used nor expired."""
         self.forget_expired(now)
--- a/tests/lib/dispatch_fleet.py
+++ b/tests/lib/dispatch_fleet.py
@@ -209,6 +209,7 @@
         servicer = dispatch_server.DispatchServicer(self.dispatcher)
         masticward_pb2_grpc.add_DispatchServicer_to_server(servicer, self.server)
         await self.server.start()
+        await self.dispatcher.start()
         self.offers = offers.OfferLoop(view, self.pool, self.source, self.instance, incarnation)
         await self.offers.start()
 
@@ -216,6 +217,7 @@
         if not self.stopped:
             self.stopped = True
             await self.offers.close()
+            await self.dispatcher.close()
             await self.server.stop(None)
             await self.pool.close()
 
