Test the fair queue against an oracle, the gap bound, starvation and the dispatcher

Cause: the queue and the dispatcher had no tests. Change: a hypothesis state machine compares the queue with a model that recomputes all from the list of events, across restarts of agents and dispatchers; a pool of slots checks the gap and starvation bounds under wrong hints and mixed lengths. A repeated decline could free a slot that another ticket held; the slot now names its ticket.

--- a/src/masticward/coordination/dispatcher.py
+++ b/src/masticward/coordination/dispatcher.py
@@ -45,7 +45,8 @@
         self.peer = peer
         # Pairs of deadline and slot id, the earliest deadline first.
         self.free: collections.deque[tuple[float, int]] = collections.deque()
-        self.assigned: dict[int, float] = {}
+        # Deadline and ticket of each assigned slot that has not expired.
+        self.assigned: dict[int, tuple[float, str]] = {}
         self.tickets: set[str] = set()
         self.limit = 1
         self.reported_load = 0
@@ -177,10 +178,13 @@
         if agent is None or agent.peer.incarnation != declined.agent_incarnation:
             return
         dispatched = self.dispatched.get(declined.ticket_id)
-        deadline = agent.assigned.pop(declined.slot_id, None)
         if dispatched is not None and dispatched.slot_id == declined.slot_id:
             self.end_dispatch(declined.ticket_id)
-        if declined.slot_valid and deadline is not None:
+        deadline, ticket_id = agent.assigned.get(declined.slot_id, (0.0, ""))
+        if ticket_id != declined.ticket_id:
+            return
+        del agent.assigned[declined.slot_id]
+        if declined.slot_valid:
             agent.free.appendleft((deadline, declined.slot_id))
             self.place(agent)
             self.match()
@@ -307,7 +311,7 @@
         entry = self.ticket_entries[ticket.id]
         self.forget_ticket(ticket.id)
         deadline, slot_id = agent.free.popleft()
-        agent.assigned[slot_id] = deadline
+        agent.assigned[slot_id] = (deadline, ticket.id)
         agent.tickets.add(ticket.id)
         dispatched = Dispatched(entry, agent, slot_id, deadline + UNSTARTED_GRACE_SECONDS)
         self.dispatched[ticket.id] = dispatched
@@ -376,7 +380,7 @@
         for agent in self.agents.values():
             self.discard_expired_slots(agent, now)
             self.place(agent)
-            for slot_id in [key for key, limit in agent.assigned.items() if limit <= now]:
+            for slot_id in [key for key, (end, _) in agent.assigned.items() if end <= now]:
                 del agent.assigned[slot_id]
         late = [key for key, item in self.unstarted.items() if item.start_deadline <= now]
         for ticket_id in late:
--- a/src/masticward/state/ledger.py
+++ b/src/masticward/state/ledger.py
@@ -311,7 +311,8 @@
         It is adopted at once while teams are active, otherwise when the first becomes active.
         """
         known = self.included_total if self.candidate is None else self.candidate.included_total
-        if snapshot.included_total <= max(known, self.included_total):
+        fresh = self.candidate is None and not self.accounts
+        if snapshot.included_total <= max(known, self.included_total) and not fresh:
             return False
         self.candidate = snapshot
         if self.active:
--- /dev/null
+++ b/tests/lib/queue_oracle.py
@@ -0,0 +1,174 @@
+"""A slow model of the fair queue that computes every state anew from the list of events."""
+
+import collections
+import math
+import typing
+
+MEAN_WEIGHT = 0.2
+
+
+class Ticket(typing.NamedTuple):
+    id: str
+    team: str
+    hint: float
+    order: tuple[int, float, int]
+
+
+class State:
+    """Everything the fair queue should hold after a list of events."""
+
+    def __init__(self, shares: dict[str, float], maximum_cost: float, debt_cap: float) -> None:
+        self.shares = shares
+        self.maximum_cost = maximum_cost
+        self.debt_cap = debt_cap
+        self.charged: dict[str, float] = {}
+        self.means: dict[str, float] = collections.defaultdict(float)
+        self.waiting: dict[str, Ticket] = {}
+        # Team, estimate and progress by ticket.
+        self.running: dict[str, tuple[str, float, float]] = {}
+        self.known: dict[str, tuple[int, dict[str, float]]] = {}
+        self.last_system = 0.0
+        self.total = 0.0
+        self.restored: set[str] = set()
+
+    def share(self, team: str) -> float:
+        return self.shares.get(team, 1.0)
+
+    def active(self) -> set[str]:
+        queued = {ticket.team for ticket in self.waiting.values()}
+        return queued | {team for team, _, _ in self.running.values()}
+
+    def effective(self, team: str) -> float:
+        reserved = math.fsum(
+            max(0.0, estimate - progress)
+            for owner, estimate, progress in self.running.values()
+            if owner == team
+        )
+        return self.charged[team] + reserved / self.share(team)
+
+    def system(self) -> float:
+        active = self.active()
+        return min(map(self.effective, active)) if active else self.last_system
+
+    def cap(self, team: str, system: float) -> None:
+        limit = system + self.debt_cap / self.share(team)
+        self.charged[team] = min(self.charged[team], limit)
+
+    def leave(self, change: typing.Callable[[], object], team: str) -> None:
+        """Apply a change that may make the last active team idle."""
+        others = self.active() - {team}
+        change()
+        if not others and not self.active():
+            self.last_system = self.charged[team]
+
+    def add(self, ticket: Ticket) -> None:
+        if ticket.team not in self.active():
+            system = self.system()
+            before = self.charged.get(ticket.team, system)
+            lifted = before if ticket.team in self.restored else max(before, system)
+            self.charged[ticket.team] = lifted
+            self.cap(ticket.team, system)
+            self.restored.discard(ticket.team)
+        self.waiting[ticket.id] = ticket
+
+    def drop(self, ticket_id: str) -> None:
+        team = self.waiting[ticket_id].team
+        self.leave(lambda: self.waiting.pop(ticket_id), team)
+
+    def take(self, ticket_id: str) -> None:
+        ticket = self.waiting.pop(ticket_id)
+        estimate = min(max(ticket.hint, self.means[ticket.team]), self.maximum_cost)
+        self.running[ticket_id] = (ticket.team, estimate, 0.0)
+
+    def settle(self, ticket_id: str, cost: float) -> None:
+        team = self.running[ticket_id][0]
+        if cost > 0.0:
+            mean = self.means[team]
+            self.means[team] = cost if mean == 0.0 else mean + MEAN_WEIGHT * (cost - mean)
+        self.leave(lambda: self.running.pop(ticket_id), team)
+
+    def report(
+        self,
+        agent: str,
+        incarnation: int,
+        totals: dict[str, float],
+        progress: dict[str, float],
+        finished: dict[str, float],
+    ) -> None:
+        self.charge_totals(agent, incarnation, totals)
+        for ticket_id, cost in progress.items():
+            if ticket_id in self.running:
+                team, estimate, before = self.running[ticket_id]
+                self.running[ticket_id] = (team, estimate, max(before, cost))
+        for ticket_id, cost in finished.items():
+            if ticket_id in self.running:
+                self.settle(ticket_id, cost)
+
+    def charge_totals(self, agent: str, incarnation: int, totals: dict[str, float]) -> None:
+        known_incarnation, known = self.known.get(agent, (0, {}))
+        if incarnation < known_incarnation:
+            return
+        if incarnation > known_incarnation:
+            known = {}
+        self.known[agent] = (incarnation, known)
+        system = self.system()
+        for team, total in totals.items():
+            increase = total - known.get(team, 0.0)
+            if increase <= 0.0:
+                continue
+            known[team] = total
+            if self.active():
+                self.charge(team, increase, system)
+
+    def charge(self, team: str, cost: float, system: float) -> None:
+        self.charged[team] = self.charged.get(team, system) + cost / self.share(team)
+        self.cap(team, system)
+        self.total += cost
+
+    def recover(self, stored: "State", counters: dict[str, tuple[int, dict[str, float]]]) -> None:
+        """Become a new dispatcher that has ``stored`` as snapshot and the agents' counters."""
+        teams = stored.active()
+        self.charged = {team: stored.charged[team] for team in teams}
+        self.means = collections.defaultdict(float, {team: stored.means[team] for team in teams})
+        self.last_system = stored.system()
+        self.total = stored.total
+        self.restored = set(teams)
+        self.known = {
+            agent: (incarnation, {team: known[team] for team in known if team in teams})
+            for agent, (incarnation, known) in stored.known.items()
+            if any(team in teams for team in known)
+        }
+        increases: dict[str, float] = collections.defaultdict(float)
+        for agent, (incarnation, totals) in counters.items():
+            known_incarnation, known = self.known.get(agent, (0, {}))
+            base = known if incarnation == known_incarnation else {}
+            for team in totals.keys() & teams:
+                increases[team] += max(0.0, totals[team] - base.get(team, 0.0))
+            self.known[agent] = (incarnation, {**base, **totals})
+        for team, cost in increases.items():
+            if cost:
+                self.charge(team, cost, self.last_system)
+
+
+class Oracle:
+    """The list of events and the state that follows from it."""
+
+    def __init__(self, shares: dict[str, float], maximum_cost: float, debt_cap: float) -> None:
+        self.terms = (shares, maximum_cost, debt_cap)
+        self.events: list[tuple[typing.Any, ...]] = []
+
+    def append(self, name: str, *arguments: typing.Any) -> None:
+        self.events.append((name, *arguments))
+
+    def state(self, length: int | None = None) -> State:
+        """Return the state after the first ``length`` events, or after all of them."""
+        events = self.events[:length]
+        state = State(*self.terms)
+        for name, *arguments in events:
+            if name == "recover":
+                index, counters = arguments
+                state = State(*self.terms)
+                state.recover(self.state(index), counters)
+            else:
+                getattr(state, name)(*arguments)
+        return state
--- /dev/null
+++ b/tests/unit/test_fair_queue_model.py
@@ -0,0 +1,204 @@
+"""Guards against virtual times that drift from what was rendered, also across dispatchers."""
+
+import copy
+import unittest
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from masticward.state import fair_queue, ledger
+from tests.lib import dispatch_fleet, queue_oracle
+
+SHARES = {"red": 1.0, "green": 4.0, "blue": 0.5}
+TEAMS = (*SHARES, "unlisted")
+MAXIMUM_COST = 50.0
+DEBT_CAP = 120.0
+AGENTS = ("agent-1", "agent-2")
+FAR = 1e9
+COSTS = strategies.integers(0, 120).map(float)
+
+
+class FairQueueMachine(stateful.RuleBasedStateMachine):
+    """Drives a fair queue and the oracle with the same events."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.oracle = queue_oracle.Oracle(SHARES, MAXIMUM_COST, DEBT_CAP)
+        self.queue = self.new_queue()
+        self.sequence = 0
+        self.now = 1.0
+        # What each agent has rendered: incarnation and totals by team.
+        self.agents: dict[str, tuple[int, dict[str, float]]] = {name: (1, {}) for name in AGENTS}
+        # Agent, team and cost so far by running ticket.
+        self.running: dict[str, tuple[str, str, float]] = {}
+        self.stored: tuple[int, ledger.Snapshot] | None = None
+        self.tickets: dict[str, object] = {}
+
+    def new_queue(self) -> fair_queue.FairQueue:
+        terms = ledger.Terms(shares=SHARES, maximum_cost=MAXIMUM_COST, debt_cap=DEBT_CAP)
+        times = ledger.VirtualTimes(terms)
+        return fair_queue.FairQueue(fair_queue.FairSharePolicy(times), times)
+
+    def enqueue(self, team: str, hint: float, retried: bool, lifetime: float) -> None:
+        self.sequence += 1
+        ticket = dispatch_fleet.ticket(
+            f"t{self.sequence}",
+            team,
+            cost_hint=hint,
+            arrived_at=self.now,
+            deadline=self.now + lifetime,
+            retried=retried,
+        )
+        self.tickets[ticket.id] = ticket
+        order = (0 if retried else 1, self.now, self.sequence)
+        assert self.queue.add(ticket)
+        assert not self.queue.add(ticket)
+        self.oracle.append("add", queue_oracle.Ticket(ticket.id, team, hint, order))
+
+    @stateful.rule(
+        team=strategies.sampled_from(TEAMS),
+        hint=COSTS,
+        retried=strategies.booleans(),
+        lifetime=strategies.sampled_from([5.0, FAR]),
+    )
+    def add(self, team: str, hint: float, retried: bool, lifetime: float) -> None:
+        self.now += 1.0
+        self.enqueue(team, hint, retried, lifetime)
+
+    @stateful.rule(data=strategies.data())
+    def cancel(self, data: strategies.DataObject) -> None:
+        waiting = sorted(self.queue.waiting)
+        hypothesis.assume(waiting)
+        ticket_id = data.draw(strategies.sampled_from(waiting))
+        assert self.queue.remove(ticket_id) is not None
+        self.oracle.append("drop", ticket_id)
+
+    @stateful.rule(seconds=strategies.integers(0, 6))
+    def expire(self, seconds: int) -> None:
+        self.now += seconds
+        late = {key for key in self.queue.waiting if self.tickets[key].deadline <= self.now}
+        dropped = self.queue.drop_expired(self.now)
+        assert {ticket.id for ticket in dropped} == late
+        for ticket in dropped:
+            self.oracle.append("drop", ticket.id)
+
+    @stateful.rule(agent=strategies.sampled_from(AGENTS))
+    def take(self, agent: str) -> None:
+        self.expire(0)
+        state = self.oracle.state()
+        taken = self.queue.take(self.now)
+        if taken is None:
+            assert not state.waiting
+            return
+        team = taken.ticket.team
+        least = min(state.effective(ticket.team) for ticket in state.waiting.values())
+        assert abs(state.effective(team) - least) < 1e-6
+        first = min(item.order for item in state.waiting.values() if item.team == team)
+        assert state.waiting[taken.ticket.id].order == first
+        self.running[taken.ticket.id] = (agent, team, 0.0)
+        self.oracle.append("take", taken.ticket.id)
+
+    @stateful.rule(data=strategies.data(), cost=COSTS)
+    def render(self, data: strategies.DataObject, cost: float) -> None:
+        hypothesis.assume(self.running)
+        ticket_id = data.draw(strategies.sampled_from(sorted(self.running)))
+        agent, team, before = self.running[ticket_id]
+        totals = self.agents[agent][1]
+        totals[team] = totals.get(team, 0.0) + cost
+        self.running[ticket_id] = (agent, team, before + cost)
+
+    @stateful.rule(agent=strategies.sampled_from(AGENTS), ends=strategies.booleans())
+    def report(self, agent: str, ends: bool) -> None:
+        progress = {key: cost for key, (owner, _, cost) in self.running.items() if owner == agent}
+        finished = progress if ends else {}
+        incarnation, totals = self.agents[agent]
+        arguments = (agent, incarnation, dict(totals), progress, finished)
+        self.queue.report(*arguments)
+        self.oracle.append("report", *arguments)
+        for ticket_id in finished:
+            del self.running[ticket_id]
+
+    @stateful.rule(agent=strategies.sampled_from(AGENTS))
+    def late_report(self, agent: str) -> None:
+        """A report of an earlier incarnation or with lower totals changes nothing."""
+        incarnation, totals = self.agents[agent]
+        known = self.queue.ledger.counters.get(agent)
+        if known is not None and known.incarnation == incarnation:
+            lower = {team: known.totals.get(team, 0.0) / 2 for team in totals}
+            self.queue.report(agent, incarnation, lower, {}, {})
+            self.queue.report(agent, incarnation - 1, dict.fromkeys(TEAMS, 1000000000.0), {}, {})
+
+    @stateful.rule(data=strategies.data())
+    def end_unused(self, data: strategies.DataObject) -> None:
+        hypothesis.assume(self.running)
+        ticket_id = data.draw(strategies.sampled_from(sorted(self.running)))
+        del self.running[ticket_id]
+        assert self.queue.settle(ticket_id)
+        self.oracle.append("settle", ticket_id, 0.0)
+
+    @stateful.rule(agent=strategies.sampled_from(AGENTS))
+    def restart_agent(self, agent: str) -> None:
+        """An agent restarts without memory; its session's reservations end."""
+        incarnation, _ = self.agents[agent]
+        self.agents[agent] = (incarnation + 1, {})
+        for ticket_id in [key for key, item in self.running.items() if item[0] == agent]:
+            del self.running[ticket_id]
+            self.queue.settle(ticket_id)
+            self.oracle.append("settle", ticket_id, 0.0)
+
+    @stateful.precondition(lambda self: self.queue.ledger.active)
+    @stateful.rule()
+    def store_snapshot(self) -> None:
+        self.stored = (len(self.oracle.events), self.queue.ledger.snapshot())
+
+    @stateful.precondition(lambda self: self.stored is not None)
+    @stateful.rule(
+        team=strategies.sampled_from(TEAMS),
+        report_first=strategies.booleans(),
+        older=strategies.booleans(),
+    )
+    def replace_dispatcher(self, team: str, report_first: bool, older: bool) -> None:
+        """A new dispatcher gets the stored snapshot, all counters and then a first ticket."""
+        index, snapshot = self.stored
+        self.queue = self.new_queue()
+        if not report_first:
+            self.queue.ledger.offer_snapshot(snapshot)
+        for agent, (incarnation, totals) in self.agents.items():
+            self.queue.report(agent, incarnation, dict(totals), {}, {})
+        self.queue.ledger.offer_snapshot(snapshot)
+        if older and snapshot.included_total > 0.0:
+            fewer = ledger.Snapshot(
+                system_virtual_time=1e9, teams=(), included=(), included_total=0.0
+            )
+            assert not self.queue.ledger.offer_snapshot(fewer)
+        self.oracle.append("recover", index, copy.deepcopy(self.agents))
+        self.running.clear()
+        self.stored = None
+        self.now += 1.0
+        self.enqueue(team, 10.0, False, FAR)
+
+    @stateful.invariant()
+    def agrees_with_the_oracle(self) -> None:
+        state = self.oracle.state()
+        times = self.queue.ledger
+        assert {team for _, team in times.active} == state.active()
+        assert set(self.queue.waiting) == set(state.waiting)
+        for team in state.active():
+            assert abs(times.effective_of(team) - state.effective(team)) < 1e-6, team
+        assert abs(times.system_time - state.system()) < 1e-6
+        assert abs(times.included_total - state.total) < 1e-6
+
+
+FairQueueMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+FairQueueModelTest = FairQueueMachine.TestCase
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/test_fairness_bounds.py
@@ -0,0 +1,99 @@
+"""Guards against gaps beyond the bound of section 6.1 and against starved teams."""
+
+import itertools
+import unittest
+
+from masticward import settings
+from tests.lib import shared_pool
+
+
+class GapBoundTest(unittest.TestCase):
+    def assert_gaps_bounded(self, pool: shared_pool.SharedPool, since: int = 0) -> None:
+        for first, second in itertools.combinations(pool.teams, 2):
+            gap = pool.largest_gap(first, second, since)
+            self.assertLessEqual(gap, pool.bound, (first, second))
+
+    def test_hints_ten_times_off_both_ways_with_mixed_lengths(self) -> None:
+        """Fails if wrong hints shift service between teams for good."""
+        pool = shared_pool.SharedPool(
+            [
+                shared_pool.Team("low", 1.0, (1.0, 40.0), hint_factor=0.1),
+                shared_pool.Team("high", 1.0, (1.0, 40.0), hint_factor=10.0),
+                shared_pool.Team("short", 2.0, (2.0,)),
+                shared_pool.Team("long", 4.0, (40.0,)),
+            ],
+            slots=8,
+        )
+        pool.run(6000)
+        self.assert_gaps_bounded(pool)
+
+    def test_first_come_first_served_breaks_the_bound(self) -> None:
+        """Shows that the bound can fail: the baseline follows the number of requests."""
+        teams = [shared_pool.Team("few", backlog=4), shared_pool.Team("many", backlog=100)]
+        policy = settings.QueuePolicyName.FIRST_COME_FIRST_SERVED
+        baseline = shared_pool.SharedPool(teams, 4, policy)
+        fair = shared_pool.SharedPool(teams, 4)
+        baseline.run(1000)
+        fair.run(1000)
+        self.assertGreater(baseline.largest_gap("few", "many"), baseline.bound)
+        self.assert_gaps_bounded(fair)
+
+    def test_idle_time_gives_no_credit(self) -> None:
+        """Fails if a team that returns is paid for the time it was idle."""
+        teams = [shared_pool.Team(name, backlog=8) for name in ("steady", "returning")]
+        pool = shared_pool.SharedPool(teams, slots=4)
+        pool.run(50)
+        pool.run(2000, {"steady"})
+        pool.run(500)
+        self.assert_gaps_bounded(pool, since=2050)
+
+    def test_refused_and_overestimated_requests_leave_no_charge(self) -> None:
+        """Fails if a reservation outlives its request."""
+        teams = [
+            shared_pool.Team("exact", costs=(4.0, 40.0), backlog=8),
+            shared_pool.Team("over", costs=(4.0,), hint_factor=10.0, backlog=8),
+        ]
+        pool = shared_pool.SharedPool(teams, slots=4)
+        pool.run(4000)
+        self.assert_gaps_bounded(pool)
+
+
+class StarvationTest(unittest.TestCase):
+    def test_share_one_beside_share_one_thousand(self) -> None:
+        """Fails if the small team waits longer than its share explains."""
+        teams = [shared_pool.Team("small", 1.0), shared_pool.Team("large", 1000.0, backlog=20)]
+        pool = shared_pool.SharedPool(teams, slots=4)
+        starts = []
+        for _ in range(9000):
+            before = pool.starts["small"]
+            pool.run(1)
+            if pool.starts["small"] > before:
+                starts.append(pool.served["large"])
+        self.assertGreaterEqual(len(starts), 3)
+        bound = 10.0 * 1000.0 + pool.slots * pool.largest
+        for earlier, later in itertools.pairwise(starts):
+            self.assertLessEqual(later - earlier, bound)
+
+    def test_hundred_times_the_requests_gain_nothing(self) -> None:
+        """Fails if a team gets more service by queueing more."""
+        teams = [shared_pool.Team("few", backlog=4), shared_pool.Team("many", backlog=400)]
+        pool = shared_pool.SharedPool(teams, slots=4)
+        pool.run(2000)
+        self.assertLessEqual(pool.largest_gap("few", "many"), pool.bound)
+
+    def test_debt_of_a_second_dispatcher_is_capped(self) -> None:
+        """Fails if a team must repay all that a second dispatcher gave it."""
+        teams = [shared_pool.Team(name) for name in ("debtor", "other")]
+        pool = shared_pool.SharedPool(teams, slots=4, debt_cap=200.0)
+        pool.run(100)
+        pool.queue.report("agent-2", 1, {"debtor": 1_000_000.0}, {}, {})
+        served, starts = pool.served["other"], pool.starts["debtor"]
+        bound = 200.0 + 2 * pool.slots * pool.largest
+        while pool.starts["debtor"] == starts and pool.served["other"] - served <= 2 * bound:
+            pool.run(1)
+        self.assertLessEqual(pool.served["other"] - served, bound)
+        self.assertGreaterEqual(pool.served["other"] - served, 150.0, "the debt was not repaid")
+
+
+if __name__ == "__main__":
+    unittest.main()
