--- /dev/null
+++ b/tests/functional/test_view.py
@@ -0,0 +1,198 @@
+"""Guards against processes that miss, delay or lose versions, over real gRPC and HTTP."""
+
+import asyncio
+import time
+import unittest
+
+from masticward.coordination import view
+from masticward.models import objects
+from masticward.standins import object_api
+from masticward.wire import masticward_pb2
+from tests.lib import platforms
+
+
+class ViewTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.platform = platforms.Platform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.close)
+
+    async def wait_for_versions(
+        self, processes: list[platforms.Process], versions: tuple[int, int]
+    ) -> float:
+        return await platforms.wait_until(
+            lambda: all(process.versions >= versions for process in processes),
+            f"versions {versions}, have {[process.versions for process in processes]}",
+        )
+
+    async def test_versions_spread_while_the_object_api_is_down(self) -> None:
+        """Fails if agents or late entries depend on the object API after acceptance."""
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        agents = [await self.platform.add(platforms.make_agent(f"a{n}")) for n in range(3)]
+        cut_off = await self.platform.add(
+            platforms.make_entry("e2"), object_api_url=platforms.UNREACHABLE_URL
+        )
+        await self.platform.publish(share=1.0)
+        await self.wait_for_versions([entry], (1, 0))
+        await self.platform.objects.set_faults(object_api.StoreFaults(mode="down"))
+        await self.wait_for_versions([entry, cut_off, *agents], (1, 0))
+        for process in (cut_off, *agents):
+            self.assertEqual(process.view.configuration, entry.view.configuration)
+
+    async def test_zone_out_reaches_an_entry_cut_off_from_the_object_api(self) -> None:
+        """Fails if an entry without the object API keeps using a zone that is out (P4: 5 s)."""
+        await self.platform.publish(share=1.0)
+        await self.platform.add(platforms.make_entry("e1"))
+        agent = await self.platform.add(platforms.make_agent("a1"))
+        spare = await self.platform.add(platforms.make_agent("a2", availability_zone="south"))
+        cut_off = await self.platform.add(
+            platforms.make_entry("e2"), object_api_url=platforms.UNREACHABLE_URL
+        )
+        await platforms.wait_until(
+            lambda: len(cut_off.view.agents_of("ledger")) == 2, "both agents usable"
+        )
+        (await self.platform.operator().take_out_zone("north", False, platforms.soon())).unwrap()
+        await self.wait_for_versions([cut_off, agent], (1, 1))
+        self.assertTrue(agent.view.is_out("a1", "north"))
+        self.assertEqual(cut_off.view.agents_of("ledger"), [spare.instance])
+        (await self.platform.operator().bring_in_zone("north", platforms.soon())).unwrap()
+        await self.wait_for_versions([cut_off, agent], (1, 2))
+        self.assertEqual(2, len(cut_off.view.agents_of("ledger")))
+
+    async def test_restart_without_memory_while_the_object_api_is_down(self) -> None:
+        """Fails if a restarted process cannot recover its versions from peers."""
+        await self.platform.publish(share=1.0)
+        await self.platform.add(platforms.make_entry("e1"))
+        agent = await self.platform.add(platforms.make_agent("a1"))
+        await self.wait_for_versions([agent], (1, 0))
+        await self.platform.objects.set_faults(object_api.StoreFaults(mode="down"))
+        await self.platform.stop_process(agent)
+        again = await self.platform.add(platforms.make_agent("a1"), incarnation=2)
+        await self.wait_for_versions([again], (1, 0))
+
+    async def test_whole_fleet_restart_reads_the_object_api(self) -> None:
+        """Fails if agents without any informed peer stay without configuration."""
+        await self.platform.publish(share=1.0)
+        agent = await self.platform.add(platforms.make_agent("a1"))
+        self.assertEqual((1, 0), agent.versions)
+
+    async def test_stale_peer_does_not_lower_versions(self) -> None:
+        """Fails if a process returns to a lower version through an old peer or store."""
+        await self.platform.publish(share=1.0)
+        stale = await self.platform.add(
+            platforms.make_agent("a1"), object_api_url=platforms.UNREACHABLE_URL
+        )
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        await self.wait_for_versions([stale], (1, 0))
+        old_manifest = self.platform.objects.objects[objects.MANIFEST]
+        await self.platform.publish(share=2.0)
+        await self.wait_for_versions([entry, stale], (2, 0))
+        await self.platform.stop_process(stale)
+        # The store answers with an earlier manifest, as a restored backup would.
+        self.platform.objects.objects[objects.MANIFEST] = old_manifest
+        fresh = await self.platform.add(platforms.make_agent("a2"))
+        seen: set[int] = set()
+        entry.view.subscribe(lambda: seen.add(entry.versions[0]))
+        await self.wait_for_versions([fresh], (2, 0))
+        self.assertEqual((2, 0), entry.versions)
+        self.assertLessEqual(seen, {2})
+
+    async def test_note_versions_pulls_without_waiting_for_a_round(self) -> None:
+        """Fails if an agent that sees a newer version in a request waits for the next round."""
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        other = await self.platform.add(
+            platforms.make_agent("a1"), object_api_url=platforms.UNREACHABLE_URL
+        )
+        # Without its background tasks the process learns only from note_versions.
+        await other.view.tasks.cancel()
+        entry.view.subscribe(lambda: None)
+        await self.platform.publish(share=1.0)
+        await self.wait_for_versions([entry], (1, 0))
+        other.view.note_versions(1, 0, entry.instance.peer_address)
+        await self.wait_for_versions([other], (1, 0))
+
+    async def test_crashed_peer_is_suspected_until_it_answers(self) -> None:
+        """Fails if a dead agent keeps receiving work or a returned one does not."""
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        agent = await self.platform.add(platforms.make_agent("a1"))
+        await platforms.wait_until(lambda: bool(entry.view.agents_of("ledger")), "agent usable")
+        await self.platform.stop_process(agent)
+        await platforms.wait_until(lambda: not entry.view.agents_of("ledger"), "suspected")
+        self.assertIn("a1", {instance.id for instance in entry.view.members()})
+        await self.platform.add(platforms.make_agent("a1"), incarnation=2)
+        await platforms.wait_until(lambda: bool(entry.view.agents_of("ledger")), "usable again")
+
+    async def test_leaving_is_announced_without_the_list(self) -> None:
+        """Fails if peers learn only from the lagging list that an agent leaves (P8)."""
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        agent = await self.platform.add(platforms.make_agent("a1"))
+        await platforms.wait_until(lambda: bool(entry.view.agents_of("ledger")), "agent usable")
+        agent.view.announce_leaving()
+        took = await platforms.wait_until(lambda: entry.view.is_leaving("a1"), "leaving known")
+        self.assertLess(took, 3.0)
+        self.assertEqual([], entry.view.agents_of("ledger"))
+
+    async def test_last_list_is_kept_while_the_list_is_down(self) -> None:
+        """Fails if an outage of the instance list empties the view."""
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        await self.platform.add(platforms.make_agent("a1"))
+        await platforms.wait_until(lambda: bool(entry.view.agents_of("ledger")), "agent usable")
+        self.platform.instances.faults.mode = "down"
+        await platforms.wait_until(lambda: not entry.view.list_available, "outage noticed")
+        self.assertEqual(1, len(entry.view.agents_of("ledger")))
+
+    async def test_exchange_resumes_within_a_second_after_a_partition(self) -> None:
+        """Fails if TCP or gRPC back-off delays the first exchange after a partition heals."""
+        entry = await self.platform.add(platforms.make_entry("e1"), gated=True)
+        agent = await self.platform.add(platforms.make_agent("a1"), gated=True)
+        await platforms.wait_until(
+            lambda: agent.view.fresh_until() > time.monotonic(), "first exchange"
+        )
+        for process in (entry, agent):
+            assert process.gate is not None
+            process.gate.open.clear()
+        await platforms.wait_until(
+            lambda: (
+                agent.view.fresh_until() < time.monotonic() - 2.0
+                and entry.view.fresh_until() < time.monotonic() - 2.0
+            ),
+            "views stale",
+        )
+        for process in (entry, agent):
+            assert process.gate is not None
+            process.gate.open.set()
+        for process in (entry, agent):
+            took = await platforms.wait_until(
+                lambda process=process: process.view.fresh_until() > time.monotonic(), "healed"
+            )
+            self.assertLess(took, 1.5)
+        self.assertEqual(1, len(entry.view.agents_of("ledger")))
+
+
+class FreshnessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.platform = platforms.Platform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.close)
+        self.entry = await self.platform.add(platforms.make_entry("e1"))
+        self.agent = await self.platform.add(platforms.make_agent("a1"))
+        await self.agent.view.tasks.cancel()
+        self.agent.view.latest_answered_send = float("-inf")
+
+    async def test_answer_received_late_counts_from_its_sending(self) -> None:
+        """Fails if an answer that waited out a pause makes the view fresh again (P4, P8)."""
+        sent_before = time.monotonic()
+        exchange = asyncio.create_task(self.agent.view.exchange_with(self.entry.instance))
+        await asyncio.sleep(0)
+        # Blocks the loop, as a stopped process is blocked, while the answer arrives.
+        time.sleep(0.4)
+        await exchange
+        self.assertLess(self.agent.view.fresh_until(), sent_before + 0.2 + view.FRESH_SECONDS)
+
+    async def test_exchange_that_leaves_the_view_behind_does_not_refresh(self) -> None:
+        """Fails if a process counts as fresh although it could not pull a newer version."""
+        self.entry.view.digest = lambda: masticward_pb2.ViewDigest(
+            instance_id="e1", role="entry", incarnation=1, operations_version=5
+        )
+        await self.agent.view.exchange_with(self.entry.instance)
+        self.assertEqual(float("-inf"), self.agent.view.latest_answered_send)
--- /dev/null
+++ b/tests/lib/platforms.py
@@ -0,0 +1,259 @@
+"""Builds stand-ins, configurations and processes with a view over real gRPC for tests."""
+
+import asyncio
+import collections.abc
+import logging
+import time
+
+import msgspec
+
+from masticward import logs, settings
+from masticward.coordination import view
+from masticward.models import configuration, membership
+from masticward.protocol import peers
+from masticward.publishing import change, operations, publisher
+from masticward.standins import instance_list as instance_list_standin
+from masticward.standins import object_api as object_api_standin
+from masticward.transport import channels, instance_list, object_api
+from masticward.utils import clocks
+from masticward.wire import masticward_pb2_grpc
+
+ANY_PORT = "127.0.0.1:0"
+# Nothing listens on the discard port of the loopback address in a test.
+UNREACHABLE_URL = "http://127.0.0.1:9"
+TIMEOUT_SECONDS = 20.0
+logs.configure(logging.CRITICAL)
+
+SECURITY = settings.PeerSecurity(mode=settings.SecurityMode.SHARED_KEY, shared_key="test-key")
+
+
+def make_configuration(share: float = 1.0, teams: int = 2) -> configuration.Configuration:
+    """Return a configuration of two zones and one plain service; its version is 0."""
+    service = configuration.Service(
+        name="ledger",
+        kind=configuration.ServiceKind.PLAIN,
+        operations=(
+            configuration.Operation(
+                name="post", method="POST", path="/v1/entries", idempotent=False
+            ),
+        ),
+        cold_limit=1,
+        warm_limit=2,
+        endpoints=2,
+    )
+    return configuration.Configuration(
+        version=0,
+        availability_zones=("north", "south"),
+        services=(service,),
+        teams=tuple(
+            configuration.Team(
+                name=f"team-{number}", share=share, credential_digests=(f"{number:064x}",)
+            )
+            for number in range(teams)
+        ),
+    )
+
+
+def make_entry(name: str = "e1", **fields: object) -> membership.Instance:
+    """Return an entry instance."""
+    base = membership.Instance(
+        id=name,
+        role=membership.Role.ENTRY,
+        service="",
+        availability_zone="north",
+        peer_address="127.0.0.1:1",
+    )
+    return msgspec.structs.replace(base, **fields)
+
+
+def make_agent(name: str = "a1", **fields: object) -> membership.Instance:
+    """Return an agent instance of the service ``ledger``."""
+    return make_entry(name, role=membership.Role.AGENT, service="ledger", **fields)
+
+
+def soon() -> float:
+    """Return a generous monotonic deadline."""
+    return clocks.deadline_after(TIMEOUT_SECONDS)
+
+
+async def wait_until(
+    condition: collections.abc.Callable[[], bool], what: str, seconds: float = TIMEOUT_SECONDS
+) -> float:
+    """Wait until a condition holds and return the seconds it took; fail after ``seconds``."""
+    started = time.monotonic()
+    while not condition():
+        if time.monotonic() > started + seconds:
+            raise AssertionError(f"not within {seconds} s: {what}")
+        await asyncio.sleep(0.01)
+    return time.monotonic() - started
+
+
+class Gate:
+    """A TCP forwarder in front of a peer that can swallow all traffic, as a partition does."""
+
+    def __init__(self, target_port: int) -> None:
+        self.target_port = target_port
+        self.open = asyncio.Event()
+        self.open.set()
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target_port
+            )
+        except OSError:
+            writer.close()
+            return
+        self.writers |= {writer, target_writer}
+        await asyncio.gather(self.copy(reader, target_writer), self.copy(target_reader, writer))
+
+    async def copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Copy one direction; what arrives while the gate is shut waits."""
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+        except OSError:
+            pass
+        writer.close()
+
+    async def close(self) -> None:
+        """Stop and close all connections."""
+        self.open.set()
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+
+class Process:
+    """A process with a view and a peer server."""
+
+    def __init__(self, platform: "Platform", instance: membership.Instance) -> None:
+        self.platform = platform
+        self.instance = instance
+        self.gate: Gate | None = None
+
+    async def start(
+        self, watches: bool, object_api_url: str, incarnation: int, gated: bool
+    ) -> None:
+        """Start the server and the view, and list the instance."""
+        transport = channels.PeerTransport(SECURITY)
+        self.pool = channels.ChannelPool(transport)
+        self.server = transport.create_server()
+        port = transport.bind(self.server, ANY_PORT)
+        address = f"127.0.0.1:{port}"
+        if gated:
+            self.gate = Gate(port)
+            address = await self.gate.start()
+        self.instance = msgspec.structs.replace(self.instance, peer_address=address)
+        self.store = object_api.HttpObjectStore(object_api_url)
+        self.list = instance_list.HttpInstanceList(self.platform.list_url)
+        self.view = view.PlatformFleetView(
+            self.instance,
+            incarnation,
+            settings.PlatformSettings(
+                object_api_url=object_api_url,
+                instance_list_url=self.platform.list_url,
+                instance_list_period_seconds=0.2,
+                call_timeout_seconds=1.0,
+            ),
+            self.pool,
+            self.store,
+            self.list,
+            watches,
+        )
+        masticward_pb2_grpc.add_PeerServicer_to_server(peers.PeerServicer(self.view), self.server)
+        await self.server.start()
+        self.platform.enlist(self.instance)
+        await self.view.start()
+
+    @property
+    def versions(self) -> tuple[int, int]:
+        """The configuration and operations versions that the process holds."""
+        return self.view.versions.config_version, self.view.versions.operations_version
+
+    async def stop(self) -> None:
+        """Stop without a word, as a crash does; the instance stays listed."""
+        await self.view.close()
+        await self.server.stop(None)
+        await self.pool.close()
+        await self.store.close()
+        await self.list.close()
+        if self.gate is not None:
+            await self.gate.close()
+
+
+class Platform:
+    """Object API and instance list stand-ins with the processes of one test."""
+
+    def __init__(self) -> None:
+        self.objects = object_api_standin.ObjectApiStandin()
+        self.instances = instance_list_standin.InstanceListStandin()
+        self.processes: list[Process] = []
+
+    async def start(self) -> None:
+        """Start the stand-ins."""
+        self.store_url = f"http://127.0.0.1:{await self.objects.start(ANY_PORT)}"
+        self.list_url = f"http://127.0.0.1:{await self.instances.start(ANY_PORT)}"
+        self.store = object_api.HttpObjectStore(self.store_url)
+        self.list = instance_list.HttpInstanceList(self.list_url)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for process in self.processes:
+            await process.stop()
+        await self.store.close()
+        await self.list.close()
+        await self.objects.close()
+        await self.instances.close()
+
+    async def add(
+        self,
+        instance: membership.Instance,
+        object_api_url: str = "",
+        incarnation: int = 1,
+        gated: bool = False,
+    ) -> Process:
+        """Start one process; entries watch the object API."""
+        process = Process(self, instance)
+        self.processes.append(process)
+        watches = instance.role is membership.Role.ENTRY
+        await process.start(watches, object_api_url or self.store_url, incarnation, gated)
+        return process
+
+    async def stop_process(self, process: Process) -> None:
+        """Stop one process."""
+        self.processes.remove(process)
+        await process.stop()
+
+    def enlist(self, instance: membership.Instance) -> None:
+        """List an instance."""
+        self.instances.set_instance(
+            instance_list_standin.ListedInstance(
+                id=instance.id,
+                role=instance.role.value,
+                zone=instance.availability_zone,
+                peer_address=instance.peer_address,
+                service=instance.service,
+                state="leaving" if instance.leaving else "live",
+            )
+        )
+
+    async def publish(self, share: float) -> change.Accepted:
+        """Publish a configuration that differs by its share."""
+        outcome = await publisher.Publisher(self.store, "tester").publish(
+            make_configuration(share), soon()
+        )
+        return outcome.unwrap()
+
+    def operator(self, name: str = "tester") -> operations.OperationsChange:
+        """Return the changes of one operator."""
+        return operations.OperationsChange(self.store, self.list, name)
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,137 @@
+"""Guards against work for instances that are gone, leaving or silent, with a log as oracle."""
+
+import unittest
+
+import hypothesis
+import hypothesis.stateful
+import hypothesis.strategies as strategies
+import msgspec
+
+from masticward.models import membership as membership_models
+from masticward.state import membership
+from tests.lib import platforms
+
+IDS = ("a1", "a2", "a3")
+ONE_ID = strategies.sampled_from(IDS)
+START = 100.0
+# Below FORGET_SECONDS, so the history need not say what the view may have forgotten.
+LONGEST_SECONDS = membership.FORGET_SECONDS - 15.0
+TIMES = strategies.sampled_from((0.1, 1.0, 4.0, 9.9, 10.0, 11.0))
+
+
+class MembershipMachine(hypothesis.stateful.RuleBasedStateMachine):
+    """Feeds lists, exchanges and suspicions; the oracle answers from the whole history."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.view = membership.MembershipView(platforms.make_entry("own"))
+        self.now = START
+        self.lists: list[tuple[float, dict[str, bool]]] = []
+        self.contacts: dict[str, list[float]] = {name: [] for name in IDS}
+        self.announcements: dict[str, list[tuple[int, bool]]] = {name: [] for name in IDS}
+        self.suspected: dict[str, float] = {}
+        self.answered_sends: dict[str, list[float]] = {name: [] for name in IDS}
+
+    @hypothesis.stateful.precondition(lambda self: self.now < START + LONGEST_SECONDS)
+    @hypothesis.stateful.rule(seconds=TIMES)
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    def tick(self) -> None:
+        """Give each event a time of its own, so that the history has one order."""
+        self.now += 0.001
+
+    @hypothesis.stateful.rule(listed=strategies.dictionaries(ONE_ID, strategies.booleans()))
+    def read_list(self, listed: dict[str, bool]) -> None:
+        self.tick()
+        self.lists.append((self.now, listed))
+        self.view.apply_list(
+            [platforms.make_agent(name, leaving=leaving) for name, leaving in listed.items()],
+            self.now,
+        )
+
+    @hypothesis.stateful.rule(
+        name=ONE_ID,
+        incarnation=strategies.integers(min_value=1, max_value=3),
+        leaving=strategies.booleans(),
+        took=strategies.sampled_from((0.0, 0.5, 3.0)),
+    )
+    def answer_exchange(self, name: str, incarnation: int, leaving: bool, took: float) -> None:
+        self.tick()
+        known = max((number for number, _ in self.announcements[name]), default=0)
+        self.view.note_contact(
+            platforms.make_agent(name, leaving=leaving), incarnation, self.now - took, self.now
+        )
+        if incarnation < known:
+            return
+        self.announcements[name].append((incarnation, leaving))
+        self.contacts[name].append(self.now)
+        self.answered_sends[name].append(self.now - took)
+        if name in self.suspected and self.now - took >= self.suspected[name]:
+            del self.suspected[name]
+
+    @hypothesis.stateful.rule(name=ONE_ID)
+    def suspect(self, name: str) -> None:
+        self.tick()
+        before = self.view.is_suspected(name)
+        newly = self.view.suspect(name, self.now)
+        if newly or before:
+            self.suspected[name] = self.now
+
+    def expected_present(self, name: str) -> bool:
+        if self.lists and name in self.lists[-1][1]:
+            return True
+        if not self.contacts[name] or self.now >= self.contacts[name][-1] + 10.0:
+            return False
+        absent_since = None
+        for read_at, listed in self.lists:
+            if name in listed:
+                absent_since = None
+            elif absent_since is None and self.was_known(name, read_at):
+                absent_since = read_at
+        return absent_since is None or self.now < absent_since + 10.0
+
+    def was_known(self, name: str, moment: float) -> bool:
+        """Tell whether the instance was listed or in contact before a moment."""
+        listed = any(name in names for read_at, names in self.lists if read_at <= moment)
+        return listed or any(contact <= moment for contact in self.contacts[name])
+
+    def expected_leaving(self, name: str) -> bool:
+        latest = max((number for number, _ in self.announcements[name]), default=0)
+        announced = any(leaving for number, leaving in self.announcements[name] if number == latest)
+        listed = [names[name] for _, names in self.lists if name in names]
+        return announced or bool(listed and listed[-1] and self.lists[-1][1].get(name, False))
+
+    @hypothesis.stateful.invariant()
+    def agrees_with_the_history(self) -> None:
+        members = {instance.id: instance for instance in self.view.members(self.now)}
+        assert "own" in members
+        for name in IDS:
+            assert (name in members) == self.expected_present(name), name
+            assert self.view.is_suspected(name) == (name in self.suspected), name
+            if name in members and (not self.lists or name in self.lists[-1][1]):
+                assert members[name].leaving == self.expected_leaving(name), name
+
+
+class MembershipViewTest(MembershipMachine.TestCase):  # type: ignore[misc,name-defined]
+    settings = hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=150)
+
+
+class OwnInstanceTest(unittest.TestCase):
+    def test_own_instance_keeps_its_addresses(self) -> None:
+        """Fails if a lagging list replaces the address that a process gives to its peers."""
+        own = platforms.make_agent("own", peer_address="127.0.0.1:5")
+        view = membership.MembershipView(own)
+        view.apply_list([platforms.make_agent("own", leaving=True)], 1.0)
+        expected: list[membership_models.Instance] = [msgspec.structs.replace(own, leaving=True)]
+        self.assertEqual(expected, view.members(1.0))
+        self.assertFalse(view.suspect("own", 2.0))
+
+    def test_absent_instances_are_forgotten(self) -> None:
+        """Fails if replaced instances stay in memory for ever."""
+        view = membership.MembershipView(platforms.make_entry("own"))
+        for number in range(5):
+            view.apply_list([platforms.make_agent(f"a{number}")], 100.0 * number)
+        view.apply_list([], 1000.0)
+        view.apply_list([], 1000.0 + membership.FORGET_SECONDS)
+        self.assertEqual({"own"}, set(view.known))
