--- /dev/null
+++ b/tests/functional/test_keyed_calls.py
@@ -0,0 +1,105 @@
+"""Guards against keyed calls that run twice when they are repeated elsewhere, after restarts or
+while the object API is down or loses answers."""
+
+import asyncio
+import random
+
+import msgspec
+
+from masticward.bench import calls, history, load, mixes
+from masticward.models import work
+from tests.lib import fleet_case
+
+WARM_SECONDS = 1.5
+
+
+class KeyedCallTest(fleet_case.FleetCase):
+    writers = 1
+    bookings = 2
+
+    async def test_repeat_against_another_entry_and_after_restarts(self) -> None:
+        first = await self.book("entry-1")
+        repeats = [await self.repeat(first, "entry-2")]
+        await self.fleet.kill("entry-1")
+        await self.fleet.kill("booking-1")
+        await self.fleet.restart("entry-1")
+        await self.fleet.restart("booking-1")
+        repeats.append(await self.repeat(first, "entry-1"))
+        await self.assert_safe()
+        self.assertIs(work.Outcome.COMPLETE, first[1].outcome)
+        for repeat in repeats:
+            self.assertIs(work.Outcome.COMPLETE, repeat.outcome)
+            self.assertEqual(first[1].response_digest, repeat.response_digest)
+
+    async def test_concurrent_repeats_run_once(self) -> None:
+        spec = self.spec("concurrent")
+        async with self.generator() as generator:
+            await asyncio.gather(
+                *(
+                    generator.call(self.booker(), spec, f"c{n}", random.Random(n), entry)
+                    for n, entry in enumerate(["entry-1", "entry-2"] * 4)
+                )
+            )
+        await self.assert_safe()
+        self.assertEqual(1, len(self.history.runs))
+
+    async def test_same_key_with_another_body_is_refused(self) -> None:
+        first = await self.book("entry-1")
+        other = msgspec.structs.replace(self.spec("other"), key=first[0].key)
+        answer = await self.repeat((other, first[1]), "entry-2")
+        await self.assert_safe()
+        self.assertEqual(422, answer.status)
+
+    async def test_object_api_down(self) -> None:
+        async with self.load(60.0, text=0, booking=2) as generator:
+            await asyncio.sleep(WARM_SECONDS)
+            await self.fleet.platform.set_object_api("down")
+            keyed = await self.book("entry-1")
+            unkeyed = await self.book("entry-1", keyed=False)
+            await self.fleet.platform.set_object_api("up")
+            await asyncio.sleep(WARM_SECONDS)
+            generator.stop()
+        await self.assert_safe()
+        self.assertIs(work.Outcome.NOT_RUN, keyed[1].outcome)
+        self.assertIs(work.Outcome.COMPLETE, unkeyed[1].outcome)
+
+    async def test_object_api_loses_answers(self) -> None:
+        async with self.load(60.0, text=0, booking=2) as generator:
+            for _ in range(5):
+                await asyncio.sleep(0.5)
+                await self.fleet.platform.set_object_api("up", lose_answers=5)
+            generator.stop()
+        await self.assert_safe()
+        keyed = self.outcomes(lambda call: bool(call.key))
+        self.assertGreater(keyed[work.Outcome.COMPLETE], 0)
+
+    def booker(self) -> load.TeamLoad:
+        return mixes.booking_loads(self.fleet.plan, 1)[0]
+
+    def spec(self, call_id: str, keyed: bool = True) -> calls.CallSpec:
+        mix = self.booker().mix
+        assert isinstance(mix, calls.PlainCalls)
+        mix.keyed_ratio = 1.0 if keyed else 0.0
+        return mix.make(random.Random(1), call_id)
+
+    def generator(self) -> load.LoadGenerator:
+        balancer = load.Balancer(self.fleet.targets())
+        return load.LoadGenerator(self.history, balancer, fleet_case.SEED, 100)
+
+    async def book(
+        self, entry: str, keyed: bool = True
+    ) -> tuple[calls.CallSpec, history.CallRecord]:
+        spec = self.spec(f"book-{len(self.history.calls)}-{keyed}", keyed)
+        async with self.generator() as generator:
+            record = await generator.call(
+                self.booker(), spec, f"book-{keyed}", random.Random(1), entry
+            )
+        return spec, record
+
+    async def repeat(
+        self, first: tuple[calls.CallSpec, history.CallRecord], entry: str
+    ) -> history.CallRecord:
+        async with self.generator() as generator:
+            return await generator.call(
+                self.booker(), first[0], f"repeat-{entry}", random.Random(2), entry
+            )
--- /dev/null
+++ b/tests/functional/test_process_faults.py
@@ -0,0 +1,84 @@
+"""Guards against calls that run twice, falsely "not run" refusals and long pauses when programs
+are killed, frozen or leave."""
+
+import asyncio
+import itertools
+import signal
+import time
+
+from masticward.models import work
+from tests.lib import fleet_case, fleets
+
+WARM_SECONDS = 2.0
+# The dispatcher is replaced in about 1.5 s and issued slots expire in 2 s; both may follow each
+# other, and a call must then run.
+RECOVERY_SECONDS = 5.0
+FREEZE_SECONDS = 4.0
+
+
+class ProcessFaultTest(fleet_case.FleetCase):
+    async def test_entry_killed(self) -> None:
+        async with self.load(6.0):
+            await asyncio.sleep(WARM_SECONDS)
+            await self.fleet.kill("entry-1")
+        await self.assert_safe()
+        survivors = self.outcomes(lambda call: call.entry == "entry-2")
+        self.assertGreater(survivors[work.Outcome.COMPLETE], 0)
+        self.assertEqual(0, survivors[work.Outcome.UNKNOWN])
+
+    async def test_agent_killed_after_send(self) -> None:
+        victim = "booking-1"
+        async with self.load(7.0, text=0, booking=3):
+            await asyncio.sleep(WARM_SECONDS)
+            await self.fleet.kill(victim)
+        await self.assert_safe()
+        later = time.monotonic()
+        complete = self.outcomes(lambda call: call.sent_at < later)
+        self.assertGreater(complete[work.Outcome.COMPLETE], 0)
+
+    async def test_dispatcher_killed(self) -> None:
+        dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
+        async with self.load(9.0):
+            await asyncio.sleep(WARM_SECONDS)
+            await self.fleet.kill(dispatcher)
+            killed_at = time.monotonic()
+        await self.assert_safe()
+        self.assert_resumes(killed_at, dispatcher)
+
+    async def test_dispatcher_frozen_and_thawed(self) -> None:
+        dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
+        async with self.load(10.0):
+            await asyncio.sleep(WARM_SECONDS)
+            self.fleet.signal(dispatcher, signal.SIGSTOP)
+            frozen_at = time.monotonic()
+            await asyncio.sleep(FREEZE_SECONDS)
+            self.fleet.signal(dispatcher, signal.SIGCONT)
+        await self.assert_safe()
+        self.assert_resumes(frozen_at, dispatcher)
+
+    async def test_endpoint_cold_again_under_load(self) -> None:
+        endpoint = "writer-2"
+        async with self.load(8.0, text=4, booking=0):
+            await asyncio.sleep(WARM_SECONDS + 1.0)
+            await self.fleet.platform.restart_endpoint_cold(endpoint)
+        await self.assert_safe()
+        outcomes = self.outcomes()
+        self.assertGreater(outcomes[work.Outcome.COMPLETE], 0)
+
+    async def test_rolling_restart_loses_no_request(self) -> None:
+        async with self.load(60.0, text=2, booking=1) as generator:
+            await asyncio.sleep(WARM_SECONDS)
+            for name in [*self.fleet.agent_names(), *self.fleet.entry_names()]:
+                self.assertEqual(0, await self.fleet.rolling_restart(name), name)
+            generator.stop()
+        await self.assert_safe()
+        self.assertEqual({work.Outcome.COMPLETE}, set(self.outcomes()))
+
+    def assert_resumes(self, since: float, dispatcher: str) -> None:
+        """Fail unless other agents start work again within the recovery time."""
+        starts = self.starts(fleets.WRITER, lambda run: run.endpoint != dispatcher)
+        later = [at for at in starts if at > since + RECOVERY_SECONDS]
+        self.assertTrue(later, "no run started after the recovery time")
+        edges = [since, *[at for at in starts if at > since]]
+        longest = max(after - before for before, after in itertools.pairwise(edges))
+        self.assertLess(longest, RECOVERY_SECONDS)
--- /dev/null
+++ b/tests/lib/processes.py
@@ -0,0 +1,223 @@
+"""Runs entries and agents of a plan as separate processes and disturbs them one by one."""
+
+import asyncio
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import aiohttp
+import msgspec
+
+from masticward import settings as settings_module
+from masticward.bench import load, plans, platform
+from masticward.models import membership
+
+SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
+HOST = "127.0.0.1"
+# Twenty interpreters import grpc and sanic at the same time.
+START_SECONDS = 30.0
+STOP_SECONDS = 20.0
+POLL_SECONDS = 0.05
+
+
+class Program:
+    """One running program with its addresses."""
+
+    def __init__(self, name: str, instance: membership.Instance, command: list[str]) -> None:
+        self.name = name
+        self.instance = instance
+        self.command = command
+        self.http_url = ""
+        self.process: subprocess.Popen[bytes] | None = None
+        self.starts = 0
+
+    @property
+    def admin_url(self) -> str:
+        return f"http://{self.instance.admin_address}"
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+
+class ProcessFleet:
+    """Starts the programs of a plan; ``close`` ends each of them by its process id."""
+
+    def __init__(self, plan: plans.FleetPlan) -> None:
+        self.plan = plan
+        self.platform = platform.Platform(plan)
+        self.programs: dict[str, Program] = {}
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="masticward-test-"))
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self, limits: settings_module.EntryLimits | None = None) -> None:
+        """Start everything and wait until each program is ready."""
+        timeout = aiohttp.ClientTimeout(total=2.0)
+        self.session = aiohttp.ClientSession(timeout=timeout)
+        await self.platform.start()
+        await self.platform.publish()
+        for endpoint in self.plan.endpoints:
+            await self.add_agent(endpoint)
+        for entry in self.plan.entries:
+            await self.add_entry(entry, limits)
+        for program in self.programs.values():
+            await self.platform.list_instance(program.instance)
+            self.spawn(program)
+        await self.wait_ready(*self.programs)
+
+    async def close(self, keep_logs: bool = False) -> None:
+        """End all programs and stand-ins; logs are kept for failures."""
+        for program in self.programs.values():
+            end_process(program.process)
+        if self.session is not None:
+            await self.session.close()
+        await self.platform.close()
+        if keep_logs:
+            print(f"logs kept in {self.directory}", file=sys.stderr, flush=True)
+        else:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    async def add_agent(self, endpoint: plans.EndpointPlan) -> None:
+        settings = plans.agent_settings(
+            self.plan,
+            endpoint,
+            self.platform.endpoint_urls[endpoint.id],
+            await self.platform.settings_for(endpoint.id),
+        )
+        self.add("agent", msgspec.structs.replace(settings, **free_addresses("peer", "admin")))
+
+    async def add_entry(
+        self, entry: plans.EntryPlan, limits: settings_module.EntryLimits | None
+    ) -> None:
+        settings = plans.entry_settings(
+            self.plan, entry, await self.platform.settings_for(entry.id), limits
+        )
+        addresses = free_addresses("http", "peer", "admin")
+        self.add("entry", msgspec.structs.replace(settings, **addresses))
+        self.programs[entry.id].http_url = f"http://{addresses['http_address']}"
+
+    def add(
+        self, role: str, settings: settings_module.EntrySettings | settings_module.AgentSettings
+    ) -> None:
+        path = self.directory / f"{settings.instance_id}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        service = (
+            settings.endpoint.service if isinstance(settings, settings_module.AgentSettings) else ""
+        )
+        instance = membership.Instance(
+            id=settings.instance_id,
+            role=membership.Role(role),
+            service=service,
+            availability_zone=settings.availability_zone,
+            peer_address=settings.peer_address,
+            admin_address=settings.admin_address,
+        )
+        command = [sys.executable, "-m", "masticward", role, "--settings", str(path)]
+        self.programs[instance.id] = Program(instance.id, instance, command)
+
+    def spawn(self, program: Program) -> None:
+        """Start a program, again with the same settings if it ran before."""
+        program.starts += 1
+        # The programs themselves must keep uvloop from using io_uring.
+        environment = {name: value for name, value in os.environ.items() if name[:3] != "UV_"}
+        environment["PYTHONPATH"] = str(SOURCE)
+        with (self.directory / f"{program.name}.{program.starts}.log").open("wb") as log:
+            program.process = subprocess.Popen(
+                program.command,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                cwd=self.directory,
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one program."""
+        process = self.programs[name].process
+        assert process is not None
+        process.send_signal(number)
+
+    async def kill(self, name: str) -> None:
+        """End a program at once."""
+        self.signal(name, signal.SIGKILL)
+        await self.wait(name)
+
+    async def terminate(self, name: str, timeout: float = STOP_SECONDS) -> int:
+        """Shut a program down gracefully and return its exit code."""
+        self.signal(name, signal.SIGTERM)
+        return await self.wait(name, timeout)
+
+    async def wait(self, name: str, timeout: float = STOP_SECONDS) -> int:
+        """Wait for the end of a program; raises TimeoutExpired."""
+        process = self.programs[name].process
+        assert process is not None
+        return await asyncio.to_thread(process.wait, timeout)
+
+    async def restart(self, name: str) -> None:
+        """Start a program that has ended and wait until it is ready."""
+        self.spawn(self.programs[name])
+        await self.wait_ready(name)
+
+    async def wait_ready(self, *names: str, timeout: float = START_SECONDS) -> None:
+        """Wait until the programs report ready; raises TimeoutError with their names."""
+        deadline = time.monotonic() + timeout
+        waiting = list(names)
+        while waiting:
+            ready = [await self.is_ready(name) for name in waiting]
+            waiting = [name for name, up in zip(waiting, ready, strict=True) if not up]
+            if waiting and time.monotonic() > deadline:
+                raise TimeoutError(f"not ready after {timeout} s: {waiting}")
+            if waiting:
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def is_ready(self, name: str) -> bool:
+        """Tell whether a program answers its readiness check."""
+        assert self.session is not None
+        try:
+            url = self.programs[name].admin_url + load.READINESS_PATH
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    def targets(self, weights: typing.Sequence[float] = ()) -> list[load.Target]:
+        """Return the entries for a load balancer, with uneven weights if given."""
+        return [
+            load.Target(
+                id=entry.id,
+                url=self.programs[entry.id].http_url,
+                readiness_url=self.programs[entry.id].admin_url + load.READINESS_PATH,
+                weight=weights[number] if number < len(weights) else 1.0,
+            )
+            for number, entry in enumerate(self.plan.entries)
+        ]
+
+
+def end_process(process: subprocess.Popen[bytes] | None) -> None:
+    """End one process that this module started, even if it is stopped by SIGSTOP."""
+    if process is not None and process.poll() is None:
+        process.kill()
+        process.wait(STOP_SECONDS)
+
+
+def free_addresses(*names: str) -> dict[str, str]:
+    """Return settings such as ``peer_address`` with ports that the operating system chose."""
+    sockets = [socket.socket() for _ in names]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return {
+            f"{name}_address": f"{HOST}:{item.getsockname()[1]}"
+            for name, item in zip(names, sockets, strict=True)
+        }
+    finally:
+        for item in sockets:
+            item.close()
