--- a/src/masticward/cli/main.py
+++ b/src/masticward/cli/main.py
@@ -2,8 +2,29 @@
 
 import typer
 
+from masticward.cli import (
+    audit,
+    check,
+    config,
+    publish,
+    service_state,
+    settings,
+    status,
+)
+from masticward.cli import programs as program_commands
 from masticward.utils import programs
 
+COMMAND_MODULES = (
+    program_commands,
+    check,
+    publish,
+    service_state,
+    status,
+    audit,
+    config,
+    settings,
+)
+
 app = typer.Typer(
     name="masticward",
     help="A router fleet through which teams share the capacity of endpoints fairly.",
@@ -19,6 +40,10 @@
     programs.disable_io_uring()
 
 
+for module in COMMAND_MODULES:
+    module.register(app)
+
+
 def main() -> None:
     """Run the command line."""
     app()
