--- a/src/masticward/bench/calls.py
+++ b/src/masticward/bench/calls.py
@@ -12,7 +12,11 @@
 
 
 class CallSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """One call to make. ``cost_hint`` is in cost units, 0.0 if the caller gives none."""
+    """One call to make.
+
+    ``cost`` is the true cost and ``cost_hint`` what the caller says, both in cost units; the hint
+    is 0.0 if the caller gives none.
+    """
 
     service: str
     operation: str
@@ -20,6 +24,7 @@
     method: str
     path: str
     body: bytes
+    cost: float
     key: str = ""
     cost_hint: float = 0.0
 
@@ -62,6 +67,7 @@
             method=self.operation.method,
             path=concrete_path(self.operation.path),
             body=msgspec.json.encode(body),
+            cost=cost,
             cost_hint=cost * rng.choice(HINT_ERRORS) if self.hints else 0.0,
         )
 
@@ -73,17 +79,15 @@
         self,
         service: configuration_models.Service,
         operation: configuration_models.Operation,
-        service_ms: tuple[int, int],
         keyed_ratio: float = 0.0,
     ) -> None:
         self.service = service
         self.operation = operation
-        self.service_ms = service_ms
         self.keyed_ratio = keyed_ratio
 
     def make(self, rng: random.Random, call_id: str) -> CallSpec:
-        """Return one call with a random service time in milliseconds."""
-        body = {"call_id": call_id, "service_ms": rng.randint(*self.service_ms)}
+        """Return one call."""
+        body = {"call_id": call_id}
         return CallSpec(
             service=self.service.name,
             operation=self.operation.name,
@@ -91,6 +95,7 @@
             method=self.operation.method,
             path=concrete_path(self.operation.path),
             body=msgspec.json.encode(body),
+            cost=self.operation.cost,
             key=f"key-{call_id}" if rng.random() < self.keyed_ratio else "",
         )
 
--- a/src/masticward/bench/checker.py
+++ b/src/masticward/bench/checker.py
@@ -161,11 +161,10 @@
 
 
 def check_overload(history: history_module.History) -> collections.abc.Iterator[Violation]:
-    """Report runs that an endpoint met above the limit it bears."""
-    for run in history.runs:
-        if run.overloaded:
-            yield Violation(
-                rule=Rule.COLD_LIMIT,
-                subject=run.endpoint,
-                detail=f"attempt {run.attempt_id} arrived above the endpoint's limit",
-            )
+    """Report endpoints that met more calls than they bear."""
+    for endpoint in history.overloaded:
+        yield Violation(
+            rule=Rule.COLD_LIMIT,
+            subject=endpoint,
+            detail="a call arrived above the limit of the cold endpoint",
+        )
--- a/src/masticward/bench/experiment.py
+++ b/src/masticward/bench/experiment.py
@@ -20,7 +20,7 @@
 class Setup(msgspec.Struct, kw_only=True):
     """What to run. ``weights`` spread the calls over the entries.
 
-    ``token_ms`` is the time between tokens of one stream on each language-model endpoint.
+    ``token_ms`` is the time between tokens of one stream and ``service_ms`` that of a plain call.
     """
 
     plan: plans.FleetPlan
@@ -30,6 +30,7 @@
     maximum_calls: int
     weights: tuple[float, ...] = ()
     token_ms: float = 20.0
+    service_ms: float = 40.0
     warm_up_seconds: float = WARM_UP_SECONDS
     deadline_seconds: float = 30.0
     limits: settings_module.EntryLimits | None = None
@@ -74,7 +75,7 @@
         local = fleet.LocalFleet(setup.plan, setup.limits)
         try:
             await local.start()
-            await set_speed(local, setup.token_ms)
+            await set_speed(local, setup)
             return await run_load(setup, local, meter, action)
         finally:
             await local.shutdown()
@@ -101,8 +102,7 @@
         if beside is not None:
             await beside
         await calls
-    history.runs.extend(await local.platform.records())
-    history.restricted.extend(local.platform.restricted)
+    await local.platform.complete_history(history)
     nodes = len(local.entries) + len(local.agents)
     node_seconds = nodes * (after.at - before.at)
     message_bytes = 2 * (after.message_bytes - before.message_bytes)
@@ -131,8 +131,9 @@
     )
 
 
-async def set_speed(local: fleet.LocalFleet, token_ms: float) -> None:
-    """Set the time between tokens on all language-model endpoints."""
+async def set_speed(local: fleet.LocalFleet, setup: Setup) -> None:
+    """Set the time between tokens and the service time on all endpoints."""
     for endpoint in local.plan.endpoints:
-        if endpoint.kind == "language-model":
-            await local.platform.control_endpoint(endpoint.id, token_ms=token_ms)
+        await local.platform.control_endpoint(
+            endpoint.id, token_ms=setup.token_ms, service_ms=setup.service_ms
+        )
--- a/src/masticward/bench/fleet.py
+++ b/src/masticward/bench/fleet.py
@@ -108,6 +108,15 @@
         await asyncio.gather(*(daemon.shutdown() for daemon in self.agents.values()))
         await self.platform.close()
 
+    def dispatcher_of(self, service: str) -> str:
+        """Return the id of the agent that dispatches a service, as the first entry sees it."""
+        first = next(iter(self.entries.values()))
+        return first.tickets.dispatcher_of(service)
+
+    async def shutdown_agent(self, agent_id: str) -> None:
+        """Shut one agent down gracefully."""
+        await self.agents.pop(agent_id).shutdown()
+
     def targets(self, weights: collections.abc.Sequence[float] = ()) -> list[load.Target]:
         """Return the entries for a load balancer, with uneven weights if given."""
         return [
--- a/src/masticward/bench/history.py
+++ b/src/masticward/bench/history.py
@@ -15,7 +15,8 @@
     """One call as its caller saw it.
 
     ``request_digest`` identifies the call, because each call has a unique body; repeats of a keyed
-    call share key and body. ``cut`` is True if the response began and did not end. ``entry`` is the
+    call share key and body. ``cost`` is the
+    true cost in cost units. ``cut`` is True if the response began and did not end. ``entry`` is the
     entry that took the request, empty if no connection could be opened.
     """
 
@@ -30,6 +31,7 @@
     entry: str = ""
     ended_at: float = 0.0
     first_byte_at: float = 0.0
+    cost: float = 0.0
     request_id: str = ""
     status: int = 0
     outcome: work.Outcome = work.Outcome.UNKNOWN
@@ -54,7 +56,6 @@
     response_digest: int
     response_length: int
     cost: float
-    overloaded: bool = False
 
 
 class RestrictedPeriod(msgspec.Struct, frozen=True, kw_only=True):
@@ -82,13 +83,14 @@
 
 
 class History(msgspec.Struct, kw_only=True):
-    """All records of one run."""
+    """All records of one run. ``overloaded`` names endpoints that met calls above their limit."""
 
     seed: int = 0
     calls: list[CallRecord] = []
     runs: list[EndpointRecord] = []
     restricted: list[RestrictedPeriod] = []
     versions: list[VersionSample] = []
+    overloaded: list[str] = []
 
     def save(self, path: pathlib.Path) -> None:
         """Write the history as JSON; raises OSError."""
--- a/src/masticward/bench/load.py
+++ b/src/masticward/bench/load.py
@@ -262,6 +262,7 @@
         operation=spec.operation,
         idempotent=spec.idempotent,
         key=spec.key,
+        cost=spec.cost,
         request_digest=identifiers.body_digest(spec.body),
         sent_at=time.monotonic(),
     )
--- a/src/masticward/bench/mixes.py
+++ b/src/masticward/bench/mixes.py
@@ -7,7 +7,6 @@
 
 # Short prompts with long answers, long prompts with short answers, and everything between.
 TOKEN_RANGES = (((10, 50), (40, 80)), ((200, 400), (20, 40)), ((10, 400), (20, 80)))
-SERVICE_MS = (20, 80)
 KEYED_RATIO = 0.5
 FLOOD_FACTOR = 6
 
@@ -62,7 +61,6 @@
 def booking_loads(
     plan: plans.FleetPlan,
     outstanding: int,
-    service_ms: tuple[int, int] = SERVICE_MS,
     keyed_ratio: float = KEYED_RATIO,
 ) -> list[load.TeamLoad]:
     """Return load of the plain service for each team, on operations that must not be repeated."""
@@ -73,7 +71,7 @@
             team=team.name,
             credential=plan.credentials[team.name],
             outstanding=outstanding,
-            mix=calls.PlainCalls(service, operation, service_ms, keyed_ratio),
+            mix=calls.PlainCalls(service, operation, keyed_ratio),
         )
         for team in plan.configuration.teams
     ]
--- a/src/masticward/bench/platform.py
+++ b/src/masticward/bench/platform.py
@@ -1,18 +1,31 @@
 """The stand-ins that a fleet under measurement needs, in the current event loop."""
 
+import time
 import typing
 
 import aiohttp
+from returns import result
 
+from masticward import errors
 from masticward import settings as settings_module
 from masticward.bench import history as history_module
-from masticward.bench import plans, records
+from masticward.bench import plans, records, restrictions
 from masticward.models import configuration as configuration_models
 from masticward.models import membership
+from masticward.publishing import operations, publisher
 from masticward.standins import engine, forwarder, instance_list, object_api, plain_service
+from masticward.transport import instance_list as instance_list_client
+from masticward.transport import object_api as object_api_client
+from masticward.utils import clocks
 
 CONTROL_TIMEOUT_SECONDS = 5.0
 HOST = "127.0.0.1"
+OPERATOR = "bench"
+CHANGE_SECONDS = 10.0
+# Section 2 of the design: no new start later than this after the change was accepted.
+ZONE_BOUND_SECONDS = 3.0
+COLD_START_MS = 2000.0
+SERVICE_MS = 40.0
 
 
 class Platform:
@@ -24,14 +37,18 @@
 
     def __init__(self, plan: plans.FleetPlan) -> None:
         self.plan = plan
-        self.object_api = object_api.ObjectApiServer()
-        self.instance_list = instance_list.InstanceListServer()
-        self.endpoints: dict[str, engine.EngineServer | plain_service.PlainServiceServer] = {}
+        self.object_api = object_api.ObjectApiStandin()
+        self.instance_list = instance_list.InstanceListStandin()
+        self.endpoints: dict[str, engine.EngineServer | plain_service.PlainServer] = {}
         self.endpoint_urls: dict[str, str] = {}
         self.object_api_url = ""
         self.instance_list_url = ""
         self.forwarders: dict[str, forwarder.Forwarder] = {}
         self.session: aiohttp.ClientSession | None = None
+        self.restrictions = restrictions.Restrictions()
+        self.store: object_api_client.HttpObjectStore
+        self.list_client: instance_list_client.HttpInstanceList
+        self.incarnations: dict[str, int] = {}
 
     async def start(self) -> None:
         """Start all stand-ins; raises OSError."""
@@ -39,21 +56,28 @@
         self.session = aiohttp.ClientSession(timeout=timeout)
         self.object_api_url = await start_server(self.object_api)
         self.instance_list_url = await start_server(self.instance_list)
+        self.store = object_api_client.HttpObjectStore(self.object_api_url)
+        self.list_client = instance_list_client.HttpInstanceList(self.instance_list_url)
         for endpoint in self.plan.endpoints:
-            server: engine.EngineServer | plain_service.PlainServiceServer
+            server: engine.EngineServer | plain_service.PlainServer
             if endpoint.kind is configuration_models.ServiceKind.LANGUAGE_MODEL:
                 server = engine.EngineServer()
             else:
-                server = plain_service.PlainServiceServer()
+                server = plain_service.PlainServer()
             self.endpoints[endpoint.id] = server
             self.endpoint_urls[endpoint.id] = await start_server(server)
             service = self.plan.service(endpoint.service)
             await self.control_endpoint(
-                endpoint.id, cold_limit=service.cold_limit, warm_limit=service.warm_limit
+                endpoint.id,
+                cold_limit=service.cold_limit,
+                warm_limit=service.warm_limit,
+                service_ms=SERVICE_MS,
             )
 
     async def close(self) -> None:
         """Close all stand-ins."""
+        await self.store.close()
+        await self.list_client.close()
         for relay in self.forwarders.values():
             await relay.close()
         for server in self.endpoints.values():
@@ -80,6 +104,49 @@
         """Return the bytes exchanged so far with the object API and the instance list."""
         return sum(relay.bytes_up + relay.bytes_down for relay in self.forwarders.values())
 
+    def cut_off(self, instance_id: str) -> None:
+        """Cut one program off from the object API; its bytes vanish silently."""
+        self.forwarders[f"{instance_id}/objects"].set_mode(forwarder.ForwarderMode.DROP)
+
+    async def publish(self) -> None:
+        """Publish the configuration of the plan; raises PublishingError."""
+        change = publisher.Publisher(self.store, OPERATOR)
+        unwrap(await change.publish(self.plan.configuration, change_deadline()))
+
+    async def zone_out(self, zone: str, bound: float = ZONE_BOUND_SECONDS) -> None:
+        """Take a zone out; no start is allowed ``bound`` seconds after acceptance."""
+        unwrap(await self.operations().take_out_zone(zone, False, change_deadline()))
+        self.restrictions.begin_zone(zone, time.monotonic() + bound)
+
+    async def zone_in(self, zone: str) -> None:
+        """Bring a zone back; raises PublishingError."""
+        self.restrictions.end(zone, time.monotonic())
+        unwrap(await self.operations().bring_in_zone(zone, change_deadline()))
+
+    def operations(self) -> operations.OperationsChange:
+        """Return the changes of one operator."""
+        return operations.OperationsChange(self.store, self.list_client, OPERATOR)
+
+    async def restart_endpoint_cold(self, endpoint_id: str) -> None:
+        """Make an endpoint cold under a new incarnation, without warning."""
+        self.incarnations[endpoint_id] = self.incarnations.get(endpoint_id, 1) + 1
+        await self.control_endpoint(
+            endpoint_id,
+            incarnation=self.incarnations[endpoint_id],
+            cold=True,
+            cold_ms=COLD_START_MS,
+        )
+
+    def overloaded_endpoints(self) -> list[str]:
+        """Return the endpoints that met more calls than they bear."""
+        return [name for name, server in self.endpoints.items() if server.overloaded]
+
+    async def complete_history(self, history: history_module.History) -> None:
+        """Add the endpoints' records, costs and the restricted periods to a history."""
+        history.runs = records.with_costs(await self.records(), history.calls)
+        history.restricted = self.restrictions.periods()
+        history.overloaded = self.overloaded_endpoints()
+
     async def list_instance(self, instance: membership.Instance) -> None:
         """Add or change an instance in the instance list."""
         await self.put(
@@ -129,11 +196,22 @@
 
 
 async def start_server(
-    server: object_api.ObjectApiServer
-    | instance_list.InstanceListServer
+    server: object_api.ObjectApiStandin
+    | instance_list.InstanceListStandin
     | engine.EngineServer
-    | plain_service.PlainServiceServer,
+    | plain_service.PlainServer,
 ) -> str:
     """Start a stand-in on a port chosen by the operating system and return its URL."""
     port = await server.start(f"{HOST}:0")
     return f"http://{HOST}:{port}"
+
+
+def change_deadline() -> float:
+    """Return the monotonic deadline of an operator's change."""
+    return clocks.deadline_after(CHANGE_SECONDS)
+
+
+def unwrap(answer: result.Result[typing.Any, errors.PublishingError]) -> None:
+    """Raise the failure of a change, if it failed."""
+    if isinstance(answer, result.Failure):
+        raise answer.failure()
--- a/src/masticward/bench/records.py
+++ b/src/masticward/bench/records.py
@@ -23,7 +23,6 @@
     response_digest: int | str | None = None
     response_length: int = 0
     cost: float = 0.0
-    overloaded: bool = False
 
 
 async def fetch(
@@ -56,10 +55,23 @@
         response_digest=as_integer(raw.response_digest),
         response_length=raw.response_length,
         cost=raw.cost,
-        overloaded=raw.overloaded,
     )
 
 
+def with_costs(
+    runs: collections.abc.Iterable[history_module.EndpointRecord],
+    calls: collections.abc.Iterable[history_module.CallRecord],
+) -> list[history_module.EndpointRecord]:
+    """Return the runs with the true cost of their calls in cost units.
+
+    The stand-ins record tokens without the weights of the configuration.
+    """
+    costs = {call.request_digest: call.cost for call in calls}
+    return [
+        msgspec.structs.replace(run, cost=costs.get(run.request_digest, run.cost)) for run in runs
+    ]
+
+
 def as_integer(digest: int | str | None) -> int:
     """Return a digest that may be written in hexadecimal; 0 if there is none."""
     if isinstance(digest, str):
--- a/src/masticward/cli/bench.py
+++ b/src/masticward/cli/bench.py
@@ -1,5 +1,6 @@
 """``masticward bench``: measurements of the product and of two baseline policies."""
 
+import logging
 import pathlib
 import typing
 
@@ -11,7 +12,7 @@
 from masticward.cli import exit_codes
 from masticward.utils import programs
 
-app = typer.Typer(no_args_is_help=True, help="Measure a fleet in this process.")
+commands = typer.Typer(no_args_is_help=True, help="Measure a fleet in this process.")
 
 ENTRIES = 3
 PICTURED = ("fairness", "zone-move")
@@ -24,7 +25,7 @@
 Output = typing.Annotated[pathlib.Path, typer.Option(help="Directory for JSON and pictures.")]
 
 
-@app.command("fairness")
+@commands.command("fairness")
 def fairness(
     deployment: Deployment = "mauritius",
     seconds: Seconds = 10.0,
@@ -35,7 +36,7 @@
     measure("fairness", deployment, seconds, seed, output)
 
 
-@app.command("utilization")
+@commands.command("utilization")
 def utilization(
     deployment: Deployment = "mauritius",
     seconds: Seconds = 8.0,
@@ -46,7 +47,7 @@
     measure("utilization", deployment, seconds, seed, output)
 
 
-@app.command("zone-move")
+@commands.command("zone-move")
 def zone_move(
     deployment: Deployment = "mauritius",
     seconds: Seconds = 16.0,
@@ -57,7 +58,7 @@
     measure("zone-move", deployment, seconds, seed, output)
 
 
-@app.command("control")
+@commands.command("control")
 def control(
     deployment: Deployment = "mauritius",
     seconds: Seconds = 8.0,
@@ -68,7 +69,7 @@
     measure("control", deployment, seconds, seed, output)
 
 
-@app.command("recovery")
+@commands.command("recovery")
 def recovery(
     deployment: Deployment = "mauritius",
     seconds: Seconds = 10.0,
@@ -79,7 +80,7 @@
     measure("recovery", deployment, seconds, seed, output)
 
 
-@app.command("overload")
+@commands.command("overload")
 def overload(
     deployment: Deployment = "mauritius",
     seconds: Seconds = 30.0,
@@ -97,7 +98,7 @@
 
 async def run(name: str, deployment: str, seconds: float, seed: int, output: pathlib.Path) -> int:
     """Run one measurement and return the exit code."""
-    logs.configure(level=logs.logging.ERROR)
+    logs.configure(level=logging.ERROR)
     plan = deployment_files.load(deployment, ENTRIES)
     report = await reports.MEASUREMENTS[name](
         reports.Options(plan=plan, seed=seed, seconds=seconds)
@@ -135,3 +136,8 @@
             print(f"  {key:<40} {shown}{note}")
     for violation in report.violations:
         print(f"VIOLATION {violation}")
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands."""
+    app.add_typer(commands, name="bench")
--- a/src/masticward/cli/demo.py
+++ b/src/masticward/cli/demo.py
@@ -1,6 +1,7 @@
 """``masticward demo``: a whole fleet in one process under load, with its figures."""
 
 import asyncio
+import logging
 import time
 import typing
 
@@ -50,7 +51,7 @@
 
 async def demonstrate(as_json: bool) -> int:
     """Run the demo and return the exit code."""
-    logs.configure(level=logs.logging.ERROR)
+    logs.configure(level=logging.ERROR)
     plan = deployment_files.load("mauritius", ENTRIES)
     service = mixes.language_model(plan).name
     zone = plan.configuration.availability_zones[1]
@@ -136,3 +137,8 @@
 def say(text: str) -> None:
     """Print one line of progress."""
     print(text, flush=True)
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command."""
+    app.command("demo")(command)
--- a/src/masticward/cli/main.py
+++ b/src/masticward/cli/main.py
@@ -4,8 +4,10 @@
 
 from masticward.cli import (
     audit,
+    bench,
     check,
     config,
+    demo,
     publish,
     service_state,
     settings,
@@ -23,6 +25,8 @@
     audit,
     config,
     settings,
+    demo,
+    bench,
 )
 
 app = typer.Typer(
--- a/tests/lib/fleet_case.py
+++ b/tests/lib/fleet_case.py
@@ -74,8 +74,7 @@
 
     async def assert_safe(self) -> None:
         """Fail unless the history keeps every guarantee exactly."""
-        self.history.runs = await self.fleet.platform.records()
-        self.history.restricted = self.fleet.platform.restricted_periods()
+        await self.fleet.platform.complete_history(self.history)
         self.assertEqual([], checker.check(self.history))
 
     def outcomes(
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from masticward import settings as settings_module
-from masticward.bench import load, plans, platform
+from masticward.bench import history, load, plans, platform
 from masticward.models import membership
 
 SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
@@ -25,6 +25,7 @@
 START_SECONDS = 30.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
+LEAVING_BOUND_SECONDS = 3.0
 
 
 class Program:
@@ -188,6 +189,63 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
+    async def status(self, name: str) -> dict[str, typing.Any] | None:
+        """Return the status of a program, None if it does not answer."""
+        assert self.session is not None
+        try:
+            async with self.session.get(f"{self.programs[name].admin_url}/status") as response:
+                answer: dict[str, typing.Any] = await response.json()
+                return answer
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    async def versions(self) -> list[history.VersionSample]:
+        """Return the versions of all programs that answer."""
+        names = list(self.programs)
+        answers = await asyncio.gather(*(self.status(name) for name in names))
+        return [
+            history.VersionSample(
+                process=name,
+                incarnation=answer["incarnation"],
+                at=time.monotonic(),
+                config_version=answer["config_version"],
+                operations_version=answer["operations_version"],
+            )
+            for name, answer in zip(names, answers, strict=True)
+            if answer is not None
+        ]
+
+    async def dispatcher_of(self, service: str) -> str:
+        """Return the id of the agent that dispatches a service, as the last entry sees it."""
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            answer = await self.status(self.entry_names()[-1])
+            dispatcher = str((answer or {}).get("dispatchers", {}).get(service, ""))
+            if dispatcher:
+                return dispatcher
+            await asyncio.sleep(POLL_SECONDS)
+        raise TimeoutError(f"no dispatcher of {service}")
+
+    def agent_names(self) -> list[str]:
+        return [endpoint.id for endpoint in self.plan.endpoints]
+
+    def entry_names(self) -> list[str]:
+        return [entry.id for entry in self.plan.entries]
+
+    async def rolling_restart(self, name: str) -> int:
+        """Shut a program down gracefully, start it again and return its exit code.
+
+        An agent's endpoint may not start work from the bound after the signal until the restart.
+        """
+        restrictions = self.platform.restrictions
+        if name in self.platform.endpoint_urls:
+            cutoff = time.monotonic() + LEAVING_BOUND_SECONDS
+            restrictions.begin_endpoint(name, "leaving", cutoff)
+        code = await self.terminate(name)
+        restrictions.end(name, time.monotonic())
+        await self.restart(name)
+        return code
+
     def targets(self, weights: typing.Sequence[float] = ()) -> list[load.Target]:
         """Return the entries for a load balancer, with uneven weights if given."""
         return [
--- a/tests/unit/test_bench_checker.py
+++ b/tests/unit/test_bench_checker.py
@@ -101,7 +101,7 @@
 
 
 def overload(built: history.History, rng: random.Random) -> None:
-    built.runs[0] = msgspec.structs.replace(built.runs[0], overloaded=True)
+    built.overloaded.append(rng.choice(built.runs).endpoint)
 
 
 VIOLATIONS = {
