--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -68,6 +68,7 @@
         self.store = store
         self.instance_list = instance_list
         self.watches = watches
+        self.channels = channels
         # Connections of their own: a reset after a silent partition must not break running calls.
         self.exchange_channels = channels_module.ChannelPool(channels.transport)
         self.versions = versions.VersionStore()
@@ -268,6 +269,10 @@
         for instance_id in sorted(before - after):
             logger.log(events.Event.MEMBER_REMOVED, instance=instance_id)
         self.notify_members()
+        # gRPC tries for ever to reach the address of a channel that is open but not connected.
+        known = {member.instance.peer_address for member in self.membership.known.values()}
+        await self.channels.prune(known)
+        await self.exchange_channels.prune(known)
 
     # Object API
 
@@ -350,7 +355,8 @@
         while True:
             self.update_rotation()
             self.round_wanted.clear()
-            for peer in self.rotation.pick(self.failures):
+            unanswered = self.membership.suspected_ids() | self.failures.keys()
+            for peer in self.rotation.pick(unanswered):
                 self.start_exchange(peer)
             await asyncio.sleep(MINIMUM_ROUND_GAP_SECONDS)
             rest = jittered(EXCHANGE_PERIOD_SECONDS) - MINIMUM_ROUND_GAP_SECONDS
--- a/src/masticward/state/membership.py
+++ b/src/masticward/state/membership.py
@@ -172,6 +172,10 @@
         member = self.known.get(instance_id)
         return member is not None and member.suspected_at is not None
 
+    def suspected_ids(self) -> set[str]:
+        """Return the ids of the suspected instances."""
+        return {name for name, member in self.known.items() if member.suspected_at is not None}
+
     def is_leaving(self, instance_id: str) -> bool:
         """Tell whether the instance is listed or has announced itself as leaving."""
         member = self.known.get(instance_id)
--- a/src/masticward/transport/channels.py
+++ b/src/masticward/transport/channels.py
@@ -159,6 +159,18 @@
         for address in [known for known in self.channels if known not in addresses]:
             await self.channels.pop(address).close()
 
+    async def prune(self, addresses: collections.abc.Set[str]) -> None:
+        """Close the channels to all other addresses that are not connected.
+
+        A connected one may carry calls of an instance that is no longer listed but still works.
+        """
+        for address, channel in list(self.channels.items()):
+            if address in addresses:
+                continue
+            if channel.get_state(try_to_connect=False) is not grpc.ChannelConnectivity.READY:
+                del self.channels[address]
+                await channel.close()
+
     async def close(self) -> None:
         """Close all channels."""
         await self.retain(frozenset())
