--- a/src/masticward/cli/config.py
+++ b/src/masticward/cli/config.py
@@ -20,7 +20,7 @@
     read = await publisher.read_published(store, deadline)
     if isinstance(read, result.Failure):
         raise read.failure()
-    return read.unwrap()[1]
+    return read.unwrap().configuration
 
 
 class ShowCommand(base.StoreCommand):
--- a/src/masticward/coordination/configuration_reader.py
+++ b/src/masticward/coordination/configuration_reader.py
@@ -17,12 +17,14 @@
 class ConfigurationReader:
     """Keeps the parts of the latest configuration, so that only changed shards are transferred."""
 
-    __slots__ = ("known_shards", "known_teams", "manifest", "store", "version")
+    __slots__ = ("known_shards", "known_teams", "manifest", "store", "stored_versions", "version")
 
     def __init__(self, store: object_api.ObjectStore) -> None:
         self.store = store
         self.known_shards: dict[str, bytes] = {}
         self.known_teams: dict[str, tuple[configuration_models.Team, ...]] = {}
+        # Versions of the shard objects that were read, by object name.
+        self.stored_versions: dict[str, int] = {}
         self.manifest = b""
         self.version = 0
 
@@ -35,12 +37,16 @@
         """
         limit = asyncio.Semaphore(CONCURRENT_SHARD_READS)
 
+        def note_version(stored: object_api.StoredObject) -> bytes:
+            self.stored_versions[stored.name] = stored.version
+            return stored.value
+
         async def read(name: str) -> result.Result[bytes, errors.StoreError]:
             if name in self.known_shards:
                 return result.Success(self.known_shards[name])
             async with limit:
                 answer = await self.store.get(objects.shard_name(name), deadline)
-            return answer.map(lambda stored: stored.value)
+            return answer.map(note_version)
 
         answers = await asyncio.gather(*(read(name) for name in manifest.team_shards))
         contents: dict[str, bytes] = {}
@@ -80,10 +86,14 @@
         except (ValueError, msgspec.DecodeError) as error:
             return result.Failure(errors.VersionRefusedError(f"shard: {error}"))
         self.known_shards, self.known_teams = contents, teams
+        names = {objects.shard_name(name) for name in contents}
+        self.stored_versions = {
+            name: version for name, version in self.stored_versions.items() if name in names
+        }
         self.version = manifest.version
         # Peers need no audit entries, which would be most of a small change.
         self.manifest = msgspec.json.encode(
-            msgspec.structs.replace(manifest, audit=(), audit_rolled=0)
+            msgspec.structs.replace(manifest, retired=(), audit=(), audit_rolled=0)
         )
         return result.Success(shards.join(manifest, teams))
 
--- a/src/masticward/models/configuration.py
+++ b/src/masticward/models/configuration.py
@@ -77,6 +77,17 @@
     change_id: str = ""
 
 
+class RetiredShard(msgspec.Struct, frozen=True, kw_only=True):
+    """A shard that is no longer named since manifest ``version``, to be deleted later.
+
+    ``stored_version`` is the object's version then; a shard written again since has another one.
+    """
+
+    name: str
+    version: int
+    stored_version: int
+
+
 class Manifest(msgspec.Struct, frozen=True, kw_only=True):
     """The small object that names the shards of one configuration.
 
@@ -87,6 +98,7 @@
     availability_zones: tuple[str, ...]
     services: tuple[Service, ...]
     team_shards: tuple[str, ...]
+    retired: tuple[RetiredShard, ...] = ()
     audit: tuple[AuditEntry, ...] = ()
     audit_rolled: int = 0
 
--- a/src/masticward/publishing/publisher.py
+++ b/src/masticward/publishing/publisher.py
@@ -10,7 +10,7 @@
 from masticward.coordination import configuration_reader
 from masticward.models import configuration as configuration_models
 from masticward.models import objects
-from masticward.publishing import change, differences
+from masticward.publishing import change, differences, retired_shards
 from masticward.state import shards
 from masticward.transport import object_api
 
@@ -40,28 +40,36 @@
         read = await read_published(self.store, deadline)
         if isinstance(read, result.Failure):
             return result.Failure(read.failure())
-        current, published = read.unwrap()
-        lines = differences.describe(published, wanted)
-        if not lines and published is not None:
-            return result.Success(change.Accepted(version=published.version, changed=False))
+        published = read.unwrap()
+        lines = differences.describe(published.configuration, wanted)
+        if not lines and published.configuration is not None:
+            version = published.configuration.version
+            return result.Success(change.Accepted(version=version, changed=False))
         try:
             contents = shards.split(wanted.teams)
         except ValueError as error:
             return result.Failure(errors.ChangeRefusedError(str(error)))
-        new_names = [name for name in contents if name not in current.document.team_shards]
+        current = published.manifest
+        new_names = [name for name in contents if name not in current.team_shards]
         written = await self.write_shards({name: contents[name] for name in new_names}, deadline)
         if isinstance(written, result.Failure):
             return result.Failure(written.failure())
-        manifest = self.next_manifest(current.document, wanted, tuple(contents), lines)
+        kept = await retired_shards.delete_due(self.store, current, deadline)
+        team_shards = tuple(contents)
+        retired = retired_shards.newly_retired(current, team_shards, published.shard_versions)
+        manifest = msgspec.structs.replace(
+            self.next_manifest(current, wanted, lines),
+            team_shards=team_shards,
+            retired=tuple(item for item in (*kept, *retired) if item.name not in contents),
+        )
         return await change.Change(
-            self.store, objects.MANIFEST, EMPTY_MANIFEST, manifest, current.stored_version
+            self.store, objects.MANIFEST, EMPTY_MANIFEST, manifest, published.stored_version
         ).commit(deadline)
 
     def next_manifest(
         self,
         current: configuration_models.Manifest,
         wanted: configuration_models.Configuration,
-        team_shards: tuple[str, ...],
         lines: list[str],
     ) -> configuration_models.Manifest:
         """Return the manifest that follows ``current``, with the audit entry of the change."""
@@ -71,7 +79,6 @@
             version=entry.to_version,
             availability_zones=wanted.availability_zones,
             services=wanted.services,
-            team_shards=team_shards,
             audit=(*current.audit, entry),
         )
 
@@ -94,28 +101,20 @@
 async def write_shard(
     store: object_api.ObjectStore, name: str, content: bytes, deadline: float
 ) -> result.Result[None, errors.PublishingError]:
-    """Write one shard and make sure that the object holds exactly its content.
+    """Write one shard, also if the object exists, so that no deletion under way removes it.
 
-    A damaged object of the same name is replaced. Shards have no effect before a manifest names
-    them, so every failure is ChangeNotMadeError.
+    Shards have no effect before a manifest names them, so every failure is ChangeNotMadeError.
     """
-    object_name = objects.shard_name(name)
     expected_version = 0
     while True:
         answer = await store.put(
-            object_name, content, expected_version, change.call_deadline(deadline)
+            objects.shard_name(name), content, expected_version, change.call_deadline(deadline)
         )
         if isinstance(answer, result.Success):
             return result.Success(None)
         error = answer.failure()
         if isinstance(error, errors.VersionConflictError):
-            stored = await store.get(object_name, change.call_deadline(deadline))
-            if isinstance(stored, result.Success):
-                if stored.unwrap().value == content:
-                    return result.Success(None)
-                expected_version = stored.unwrap().version
-            else:
-                expected_version = 0
+            expected_version = error.current_version
         elif not isinstance(error, errors.StoreAnswerLostError):
             return result.Failure(errors.ChangeNotMadeError(str(error)))
         if time.monotonic() + change.RETRY_SECONDS >= deadline:
@@ -123,24 +122,34 @@
         await asyncio.sleep(change.RETRY_SECONDS)
 
 
+class Published(msgspec.Struct, frozen=True):
+    """What is published: the manifest, the object's version (0: none) and the configuration.
+
+    ``shard_versions`` holds the versions of the shard objects by object name.
+    """
+
+    manifest: configuration_models.Manifest
+    stored_version: int
+    configuration: configuration_models.Configuration | None
+    shard_versions: dict[str, int]
+
+
 async def read_published(
     store: object_api.ObjectStore, deadline: float
-) -> result.Result[
-    tuple[
-        change.Current[configuration_models.Manifest],
-        configuration_models.Configuration | None,
-    ],
-    errors.PublishingError,
-]:
+) -> result.Result[Published, errors.PublishingError]:
     """Read the manifest and its whole configuration (None if there is none yet)."""
     read = await change.read_current(store, objects.MANIFEST, EMPTY_MANIFEST, deadline)
     if isinstance(read, result.Failure):
         return result.Failure(read.failure())
     current = read.unwrap()
     if current.stored_version == 0:
-        return result.Success((current, None))
+        return result.Success(Published(current.document, 0, None, {}))
     reader = configuration_reader.ConfigurationReader(store)
     assembled = await reader.assemble(current.document, deadline)
     if isinstance(assembled, result.Failure):
         return result.Failure(errors.ChangeNotMadeError(str(assembled.failure())))
-    return result.Success((current, assembled.unwrap()))
+    return result.Success(
+        Published(
+            current.document, current.stored_version, assembled.unwrap(), reader.stored_versions
+        )
+    )
--- a/tests/functional/test_publishing.py
+++ b/tests/functional/test_publishing.py
@@ -8,7 +8,7 @@
 
 from masticward import errors
 from masticward.models import configuration, objects
-from masticward.publishing import audit, change, operations, publisher
+from masticward.publishing import audit, change, operations, publisher, retired_shards
 from masticward.standins import object_api as standin
 from masticward.transport import object_api
 from masticward.utils import clocks
@@ -253,6 +253,35 @@
         ).unwrap()
         self.assertEqual(list(range(1, entries + 1)), [entry.to_version for entry in listed])
 
+    async def test_retired_shards_are_deleted_later(self) -> None:
+        """Fails if shards pile up, or if one that a manifest names is deleted."""
+        versions = retired_shards.KEPT_VERSIONS + 6
+        for number in range(versions):
+            # Two contents in turn, so that retired shards are named again.
+            await self.platform.publish(share=float(number if number < 4 else number % 2 + 1))
+        names = set(self.platform.objects.objects)
+        manifest = await self.manifest()
+        self.assertEqual(versions, manifest.version)
+        self.assertLessEqual({objects.shard_name(item) for item in manifest.team_shards}, names)
+        shard_objects = [name for name in names if name.startswith(objects.SHARD_PREFIX)]
+        self.assertEqual(2, len(shard_objects), shard_objects)
+
+    async def test_deletion_spares_a_shard_that_is_written_again(self) -> None:
+        """Fails if a publisher's clean-up removes what another is about to name."""
+        first = (await self.platform.publish(share=1.0)).version
+        await self.platform.publish(share=2.0)
+        manifest = await self.manifest()
+        self.assertEqual(1, len(manifest.retired))
+        due = msgspec.structs.replace(manifest, version=first + retired_shards.KEPT_VERSIONS + 1)
+        name = objects.shard_name(manifest.retired[0].name)
+        content = self.platform.objects.objects[name].value
+        written = await publisher.write_shard(
+            self.platform.store, manifest.retired[0].name, content, platforms.soon()
+        )
+        self.assertIsInstance(written, result.Success)
+        await retired_shards.delete_due(self.platform.store, due, platforms.soon())
+        self.assertIn(name, self.platform.objects.objects)
+
     async def test_unchanged_files_make_no_version(self) -> None:
         """Fails if publishing the same files again raises the version."""
         await self.platform.publish(share=1.0)
--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -34,7 +34,8 @@
             platforms.make_entry("e2"), object_api_url=platforms.UNREACHABLE_URL
         )
         await self.platform.publish(share=1.0)
-        await self.wait_for_versions([entry], (1, 0))
+        took = await self.wait_for_versions([entry], (1, 0))
+        self.assertLess(took, 3.0, "an entry must watch; the fallback reads every 10 s")
         await self.platform.objects.set_faults(object_api.StoreFaults(mode="down"))
         await self.wait_for_versions([entry, cut_off, *agents], (1, 0))
         for process in (cut_off, *agents):
