--- a/src/masticward/daemons/agent.py
+++ b/src/masticward/daemons/agent.py
@@ -50,6 +50,7 @@
         )
         await self.start_serving()
         self.runner.start()
+        await self.dispatcher.start()
         await self.offers.start()
 
     async def shutdown(self) -> None:
@@ -59,6 +60,7 @@
         self.runner.begin_drain()
         await self.runner.drained()
         await self.offers.close()
+        await self.dispatcher.close()
         await self.runner.close()
         await self.endpoint.close()
         await self.close_common()
