Test cold start and repeated calls against real servers; learn the first-token mean early

An engine that became cold right after its limit had reached the warm one was not found out, because the first-token mean was learned in the warm state only and had too few samples: with the load report missing, the stand-in fell over.

--- a/src/masticward/coordination/run_execution.py
+++ b/src/masticward/coordination/run_execution.py
@@ -115,7 +115,7 @@
         self.run.first_token_at = now
         self.end_first_token_wait()
         self.runner.metrics.first_token_seconds.observe(seconds)
-        if self.runner.capacity.limit.note_first_token(seconds, self.run.epoch):
+        if self.runner.capacity.limit.note_first_token(seconds, self.run.epoch, now):
             self.runner.note_cold("slow first token")
         self.runner.settle()
 
--- a/src/masticward/coordination/runs.py
+++ b/src/masticward/coordination/runs.py
@@ -7,7 +7,7 @@
 from masticward.models import attempts, work
 
 # Bounds the memory of a stream whose entry reads slowly; the engine is then read slowly too.
-EVENTS_KEPT = 64
+EVENTS_KEPT = 16
 
 
 class Run:
--- a/src/masticward/standins/endpoint_server.py
+++ b/src/masticward/standins/endpoint_server.py
@@ -175,7 +175,7 @@
         """Close the caller's connection without a word."""
         if isinstance(request.transport, asyncio.Transport):
             request.transport.abort()
-        raise ConnectionResetError("dropped")
+        return web.Response()
 
     # Load report and control
 
--- a/src/masticward/standins/plain_service.py
+++ b/src/masticward/standins/plain_service.py
@@ -60,7 +60,7 @@
         if isinstance(transport, asyncio.Transport):
             transport.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + answer)
             transport.close()
-        raise ConnectionResetError("closed")
+        return web.Response()
 
 
 def answer_of(serial: int, method: str, path: str, body: bytes) -> bytes:
--- a/src/masticward/state/admission.py
+++ b/src/masticward/state/admission.py
@@ -138,15 +138,17 @@
         bound = SLOW_FIRST_TOKEN_FACTOR * self.first_token_mean
         return max(bound, SLOW_FIRST_TOKEN_FLOOR_SECONDS)
 
-    def note_first_token(self, seconds: float, epoch: int) -> bool:
+    def note_first_token(self, seconds: float, epoch: int, now: float) -> bool:
         """Take a first-token time into account; True if it led back to cold.
 
-        The mean is learned while warm. A slow sample moves it too, clipped to the bound, so that
-        lastingly longer prompts do not hold the endpoint at its cold limit for ever.
+        The mean is learned while load reports say that the endpoint is not cold; to wait for the
+        warm state would leave an endpoint that just became warm without a mean. A slow sample moves
+        it too, clipped to the bound, so that lastingly longer prompts do not hold the endpoint at
+        its cold limit for ever.
         """
         bound = self.first_token_bound()
         slow = bound is not None and seconds > bound
-        if slow or self.state is AdmissionState.WARM:
+        if slow or not (self.reported_cold or self.is_report_missing(now)):
             self.learn_first_token(seconds if bound is None else min(seconds, bound))
         if not slow or epoch != self.epoch:
             return False
