--- a/src/masticward/protocol/attempt_client.py
+++ b/src/masticward/protocol/attempt_client.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections.abc
+import contextlib
 import typing
 
 import grpc
@@ -16,6 +17,9 @@
 from masticward.utils import clocks
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
 
+# The agent closes its stream right after the end frame; a response that is whole waits no longer.
+CLOSE_SECONDS = 1.0
+
 logger = logs.get_logger(__name__)
 
 
@@ -107,6 +111,8 @@
     try:
         async for frame in call:
             event = assembler.add(frame)
+            if assembler.complete:
+                await wait_for_close(call, assembler)
             yield event
             if assembler.complete:
                 return
@@ -125,6 +131,17 @@
     raise errors.AttemptFailedError("the stream ended without its end frame")
 
 
+async def wait_for_close(call: typing.Any, assembler: frames.FrameAssembler) -> None:
+    """Wait until the agent has closed its stream. Raises FrameError for a frame after the end.
+
+    Cancelling a call that is whole but not closed would look to the agent like a lost caller.
+    """
+    with contextlib.suppress(TimeoutError, grpc.aio.AioRpcError):
+        async with asyncio.timeout(CLOSE_SECONDS):
+            async for frame in call:
+                assembler.add(frame)
+
+
 def to_wire(attempt: AttemptRequest) -> masticward_pb2.RunRequest:
     """Return the wire form of an attempt."""
     call = attempt.call
--- a/src/masticward/state/refusals.py
+++ b/src/masticward/state/refusals.py
@@ -38,6 +38,11 @@
     return errors.RequestRefusedError(400, "bad-request", message)
 
 
+def http_version(version: str) -> errors.RequestRefusedError:
+    """Return the refusal of a request in another version of HTTP than 1.1."""
+    return errors.RequestRefusedError(505, "http-version", f"HTTP {version} is not served")
+
+
 def unknown_team() -> errors.RequestRefusedError:
     """Return the refusal of a request without a known credential."""
     return errors.RequestRefusedError(401, "unknown-team", "the credential is missing or unknown")
--- a/src/masticward/transport/entry_http.py
+++ b/src/masticward/transport/entry_http.py
@@ -12,6 +12,7 @@
 import sanic.compat
 import sanic.exceptions
 import sanic.response
+import sanic.server.protocols.http_protocol as http_protocol
 
 from masticward import errors, events, logs, settings
 from masticward.models import work
@@ -31,7 +32,7 @@
 # After a refusal the rest of the body is read for a moment, because closing the connection with
 # unread data resets it and the caller may lose the response.
 DISCARD_SECONDS = 1.0
-DISCARD_BYTES = 1024 * 1024
+DISCARD_BYTES = 8 * 1024 * 1024
 CLOSE_SECONDS = 5.0
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
@@ -39,13 +40,71 @@
 instance_numbers = itertools.count()
 
 
+class CallerConnection(http_protocol.HttpProtocol):
+    """A connection that bounds the time in which a request's head arrives.
+
+    sanic restarts its own time-out with each byte, so a slow sender could stay forever.
+    """
+
+    __slots__ = ("head_seconds", "head_timer", "in_request")
+
+    def __init__(self, *, app: typing.Any, **options: typing.Any) -> None:
+        super().__init__(app=app, **options)
+        self.head_seconds = float(app.config.REQUEST_TIMEOUT)
+        self.head_timer: asyncio.TimerHandle | None = None
+        self.in_request = False
+
+    def data_received(self, data: bytes) -> None:
+        """Pass data on and start the timer of a new head."""
+        if not self.in_request:
+            self.start_timer()
+        super().data_received(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the timer; sanic then cancels the handler."""
+        self.stop_timer()
+        super().connection_lost(exc)  # type: ignore[no-untyped-call]
+
+    def begin_request(self) -> None:
+        """Note that a head has arrived."""
+        self.in_request = True
+        self.stop_timer()
+
+    def end_request(self) -> None:
+        """Note the end of a request; the next head may have arrived in part."""
+        self.in_request = False
+        if self.recv_buffer:
+            self.start_timer()
+
+    def start_timer(self) -> None:
+        """Start the timer unless it runs."""
+        if self.head_timer is None:
+            loop = asyncio.get_running_loop()
+            self.head_timer = loop.call_later(self.head_seconds, self.expire)
+
+    def stop_timer(self) -> None:
+        """Stop the timer if it runs."""
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+    def expire(self) -> None:
+        """Break a connection whose request head did not arrive in time."""
+        self.head_timer = None
+        if self.transport is not None:
+            self.transport.abort()
+
+
 class SanicSink(response_sink.ResponseSink):
     """Writes the response of one request through sanic."""
 
-    __slots__ = ("abandoned", "aborted", "request", "request_id", "response", "started")
+    __slots__ = ("abandoned", "aborted", "gate", "request", "request_id", "response", "started")
 
-    def __init__(self, request: typing.Any, request_id: str) -> None:
+    def __init__(
+        self, request: typing.Any, request_id: str, gate: request_gate.RequestGate
+    ) -> None:
         self.request = request
+        self.gate = gate
         self.request_id = request_id
         self.response: typing.Any = None
         self.started = False
@@ -69,6 +128,8 @@
         """Prepare the head of the response."""
         self.check_connection()
         self.started = True
+        if self.gate.draining:
+            self.request.stream.keep_alive = False
         fields = sanic.compat.Header(caller_headers.forwarded(headers))
         fields[REQUEST_ID_HEADER] = self.request_id
         fields[OUTCOME_HEADER] = outcome.value
@@ -146,8 +207,16 @@
                 "TOUCHUP": False,
             }
         )
-        app.add_route(self.handle, "/", methods=METHODS, stream=True, name="root")
-        app.add_route(self.handle, "/<path:path>", methods=METHODS, stream=True, name="path")
+
+        async def handle(request: typing.Any, path: str = "") -> None:
+            request.protocol.begin_request()
+            try:
+                await self.handle(request)
+            finally:
+                request.protocol.end_request()
+
+        app.add_route(handle, "/", methods=METHODS, stream=True, name="root")
+        app.add_route(handle, "/<path:path>", methods=METHODS, stream=True, name="path")
         app.error_handler.add(Exception, self.on_exception)
         return app
 
@@ -162,7 +231,10 @@
         listener = socket.create_server((host, int(port)), family=family, backlog=LISTEN_BACKLOG)
         listener.setblocking(False)
         self.server = await self.app.create_server(
-            sock=listener, return_asyncio_server=True, access_log=False
+            sock=listener,
+            protocol=CallerConnection,
+            return_asyncio_server=True,
+            access_log=False,
         )
         await self.server.startup()
         await self.server.start_serving()
@@ -194,11 +266,9 @@
         sanic.Sanic.unregister_app(self.app)
         self.server = None
 
-    async def handle(self, request: typing.Any, path: str = "") -> None:
+    async def handle(self, request: typing.Any) -> None:
         """Serve one request: admit its head, read its body, pass it to the router."""
-        sink = SanicSink(request, identifiers.new_identifier())
-        if self.router.draining:
-            request.stream.keep_alive = False
+        sink = SanicSink(request, identifiers.new_identifier(), self.router)
         try:
             admission = self.router.admit(read_head(request), sink.request_id)
         except errors.RequestRefusedError as error:
@@ -268,6 +338,9 @@
 
 def read_head(request: typing.Any) -> request_gate.RequestHead:
     """Return what the router needs of a request's head. Raises RequestRefusedError."""
+    if request.version != "1.1":
+        # A stream needs chunked encoding, without which a cut could not be told from the end.
+        raise refusals.http_version(request.version)
     headers = tuple((name.lower(), value) for name, value in request.headers.items())
     path, target = caller_headers.checked_target(request.raw_url)
     return request_gate.RequestHead(
--- /dev/null
+++ b/tests/functional/test_attempt_client.py
@@ -0,0 +1,105 @@
+"""Guards against attempts that count as not run although an agent received them."""
+
+import asyncio
+import unittest
+
+from masticward import errors
+from masticward.protocol import attempt_client
+from masticward.state import frames
+from masticward.wire import masticward_pb2
+from tests.lib import attempt_fakes, entry_fakes
+
+
+async def collect(
+    client: attempt_client.AttemptClient, attempt: attempt_client.AttemptRequest
+) -> list[frames.AttemptEvent]:
+    return [event async for event in client.run(attempt)]
+
+
+class GrpcAttemptClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_whole_response_and_the_request_as_sent(self) -> None:
+        async with attempt_fakes.ScriptedAgent() as agent:
+            agent.frames = attempt_fakes.whole_frames()
+            events = await collect(agent.client, attempt_fakes.build_attempt(agent.address))
+            self.assertIsInstance(events[-1], frames.ResponseEnd)
+            sent = agent.requests[0]
+            self.assertEqual(
+                ("a-1", 3, 7, 4, 5, b"{}"),
+                (sent.attempt_id, sent.agent_incarnation, sent.slot_id, sent.config_version,
+                 sent.operations_version, sent.body),
+            )  # fmt: skip
+
+    async def test_stream_cut_at_every_position_may_have_run(self) -> None:
+        async with attempt_fakes.ScriptedAgent() as agent:
+            whole = attempt_fakes.whole_frames()
+            for position in range(len(whole)):
+                agent.frames = whole[:position]
+                with self.assertRaises(errors.AttemptFailedError):
+                    await collect(agent.client, attempt_fakes.build_attempt(agent.address))
+
+    async def test_refusal_is_not_run(self) -> None:
+        async with attempt_fakes.ScriptedAgent() as agent:
+            refused = masticward_pb2.Refused(reason="stale-view", retry_after_ms=30)
+            agent.frames = [masticward_pb2.RunFrame(attempt_id="a-1", refused=refused)]
+            with self.assertRaises(errors.AttemptRefusedError) as caught:
+                await collect(agent.client, attempt_fakes.build_attempt(agent.address))
+            self.assertEqual("stale-view", caught.exception.reason)
+            self.assertEqual(30, caught.exception.retry_after_ms)
+
+    async def test_agent_that_was_never_reached_is_not_run(self) -> None:
+        async with attempt_fakes.ScriptedAgent() as agent:
+            attempt = attempt_fakes.build_attempt("127.0.0.1:9", seconds=0.2)
+            with self.assertRaises(errors.AttemptRefusedError) as caught:
+                await collect(agent.client, attempt)
+            self.assertEqual("unreachable", caught.exception.reason)
+            self.assertFalse(attempt.sent)
+
+    async def test_connection_lost_before_the_first_frame_may_have_run(self) -> None:
+        """Fails if UNAVAILABLE without a frame is taken for a call that was not sent."""
+        async with attempt_fakes.ScriptedAgent() as agent:
+            agent.hold = True
+            run = asyncio.ensure_future(
+                collect(agent.client, attempt_fakes.build_attempt(agent.address))
+            )
+            await entry_fakes.until(lambda: agent.requests)
+            await agent.server.stop(0)
+            with self.assertRaises(errors.AttemptFailedError):
+                await run
+
+    async def test_closed_channel_may_have_run_and_cancels_nothing_else(self) -> None:
+        """Fails if grpc.aio's CancelledError for a closed channel ends the request's task."""
+        async with attempt_fakes.ScriptedAgent() as agent:
+            agent.hold = True
+            run = asyncio.ensure_future(
+                collect(agent.client, attempt_fakes.build_attempt(agent.address))
+            )
+            await entry_fakes.until(lambda: agent.requests)
+            await agent.pool.close()
+            with self.assertRaises(errors.AttemptFailedError):
+                await run
+
+    async def test_attempt_is_not_sent_twice(self) -> None:
+        async with attempt_fakes.ScriptedAgent() as agent:
+            agent.frames = attempt_fakes.whole_frames()
+            attempt = attempt_fakes.build_attempt(agent.address)
+            await collect(agent.client, attempt)
+            with self.assertRaises(errors.AttemptFailedError):
+                await collect(agent.client, attempt)
+            self.assertEqual(1, len(agent.requests))
+
+    async def test_frames_of_a_cancelled_attempt_do_not_reach_the_next(self) -> None:
+        async with attempt_fakes.ScriptedAgent() as agent:
+            agent.frames, agent.hold = attempt_fakes.whole_frames()[:3], True
+            stream = agent.client.run(attempt_fakes.build_attempt(agent.address))
+            await anext(stream)
+            await stream.aclose()
+            await entry_fakes.until(lambda: agent.cancelled)
+            agent.frames, agent.hold = attempt_fakes.whole_frames("a-2", (b"new",)), False
+            events = await collect(agent.client, attempt_fakes.build_attempt(agent.address, "a-2"))
+            self.assertEqual([b"new"], [e.data for e in events if hasattr(e, "data")])
+
+    async def test_crossed_frames_may_have_run(self) -> None:
+        async with attempt_fakes.ScriptedAgent() as agent:
+            agent.frames = attempt_fakes.whole_frames("a-2")
+            with self.assertRaises(errors.AttemptFailedError):
+                await collect(agent.client, attempt_fakes.build_attempt(agent.address))
