Transfer the instance list only when it changed, log leaving members

Cause: at the target size the list is about 1 MB and every process reads it each second; the event member_leaving was listed but never logged. Change: the client sends If-None-Match and returns the same list on 304, which the view does not apply again; the stand-in gives entity tags and compresses; the passing of time takes effect with MembershipView.expire, which raises the revision.

--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -77,7 +77,7 @@
         self.reader = configuration_reader.ConfigurationReader(store)
         self.rotation = peer_rotation.PeerRotation(instance.id)
         self.rotation_revision = -1
-        self.agents_key: tuple[int, int, int] = (-1, -1, -1)
+        self.agents_key = (-1, -1)
         self.agents_by_service: dict[str, list[membership_models.Instance]] = {}
         self.latest_answered_send = float("-inf")
         self.failures: dict[str, int] = {}
@@ -89,6 +89,9 @@
         self.extra_rounds = 0
         self.callbacks: list[collections.abc.Callable[[], None]] = []
         self.notified_revision = -1
+        self.latest_list: list[membership_models.Instance] = []
+        self.logged_members: set[str] = {instance.id}
+        self.logged_leaving: set[str] = set()
         self.store_available = True
         self.list_available = True
         self.tasks = tasks.TaskGroup()
@@ -111,10 +114,9 @@
 
     def agents_of(self, service: str) -> list[membership_models.Instance]:
         """Return the agents of a service that may receive work, sorted by id."""
-        now = time.monotonic()
-        key = (self.membership.revision, self.versions.operations_version, int(now))
+        key = (self.membership.revision, self.versions.operations_version)
         if key != self.agents_key:
-            self.agents_by_service = self.usable_agents(now)
+            self.agents_by_service = self.usable_agents(time.monotonic())
             self.agents_key = key
         return list(self.agents_by_service.get(service, ()))
 
@@ -273,22 +275,30 @@
             if not available:
                 event = events.Event.INSTANCE_LIST_UNAVAILABLE
             logger.log(event, detail="" if available else str(answer.failure()))
-        if not available:
-            return
-        now = time.monotonic()
-        before = {instance.id for instance in self.membership.members(now)}
-        self.membership.apply_list(answer.unwrap(), now)
-        after = {instance.id for instance in self.membership.members(now)}
-        for instance_id in sorted(after - before):
-            logger.log(events.Event.MEMBER_ADDED, instance=instance_id)
-        for instance_id in sorted(before - after):
-            logger.log(events.Event.MEMBER_REMOVED, instance=instance_id)
-        self.notify_members()
+        self.update_members(answer.unwrap() if available else None)
         # gRPC tries for ever to reach the address of a channel that is open but not connected.
         known = {member.instance.peer_address for member in self.membership.known.values()}
         await self.channels.prune(known)
         await self.exchange_channels.prune(known)
 
+    def update_members(self, listed: list[membership_models.Instance] | None) -> None:
+        """Apply a list; only the time if there is none or it is the one applied before."""
+        now = time.monotonic()
+        if listed is None or listed is self.latest_list:
+            self.membership.expire(now)
+        else:
+            self.membership.apply_list(listed, now)
+            self.latest_list = listed
+        if self.membership.revision == self.notified_revision:
+            return
+        ids = {instance.id for instance in self.membership.members(now)}
+        for instance_id in sorted(ids - self.logged_members):
+            logger.log(events.Event.MEMBER_ADDED, instance=instance_id)
+        for instance_id in sorted(self.logged_members - ids):
+            logger.log(events.Event.MEMBER_REMOVED, instance=instance_id)
+        self.logged_members = ids
+        self.notify()
+
     # Object API
 
     async def watch(self, name: str) -> None:
@@ -547,6 +557,10 @@
     def notify(self) -> None:
         """Tell the subscribers."""
         self.notified_revision = self.membership.revision
+        leaving = self.membership.leaving_ids()
+        for instance_id in sorted(leaving - self.logged_leaving):
+            logger.log(events.Event.MEMBER_LEAVING, instance=instance_id)
+        self.logged_leaving = leaving
         for callback in list(self.callbacks):
             callback()
 
--- a/src/masticward/standins/instance_list.py
+++ b/src/masticward/standins/instance_list.py
@@ -9,9 +9,10 @@
 from aiohttp import web
 
 from masticward.standins import web as web_server
-from masticward.utils import clocks
+from masticward.utils import clocks, identifiers
 
 HISTORY_SECONDS = 120.0
+COMPRESSED_FROM_BYTES = 4096
 
 
 class ListFaults(msgspec.Struct, kw_only=True):
@@ -88,7 +89,13 @@
         if self.faults.mode == "down":
             return web.Response(status=503, text="the instance list is down")
         body = msgspec.json.encode({"instances": self.visible()})
-        return web.Response(body=body, content_type="application/json")
+        tag = f'"{identifiers.body_digest(body):x}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        response = web.Response(body=body, content_type="application/json", headers={"ETag": tag})
+        if len(body) > COMPRESSED_FROM_BYTES:
+            response.enable_compression()
+        return response
 
     async def handle_put(self, request: web.Request) -> web.StreamResponse:
         """Add or change one instance."""
--- a/src/masticward/state/membership.py
+++ b/src/masticward/state/membership.py
@@ -18,6 +18,7 @@
     __slots__ = (
         "announced_leaving",
         "contact_at",
+        "counted",
         "incarnation",
         "instance",
         "listed",
@@ -30,6 +31,8 @@
         self.listed = False
         self.unlisted_since: float | None = None
         self.contact_at: float | None = None
+        # Whether the instance was a member when the view was last brought up to date.
+        self.counted = False
         self.incarnation = 0
         self.announced_leaving = False
         self.suspected_at: float | None = None
@@ -56,8 +59,8 @@
 class MembershipView:
     """Combines list and exchanges. A list that is down changes nothing: the last one is kept.
 
-    The own instance is always a member. ``revision`` grows with every change but the passing of
-    time, which takes effect with the next list.
+    The own instance is always a member. ``revision`` grows with every change; the passing of time
+    takes effect with ``expire``, which ``apply_list`` includes.
     """
 
     __slots__ = ("known", "own_id", "revision")
@@ -75,9 +78,10 @@
         listed = {instance.id: instance for instance in instances}
         for instance in listed.values():
             self.note_listed(instance)
-        for instance_id in [known for known in self.known if known not in listed]:
-            if instance_id != self.own_id:
-                self.note_absent(instance_id, now)
+        for instance_id, member in self.known.items():
+            if instance_id not in listed and instance_id != self.own_id:
+                self.note_absent(member, now)
+        self.expire(now)
 
     def note_listed(self, instance: membership.Instance) -> None:
         """Record that the list holds the instance."""
@@ -87,26 +91,31 @@
         elif instance.id == self.own_id:
             # The process knows its own addresses better than the list.
             instance = msgspec.structs.replace(member.instance, leaving=instance.leaving)
-        if member.listed and member.instance == instance:
+        if member.listed and (member.instance is instance or member.instance == instance):
             return
         member.instance = instance
         member.listed = True
         member.unlisted_since = None
         self.revision += 1
 
-    def note_absent(self, instance_id: str, now: float) -> None:
-        """Record that a list did not hold the instance."""
-        member = self.known[instance_id]
+    def note_absent(self, member: Member, now: float) -> None:
+        """Record that a list did not hold a known instance."""
         if member.unlisted_since is None:
             member.listed = False
             member.unlisted_since = now
             self.revision += 1
-        if member.is_present(now):
-            return
-        last_seen = member.contact_at if member.contact_at is not None else member.unlisted_since
-        if now >= last_seen + FORGET_SECONDS:
-            del self.known[instance_id]
-            self.revision += 1
+
+    def expire(self, now: float) -> None:
+        """Let the passing of time take effect: unlisted instances cease to be members."""
+        for instance_id, member in list(self.known.items()):
+            present = member.is_present(now)
+            if member.counted != present:
+                member.counted = present
+                self.revision += 1
+            last_seen = member.contact_at or member.unlisted_since
+            if not present and last_seen is not None and now >= last_seen + FORGET_SECONDS:
+                del self.known[instance_id]
+                self.revision += 1
 
     def note_contact(
         self, instance: membership.Instance, incarnation: int, sent_at: float, answered_at: float
@@ -176,6 +185,10 @@
         """Return the ids of the suspected instances."""
         return {name for name, member in self.known.items() if member.suspected_at is not None}
 
+    def leaving_ids(self) -> set[str]:
+        """Return the ids of the instances that are leaving."""
+        return {name for name, member in self.known.items() if member.is_leaving()}
+
     def is_leaving(self, instance_id: str) -> bool:
         """Tell whether the instance is listed or has announced itself as leaving."""
         member = self.known.get(instance_id)
--- a/src/masticward/transport/instance_list.py
+++ b/src/masticward/transport/instance_list.py
@@ -46,13 +46,19 @@
 
 
 class HttpInstanceList(InstanceList):
-    """The instance list over HTTP."""
+    """The instance list over HTTP.
 
-    __slots__ = ("base_url", "session")
+    An unchanged list is not transferred again if the platform gives entity tags; ``fetch`` then
+    returns the same list object as before, which callers must not change.
+    """
+
+    __slots__ = ("base_url", "latest", "session", "tag")
 
     def __init__(self, base_url: str) -> None:
         self.base_url = base_url.rstrip("/")
         self.session: aiohttp.ClientSession | None = None
+        self.tag = ""
+        self.latest: list[membership.Instance] = []
 
     async def fetch(
         self, deadline: float
@@ -60,17 +66,24 @@
         """Read the whole list before a monotonic deadline in seconds."""
         if self.session is None:
             self.session = aiohttp.ClientSession(trust_env=False)
+        headers = {"If-None-Match": self.tag} if self.tag else {}
         try:
             async with self.session.get(
-                f"{self.base_url}/v1/instances", timeout=object_api.client_timeout(deadline)
+                f"{self.base_url}/v1/instances",
+                headers=headers,
+                timeout=object_api.client_timeout(deadline),
             ) as response:
                 body = await response.read()
+                if response.status == http.HTTPStatus.NOT_MODIFIED and self.tag:
+                    return result.Success(self.latest)
                 if response.status != http.HTTPStatus.OK:
                     return result.Failure(errors.InstanceListError(f"status {response.status}"))
             listed = msgspec.json.decode(body, type=ListReply).instances
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
             return result.Failure(errors.InstanceListError(object_api.describe(error)))
-        return result.Success([as_instance(instance) for instance in listed])
+        self.latest = [as_instance(instance) for instance in listed]
+        self.tag = response.headers.get("ETag", "")
+        return result.Success(self.latest)
 
     async def close(self) -> None:
         """Close the connections."""
--- a/tests/functional/test_object_api.py
+++ b/tests/functional/test_object_api.py
@@ -82,6 +82,12 @@
         await asyncio.sleep(0.45)
         listed = (await self.platform.list.fetch(platforms.soon())).unwrap()
         self.assertEqual([platforms.make_agent("a1")], listed)
+        again = (await self.platform.list.fetch(platforms.soon())).unwrap()
+        self.assertIs(listed, again, "an unchanged list is not transferred again")
+        for number in range(100):
+            self.platform.enlist(platforms.make_agent(f"b{number}"))
+        await asyncio.sleep(0.45)
+        self.assertEqual(101, len((await self.platform.list.fetch(platforms.soon())).unwrap()))
         self.platform.instances.faults = instance_list_standin.ListFaults(mode="down")
         failed = (await self.platform.list.fetch(platforms.soon())).failure()
         self.assertIsInstance(failed, errors.InstanceListError)
--- a/tests/functional/test_publishing.py
+++ b/tests/functional/test_publishing.py
@@ -262,6 +262,7 @@
         names = set(self.platform.objects.objects)
         manifest = await self.manifest()
         self.assertEqual(versions, manifest.version)
+        self.assertFalse({item.name for item in manifest.retired} & set(manifest.team_shards))
         self.assertLessEqual({objects.shard_name(item) for item in manifest.team_shards}, names)
         shard_objects = [name for name in names if name.startswith(objects.SHARD_PREFIX)]
         self.assertEqual(2, len(shard_objects), shard_objects)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -29,6 +29,7 @@
         self.lists: list[tuple[float, dict[str, bool]]] = []
         self.contacts: dict[str, list[float]] = {name: [] for name in IDS}
         self.announcements: dict[str, list[tuple[int, bool]]] = {name: [] for name in IDS}
+        self.members_by_revision: dict[int, tuple[str, ...]] = {}
         self.suspected: dict[str, float] = {}
         self.answered_sends: dict[str, list[float]] = {name: [] for name in IDS}
 
@@ -78,6 +79,13 @@
         if newly or before:
             self.suspected[name] = self.now
 
+    @hypothesis.stateful.rule()
+    def expire(self) -> None:
+        """Brings the revision up to date: a change of the members must change it."""
+        self.view.expire(self.now)
+        ids = tuple(instance.id for instance in self.view.members(self.now))
+        assert ids == self.members_by_revision.setdefault(self.view.revision, ids)
+
     def expected_present(self, name: str) -> bool:
         if self.lists and name in self.lists[-1][1]:
             return True
