--- a/src/masticward/transport/channels.py
+++ b/src/masticward/transport/channels.py
@@ -17,14 +17,15 @@
 COMMON_OPTIONS: tuple[tuple[str, int], ...] = (
     ("grpc.max_send_message_length", MAXIMUM_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAXIMUM_MESSAGE_BYTES),
-    # Keep-alive pings notice a partition that drops packets silently.
-    ("grpc.keepalive_time_ms", 1000),
+    # Keep-alive pings notice a partition that drops packets silently while a call runs. Idle
+    # connections need none: every exchange has a deadline of its own.
     ("grpc.keepalive_timeout_ms", 2000),
-    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.keepalive_permit_without_calls", 0),
     ("grpc.http2.max_pings_without_data", 0),
 )
 CHANNEL_OPTIONS: tuple[tuple[str, int], ...] = (
     *COMMON_OPTIONS,
+    ("grpc.keepalive_time_ms", 1000),
     # A transparent retry could run a call twice.
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
@@ -36,6 +37,8 @@
 )
 SERVER_OPTIONS: tuple[tuple[str, int], ...] = (
     *COMMON_OPTIONS,
+    # The client notices first; the server only frees what a vanished peer left behind.
+    ("grpc.keepalive_time_ms", 10_000),
     ("grpc.so_reuseport", 0),
     ("grpc.http2.min_ping_interval_without_data_ms", 500),
     ("grpc.http2.max_ping_strikes", 0),
