--- a/src/masticward/coordination/endpoint_runner.py
+++ b/src/masticward/coordination/endpoint_runner.py
@@ -165,8 +165,8 @@
     ) -> attempts.Refused:
         """Record a refusal and return its event."""
         self.metrics.refusals.labels(reason=reason.value).inc()
-        # A duplicate must not end the reservation of the ticket's attempt that runs or waits.
-        if reason is not Reason.DUPLICATE_ATTEMPT:
+        # A duplicate must not end the reservation of the ticket's attempt that runs.
+        if all(run.request.ticket_id != request.ticket_id for run in self.running.values()):
             self.note_finished(request.ticket_id, 0.0)
         return attempts.Refused(reason, RETRY_AFTER_MS, detail)
 
@@ -306,7 +306,9 @@
             self.logger.log(events.Event.LOAD_REPORT_BACK)
         self.capacity.in_flight.note_report(report.running, requested_at, now)
         self.endpoint_leaving = report.leaving
-        if self.capacity.limit.note_report(report.cold, report.incarnation, report.limit_hint, now):
+        if self.capacity.limit.note_report(
+            report.cold, report.incarnation, report.limit_hint, requested_at, now
+        ):
             self.note_cold("load report")
 
     # What the offer loop reads
--- a/src/masticward/coordination/run_execution.py
+++ b/src/masticward/coordination/run_execution.py
@@ -18,6 +18,8 @@
 
 # Statuses by which an engine that took the call in says that it is overloaded.
 OVERLOAD_STATUSES = frozenset({429, 503})
+# Refused calls, such as malformed ones, cost the endpoint next to nothing.
+FIRST_ERROR_STATUS = 400
 LAST_EVENTS = (attempts.Finished, attempts.Refused, attempts.Failed)
 
 
@@ -108,7 +110,7 @@
     def note_chunk(self, chunk: attempts.ResponseChunk) -> None:
         """Charge the chunk's cost and measure the first token."""
         self.charge(chunk.cost)
-        if not self.is_model or self.run.first_token_at is not None or not chunk.data:
+        if self.run.first_token_at is not None or not chunk.data or not self.is_token_stream():
             return
         now = time.monotonic()
         seconds = now - (self.run.started_at or now)
@@ -119,6 +121,12 @@
             self.runner.note_cold("slow first token")
         self.runner.settle()
 
+    def is_token_stream(self) -> bool:
+        """Tell whether the engine answers with tokens; an error says nothing of how warm it is."""
+        return (
+            self.is_model and self.head is not None and endpoint_module.is_event_stream(self.head)
+        )
+
     def charge(self, cost: float) -> None:
         """Add to the cost of the run and of its team."""
         self.run.cost += cost
@@ -152,12 +160,18 @@
         self.runner.capacity.depth.note_service_time(now - started_at)
         if self.head is not None and self.is_model and self.head.status in OVERLOAD_STATUSES:
             self.runner.go_cold(f"status {self.head.status}")
-        elif (
-            limit.note_success(self.run.epoch, now) and limit.state is admission.AdmissionState.WARM
-        ):
-            self.runner.logger.log(events.Event.ENDPOINT_WARM, limit=limit.limit)
+        elif self.is_evidence():
+            raised = limit.note_success(self.run.epoch, now)
+            if raised and limit.state is admission.AdmissionState.WARM:
+                self.runner.logger.log(events.Event.ENDPOINT_WARM, limit=limit.limit)
         return attempts.Finished(self.run.cost)
 
+    def is_evidence(self) -> bool:
+        """Tell whether the response shows that the endpoint did work."""
+        if self.is_model:
+            return self.is_token_stream()
+        return self.head is not None and self.head.status < FIRST_ERROR_STATUS
+
     def not_started(self, error: errors.EndpointNotStartedError) -> attempts.Refused:
         """Take a refusal by the endpoint as a sign of overload or of a restart."""
         self.runner.logger.log(
@@ -188,15 +202,16 @@
 
     def arm_first_token_timer(self) -> None:
         """Watch for a first token that does not come in time."""
-        bound = self.runner.capacity.limit.first_token_bound()
+        bound = self.runner.capacity.limit.first_tokens.bound()
         if self.is_model and bound is not None:
             loop = asyncio.get_running_loop()
-            self.first_token_timer = loop.call_later(bound, self.first_token_overdue)
+            self.first_token_timer = loop.call_later(bound, self.first_token_overdue, bound)
 
-    def first_token_overdue(self) -> None:
+    def first_token_overdue(self, seconds: float) -> None:
         """Take the endpoint for cold without waiting for the token any longer."""
-        if self.run.first_token_at is None and self.run.epoch == self.runner.capacity.limit.epoch:
-            self.runner.go_cold("first token overdue")
+        limit = self.runner.capacity.limit
+        if limit.note_overdue_first_token(seconds, self.run.epoch, time.monotonic()):
+            self.runner.note_cold("first token overdue")
             self.runner.settle()
 
     def end_first_token_wait(self) -> None:
--- a/src/masticward/state/admission.py
+++ b/src/masticward/state/admission.py
@@ -2,13 +2,10 @@
 
 import enum
 
+from masticward.state import first_token
+
 FIRST_REPORT_WAIT_SECONDS = 3.0
 REPORT_MISSING_SECONDS = 3.0
-SLOW_FIRST_TOKEN_FACTOR = 4.0
-# Scheduling pauses of a busy instance reach tens of milliseconds and are no sign of a cold engine.
-SLOW_FIRST_TOKEN_FLOOR_SECONDS = 0.1
-FIRST_TOKEN_SAMPLES_NEEDED = 5
-MEAN_SMOOTHING = 0.05
 
 
 class AdmissionState(enum.StrEnum):
@@ -30,8 +27,7 @@
         "cold_limit",
         "endpoint_incarnation",
         "epoch",
-        "first_token_mean",
-        "first_token_samples",
+        "first_tokens",
         "last_report_at",
         "limit_hint",
         "raw_limit",
@@ -57,8 +53,7 @@
         self.reported_cold = False
         self.endpoint_incarnation: int | None = None
         self.last_report_at: float | None = None
-        self.first_token_mean = 0.0
-        self.first_token_samples = 0
+        self.first_tokens = first_token.FirstTokenTimes()
 
     @property
     def limit(self) -> int:
@@ -97,8 +92,11 @@
         self.successes = 0
         self.epoch += 1
 
-    def note_report(self, cold: bool, incarnation: int, limit_hint: int, now: float) -> bool:
+    def note_report(
+        self, cold: bool, incarnation: int, limit_hint: int, requested_at: float, now: float
+    ) -> bool:
         """Take a load report into account; True if it led back to cold."""
+        self.first_tokens.judge(cold, requested_at - self.report_settle_seconds, now)
         restarted = self.endpoint_incarnation not in (None, incarnation)
         self.endpoint_incarnation = incarnation
         self.last_report_at = now
@@ -131,32 +129,27 @@
         """Tell whether no load report has come for 3 s."""
         return self.last_report_at is None or now - self.last_report_at >= REPORT_MISSING_SECONDS
 
-    def first_token_bound(self) -> float | None:
-        """Return the first-token time in seconds above which the endpoint counts as cold."""
-        if self.first_token_samples < FIRST_TOKEN_SAMPLES_NEEDED:
-            return None
-        bound = SLOW_FIRST_TOKEN_FACTOR * self.first_token_mean
-        return max(bound, SLOW_FIRST_TOKEN_FLOOR_SECONDS)
-
     def note_first_token(self, seconds: float, epoch: int, now: float) -> bool:
         """Take a first-token time into account; True if it led back to cold.
 
         The mean is learned while load reports say that the endpoint is not cold; to wait for the
-        warm state would leave an endpoint that just became warm without a mean. A slow sample moves
-        it too, clipped to the bound, so that lastingly longer prompts do not hold the endpoint at
-        its cold limit for ever.
+        warm state would leave an endpoint that just became warm without a mean. A slow time is
+        learned too, so that lastingly longer prompts do not hold the endpoint at its cold limit.
         """
-        bound = self.first_token_bound()
-        slow = bound is not None and seconds > bound
+        slow = self.first_tokens.is_slow(seconds)
+        if slow:
+            self.first_tokens.suspect(seconds, now)
         if slow or not (self.reported_cold or self.is_report_missing(now)):
-            self.learn_first_token(seconds if bound is None else min(seconds, bound))
+            self.first_tokens.learn(seconds)
         if not slow or epoch != self.epoch:
             return False
         self.go_cold()
         return True
 
-    def learn_first_token(self, seconds: float) -> None:
-        """Move the mean towards one sample; the first samples are averaged plainly."""
-        self.first_token_samples += 1
-        weight = max(MEAN_SMOOTHING, 1.0 / self.first_token_samples)
-        self.first_token_mean += weight * (seconds - self.first_token_mean)
+    def note_overdue_first_token(self, seconds: float, epoch: int, now: float) -> bool:
+        """Take a first token that is still awaited into account; True if it led back to cold."""
+        self.first_tokens.suspect(seconds, now)
+        if epoch != self.epoch:
+            return False
+        self.go_cold()
+        return True
