Pace claim retries, notice a failed connection at once, leave answered connections alone

Cause: during an outage of the object API each shard with a pending release or outcome retried by itself, up to 4096 shards an entry; an attempt to a dead agent waited for its whole slot; the life of a plain call that failed after its caller had been answered 504 reset the caller's connection, which may serve the next request by then. Change: one retry task for each entry with one shared back-off; the attempt client refuses as unreachable at the first failed try to connect; an abandoned response is never cut.

--- a/src/masticward/coordination/claims.py
+++ b/src/masticward/coordination/claims.py
@@ -78,24 +78,37 @@
 class ShardQueue:
     """The pending changes of one shard and the task that commits them."""
 
-    __slots__ = ("back_off", "changes", "name")
+    __slots__ = ("changes", "name", "task")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.changes: list[Change] = []
-        self.back_off = 0.0
+        self.task: asyncio.Task[None] | None = None
 
 
 class ClaimService:
     """Claims, finishes and releases keys for one entry."""
 
-    __slots__ = ("background_bytes", "background_changes", "entry_id", "group", "shards", "store")
+    __slots__ = (
+        "back_off",
+        "background_bytes",
+        "background_changes",
+        "entry_id",
+        "group",
+        "postponed",
+        "retry_task",
+        "shards",
+        "store",
+    )
 
     def __init__(self, store: object_api.ObjectStore, entry_id: str) -> None:
         self.store = store
         self.entry_id = entry_id
         self.shards: dict[str, ShardQueue] = {}
+        self.postponed: dict[str, list[Change]] = {}
         self.group = tasks.TaskGroup()
+        self.retry_task: asyncio.Task[None] | None = None
+        self.back_off = 0.0
         self.background_changes = 0
         self.background_bytes = 0
 
@@ -226,26 +239,46 @@
         self.background_bytes -= change.size_bytes
 
     def enqueue(self, change: Change) -> None:
-        """Add a change to its shard's queue and start the committing task if there is none."""
-        name = shard_of(change.claim)
+        """Add a change to its shard's queue."""
+        self.open_shard(shard_of(change.claim)).changes.append(change)
+
+    def open_shard(self, name: str) -> ShardQueue:
+        """Return a shard's queue; its committing task is started if there is none."""
         shard = self.shards.get(name)
         if shard is None:
             shard = ShardQueue(name)
             self.shards[name] = shard
-            self.group.spawn(self.commit_all(shard), f"claims {name}")
-        shard.changes.append(change)
+            shard.task = self.group.spawn(self.commit_all(shard), f"claims {name}")
+        return shard
 
     async def commit_all(self, shard: ShardQueue) -> None:
-        """Commit the changes of a shard in groups until none is left."""
+        """Commit the changes of a shard in groups until none is left.
+
+        Postponed changes go first, so that a key is released before it is claimed again.
+        """
         try:
-            while shard.changes:
-                await asyncio.sleep(max(GROUP_COMMIT_SECONDS, shard.back_off))
-                changes, shard.changes = shard.changes, []
-                if changes:
-                    await self.commit(shard, changes)
+            while True:
+                await asyncio.sleep(GROUP_COMMIT_SECONDS)
+                changes = self.postponed.pop(shard.name, []) + shard.changes
+                shard.changes = []
+                await self.commit(shard, changes)
+                if not shard.changes:
+                    return
         finally:
             del self.shards[shard.name]
 
+    async def retry_postponed(self) -> None:
+        """Commit postponed changes, one shard at a time.
+
+        During an outage an entry thus makes one call for each back-off, however many shards wait.
+        """
+        while self.postponed:
+            await asyncio.sleep(self.back_off)
+            if self.postponed:
+                shard = self.open_shard(next(iter(self.postponed)))
+                if shard.task is not None:
+                    await asyncio.wait({shard.task})
+
     async def commit(self, shard: ShardQueue, changes: list[Change]) -> None:
         """Apply a group of changes to the object until it is written or the store fails."""
         while True:
@@ -254,7 +287,7 @@
                 return
             attempt = await self.commit_once(shard, changes)
             if isinstance(attempt, result.Success):
-                shard.back_off = 0.0
+                self.back_off = 0.0
                 settle(changes)
                 return
             error = attempt.failure()
@@ -362,12 +395,14 @@
     def postpone(self, shard: ShardQueue, changes: list[Change], error: errors.StoreError) -> None:
         """Fail the claims of a group and keep the other changes for later."""
         logger.log(events.Event.CLAIM_STORE_UNAVAILABLE, shard=shard.name, detail=str(error))
-        shard.back_off = min(
-            LONGEST_BACK_OFF_SECONDS, max(FIRST_BACK_OFF_SECONDS, shard.back_off * 2)
+        self.back_off = min(
+            LONGEST_BACK_OFF_SECONDS, max(FIRST_BACK_OFF_SECONDS, self.back_off * 2)
         )
-        shard.changes = [
-            change for change in changes if change.kind is not ChangeKind.CLAIM
-        ] + shard.changes
+        kept = [change for change in changes if change.kind is not ChangeKind.CLAIM]
+        if kept:
+            self.postponed.setdefault(shard.name, []).extend(kept)
+            if self.retry_task is None or self.retry_task.done():
+                self.retry_task = self.group.spawn(self.retry_postponed(), "claims retry")
         for change in changes:
             if change.kind is ChangeKind.CLAIM and not change.done.done():
                 change.done.set_exception(
--- a/src/masticward/coordination/request_life.py
+++ b/src/masticward/coordination/request_life.py
@@ -439,10 +439,15 @@
         error: errors.RequestRefusedError | errors.OutcomeUnknownError,
         outcome: work.Outcome,
     ) -> None:
-        """Send the response for an error, or cut the response that was started."""
+        """Send the response for an error, or cut the response that was started.
+
+        An abandoned sink is left alone: its connection may already serve the next request.
+        """
+        if self.sink.abandoned:
+            return
         if self.sink.started:
             self.sink.abort()
-        elif not self.sink.abandoned:
+        else:
             headers, body = refusals.encode(error)
             with contextlib.suppress(errors.CallerGoneError):
                 await self.sink.send_whole(error.status, headers, body, outcome)
--- a/src/masticward/coordination/router.py
+++ b/src/masticward/coordination/router.py
@@ -248,7 +248,8 @@
             logger.log(
                 events.Event.REQUEST_BROKEN, request_id=request_id, detail=repr(task.exception())
             )
-            life.sink.abort()
+            if not life.sink.abandoned:
+                life.sink.abort()
 
     def on_evict(self, request_id: str) -> None:
         """Refuse a waiting request that the queue replaced."""
--- a/src/masticward/protocol/attempt_client.py
+++ b/src/masticward/protocol/attempt_client.py
@@ -93,14 +93,31 @@
     deadline = min(attempt.slot.deadline, attempt.call.deadline)
     try:
         async with asyncio.timeout(clocks.remaining_seconds(deadline)):
-            await channel.channel_ready()
+            detail = await connect(channel)
     except TimeoutError:
         detail = "the agent was not reached before the slot expired"
     except grpc.aio.UsageError:
         detail = "the channel was closed"
-    else:
-        return
-    raise errors.AttemptRefusedError(work.RefusalReason.UNREACHABLE, 0, detail)
+    if detail:
+        raise errors.AttemptRefusedError(work.RefusalReason.UNREACHABLE, 0, detail)
+
+
+async def connect(channel: grpc.aio.Channel) -> str:
+    """Wait until the channel is ready or a try to connect fails; returns the failure or "".
+
+    A channel that is found in back-off is given one more try.
+    """
+    previous = None
+    while True:
+        state = channel.get_state(try_to_connect=True)
+        if state is grpc.ChannelConnectivity.READY:
+            return ""
+        if state is grpc.ChannelConnectivity.SHUTDOWN:
+            return "the channel was closed"
+        if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE and previous is not None:
+            return "the connection to the agent failed"
+        previous = state
+        await channel.wait_for_state_change(state)
 
 
 async def checked_events(
--- a/tests/unit/test_frames.py
+++ b/tests/unit/test_frames.py
@@ -40,6 +40,12 @@
                 self.assert_rejected(swapped)
             self.assert_rejected(whole[: position + 1] + whole[position:])
 
+    def test_frame_after_the_end_is_rejected(self) -> None:
+        whole = attempt_fakes.whole_frames()
+        late = masticward_pb2.RunFrame(attempt_id="a-1", sequence=len(whole))
+        late.chunk.data = b"late"
+        self.assert_rejected([*whole, late])
+
     def test_frame_of_another_attempt_is_rejected_at_every_position(self) -> None:
         whole, other = attempt_fakes.whole_frames(), attempt_fakes.whole_frames("a-2")
         for position in range(len(whole)):
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -108,6 +108,15 @@
         await fixture.router.drained()
         self.assertEqual(504, sink.status)
 
+    async def test_failure_after_the_deadline_does_not_cut_the_next_request(self) -> None:
+        """Fails if the life of a plain call resets a connection that was answered before."""
+        gate = asyncio.Event()
+        fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"x", gate=gate, cut=True))
+        sink = await fixture.call("/v1/book", seconds=0.05)
+        gate.set()
+        await fixture.router.drained()
+        self.assertFalse(sink.cut)
+
 
 class VanishedCallerTest(unittest.IsolatedAsyncioTestCase):
     async def vanish_in_flight(self, path: str) -> tuple[entry_fakes.EntryFixture, asyncio.Event]:
@@ -217,6 +226,7 @@
             await calls[index]
         self.assertEqual([b"\0", b"\1", b"\2", b"\3"], [r.call.body for r in fixture.attempts.runs])
         self.assertEqual({}, fixture.router.desk.windows)
+        self.assertEqual([], fixture.exchange.withdrawn)
 
 
 class DrainTest(unittest.IsolatedAsyncioTestCase):
