--- a/src/masticward/state/claims.py
+++ b/src/masticward/state/claims.py
@@ -79,7 +79,7 @@
         self.pruned: list[ClaimRecord] = []
         unfinished = sum(record.state is ClaimState.CLAIMED for record in records.values())
         # An upper bound of the encoded size once every claim is finished.
-        self.size_bytes = encoded_bytes + 1 + unfinished * FINISH_RESERVE_BYTES
+        self.size_bytes = encoded_bytes + bool(records) + unfinished * FINISH_RESERVE_BYTES
 
     @classmethod
     def empty(cls) -> "ClaimShard":
--- /dev/null
+++ b/tests/unit/test_claims.py
@@ -0,0 +1,201 @@
+"""Guards the room, the outcomes and the group commit of claims, and the router's use of them."""
+
+import asyncio
+import time
+import unittest
+import unittest.mock
+
+from returns import result
+
+from masticward.coordination import claims
+from masticward.state import claims as claims_state
+from masticward.transport import object_api
+from tests.lib import claim_store, entry_fakes
+
+DAY_SECONDS = 24 * 3600.0
+
+
+def build_record(state: claims_state.ClaimState, age_seconds: float) -> claims_state.ClaimRecord:
+    body = b"x" * 9000 if state is claims_state.ClaimState.FINISHED else b""
+    return claims_state.ClaimRecord(
+        request_digest="d",
+        nonce="old",
+        state=state,
+        changed_at=time.time() - age_seconds,
+        outcome=claims_state.RecordedOutcome(status=200, headers=(), body=body),
+    )
+
+
+def fill(state: claims_state.ClaimState, age_seconds: float) -> claims_state.ClaimShard:
+    """Return a shard that has no room for one more claim."""
+    shard = claims_state.ClaimShard.empty()
+    record = build_record(state, age_seconds)
+    size = claims_state.entry_bytes("k0000", record)
+    for index in range((claims_state.SHARD_LIMIT_BYTES - 2) // size):
+        shard.put(f"k{index:04}", record)
+    filler = claims_state.SHARD_LIMIT_BYTES - shard.size_bytes - 400
+    if filler > 0:
+        record = build_record(claims_state.ClaimState.CLAIMED, 0)
+        shard.put("f" * filler, record)
+    return shard
+
+
+class ShardRoomTest(unittest.TestCase):
+    claim = claims_state.Claim("new", "d", "n")
+
+    def test_only_old_finished_records_are_pruned_and_only_when_full(self) -> None:
+        """Fails if a key that may still be repeated, or an unfinished one, is forgotten."""
+        for state, age, granted in (
+            (claims_state.ClaimState.FINISHED, DAY_SECONDS + 60, True),
+            (claims_state.ClaimState.FINISHED, DAY_SECONDS - 60, False),
+            (claims_state.ClaimState.CLAIMED, DAY_SECONDS * 9, False),
+        ):
+            shard = fill(state, age)
+            count = len(shard.records)
+            verdict = shard.claim(self.claim, time.time())
+            self.assertEqual(granted, verdict is claims_state.ClaimVerdict.GRANTED, (state, age))
+            self.assertEqual(granted, len(shard.records) < count)
+        shard = claims_state.ClaimShard.empty()
+        shard.put("k", build_record(claims_state.ClaimState.FINISHED, DAY_SECONDS * 9))
+        shard.claim(self.claim, time.time())
+        self.assertIn("k", shard.records)
+
+    def test_size_bound_holds_for_the_encoded_object(self) -> None:
+        for state in claims_state.ClaimState:
+            shard = fill(state, 0)
+            self.assertLess(len(shard.encode()), claims_state.SHARD_LIMIT_BYTES)
+            again = claims_state.ClaimShard.decode(shard.encode())
+            self.assertEqual(shard.size_bytes, again.size_bytes)
+
+
+class ClaimServiceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = claim_store.FaultyStore()
+        self.service = claims.ClaimService(self.store, "entry-1")
+        # One shard, so that the claims of a test meet in one object.
+        patch = unittest.mock.patch.object(claims_state, "SHARD_COUNT", 1)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def claim(self, key: str) -> result.Result[claims.ClaimAnswer, object]:
+        return await self.service.claim("t", "s", key, "d", time.monotonic() + 10)
+
+    async def test_concurrent_claims_share_one_write(self) -> None:
+        claiming = []
+        with unittest.mock.patch.object(claims, "GROUP_COMMIT_SECONDS", 1.0):
+            for index in range(50):
+                claiming.append(asyncio.ensure_future(self.claim(f"k{index}")))
+                await asyncio.sleep(0)
+            answers = await asyncio.gather(*claiming)
+        verdicts = {answer.unwrap().verdict for answer in answers}
+        self.assertEqual({claims_state.ClaimVerdict.GRANTED}, verdicts)
+        self.assertEqual(1, self.store.writes)
+
+    async def test_outcomes_of_every_size_are_replayed_and_no_object_exceeds_1_mb(self) -> None:
+        for size in (0, 16 * 1024, 16 * 1024 + 1, claims_state.OUTCOME_LIMIT_BYTES):
+            claim = (await self.claim(f"k{size}")).unwrap().claim
+            body = b"\xff" * size
+            await self.service.finish(
+                claim, claims_state.RecordedOutcome(status=201, headers=(("a", "b"),), body=body)
+            )
+            repeat = (await self.claim(f"k{size}")).unwrap()
+            self.assertEqual(claims_state.ClaimVerdict.FINISHED, repeat.verdict)
+            self.assertEqual((201, body), (repeat.outcome.status, repeat.outcome.body))
+        sizes = {name: len(stored.value) for name, stored in self.store.objects.items()}
+        self.assertLess(max(sizes.values()), 1_000_000)
+        self.assertEqual(2, len([name for name in sizes if name.startswith("outcomes/")]))
+
+    async def test_full_shard_refuses_and_still_takes_outcomes(self) -> None:
+        claim = (await self.claim("held")).unwrap().claim
+        shard = claims_state.ClaimShard.decode(self.store.objects["claims/0000"].value)
+        held = shard.records[claim.key_digest]
+        full = fill(claims_state.ClaimState.CLAIMED, 0)
+        full.records.pop("k0000")
+        full.records[claim.key_digest] = held
+        self.store.objects["claims/0000"] = object_api.StoredObject(
+            name="claims/0000", version=9, value=full.encode()
+        )
+        self.assertIsInstance(await self.claim("new"), result.Failure)
+        outcome = claims_state.RecordedOutcome(status=200, headers=(), body=b"x" * 9000)
+        await self.service.finish(claim, outcome)
+        self.assertEqual(outcome, (await self.claim("held")).unwrap().outcome)
+        shard = claims_state.ClaimShard.decode(self.store.objects["claims/0000"].value)
+        self.assertLessEqual(shard.size_bytes, claims_state.SHARD_LIMIT_BYTES)
+
+    async def test_outage_costs_one_retry_at_a_time(self) -> None:
+        """Fails if every shard with a pending change retries on its own during an outage."""
+        reads = 0
+
+        async def get(name: str, deadline: float) -> object:
+            nonlocal reads
+            reads += 1
+            return await claim_store.FaultyStore.get(self.store, name, deadline)
+
+        with unittest.mock.patch.object(claims_state, "SHARD_COUNT", 4096):
+            held = [(await self.claim(f"k{index}")).unwrap().claim for index in range(40)]
+            self.store.down = True
+            for claim in held:
+                self.service.release(claim)
+            await entry_fakes.until(lambda: not self.service.shards)
+            with unittest.mock.patch.object(self.store, "get", get):
+                await asyncio.sleep(0.5)
+            self.assertLess(reads, 10)
+            self.store.down = False
+            await entry_fakes.until(lambda: not self.service.postponed, 30)
+        await self.service.close(time.monotonic() + 5)
+        records = [claims_state.ClaimShard.decode(o.value) for o in self.store.objects.values()]
+        self.assertEqual([{}], [dict(x) for x in {tuple(r.records) for r in records}])
+
+
+class KeyedRouterTest(unittest.IsolatedAsyncioTestCase):
+    def build(self, *steps: entry_fakes.Step) -> entry_fakes.EntryFixture:
+        self.store = claim_store.FaultyStore()
+        return entry_fakes.EntryFixture(*steps, claims=claims.ClaimService(self.store, "entry-1"))
+
+    async def test_repeat_of_a_finished_key_is_replayed_and_not_run(self) -> None:
+        fixture = self.build(entry_fakes.answer(b"seat 7"))
+        sinks = [await fixture.call("/v1/book", key="k")]
+        # Another entry must see the outcome as soon as the caller has its response.
+        self.assertIn(b"finished", next(iter(self.store.objects.values())).value)
+        sinks.append(await fixture.call("/v1/book", key="k"))
+        self.assertEqual([(200, b"seat 7")] * 2, [(sink.status, sink.body) for sink in sinks])
+        self.assertEqual(1, len(fixture.attempts.runs))
+        sink = await fixture.call("/v1/book", key="k", body=b"other")
+        self.assertEqual((422, "not-run"), (sink.status, sink.outcome))
+        sink = await fixture.call("/v1/book", key="k", team="papaya")
+        self.assertEqual(2, len(fixture.attempts.runs))
+
+    async def test_repeat_of_a_key_with_unknown_outcome_is_unknown(self) -> None:
+        fixture = self.build(entry_fakes.answer(b"x", cut=True))
+        for status in (502, 409):
+            sink = await fixture.call("/v1/book", key="k")
+            self.assertEqual((status, "unknown"), (sink.status, sink.outcome))
+        self.assertEqual(1, len(fixture.attempts.runs))
+
+    async def test_key_of_a_refused_call_is_free_again(self) -> None:
+        fixture = self.build(entry_fakes.refuse("deadline-passed"), entry_fakes.answer(b"ok"))
+        self.assertEqual("not-run", (await fixture.call("/v1/book", key="k")).outcome)
+        self.assertEqual("complete", (await fixture.call("/v1/book", key="k")).outcome)
+
+    async def test_outcome_is_recorded_for_a_caller_that_left_or_waited_too_long(self) -> None:
+        gate = asyncio.Event()
+        fixture = self.build(entry_fakes.answer(b"seat", gate=gate))
+        left = fixture.start("/v1/book", key="left")
+        late = fixture.start("/v1/book", key="late", seconds=0.2)
+        await entry_fakes.until(lambda: len(fixture.attempts.runs) == 2)
+        left.cancel()
+        self.assertEqual(504, (await late).status)
+        gate.set()
+        await fixture.router.drained()
+        for key in ("left", "late"):
+            self.assertEqual(b"seat", (await fixture.call("/v1/book", key=key)).body)
+        self.assertEqual(2, len(fixture.attempts.runs))
+
+    async def test_store_outage_refuses_only_keyed_calls(self) -> None:
+        fixture = self.build(entry_fakes.answer(b"ok"))
+        self.store.down = True
+        sink = await fixture.call("/v1/book", key="k")
+        self.assertEqual((503, "not-run"), (sink.status, sink.outcome))
+        self.assertIn(b'"retry_after_ms":1000', sink.body)
+        self.assertEqual("complete", (await fixture.call("/v1/book")).outcome)
+        self.assertEqual("complete", (await fixture.call("/v1/look/a", key="k")).outcome)
