--- /dev/null
+++ b/src/masticward/coordination/configuration_reader.py
@@ -0,0 +1,93 @@
+"""Puts a configuration together from its manifest and shards, from the object API or a peer."""
+
+import asyncio
+
+import msgspec
+from returns import result
+
+from masticward import errors
+from masticward.models import configuration as configuration_models
+from masticward.models import objects
+from masticward.state import shards
+from masticward.transport import object_api
+
+CONCURRENT_SHARD_READS = 8
+
+
+class ConfigurationReader:
+    """Keeps the parts of the latest configuration, so that only changed shards are transferred."""
+
+    __slots__ = ("known_shards", "manifest", "store", "version")
+
+    def __init__(self, store: object_api.ObjectStore) -> None:
+        self.store = store
+        self.known_shards: dict[str, bytes] = {}
+        self.manifest = b""
+        self.version = 0
+
+    async def assemble(
+        self, manifest: configuration_models.Manifest, deadline: float
+    ) -> result.Result[configuration_models.Configuration, errors.MasticwardError]:
+        """Return the configuration of a manifest before a monotonic deadline.
+
+        StoreError if a shard cannot be read, VersionRefusedError if one is damaged.
+        """
+        limit = asyncio.Semaphore(CONCURRENT_SHARD_READS)
+
+        async def read(name: str) -> result.Result[bytes, errors.StoreError]:
+            if name in self.known_shards:
+                return result.Success(self.known_shards[name])
+            async with limit:
+                answer = await self.store.get(objects.shard_name(name), deadline)
+            return answer.map(lambda stored: stored.value)
+
+        answers = await asyncio.gather(*(read(name) for name in manifest.team_shards))
+        contents: dict[str, bytes] = {}
+        for name, answer in zip(manifest.team_shards, answers, strict=True):
+            if isinstance(answer, result.Failure):
+                return result.Failure(answer.failure())
+            contents[name] = answer.unwrap()
+        return self.join(manifest, contents)
+
+    def assemble_received(
+        self, raw_manifest: bytes, received: dict[str, bytes]
+    ) -> result.Result[configuration_models.Configuration, errors.VersionRefusedError]:
+        """Return the configuration of a peer's manifest and the shards that it sent.
+
+        VersionRefusedError if a shard is damaged, or neither sent nor known.
+        """
+        decoded = decode_manifest(raw_manifest)
+        if isinstance(decoded, result.Failure):
+            return result.Failure(decoded.failure())
+        manifest = decoded.unwrap()
+        known = {**self.known_shards, **received}
+        missing = [name for name in manifest.team_shards if name not in known]
+        if missing:
+            return result.Failure(errors.VersionRefusedError(f"{len(missing)} shards are missing"))
+        return self.join(manifest, {name: known[name] for name in manifest.team_shards})
+
+    def join(
+        self, manifest: configuration_models.Manifest, contents: dict[str, bytes]
+    ) -> result.Result[configuration_models.Configuration, errors.VersionRefusedError]:
+        """Return the configuration and keep its parts for the next one and for peers."""
+        try:
+            joined = shards.join(manifest, contents)
+        except (ValueError, msgspec.DecodeError) as error:
+            return result.Failure(errors.VersionRefusedError(f"shard: {error}"))
+        self.known_shards = contents
+        self.version = manifest.version
+        # Peers need no audit entries, which would be most of a small change.
+        self.manifest = msgspec.json.encode(
+            msgspec.structs.replace(manifest, audit=(), audit_rolled=0)
+        )
+        return result.Success(joined)
+
+
+def decode_manifest(
+    raw: bytes,
+) -> result.Result[configuration_models.Manifest, errors.VersionRefusedError]:
+    """Decode a manifest."""
+    try:
+        return result.Success(msgspec.json.decode(raw, type=configuration_models.Manifest))
+    except msgspec.DecodeError as error:
+        return result.Failure(errors.VersionRefusedError(f"manifest: {error}"))
--- a/src/masticward/transport/channels.py
+++ b/src/masticward/transport/channels.py
@@ -81,6 +81,11 @@
 
     __slots__ = ("security",)
 
+    # Set by measurements to count the bytes of messages on each channel.
+    wrap_channel: typing.ClassVar[
+        collections.abc.Callable[[grpc.aio.Channel], grpc.aio.Channel] | None
+    ] = None
+
     def __init__(self, security: settings_module.PeerSecurity) -> None:
         self.security = security
 
@@ -93,6 +98,12 @@
 
     def open_channel(self, address: str) -> grpc.aio.Channel:
         """Open a channel to ``host:port``; calls on it must pass ``metadata``."""
+        channel = self.open_plain_channel(address)
+        wrap = PeerTransport.wrap_channel
+        return channel if wrap is None else wrap(channel)
+
+    def open_plain_channel(self, address: str) -> grpc.aio.Channel:
+        """Open a channel to ``host:port`` that is not measured."""
         if self.security.mode is settings_module.SecurityMode.TLS:
             credentials = grpc.ssl_channel_credentials(
                 read_file(self.security.authority_file),
@@ -148,6 +159,18 @@
         for address in [known for known in self.channels if known not in addresses]:
             await self.channels.pop(address).close()
 
+    async def prune(self, addresses: collections.abc.Set[str]) -> None:
+        """Close the channels to all other addresses that are not connected.
+
+        A connected one may carry calls of an instance that is no longer listed but still works.
+        """
+        for address, channel in list(self.channels.items()):
+            if address in addresses:
+                continue
+            if channel.get_state(try_to_connect=False) is not grpc.ChannelConnectivity.READY:
+                del self.channels[address]
+                await channel.close()
+
     async def close(self) -> None:
         """Close all channels."""
         await self.retain(frozenset())
