--- a/tests/functional/test_dispatch_sessions.py
+++ b/tests/functional/test_dispatch_sessions.py
@@ -1,70 +1,286 @@
 """Guards against tickets lost, doubled or starved when dispatcher sessions fail, over real gRPC."""
 
 import asyncio
+import collections
+import time
+import typing
 import unittest
 
+import grpc.aio
+
 from masticward.coordination import rendezvous, tickets
 from masticward.models import work
 from masticward.transport import channels
+from masticward.wire import masticward_pb2, masticward_pb2_grpc
 from tests.lib import dispatch_fleet
 
+SERVICE = dispatch_fleet.SERVICE
 
-class DispatchSessionsTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.agents = [dispatch_fleet.AgentProcess(f"agent-{n}") for n in range(3)]
-        self.view = dispatch_fleet.FakeView([agent.instance for agent in self.agents])
-        for agent in self.agents:
-            await agent.start(self.view)
-            self.addAsyncCleanup(agent.stop)
+
+class FrozenServicer(masticward_pb2_grpc.DispatchServicer):
+    """Accepts sessions and never answers, like a paused process."""
+
+    async def EntrySession(self, request_iterator: object, context: typing.Any) -> None:  # noqa: N802
+        await asyncio.sleep(30.0)
+
+    async def AgentSession(self, request_iterator: object, context: typing.Any) -> None:  # noqa: N802
+        await asyncio.sleep(30.0)
+
+
+class SessionTestCase(unittest.IsolatedAsyncioTestCase):
+    """An entry and agents in one process; agents and entry may have different views."""
+
+    async def start_fleet(self, count: int, limit: int = 2) -> None:
+        self.agents = [dispatch_fleet.AgentProcess(f"agent-{n}", limit) for n in range(count)]
+        instances = [agent.instance for agent in self.agents]
+        self.agent_view = dispatch_fleet.FakeView(instances)
+        self.entry_view = dispatch_fleet.FakeView(instances)
         self.by_id = {agent.agent_id: agent for agent in self.agents}
-        self.assigned: list[str] = []
-        self.started: dict[str, int] = {}
-        self.serve = True
+        self.started: collections.Counter[str] = collections.Counter()
+        self.service_seconds = 0.02
+        self.declines_left = 0
+
+    async def start_agent(self, agent: dispatch_fleet.AgentProcess, **changes: typing.Any) -> None:
+        await agent.start(self.agent_view, **changes)
+        self.addAsyncCleanup(agent.stop)
+
+    async def start_agents(self) -> None:
+        for agent in self.agents:
+            await self.start_agent(agent)
+
+    async def start_entry(self) -> None:
         self.pool = channels.ChannelPool(dispatch_fleet.transport())
         self.exchange = tickets.DispatchTicketExchange(
-            self.view, self.pool, "entry-1", 1, self.on_assign
+            self.entry_view, self.pool, "entry-1", 1, self.on_assign
         )
         await self.exchange.start()
         self.addAsyncCleanup(self.pool.close)
         self.addAsyncCleanup(self.exchange.close)
 
     def on_assign(self, assignment: work.Assignment) -> bool:
-        self.assigned.append(assignment.ticket_id)
-        if not self.serve:
+        """Run the ticket as the router would; retry it if its slot is not valid."""
+        if self.declines_left:
+            self.declines_left -= 1
+            self.submit(assignment.ticket_id)
             return False
         source = self.by_id[assignment.slot.agent_id].source
         if source.begin(assignment.ticket_id, "red", assignment.slot.id):
-            self.started[assignment.ticket_id] = self.started.get(assignment.ticket_id, 0) + 1
+            self.started[assignment.ticket_id] += 1
             loop = asyncio.get_running_loop()
-            loop.call_later(0.02, source.end, assignment.ticket_id, 5.0)
+            loop.call_later(self.service_seconds, source.end, assignment.ticket_id, 5.0)
         else:
             self.exchange.decline(assignment, slot_valid=False)
-            self.exchange.submit(dispatch_fleet.ticket(assignment.ticket_id, "red", retried=True))
+            self.submit(assignment.ticket_id, retried=True)
         return True
 
-    def primary(self) -> dispatch_fleet.AgentProcess:
-        ranked = rendezvous.rank(
-            dispatch_fleet.SERVICE, self.view.agents_of(dispatch_fleet.SERVICE)
-        )
-        return self.by_id[ranked[0].id]
-
-    async def test_every_ticket_is_assigned_once(self) -> None:
-        for number in range(60):
-            self.exchange.submit(dispatch_fleet.ticket(f"t{number}", "red"))
-        self.assertTrue(await dispatch_fleet.wait_until(lambda: len(self.started) == 60))
-        self.assertEqual([1] * 60, list(self.started.values()))
-        ledger = self.primary().dispatcher.ledger
+    def submit(self, *ticket_ids: str, **changes: object) -> None:
+        for ticket_id in ticket_ids:
+            self.exchange.submit(dispatch_fleet.ticket(ticket_id, "red", **changes))
+
+    def ranked(self) -> list[dispatch_fleet.AgentProcess]:
+        instances = [agent.instance for agent in self.agents]
+        return [self.by_id[item.id] for item in rendezvous.rank(SERVICE, instances)]
+
+    async def assert_started_once(self, count: int) -> None:
+        await dispatch_fleet.wait_until(lambda: len(self.started) == count)
+        await asyncio.sleep(0.2)  # Time for a second assignment to show.
+        self.assertEqual([1] * count, list(self.started.values()))
+
+
+class SessionsTest(SessionTestCase):
+    async def test_every_ticket_is_assigned_once_and_charged(self) -> None:
+        await self.start_fleet(3)
+        await self.start_agents()
+        await self.start_entry()
+        self.submit(*(f"t{number}" for number in range(60)))
+        await self.assert_started_once(60)
+        ledger = self.ranked()[0].dispatcher.ledger
         self.assertTrue(await dispatch_fleet.wait_until(lambda: ledger.included_total == 300.0))
+        self.assertGreater(self.agents[0].source.hop_seconds, 0.0)
 
-    async def test_standby_takes_over_without_losing_or_doubling_a_ticket(self) -> None:
-        first = self.primary()
+    async def test_declined_slots_serve_other_tickets(self) -> None:
+        await self.start_fleet(1, limit=1)
+        await self.start_agents()
+        await self.start_entry()
+        self.declines_left = 3
+        self.submit("t1", "t2")
+        await self.assert_started_once(2)
+        self.assertEqual(3, self.agents[0].dispatcher.declined_slots)
+
+    async def test_idle_agent_keeps_usable_slots_and_reports_nothing(self) -> None:
+        """Fails if slots expire without replacement, or if an idle agent keeps reporting."""
+        await self.start_fleet(1)
+        await self.start_agents()
+        agent = self.agents[0]
+        await dispatch_fleet.wait_until(lambda: agent.dispatcher.free_slots == 2)
+        first = agent.source.next_slot
+        sent = []
+        link = agent.offers.primary.link
+        link.report = sent.append
+        await dispatch_fleet.wait_until(lambda: agent.source.next_slot >= first + 4)
+        self.assertEqual([], sent)
+        await self.start_entry()
+        self.submit("t1", "t2")
+        await self.assert_started_once(2)
+
+    async def test_expired_slots_are_not_assigned(self) -> None:
+        """Fails if a slot is assigned after its agent has stopped honouring it."""
+        await self.start_fleet(1)
+        await self.start_agents()
+        agent = self.agents[0]
+        await dispatch_fleet.wait_until(lambda: agent.dispatcher.free_slots == 2)
+        agent.source.limit = 0
+        await dispatch_fleet.wait_until(lambda: agent.dispatcher.free_slots == 0)
+        await self.start_entry()
+        self.submit("t1")
+        await asyncio.sleep(0.3)
+        self.assertEqual({}, dict(self.started))
+        agent.source.limit = 1
+        agent.source.changed.set()
+        await self.assert_started_once(1)
+
+    async def test_short_calls_wait_for_no_timer(self) -> None:
+        """Fails if offers or assignments wait for a period of 200 ms or 500 ms."""
+        await self.start_fleet(1, limit=1)
+        await self.start_agents()
+        await self.start_entry()
+        self.service_seconds = 0.0
+        begun = time.monotonic()
         for number in range(100):
-            self.exchange.submit(dispatch_fleet.ticket(f"t{number}", "red"))
+            self.submit(f"t{number}")
+            await dispatch_fleet.wait_until(lambda count=number: len(self.started) > count)
+        self.assertLess(time.monotonic() - begun, 100 * 0.1)
+
+    async def test_withdrawn_ticket_is_not_assigned(self) -> None:
+        await self.start_fleet(1, limit=1)
+        await self.start_agents()
+        await self.start_entry()
+        self.submit("t1", "t2", "t3")
+        self.exchange.withdraw("t2")
+        await self.assert_started_once(2)
+        self.assertEqual({"t1", "t3"}, set(self.started))
+
+    async def test_retracted_agent_gets_no_work(self) -> None:
+        await self.start_fleet(2, limit=1)
+        await self.start_agents()
+        retracted = self.agents[0]
+        dispatcher = self.ranked()[0].dispatcher
+        await dispatch_fleet.wait_until(lambda: dispatcher.free_slots == 2)
+        retracted.source.retracted = True
+        retracted.source.changed.set()
+        await dispatch_fleet.wait_until(lambda: dispatcher.free_slots == 1)
+        await self.start_entry()
+        self.submit(*(f"t{number}" for number in range(10)))
+        await self.assert_started_once(10)
+        self.assertEqual({}, retracted.source.counters)
+
+
+class TakeoverTest(SessionTestCase):
+    async def test_standby_takes_over_without_losing_or_doubling_a_ticket(self) -> None:
+        await self.start_fleet(3)
+        await self.start_agents()
+        await self.start_entry()
+        self.submit(*(f"t{number}" for number in range(100)))
         await dispatch_fleet.wait_until(lambda: len(self.started) >= 20)
+        first, second, _ = self.ranked()
+        await first.stop()
+        await self.assert_started_once(100)
+        self.assertEqual(second.agent_id, self.exchange.dispatcher_of(SERVICE))
+
+    async def test_standby_continues_the_virtual_times(self) -> None:
+        """Fails if the standby starts from zero or charges the past again."""
+        await self.start_fleet(3)
+        await self.start_agents()
+        await self.start_entry()
+        first, second, _ = self.ranked()
+        self.submit(*(f"t{number}" for number in range(400)))
+        await dispatch_fleet.wait_until(lambda: second.dispatcher.ledger.candidate is not None)
         await first.stop()
-        self.assertTrue(await dispatch_fleet.wait_until(lambda: len(self.started) == 100))
-        self.assertEqual({1}, set(self.started.values()))
-        self.assertNotEqual(first.agent_id, self.exchange.dispatcher_of(dispatch_fleet.SERVICE))
+        await dispatch_fleet.wait_until(lambda: second.dispatcher.turn > 0)
+        await self.assert_started_once(400)
+        ledger = second.dispatcher.ledger
+        rendered = sum(agent.source.counters.get("red", 0.0) for agent in self.agents)
+        # What the first dispatcher's own agent rendered after its last report is not reported.
+        unreported = first.source.counters.get("red", 0.0)
+        await dispatch_fleet.wait_until(lambda: ledger.included_total >= rendered - unreported)
+        self.assertLessEqual(rendered - unreported, ledger.included_total)
+        self.assertLessEqual(ledger.included_total, rendered)
+
+    async def test_new_dispatcher_gets_the_snapshot_with_hello(self) -> None:
+        """Fails if a dispatcher that starts after the loss of both others starts from zero."""
+        await self.start_fleet(3)
+        first, second, third = self.ranked()
+        for agent in (second, third):
+            await self.start_agent(agent)
+        self.agent_view.suspect(first.agent_id)
+        self.entry_view.suspect(first.agent_id)
+        await self.start_entry()
+        self.submit(*(f"t{number}" for number in range(100)))
+        await dispatch_fleet.wait_until(lambda: third.offers.snapshot is not None)
+        await self.start_agent(first)
+        included = third.offers.snapshot.included_total
+        for view in (self.agent_view, self.entry_view):
+            view.suspected.clear()
+            view.changed()
+        await self.assert_started_once(100)
+        self.assertGreaterEqual(first.dispatcher.ledger.included_total, included)
+        self.assertGreater(first.dispatcher.restoration_deadline, 0.0, "no snapshot adopted")
+
+    async def test_slots_follow_the_tickets_to_the_standby(self) -> None:
+        """Fails if slots idle at a primary that the entries cannot reach."""
+        await self.start_fleet(2)
+        await self.start_agents()
+        first, second = self.ranked()
+        await dispatch_fleet.wait_until(lambda: first.dispatcher.free_slots == 4)
+        self.entry_view.suspect(first.agent_id)
+        await self.start_entry()
+        self.submit(*(f"t{number}" for number in range(20)))
+        await self.assert_started_once(20)
+        self.assertEqual(second.agent_id, self.exchange.dispatcher_of(SERVICE))
+
+    async def test_frozen_dispatcher_is_left(self) -> None:
+        """Fails if an entry or an agent waits for good for a dispatcher without pongs."""
+        await self.start_fleet(2)
+        first, second = self.ranked()
+        masticward_pb2_grpc.add_DispatchServicer_to_server(FrozenServicer(), first.server)
+        await first.server.start()
+        self.addAsyncCleanup(first.server.stop, None)
+        await self.start_agent(second)
+        await self.start_entry()
+        self.submit("t1", "t2")
+        await self.assert_started_once(2)
+        self.assertIn(first.agent_id, self.entry_view.suspected)
+        self.assertIn(first.agent_id, self.agent_view.suspected)
+
+    async def test_silent_entry_loses_its_tickets(self) -> None:
+        """Fails if a frozen entry keeps a place in the queue."""
+        await self.start_fleet(1)
+        await self.start_agents()
+        agent = self.agents[0]
+        agent.source.limit = 0
+        pool = channels.ChannelPool(dispatch_fleet.transport())
+        self.addAsyncCleanup(pool.close)
+        stub = masticward_pb2_grpc.DispatchStub(pool.get(agent.instance.peer_address))
+        call = stub.EntrySession(metadata=pool.transport.metadata)
+        hello = masticward_pb2.EntryHello(entry_id="entry-9", service=SERVICE)
+        await call.write(masticward_pb2.EntryMessage(hello=hello))
+        ticket = masticward_pb2.Enqueue(ticket_id="t1", team="red", remaining_ms=60_000)
+        await call.write(masticward_pb2.EntryMessage(enqueue=ticket))
+        self.assertTrue(await dispatch_fleet.wait_until(lambda: agent.dispatcher.waiting == 1))
+        self.assertTrue(await dispatch_fleet.wait_until(lambda: agent.dispatcher.waiting == 0))
+        self.assertEqual(grpc.StatusCode.DEADLINE_EXCEEDED, await call.code())
+
+    async def test_session_for_another_service_is_refused(self) -> None:
+        await self.start_fleet(1)
+        await self.start_agents()
+        pool = channels.ChannelPool(dispatch_fleet.transport())
+        self.addAsyncCleanup(pool.close)
+        stub = masticward_pb2_grpc.DispatchStub(pool.get(self.agents[0].instance.peer_address))
+        call = stub.EntrySession(metadata=pool.transport.metadata)
+        hello = masticward_pb2.EntryHello(entry_id="entry-9", service="booking")
+        await call.write(masticward_pb2.EntryMessage(hello=hello))
+        self.assertEqual(grpc.StatusCode.INVALID_ARGUMENT, await call.code())
+        self.assertEqual({}, self.agents[0].dispatcher.entries)
 
 
 if __name__ == "__main__":
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -72,8 +72,8 @@
         self.enqueue("t1", "t2")
         self.offer(peer, 7)
         self.decline(self.assignments()[0], slot_valid=False)
-        self.assertEqual(([], 0, 0.0), (self.assignments(), self.dispatcher.free_slots, 0.0))
-        self.assertEqual(0.0, self.reserved())
+        self.assertEqual([], self.assignments())
+        self.assertEqual((0, 0.0), (self.dispatcher.free_slots, self.reserved()))
 
     def test_slot_near_its_deadline_is_returned_not_assigned(self) -> None:
         peer = self.open_agent("agent-1")
@@ -126,6 +126,11 @@
         self.enqueue("t1", "t2")
         self.dispatcher.close_entry(self.entry)
         self.assertEqual((0, 1), (self.dispatcher.waiting, self.dispatcher.free_slots))
+        self.assertEqual(0, len(self.dispatcher.ledger.active))
+        self.dispatcher.retract(peer)
+        self.enqueue("t3")
+        self.dispatcher.close_entry(self.entry)
+        self.assertEqual(0, self.dispatcher.waiting)
         self.assertEqual(0.0, self.reserved())
 
     def test_old_session_of_an_agent_does_not_end_the_new_one(self) -> None:
--- a/tests/unit/test_fair_queue_model.py
+++ b/tests/unit/test_fair_queue_model.py
@@ -16,6 +16,13 @@
 AGENTS = ("agent-1", "agent-2")
 FAR = 1e9
 COSTS = strategies.integers(0, 120).map(float)
+INDEXES = strategies.integers(0, 1000)
+ENDS = strategies.sampled_from([False, False, True])
+
+
+def pick(items: dict[str, object], index: int) -> str:
+    """Return one of the keys."""
+    return sorted(items)[index % len(items)]
 
 
 class FairQueueMachine(stateful.RuleBasedStateMachine):
@@ -65,11 +72,16 @@
         self.now += 1.0
         self.enqueue(team, hint, retried, lifetime)
 
-    @stateful.rule(data=strategies.data())
-    def cancel(self, data: strategies.DataObject) -> None:
-        waiting = sorted(self.queue.waiting)
-        hypothesis.assume(waiting)
-        ticket_id = data.draw(strategies.sampled_from(waiting))
+    @stateful.initialize(teams=strategies.permutations(TEAMS))
+    def start_backlogged(self, teams: list[str]) -> None:
+        for team in teams:
+            self.enqueue(team, 20.0, False, FAR)
+            self.enqueue(team, 1.0, False, FAR)
+
+    @stateful.precondition(lambda self: self.queue.waiting)
+    @stateful.rule(index=INDEXES)
+    def cancel(self, index: int) -> None:
+        ticket_id = pick(self.queue.waiting, index)
         assert self.queue.remove(ticket_id) is not None
         self.oracle.append("drop", ticket_id)
 
@@ -98,16 +110,18 @@
         self.running[taken.ticket.id] = (agent, team, 0.0)
         self.oracle.append("take", taken.ticket.id)
 
-    @stateful.rule(data=strategies.data(), cost=COSTS)
-    def render(self, data: strategies.DataObject, cost: float) -> None:
-        hypothesis.assume(self.running)
-        ticket_id = data.draw(strategies.sampled_from(sorted(self.running)))
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(index=INDEXES, cost=COSTS, reported=strategies.booleans(), ends=ENDS)
+    def render(self, index: int, cost: float, reported: bool, ends: bool) -> None:
+        ticket_id = pick(self.running, index)
         agent, team, before = self.running[ticket_id]
         totals = self.agents[agent][1]
         totals[team] = totals.get(team, 0.0) + cost
         self.running[ticket_id] = (agent, team, before + cost)
+        if reported:
+            self.report(agent, ends)
 
-    @stateful.rule(agent=strategies.sampled_from(AGENTS), ends=strategies.booleans())
+    @stateful.rule(agent=strategies.sampled_from(AGENTS), ends=ENDS)
     def report(self, agent: str, ends: bool) -> None:
         progress = {key: cost for key, (owner, _, cost) in self.running.items() if owner == agent}
         finished = progress if ends else {}
@@ -128,10 +142,10 @@
             self.queue.report(agent, incarnation, lower, {}, {})
             self.queue.report(agent, incarnation - 1, dict.fromkeys(TEAMS, 1000000000.0), {}, {})
 
-    @stateful.rule(data=strategies.data())
-    def end_unused(self, data: strategies.DataObject) -> None:
-        hypothesis.assume(self.running)
-        ticket_id = data.draw(strategies.sampled_from(sorted(self.running)))
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(index=INDEXES)
+    def end_unused(self, index: int) -> None:
+        ticket_id = pick(self.running, index)
         del self.running[ticket_id]
         assert self.queue.settle(ticket_id)
         self.oracle.append("settle", ticket_id, 0.0)
@@ -153,12 +167,12 @@
 
     @stateful.precondition(lambda self: self.stored is not None)
     @stateful.rule(
-        team=strategies.sampled_from(TEAMS),
+        teams=strategies.permutations(TEAMS),
         report_first=strategies.booleans(),
         older=strategies.booleans(),
     )
-    def replace_dispatcher(self, team: str, report_first: bool, older: bool) -> None:
-        """A new dispatcher gets the stored snapshot, all counters and then a first ticket."""
+    def replace_dispatcher(self, teams: list[str], report_first: bool, older: bool) -> None:
+        """A new dispatcher gets the stored snapshot, all counters and then tickets."""
         index, snapshot = self.stored
         self.queue = self.new_queue()
         if not report_first:
@@ -175,7 +189,8 @@
         self.running.clear()
         self.stored = None
         self.now += 1.0
-        self.enqueue(team, 10.0, False, FAR)
+        for team in teams:
+            self.enqueue(team, 10.0, False, FAR)
 
     @stateful.invariant()
     def agrees_with_the_oracle(self) -> None:
