--- a/src/masticward/coordination/dispatcher.py
+++ b/src/masticward/coordination/dispatcher.py
@@ -8,7 +8,7 @@
 import sortedcontainers
 
 from masticward import events, logs, settings
-from masticward.coordination import fleet_view
+from masticward.coordination import fleet_view, rendezvous
 from masticward.models import work
 from masticward.protocol import dispatch_role
 from masticward.state import fair_queue, ledger
@@ -23,6 +23,7 @@
 # After adopting a snapshot, entries need up to a session timeout to queue their tickets again.
 RESTORATION_SECONDS = 3.0
 TICK_SECONDS = 0.1
+CANDIDATE_COUNT = 3
 UNKNOWN_MAXIMUM_COST = 10_000.0
 
 
@@ -275,6 +276,11 @@
         """Return the open agent sessions."""
         return [agent.peer for agent in self.agents.values()]
 
+    def candidates(self) -> frozenset[str]:
+        """Return the first three candidates: this dispatcher and the two that follow it."""
+        ranked = rendezvous.rank(self.service, self.view.agents_of(self.service))
+        return frozenset(agent.id for agent in ranked[:CANDIDATE_COUNT])
+
     # Matching
 
     def match(self) -> None:
--- a/src/masticward/protocol/dispatch_role.py
+++ b/src/masticward/protocol/dispatch_role.py
@@ -34,7 +34,7 @@
         "availability_zone",
         "incarnation",
         "outbox",
-        "snapshot_sent",
+        "snapshot_due",
     )
 
     def __init__(
@@ -45,7 +45,8 @@
         self.address = address
         self.availability_zone = availability_zone
         self.outbox: asyncio.Queue[masticward_pb2.DispatcherToAgent] = asyncio.Queue()
-        self.snapshot_sent = False
+        # Monotonic seconds before which the agent gets no further snapshot.
+        self.snapshot_due = 0.0
 
     def return_slots(self, slot_ids: list[int]) -> None:
         """Tell the agent that slots were discarded without being assigned."""
@@ -135,6 +136,10 @@
     def agent_peers(self) -> list[AgentPeer]:
         """Return the open agent sessions."""
 
+    @abc.abstractmethod
+    def candidates(self) -> frozenset[str]:
+        """Return the ids of the agents that take over if this dispatcher is lost."""
+
     @property
     @abc.abstractmethod
     def waiting(self) -> int:
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -1,6 +1,7 @@
 """The Dispatch servicer: sessions of entries and agents with the dispatcher of this process."""
 
 import asyncio
+import time
 import typing
 
 import grpc
@@ -14,6 +15,9 @@
 
 LOG = logs.get_logger(__name__)
 SNAPSHOT_SECONDS = 0.5
+# Agents that are not next in line get a large snapshot less often, so that it stays within their
+# control traffic of 14 KB per second. An older one is as consistent: counters since then are added.
+SNAPSHOT_BYTES_PER_SECOND = 4000.0
 # Peers ping every 500 ms; a peer silent for this long is frozen or cut off.
 SILENCE_SECONDS = 2.0
 SessionContext = typing.Any
@@ -198,8 +202,13 @@
             message = masticward_pb2.DispatcherToAgent(
                 snapshot=snapshots.to_wire(self.dispatcher.service, snapshot)
             )
+            spacing = message.ByteSize() / SNAPSHOT_BYTES_PER_SECOND
+            now = time.monotonic()
+            candidates = self.dispatcher.candidates()
             for peer in self.dispatcher.agent_peers():
-                peer.outbox.put_nowait(message)
+                if peer.agent_id in candidates or peer.snapshot_due <= now:
+                    peer.snapshot_due = now + spacing
+                    peer.outbox.put_nowait(message)
 
 
 def read_decline(message: masticward_pb2.DeclineSlot) -> dispatch_role.DeclinedSlot:
