Ask more peers when none has answered for 0.8 s

Cause: with one peer a round, several peers that fall silent together (a rack, a zone) can be asked one after another, and an agent then refuses work as stale.

--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -30,6 +30,9 @@
 CONFIGURATION_FETCH_SECONDS = 2.0
 OPERATIONS_FETCH_SECONDS = 0.6
 FRESH_SECONDS = 2.0
+# Longer than a round. When several peers die at once, the one peer of each round may be among them
+# until the view is stale, so the rounds ask more peers before that.
+WIDEN_AFTER_SECONDS = 0.8
 # One lost exchange may be a pause of a busy machine.
 FAILURES_BEFORE_SUSPICION = 2
 # Each pending watch counts as one call of the object API.
@@ -395,8 +398,9 @@
                 continue
 
     def peers_of_round(self) -> int:
-        """Return how many peers the next round asks."""
-        if self.extra_rounds > 0:
+        """Return how many peers the next round asks: more if a version is new or none answered."""
+        unanswered_seconds = time.monotonic() - self.latest_answered_send
+        if self.extra_rounds > 0 or unanswered_seconds > WIDEN_AFTER_SECONDS:
             return peer_rotation.PEERS_PER_EXTRA_ROUND
         return peer_rotation.PEERS_PER_ROUND
 
--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -224,6 +224,35 @@
         self.assertLess(took, HEALED_SECONDS)
 
 
+class WideningTest(unittest.IsolatedAsyncioTestCase):
+    async def test_view_stays_fresh_when_several_peers_fall_silent_together(self) -> None:
+        """Fails if an agent refuses work because it asks one dead peer after another."""
+        platform = platforms.Platform()
+        await platform.start()
+        self.addAsyncCleanup(platform.close)
+        silent = [
+            await platform.add(platforms.make_entry("e1"), gated=True),
+            *[
+                await platform.add(platforms.make_agent(f"a{number}"), gated=True)
+                for number in range(1, 5)
+            ],
+        ]
+        agent = await platform.add(platforms.make_agent("a5"))
+        await platform.add(platforms.make_agent("a6"))
+        await platforms.wait_until(lambda: len(agent.view.rotation.all_partners()) == 6, "known")
+        stale: list[float] = []
+        for process in silent:
+            assert process.gate is not None
+            process.gate.begin()
+        # Starts the rotation with the silent ones, as can happen by chance.
+        agent.view.rotation.turn = 0
+        ends_at = time.monotonic() + 3.5
+        while time.monotonic() < ends_at:
+            stale.append(max(0.0, time.monotonic() - agent.view.fresh_until()))
+            await asyncio.sleep(0.02)
+        self.assertEqual(0.0, max(stale))
+
+
 class FreshnessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.platform = platforms.Platform()
