Tell agents the entry's peer address, drain before the notice, record outcomes before exit

Cause: agents could not fetch versions newer than their own from the entry that showed them; kept connections were asked to close only after the listener was closed; pending claim changes were dropped at exit, which left finished keys unknown. Change: RunRequest carries entry_peer_address; begin_drain runs before the notice; the entry waits up to 5 s for claim changes.

--- a/src/masticward/daemons/entry.py
+++ b/src/masticward/daemons/entry.py
@@ -11,6 +11,9 @@
 from masticward.models import membership
 from masticward.protocol import attempt_client
 from masticward.transport import entry_http
+from masticward.utils import clocks
+
+CLAIMS_CLOSE_SECONDS = 5.0  # while the object API is down, the rest is given up after this time
 
 
 class EntryDaemon(common.Node):
@@ -35,7 +38,7 @@
             self.view,
             self.settings.limits,
             instance.id,
-            attempt_client.GrpcAttemptClient(self.channels),
+            attempt_client.GrpcAttemptClient(self.channels, instance.peer_address),
             self.claims,
             self.metrics,
         )
@@ -54,12 +57,15 @@
         """Finish queued and running requests, then stop."""
         self.stopping = True
         self.view.announce_leaving()
+        # Callers close kept connections with their next response, before the listener closes.
+        self.router.begin_drain()
         # The balancer needs this time to notice that readiness has failed.
         await asyncio.sleep(self.settings.limits.drain_notice_seconds)
         self.http.stop_listening()
-        self.router.begin_drain()
         await self.router.drained()
         await self.http.close()
+        # An outcome that is not recorded leaves its key unknown to repeats.
+        await self.claims.close(clocks.deadline_after(CLAIMS_CLOSE_SECONDS))
         await self.tickets.close()
         await self.close_common()
 
--- a/src/masticward/protocol/attempt_client.py
+++ b/src/masticward/protocol/attempt_client.py
@@ -55,12 +55,16 @@
 
 
 class GrpcAttemptClient(AttemptClient):
-    """Sends attempts over the channels to the agents."""
+    """Sends attempts over the channels to the agents.
 
-    __slots__ = ("channels",)
+    ``peer_address`` is this entry's own, from which agents fetch versions newer than theirs.
+    """
+
+    __slots__ = ("channels", "peer_address")
 
-    def __init__(self, channels: channels_module.ChannelPool) -> None:
+    def __init__(self, channels: channels_module.ChannelPool, peer_address: str = "") -> None:
         self.channels = channels
+        self.peer_address = peer_address
 
     async def run(
         self, attempt: AttemptRequest
@@ -73,7 +77,7 @@
         attempt.sent = True
         stub: typing.Any = masticward_pb2_grpc.AttemptStub(channel)
         call = stub.Run(
-            to_wire(attempt),
+            to_wire(attempt, self.peer_address),
             metadata=self.channels.transport.metadata,
             timeout=clocks.remaining_seconds(attempt.answer_deadline),
         )
@@ -159,7 +163,7 @@
                 assembler.add(frame)
 
 
-def to_wire(attempt: AttemptRequest) -> masticward_pb2.RunRequest:
+def to_wire(attempt: AttemptRequest, peer_address: str) -> masticward_pb2.RunRequest:
     """Return the wire form of an attempt."""
     call = attempt.call
     return masticward_pb2.RunRequest(
@@ -180,4 +184,5 @@
         headers=[masticward_pb2.Header(name=name, value=value) for name, value in call.headers],
         body=call.body,
         cost_hint=call.cost_hint,
+        entry_peer_address=peer_address,
     )
--- a/tests/functional/test_attempt_client.py
+++ b/tests/functional/test_attempt_client.py
@@ -24,9 +24,9 @@
             self.assertIsInstance(events[-1], frames.ResponseEnd)
             sent = agent.requests[0]
             self.assertEqual(
-                ("a-1", 3, 7, 4, 5, b"{}"),
+                ("a-1", 3, 7, 4, 5, b"{}", "127.0.0.1:8"),
                 (sent.attempt_id, sent.agent_incarnation, sent.slot_id, sent.config_version,
-                 sent.operations_version, sent.body),
+                 sent.operations_version, sent.body, sent.entry_peer_address),
             )  # fmt: skip
 
     async def test_stream_cut_at_every_position_may_have_run(self) -> None:
--- a/tests/lib/attempt_fakes.py
+++ b/tests/lib/attempt_fakes.py
@@ -75,7 +75,7 @@
         )
         self.server = self.transport.create_server()
         self.pool = channels.ChannelPool(self.transport)
-        self.client = attempt_client.GrpcAttemptClient(self.pool)
+        self.client = attempt_client.GrpcAttemptClient(self.pool, "127.0.0.1:8")
         self.frames: list[masticward_pb2.RunFrame] = []
         self.hold = False
         self.requests: list[masticward_pb2.RunRequest] = []
@@ -86,7 +86,8 @@
         self.requests.append(request)
         try:
             for frame in self.frames:
-                yield frame
+                # grpc does not close a generator whose caller has gone.
+                await context.write(frame)
             if self.hold:
                 await asyncio.Event().wait()
         except asyncio.CancelledError:
