Bound the entry's connections, replacing idle ones first

Cause: callers that only connect could use up the entry's descriptors and memory. Change: above two connections for each place in the queue a new connection replaces an idle one, or is refused if none is idle. The router's test view is an autospec mock instead of a class.

--- a/src/masticward/transport/entry_http.py
+++ b/src/masticward/transport/entry_http.py
@@ -23,6 +23,7 @@
 REQUEST_ID_HEADER = "masticward-request-id"
 OUTCOME_HEADER = "masticward-outcome"
 LISTEN_BACKLOG = 1024
+CONNECTIONS_PER_QUEUE_PLACE = 2  # one may wait, one runs or is idle
 IDLE_CONNECTION_SECONDS = 75.0
 # Above the longest deadline, because sanic would otherwise cancel a request that still waits.
 RESPONSE_MARGIN_SECONDS = 60.0
@@ -43,7 +44,8 @@
 class CallerConnection(http_protocol.HttpProtocol):
     """A connection that bounds the time in which a request's head arrives.
 
-    sanic restarts its own time-out with each byte, so a slow sender could stay forever.
+    sanic restarts its own time-out with each byte, so a slow sender could stay forever. A new
+    connection above the limit replaces an idle one, or is refused if none is idle.
     """
 
     __slots__ = ("head_seconds", "head_timer", "in_request")
@@ -54,6 +56,20 @@
         self.head_timer: asyncio.TimerHandle | None = None
         self.in_request = False
 
+    def connection_made(self, transport: typing.Any) -> None:
+        """Accept the connection if there is room."""
+        super().connection_made(transport)  # type: ignore[no-untyped-call]
+        if len(self.connections) > self.app.ctx.connection_limit and not self.replace_idle():
+            transport.abort()
+
+    def replace_idle(self) -> bool:
+        """Close another connection without a request; False if there is none."""
+        return any(
+            connection.close_if_idle()
+            for connection in list(self.connections)
+            if connection is not self and not connection.transport.is_closing()
+        )
+
     def data_received(self, data: bytes) -> None:
         """Pass data on and start the timer of a new head."""
         if not self.in_request:
@@ -194,6 +210,7 @@
         app: typing.Any = sanic.Sanic(
             f"masticward-entry-{next(instance_numbers)}", configure_logging=False
         )
+        app.ctx.connection_limit = self.limits.queue_requests * CONNECTIONS_PER_QUEUE_PLACE
         app.config.update(
             {
                 "RESPONSE_TIMEOUT": self.limits.maximum_deadline_seconds + RESPONSE_MARGIN_SECONDS,
--- a/tests/functional/test_entry_http.py
+++ b/tests/functional/test_entry_http.py
@@ -108,6 +108,24 @@
                 sender.cancel()
                 writer.close()
 
+    async def test_idle_connections_make_room_and_busy_ones_stay(self) -> None:
+        """Fails if callers that only connect can use up the entry's connections."""
+        limits = settings.EntryLimits(queue_requests=1)
+        gate = asyncio.Event()
+        async with entry_http_client.ServerFixture(
+            entry_fakes.answer(b"x", gate=gate), limits=limits
+        ) as server:
+            busy, busy_writer = await server.connect()
+            busy_writer.write(entry_http_client.request("/v1/book"))
+            await entry_fakes.until(lambda: server.entry.attempts.runs)
+            idle = [await server.connect() for _ in range(4)]
+            for reader, _ in idle[:-1]:
+                self.assertEqual(b"", await asyncio.wait_for(reader.read(), 5))
+            gate.set()
+            self.assertEqual(200, parse(await busy.read())[0])
+            for writer in (busy_writer, *(writer for _, writer in idle)):
+                writer.close()
+
     async def test_vanished_caller_cancels_only_a_model_attempt(self) -> None:
         gate = asyncio.Event()
         slow = entry_fakes.answer(b"x", gate=gate)
--- a/tests/lib/entry_fakes.py
+++ b/tests/lib/entry_fakes.py
@@ -4,12 +4,14 @@
 import collections.abc
 import hashlib
 import time
+import typing
+import unittest.mock
 
 from masticward import errors, settings
 from masticward.coordination import claims as claims_module
 from masticward.coordination import fleet_view, router, tickets
 from masticward.models import configuration as configuration_models
-from masticward.models import membership, work
+from masticward.models import work
 from masticward.protocol import attempt_client
 from masticward.state import frames
 from masticward.transport import request_gate, response_sink
@@ -57,49 +59,15 @@
     )
 
 
-class FakeView(fleet_view.FleetView):
-    def __init__(self) -> None:
-        self.stored: configuration_models.Configuration | None = build_configuration()
-        self.out: set[str] = set()
-        self.suspected: list[str] = []
-        self.noted: list[tuple[int, int, str]] = []
-
-    @property
-    def configuration(self) -> configuration_models.Configuration | None:
-        return self.stored
-
-    @property
-    def operations(self) -> configuration_models.OperationsState:
-        return configuration_models.OperationsState(version=1)
-
-    def members(self) -> list[membership.Instance]:
-        return []
-
-    def agents_of(self, service: str) -> list[membership.Instance]:
-        return []
-
-    def is_out(self, instance_id: str, availability_zone: str) -> bool:
-        return instance_id in self.out
-
-    def is_leaving(self, instance_id: str) -> bool:
-        return False
-
-    def fresh_until(self) -> float:
-        return time.monotonic() + 2.0
-
-    def suspect(self, instance_id: str) -> None:
-        self.suspected.append(instance_id)
-
-    def note_versions(
-        self, config_version: int, operations_version: int, peer_address: str
-    ) -> None:
-        self.noted.append((config_version, operations_version, peer_address))
-
-    def announce_leaving(self) -> None:
-        pass
-
-    def subscribe(self, callback: collections.abc.Callable[[], None]) -> None:
-        pass
+def build_view() -> typing.Any:
+    """Return a view that knows the configuration; instances in ``out`` are out of service."""
+    view = unittest.mock.create_autospec(fleet_view.FleetView, instance=True)
+    view.configuration = build_configuration()
+    view.operations = configuration_models.OperationsState(version=1)
+    view.out = set()
+    view.is_out.side_effect = lambda instance_id, zone: instance_id in view.out
+    view.is_leaving.return_value = False
+    return view
 
 
 class FakeExchange(tickets.TicketExchange):
@@ -236,7 +204,7 @@
         limits: settings.EntryLimits | None = None,
         claims: claims_module.ClaimService | None = None,
     ) -> None:
-        self.view = FakeView()
+        self.view = build_view()
         self.attempts = ScriptedAttempts(*steps)
         self.limits = limits or settings.EntryLimits()
         self.router = router.Router(self.view, self.limits, "entry-1", self.attempts, claims)
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -254,7 +254,7 @@
             with self.assertRaises(errors.RequestRefusedError) as caught:
                 await fixture.call(path, team=team)
             self.assertEqual(status, caught.exception.status)
-        fixture.view.stored = None
+        fixture.view.configuration = None
         with self.assertRaises(errors.RequestRefusedError) as caught:
             await fixture.call("/v1/book")
         self.assertEqual(503, caught.exception.status)
