--- a/tests/lib/entry_fakes.py
+++ b/tests/lib/entry_fakes.py
@@ -35,7 +35,10 @@
             configuration_models.Service(
                 name="model",
                 kind=configuration_models.ServiceKind.LANGUAGE_MODEL,
-                operations=(operation("generate", "/v1/generate", True),),
+                operations=(
+                    operation("generate", "/v1/generate", True),
+                    operation("act", "/v1/act", False),
+                ),
                 **common,
             ),
             configuration_models.Service(
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -191,6 +191,16 @@
             self.assertEqual(b"seat", (await fixture.call("/v1/book", key=key)).body)
         self.assertEqual(2, len(fixture.attempts.runs))
 
+    async def test_key_of_a_cancelled_model_call_stays_taken(self) -> None:
+        """Fails if a call that may have run gives up its claim because its caller left."""
+        fixture = self.build(entry_fakes.answer(b"x", gate=asyncio.Event()))
+        call = fixture.start("/v1/act", key="k")
+        await entry_fakes.until(lambda: fixture.attempts.runs)
+        call.cancel()
+        await fixture.router.drained()
+        self.assertEqual(409, (await fixture.call("/v1/act", key="k")).status)
+        self.assertEqual(1, len(fixture.attempts.runs))
+
     async def test_store_outage_refuses_only_keyed_calls(self) -> None:
         fixture = self.build(entry_fakes.answer(b"ok"))
         self.store.down = True
