--- a/src/masticward/bench/experiment.py
+++ b/src/masticward/bench/experiment.py
@@ -52,7 +52,7 @@
     latencies: dict[str, load.Latencies]
     control_bytes_per_node_second: float
     platform_bytes_per_node_second: float
-    bytes_by_method: dict[str, int]
+    bytes_by_method: dict[str, dict[str, int]]
     cpu_seconds: float
     peak_memory_bytes: int
 
--- a/src/masticward/bench/traffic.py
+++ b/src/masticward/bench/traffic.py
@@ -31,9 +31,15 @@
         counted = self.sent + self.received
         return sum(size for method, size in counted.items() if method not in DATA_METHODS)
 
-    def by_method(self) -> dict[str, int]:
-        """Return the bytes of each method."""
-        return dict(self.sent + self.received)
+    def by_method(self) -> dict[str, dict[str, int]]:
+        """Return the bytes that clients of each method sent and received."""
+        return {
+            method.rpartition(".")[2]: {
+                "to_server": self.sent[method],
+                "to_client": self.received[method],
+            }
+            for method in sorted(self.sent + self.received)
+        }
 
 
 class MeteredChannel:
