--- a/src/masticward/daemons/agent.py
+++ b/src/masticward/daemons/agent.py
@@ -4,7 +4,7 @@
 
 from masticward import settings
 from masticward.coordination import dispatcher, endpoint_runner, offers
-from masticward.daemons import common
+from masticward.daemons import common, meters
 from masticward.models import configuration, membership
 from masticward.protocol import attempt_server, dispatch_server
 from masticward.transport import endpoint
@@ -39,6 +39,7 @@
             load_period_seconds=self.settings.endpoint.load_period_seconds,
         )
         self.dispatcher = dispatcher.Dispatcher(self.view, service, self.settings.queue_policy)
+        meters.register_dispatcher(self.metrics, self.dispatcher)
         masticward_pb2_grpc.add_AttemptServicer_to_server(
             attempt_server.AttemptServicer(self.runner), self.server
         )
--- a/src/masticward/daemons/common.py
+++ b/src/masticward/daemons/common.py
@@ -9,6 +9,7 @@
 
 from masticward import events, logs, metrics, settings
 from masticward.coordination import view
+from masticward.daemons import meters
 from masticward.models import membership
 from masticward.protocol import peers
 from masticward.transport import admin_http, channels, instance_list, object_api
@@ -71,6 +72,7 @@
             self.instance_list,
             watches,
         )
+        meters.register_view(self.metrics, self.view)
         masticward_pb2_grpc.add_PeerServicer_to_server(peers.PeerServicer(self.view), self.server)
 
     async def start_serving(self) -> None:
