--- a/src/masticward/publishing/rollout.py
+++ b/src/masticward/publishing/rollout.py
@@ -40,7 +40,7 @@
     operations_version: int,
     deadline: float,
 ) -> Rollout:
-    """Ask all listed processes until they have both versions or the deadline passes."""
+    """Ask all live listed processes until they have both versions or the deadline passes."""
     async with aiohttp.ClientSession(trust_env=False) as session:
         while True:
             rollout = await ask_all(
@@ -62,9 +62,10 @@
     answer = await instance_list.fetch(change.call_deadline(deadline))
     if isinstance(answer, result.Failure):
         return Rollout((), {"instance list": str(answer.failure())})
-    instances = answer.unwrap()
+    # One that is leaving starts nothing new and may be gone before it could answer.
+    instances = [instance for instance in answer.unwrap() if not instance.leaving]
     if not instances:
-        return Rollout((), {"instance list": "holds no instance"})
+        return Rollout((), {"instance list": "holds no live instance"})
     replies = await asyncio.gather(
         *(
             ask(session, instance, config_version, operations_version, deadline)
--- a/tests/functional/test_publishing.py
+++ b/tests/functional/test_publishing.py
@@ -79,6 +79,32 @@
         return await super().put(name, value, expected_version, deadline)
 
 
+class BlindStore(object_api.HttpObjectStore):
+    """Cannot read any more once a write has met a conflict."""
+
+    __slots__ = ("blind",)
+
+    def __init__(self, url: str) -> None:
+        super().__init__(url)
+        self.blind = False
+
+    async def put(
+        self, name: str, value: bytes, expected_version: int, deadline: float
+    ) -> result.Result[int, errors.StoreError]:
+        answer = await super().put(name, value, expected_version, deadline)
+        self.blind = isinstance(answer, result.Failure) and isinstance(
+            answer.failure(), errors.VersionConflictError
+        )
+        return answer
+
+    async def get(
+        self, name: str, deadline: float
+    ) -> result.Result[object_api.StoredObject, errors.StoreError]:
+        if self.blind:
+            return result.Failure(errors.StoreUnavailableError(name, "test"))
+        return await super().get(name, deadline)
+
+
 class PublishingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.platform = platforms.Platform()
@@ -165,6 +191,17 @@
         await store.close()
         self.assertIsInstance(outcome.failure(), errors.ChangeOutcomeUnknownError)
 
+    async def test_conflict_that_cannot_be_read_is_unknown_after_a_lost_answer(self) -> None:
+        """Fails if a conflict with the operator's own lost write is taken for another's."""
+        await self.platform.publish(share=1.0)
+        store = BlindStore(self.platform.store_url)
+        operator = operations.OperationsChange(store, self.platform.list, "tester")
+        await self.platform.objects.set_faults(standin.StoreFaults(lose_answers=1))
+        outcome = await operator.take_out_zone("north", True, clocks.deadline_after(0.7))
+        await store.close()
+        self.assertIn(objects.OPERATIONS, self.platform.objects.objects)
+        self.assertIsInstance(outcome.failure(), errors.ChangeOutcomeUnknownError)
+
     async def test_unavailable_store_changes_nothing(self) -> None:
         """Fails if an outage before any write is reported as an unknown outcome."""
         await self.platform.publish(share=1.0)
