--- a/tests/functional/test_attempt_server.py
+++ b/tests/functional/test_attempt_server.py
@@ -137,6 +137,9 @@
                 for point in DROPS if method != "HEAD" else DROPS[:2]:
                     with self.subTest(point=point, method=method):
                         await self.check_drop(point, method)
+        # Each call that may have run is charged, cut or not: 3 units for each method and drop.
+        calls = len(agent_harness.METHODS) * (1 + len(DROPS)) - len(DROPS[2:])
+        self.assertEqual({"team-1": 3.0 * calls}, self.runner.report().counters)
 
     async def check_drop(self, point: endpoint_server.DropPoint, method: str) -> None:
         self.harness.control(drop=point, drop_count=1)
