--- a/src/masticward/protocol/attempt_client.py
+++ b/src/masticward/protocol/attempt_client.py
@@ -55,12 +55,16 @@
 
 
 class GrpcAttemptClient(AttemptClient):
-    """Sends attempts over the channels to the agents."""
+    """Sends attempts over the channels to the agents.
 
-    __slots__ = ("channels",)
+    ``peer_address`` is this entry's own, from which agents fetch versions newer than theirs.
+    """
+
+    __slots__ = ("channels", "peer_address")
 
-    def __init__(self, channels: channels_module.ChannelPool) -> None:
+    def __init__(self, channels: channels_module.ChannelPool, peer_address: str = "") -> None:
         self.channels = channels
+        self.peer_address = peer_address
 
     async def run(
         self, attempt: AttemptRequest
@@ -73,7 +77,7 @@
         attempt.sent = True
         stub: typing.Any = masticward_pb2_grpc.AttemptStub(channel)
         call = stub.Run(
-            to_wire(attempt),
+            to_wire(attempt, self.peer_address),
             metadata=self.channels.transport.metadata,
             timeout=clocks.remaining_seconds(attempt.answer_deadline),
         )
@@ -93,14 +97,31 @@
     deadline = min(attempt.slot.deadline, attempt.call.deadline)
     try:
         async with asyncio.timeout(clocks.remaining_seconds(deadline)):
-            await channel.channel_ready()
+            detail = await connect(channel)
     except TimeoutError:
         detail = "the agent was not reached before the slot expired"
     except grpc.aio.UsageError:
         detail = "the channel was closed"
-    else:
-        return
-    raise errors.AttemptRefusedError(work.RefusalReason.UNREACHABLE, 0, detail)
+    if detail:
+        raise errors.AttemptRefusedError(work.RefusalReason.UNREACHABLE, 0, detail)
+
+
+async def connect(channel: grpc.aio.Channel) -> str:
+    """Wait until the channel is ready or a try to connect fails; returns the failure or "".
+
+    A channel that is found in back-off is given one more try.
+    """
+    previous = None
+    while True:
+        state = channel.get_state(try_to_connect=True)
+        if state is grpc.ChannelConnectivity.READY:
+            return ""
+        if state is grpc.ChannelConnectivity.SHUTDOWN:
+            return "the channel was closed"
+        if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE and previous is not None:
+            return "the connection to the agent failed"
+        previous = state
+        await channel.wait_for_state_change(state)
 
 
 async def checked_events(
@@ -142,7 +163,7 @@
                 assembler.add(frame)
 
 
-def to_wire(attempt: AttemptRequest) -> masticward_pb2.RunRequest:
+def to_wire(attempt: AttemptRequest, peer_address: str) -> masticward_pb2.RunRequest:
     """Return the wire form of an attempt."""
     call = attempt.call
     return masticward_pb2.RunRequest(
@@ -163,4 +184,5 @@
         headers=[masticward_pb2.Header(name=name, value=value) for name, value in call.headers],
         body=call.body,
         cost_hint=call.cost_hint,
+        entry_peer_address=peer_address,
     )
--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -11,6 +11,8 @@
 from masticward.wire import masticward_pb2
 from tests.lib import platforms
 
+HEALED_SECONDS = 1.0
+
 
 class ViewTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -34,7 +36,8 @@
             platforms.make_entry("e2"), object_api_url=platforms.UNREACHABLE_URL
         )
         await self.platform.publish(share=1.0)
-        await self.wait_for_versions([entry], (1, 0))
+        took = await self.wait_for_versions([entry], (1, 0))
+        self.assertLess(took, 3.0, "an entry must watch; the fallback reads every 10 s")
         await self.platform.objects.set_faults(object_api.StoreFaults(mode="down"))
         await self.wait_for_versions([entry, cut_off, *agents], (1, 0))
         for process in (cut_off, *agents):
@@ -172,11 +175,11 @@
     async def test_last_list_is_kept_while_the_list_is_down(self) -> None:
         """Fails if an outage of the instance list empties the view."""
         entry = await self.platform.add(platforms.make_entry("e1"))
-        await self.platform.add(platforms.make_agent("a1"))
-        await platforms.wait_until(lambda: bool(entry.view.agents_of("ledger")), "agent usable")
+        self.platform.enlist(platforms.make_agent("a1", peer_address="127.0.0.1:9"))
+        await platforms.wait_until(lambda: len(entry.view.members()) == 2, "listed")
         self.platform.instances.faults.mode = "down"
         await platforms.wait_until(lambda: not entry.view.list_available, "outage noticed")
-        self.assertEqual(1, len(entry.view.agents_of("ledger")))
+        self.assertEqual(["a1", "e1"], [instance.id for instance in entry.view.members()])
 
     async def test_exchange_resumes_within_a_second_after_a_partition(self) -> None:
         """Fails if TCP or gRPC back-off delays the first exchange after a partition heals."""
@@ -185,26 +188,70 @@
         await platforms.wait_until(
             lambda: agent.view.fresh_until() > time.monotonic(), "first exchange"
         )
-        for process in (entry, agent):
-            assert process.gate is not None
-            process.gate.open.clear()
+        gates = [process.gate for process in (entry, agent) if process.gate is not None]
+        for gate in gates:
+            gate.begin()
         await platforms.wait_until(
-            lambda: (
-                agent.view.fresh_until() < time.monotonic() - 2.0
-                and entry.view.fresh_until() < time.monotonic() - 2.0
+            lambda: all(
+                process.view.fresh_until() < time.monotonic() - 2.0 for process in (entry, agent)
             ),
             "views stale",
         )
-        for process in (entry, agent):
-            assert process.gate is not None
-            process.gate.open.set()
+        for gate in gates:
+            gate.heal()
         for process in (entry, agent):
             took = await platforms.wait_until(
                 lambda process=process: process.view.fresh_until() > time.monotonic(), "healed"
             )
-            self.assertLess(took, 1.5)
+            self.assertLess(took, HEALED_SECONDS)
         self.assertEqual(1, len(entry.view.agents_of("ledger")))
 
+    async def test_exchange_does_not_wait_for_a_silent_connection(self) -> None:
+        """Fails if a process waits until TCP or keep-alive gives up a connection that is dead."""
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        agent = await self.platform.add(platforms.make_agent("a1"), gated=True)
+        await platforms.wait_until(
+            lambda: entry.view.membership.known["a1"].contact_at is not None, "first exchange"
+        )
+        gate = agent.gate
+        assert gate is not None
+        gate.begin()
+        await platforms.wait_until(lambda: entry.view.membership.is_suspected("a1"), "suspected")
+        gate.heal_for_new_connections()
+        took = await platforms.wait_until(
+            lambda: not entry.view.membership.is_suspected("a1"), "healed"
+        )
+        self.assertLess(took, HEALED_SECONDS)
+
+
+class WideningTest(unittest.IsolatedAsyncioTestCase):
+    async def test_view_stays_fresh_when_several_peers_fall_silent_together(self) -> None:
+        """Fails if an agent refuses work because it asks one dead peer after another."""
+        platform = platforms.Platform()
+        await platform.start()
+        self.addAsyncCleanup(platform.close)
+        silent = [
+            await platform.add(platforms.make_entry("e1"), gated=True),
+            *[
+                await platform.add(platforms.make_agent(f"a{number}"), gated=True)
+                for number in range(1, 5)
+            ],
+        ]
+        agent = await platform.add(platforms.make_agent("a5"))
+        await platform.add(platforms.make_agent("a6"))
+        await platforms.wait_until(lambda: len(agent.view.rotation.all_partners()) == 6, "known")
+        stale: list[float] = []
+        for process in silent:
+            assert process.gate is not None
+            process.gate.begin()
+        # Starts the rotation with the silent ones, as can happen by chance.
+        agent.view.rotation.turn = 0
+        ends_at = time.monotonic() + 3.5
+        while time.monotonic() < ends_at:
+            stale.append(max(0.0, time.monotonic() - agent.view.fresh_until()))
+            await asyncio.sleep(0.02)
+        self.assertEqual(0.0, max(stale))
+
 
 class FreshnessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
