Refuse headers that other servers may read differently, and count every refusal once

Cause: a credential that was not UTF-8 ended as 500 unknown, a header that was not UTF-8 would have failed on the way to the agent, a name with a space was passed on, a response without content type got the text None, and requests refused for their head were not counted. Change: 400 not-run for such headers, and the connection is closed; a default content type; the HTTP server counts what it refuses. A fault of the entry itself ends as 502 unknown instead of a broken connection. The wire message is built before the attempt counts as sent.

--- a/src/masticward/coordination/request_life.py
+++ b/src/masticward/coordination/request_life.py
@@ -154,6 +154,11 @@
             self.end_without_caller()
             if isinstance(error, asyncio.CancelledError):
                 raise
+        except Exception as error:
+            logger.log(
+                events.Event.REQUEST_BROKEN, request_id=self.call.request_id, detail=repr(error)
+            )
+            await self.end_unknown(refusals.attempt_failed("the entry failed"))
         finally:
             self.holding.close()
 
--- a/src/masticward/coordination/router.py
+++ b/src/masticward/coordination/router.py
@@ -134,14 +134,6 @@
         return self.desk.on_assign(assignment)
 
     def admit(self, head: request_gate.RequestHead, request_id: str = "") -> Admission:
-        """Accept a request's head. Raises RequestRefusedError; nothing is held then."""
-        try:
-            return self.open_admission(head, request_id or identifiers.new_identifier())
-        except errors.RequestRefusedError as error:
-            self.count_refused(error)
-            raise
-
-    def open_admission(self, head: request_gate.RequestHead, request_id: str) -> Admission:
         """Authenticate the team and find the operation. Raises RequestRefusedError."""
         table = self.current_table()
         team = table.team_of(head.credential)
@@ -154,6 +146,7 @@
             head.deadline_seconds or self.limits.default_deadline_seconds,
             self.limits.maximum_deadline_seconds,
         )
+        request_id = request_id or identifiers.new_identifier()
         admission = Admission(self, request_id, head, team, route, clocks.deadline_after(seconds))
         self.admissions.add(request_id)
         self.idle.clear()
--- a/src/masticward/protocol/attempt_client.py
+++ b/src/masticward/protocol/attempt_client.py
@@ -74,10 +74,11 @@
             raise errors.AttemptFailedError(f"attempt {attempt.attempt_id} was sent before")
         channel = self.channels.get(attempt.slot.agent_address)
         await wait_until_ready(channel, attempt)
+        message = to_wire(attempt, self.peer_address)
         attempt.sent = True
         stub: typing.Any = masticward_pb2_grpc.AttemptStub(channel)
         call = stub.Run(
-            to_wire(attempt, self.peer_address),
+            message,
             metadata=self.channels.transport.metadata,
             timeout=clocks.remaining_seconds(attempt.answer_deadline),
         )
--- a/src/masticward/transport/caller_headers.py
+++ b/src/masticward/transport/caller_headers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import math
+import re
 
 from masticward.state import refusals
 
@@ -31,11 +32,35 @@
 # The server and the endpoint's client write these for their own connections.
 FRAMING = frozenset(("content-length", "host", "expect", "alt-svc"))
 FORBIDDEN_IN_VALUES = frozenset("\r\n\0")
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+")
 DOT_SEGMENTS = frozenset((".", ".."))
 
 Headers = tuple[tuple[str, str], ...]
 
 
+def checked(items: collections.abc.Iterable[tuple[str, str]]) -> Headers:
+    """Return a request's headers with names in lower case. Raises RequestRefusedError.
+
+    A name that is no token is refused, because other servers on the way may read it differently.
+    """
+    headers = tuple((name.lower(), value) for name, value in items)
+    for name, value in headers:
+        if not TOKEN.fullmatch(name):
+            raise refusals.bad_request("a header name has characters that are not allowed")
+        if not FORBIDDEN_IN_VALUES.isdisjoint(value) or not is_text(value):
+            raise refusals.bad_request(f"header {name} has characters that are not allowed")
+    return headers
+
+
+def is_text(value: str) -> bool:
+    """Tell whether the value was valid UTF-8 on the wire."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def single(headers: Headers, name: str) -> str:
     """Return the only value of a header, or an empty string. Raises RequestRefusedError."""
     values = [value for key, value in headers if key == name]
--- a/src/masticward/transport/entry_http.py
+++ b/src/masticward/transport/entry_http.py
@@ -35,6 +35,9 @@
 DISCARD_SECONDS = 1.0
 DISCARD_BYTES = 8 * 1024 * 1024
 CLOSE_SECONDS = 5.0
+BAD_REQUEST = 400  # where a request that is not understood ends is not certain either
+# Sanic writes "None" if a response has no content type.
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 logger = logs.get_logger(__name__)
@@ -147,6 +150,7 @@
         if self.gate.draining:
             self.request.stream.keep_alive = False
         fields = sanic.compat.Header(caller_headers.forwarded(headers))
+        fields.setdefault("content-type", DEFAULT_CONTENT_TYPE)
         fields[REQUEST_ID_HEADER] = self.request_id
         fields[OUTCOME_HEADER] = outcome.value
         self.response = await self.request.respond(status=status, headers=fields)
@@ -295,7 +299,6 @@
             try:
                 body = await self.read_body(request, admission)
             except errors.RequestRefusedError as error:
-                self.router.count_refused(error)
                 await self.refuse(request, sink, error)
                 return
             await admission.serve(body, sink)
@@ -327,9 +330,10 @@
     async def refuse(
         self, request: typing.Any, sink: SanicSink, error: errors.RequestRefusedError
     ) -> None:
-        """Send a refusal before the body was read; the connection is closed after it."""
+        """Count and send a refusal from before the queue; an unread body ends the connection."""
+        self.router.count_refused(error)
         unread = request.stream.request_body is not None
-        if unread:
+        if unread or error.status == BAD_REQUEST:
             request.stream.keep_alive = False
         headers, body = refusals.encode(error)
         with contextlib.suppress(errors.CallerGoneError):
@@ -358,7 +362,7 @@
     if request.version != "1.1":
         # A stream needs chunked encoding, without which a cut could not be told from the end.
         raise refusals.http_version(request.version)
-    headers = tuple((name.lower(), value) for name, value in request.headers.items())
+    headers = caller_headers.checked(request.headers.items())
     path, target = caller_headers.checked_target(request.raw_url)
     return request_gate.RequestHead(
         method=request.method.upper(),
--- a/tests/functional/test_entry_http.py
+++ b/tests/functional/test_entry_http.py
@@ -30,6 +30,7 @@
             self.assertEqual((200, b"first"), (status, body))
             self.assertEqual("complete", headers["masticward-outcome"])
             self.assertIn(headers["masticward-request-id"], first.entry.router.explain_log.records)
+            self.assertEqual("text/plain", headers["content-type"])
             _, _, body = parse(await second.exchange(entry_http_client.request()))
             self.assertEqual(b"2\r\nse\r\n4\r\ncond\r\n0\r\n\r\n", body)
 
@@ -72,6 +73,9 @@
             "declared too large": (413, request(body=b"x" * 1001)),
             "chunked too large": (413, chunked + b"7d0\r\n" + b"x" * 2000 + b"\r\n0\r\n\r\n"),
             "bad chunk": (400, chunked + b"zz\r\n"),
+            "bytes in the credential": (400, request().replace(b"mango-key", b"mango-k\xe9y")),
+            "space in a header name": (400, request().replace(b"\r\n", b"\r\nX-Y : z\r\n", 1)),
+            "zero byte in a header": (400, request().replace(b"\r\n", b"\r\nX: \0\r\n", 1)),
             "malformed header": (400, b"POST /v1/book HTTP/1.1\r\nmalformed\r\n\r\n"),
             "negative length": (400, request(headers={"Content-Length": "-1"})),
             "deadline": (400, request(headers={"Masticward-Deadline": "nan"})),
