--- a/tests/functional/test_process_faults.py
+++ b/tests/functional/test_process_faults.py
@@ -49,18 +49,18 @@
         self.assertEqual({work.Outcome.COMPLETE}, set(later))
 
     async def test_dispatcher_killed(self) -> None:
-        dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
         async with self.load(9.0):
             await asyncio.sleep(WARM_SECONDS)
+            dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
             await self.fleet.kill(dispatcher)
             killed_at = time.monotonic()
         await self.assert_safe()
         self.assert_resumes(killed_at, dispatcher)
 
     async def test_dispatcher_frozen_and_thawed(self) -> None:
-        dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
         async with self.load(10.0):
             await asyncio.sleep(WARM_SECONDS)
+            dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
             self.fleet.signal(dispatcher, signal.SIGSTOP)
             frozen_at = time.monotonic()
             await asyncio.sleep(FREEZE_SECONDS)
@@ -99,3 +99,4 @@
         edges = [since, *[at for at in starts if at > since]]
         longest = max(after - before for before, after in itertools.pairwise(edges))
         self.assertLess(longest, RECOVERY_SECONDS)
+        print(f"longest time without a start: {longest:.2f} s", flush=True)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,5 +1,5 @@
 """Guards the whole path: answers that get lost, crossed or cut, calls that run twice, and programs
-that start processes, use io_uring or leave shared memory."""
+that start processes, use io_uring, leave shared memory or need more than 256 MB."""
 
 import asyncio
 import os
@@ -9,6 +9,7 @@
 from tests.lib import fleet_case
 
 LOAD_SECONDS = 6.0
+MEMORY_BOUND_BYTES = 256 * 1024 * 1024
 SHARED_MEMORY = pathlib.Path("/dev/shm")
 
 
@@ -44,6 +45,17 @@
                     [link for link in links if forbidden in link], f"{program.name} {forbidden}"
                 )
             self.assertNotIn("/dev/shm", (directory / "maps").read_text())
+            self.assertLess(peak_memory_bytes(directory), MEMORY_BOUND_BYTES, program.name)
+
+
+def peak_memory_bytes(directory: pathlib.Path) -> int:
+    """Return the largest resident size so far."""
+    fields = dict(
+        line.split(":", 1)
+        for line in (directory / "status").read_text().splitlines()
+        if ":" in line
+    )
+    return int(fields["VmHWM"].split()[0]) * 1024
 
 
 def read_link(link: pathlib.Path) -> str:
--- a/tests/lib/fleet_case.py
+++ b/tests/lib/fleet_case.py
@@ -25,6 +25,7 @@
     writers = 3
     bookings = 2
     limits: settings.EntryLimits | None = None
+    relay_agents = False
 
     async def asyncSetUp(self) -> None:
         # The debug mode of the event loop slows the load and the stand-ins down.
@@ -33,7 +34,8 @@
         self.history = history.History(seed=SEED)
         self.fleet = processes.ProcessFleet(fleets.build(self.entries, self.writers, self.bookings))
         try:
-            await self.fleet.start(self.limits)
+            relayed = self.fleet.agent_names() if self.relay_agents else ()
+            await self.fleet.start(self.limits, relayed)
             for endpoint in self.fleet.plan.endpoints:
                 if endpoint.service == fleets.WRITER:
                     await self.fleet.platform.control_endpoint(endpoint.id, token_ms=TOKEN_MS)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -18,6 +18,7 @@
 from masticward import settings as settings_module
 from masticward.bench import history, load, plans, platform
 from masticward.models import membership
+from masticward.standins import forwarder
 
 SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
 HOST = "127.0.0.1"
@@ -56,11 +57,20 @@
         self.plan = plan
         self.platform = platform.Platform(plan)
         self.programs: dict[str, Program] = {}
+        self.reserved: list[socket.socket] = []
+        self.relays: dict[str, forwarder.Forwarder] = {}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="masticward-test-"))
         self.session: aiohttp.ClientSession | None = None
 
-    async def start(self, limits: settings_module.EntryLimits | None = None) -> None:
-        """Start everything and wait until each program is ready."""
+    async def start(
+        self,
+        limits: settings_module.EntryLimits | None = None,
+        relayed: typing.Collection[str] = (),
+    ) -> None:
+        """Start everything and wait until each program is ready.
+
+        The instance list shows forwarders as the peer addresses of ``relayed`` programs.
+        """
         timeout = aiohttp.ClientTimeout(total=2.0)
         self.session = aiohttp.ClientSession(timeout=timeout)
         await self.platform.start()
@@ -70,7 +80,11 @@
         for entry in self.plan.entries:
             await self.add_entry(entry, limits)
         for program in self.programs.values():
-            await self.platform.list_instance(program.instance)
+            address = await self.relay(program) if program.name in relayed else ""
+            listed = msgspec.structs.replace(
+                program.instance, peer_address=address or program.instance.peer_address
+            )
+            await self.platform.list_instance(listed)
             self.spawn(program)
         await self.wait_ready(*self.programs)
 
@@ -78,6 +92,10 @@
         """End all programs and stand-ins; logs are kept for failures."""
         for program in self.programs.values():
             end_process(program.process)
+        for item in self.reserved:
+            item.close()
+        for relay in self.relays.values():
+            await relay.close()
         if self.session is not None:
             await self.session.close()
         await self.platform.close()
@@ -86,6 +104,12 @@
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
 
+    async def relay(self, program: Program) -> str:
+        """Put a forwarder in front of a program's peer port and return its address."""
+        port = int(program.instance.peer_address.rpartition(":")[2])
+        self.relays[program.name] = forwarder.Forwarder(HOST, port)
+        return f"{HOST}:{await self.relays[program.name].start()}"
+
     async def add_agent(self, endpoint: plans.EndpointPlan) -> None:
         settings = plans.agent_settings(
             self.plan,
@@ -93,7 +117,7 @@
             self.platform.endpoint_urls[endpoint.id],
             await self.platform.settings_for(endpoint.id),
         )
-        self.add("agent", msgspec.structs.replace(settings, **free_addresses("peer", "admin")))
+        self.add("agent", msgspec.structs.replace(settings, **self.reserve("peer", "admin")))
 
     async def add_entry(
         self, entry: plans.EntryPlan, limits: settings_module.EntryLimits | None
@@ -101,7 +125,7 @@
         settings = plans.entry_settings(
             self.plan, entry, await self.platform.settings_for(entry.id), limits
         )
-        addresses = free_addresses("http", "peer", "admin")
+        addresses = self.reserve("http", "peer", "admin")
         self.add("entry", msgspec.structs.replace(settings, **addresses))
         self.programs[entry.id].http_url = f"http://{addresses['http_address']}"
 
@@ -246,6 +270,21 @@
         await self.restart(name)
         return code
 
+    def reserve(self, *names: str) -> dict[str, str]:
+        """Return settings such as ``peer_address`` with ports that the operating system chose.
+
+        The ports stay bound without listening until ``close``, so that no other socket gets them
+        before a program starts or while it is restarted.
+        """
+        addresses = {}
+        for name in names:
+            item = socket.socket()
+            item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            item.bind((HOST, 0))
+            self.reserved.append(item)
+            addresses[f"{name}_address"] = f"{HOST}:{item.getsockname()[1]}"
+        return addresses
+
     def targets(self, weights: typing.Sequence[float] = ()) -> list[load.Target]:
         """Return the entries for a load balancer, with uneven weights if given."""
         return [
@@ -264,18 +303,3 @@
     if process is not None and process.poll() is None:
         process.kill()
         process.wait(STOP_SECONDS)
-
-
-def free_addresses(*names: str) -> dict[str, str]:
-    """Return settings such as ``peer_address`` with ports that the operating system chose."""
-    sockets = [socket.socket() for _ in names]
-    try:
-        for item in sockets:
-            item.bind((HOST, 0))
-        return {
-            f"{name}_address": f"{HOST}:{item.getsockname()[1]}"
-            for name, item in zip(names, sockets, strict=True)
-        }
-    finally:
-        for item in sockets:
-            item.close()
--- /dev/null
+++ b/tests/unit/test_bench_load.py
@@ -0,0 +1,115 @@
+"""Guards against a load generator that records cut or refused calls as something else, and against
+a meter that does not see messages."""
+
+import asyncio
+import random
+import unittest
+
+import grpc.aio
+from aiohttp import web
+
+from masticward import settings
+from masticward.bench import calls, history, load, mixes, restrictions, traffic
+from masticward.models import work
+from masticward.transport import channels
+from masticward.utils import identifiers
+from masticward.wire import masticward_pb2, masticward_pb2_grpc
+from tests.lib import fleets
+
+PARTS = (b"data: a\n\n", b"data: b\n\n")
+HEADERS = {"Masticward-Outcome": "complete", "Masticward-Request-Id": "r1"}
+
+
+class LoadTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cut = False
+        self.plan = fleets.build(entries=1, writers=1, bookings=1)
+        application = web.Application()
+        application.router.add_post("/v1/bookings", self.answer)
+        self.runner = web.AppRunner(application)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        host, port = self.runner.addresses[0][:2]
+        self.history = history.History()
+        targets = [
+            load.Target(id="up", url=f"http://{host}:{port}", weight=0.001),
+            load.Target(id="down", url="http://127.0.0.1:1", weight=1000.0),
+        ]
+        self.generator = load.LoadGenerator(self.history, load.Balancer(targets), 1, 10)
+        await self.generator.__aenter__()
+
+    async def asyncTearDown(self) -> None:
+        await self.generator.__aexit__()
+        await self.runner.cleanup()
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers=HEADERS)
+        await response.prepare(request)
+        await response.write(PARTS[0])
+        await asyncio.sleep(0.05)
+        if self.cut:
+            assert request.transport is not None
+            request.transport.close()
+            return response
+        await response.write(PARTS[1])
+        await response.write_eof()
+        return response
+
+    async def call(self, only_entry: str = "") -> history.CallRecord:
+        team = mixes.booking_loads(self.plan, 1)[0]
+        spec = team.mix.make(random.Random(1), "c1")
+        self.assertIsInstance(spec, calls.CallSpec)
+        return await self.generator.call(team, spec, "c1", random.Random(1), only_entry)
+
+    async def test_whole_answer_from_the_entry_that_accepts(self) -> None:
+        record = await self.call()
+        self.assertEqual("up", record.entry)
+        self.assertIs(work.Outcome.COMPLETE, record.outcome)
+        self.assertEqual(identifiers.body_digest(b"".join(PARTS)), record.response_digest)
+
+    async def test_cut_stream_is_not_complete(self) -> None:
+        self.cut = True
+        record = await self.call("up")
+        self.assertTrue(record.cut)
+        self.assertIs(work.Outcome.UNKNOWN, record.outcome)
+
+    async def test_no_connection_means_not_run(self) -> None:
+        record = await self.call("down")
+        self.assertIs(work.Outcome.NOT_RUN, record.outcome)
+
+
+class MeterTest(unittest.IsolatedAsyncioTestCase):
+    async def test_counts_serialized_messages(self) -> None:
+        class Servicer(masticward_pb2_grpc.PeerServicer):  # type: ignore[misc]
+            async def Fetch(  # noqa: N802
+                self, request: masticward_pb2.FetchRequest, context: grpc.aio.ServicerContext
+            ) -> masticward_pb2.FetchReply:
+                return masticward_pb2.FetchReply(version=1, value=b"v" * 1000)
+
+        security = settings.PeerSecurity(mode=settings.SecurityMode.SHARED_KEY, shared_key="k")
+        transport = channels.PeerTransport(security)
+        server = transport.create_server()
+        masticward_pb2_grpc.add_PeerServicer_to_server(Servicer(), server)
+        port = transport.bind(server, "127.0.0.1:0")
+        await server.start()
+        meter = traffic.Meter()
+        request = masticward_pb2.FetchRequest(known_version=7)
+        with traffic.metered_channels(meter):
+            channel = transport.open_channel(f"127.0.0.1:{port}")
+            stub = masticward_pb2_grpc.PeerStub(channel)
+            reply = await stub.Fetch(request, metadata=transport.metadata)
+            await channel.close()
+        await server.stop(0)
+        self.assertEqual(request.ByteSize() + reply.ByteSize(), meter.control_bytes())
+
+
+class RestrictionsTest(unittest.TestCase):
+    def test_period_ends_when_work_is_allowed_again(self) -> None:
+        kept = restrictions.Restrictions()
+        kept.begin_zone("east", 10.0)
+        kept.begin_endpoint("writer-1", "leaving", 20.0)
+        kept.end("east", 30.0)
+        ends = {
+            period.availability_zone or period.endpoint: period.until for period in kept.periods()
+        }
+        self.assertEqual({"east": 30.0, "writer-1": restrictions.NEVER}, ends)
