--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -5,7 +5,6 @@
 import random
 import time
 
-import msgspec
 from returns import result
 
 from masticward import errors, events, logs
@@ -31,6 +30,9 @@
 CONFIGURATION_FETCH_SECONDS = 2.0
 OPERATIONS_FETCH_SECONDS = 0.6
 FRESH_SECONDS = 2.0
+# Longer than a round. When several peers die at once, the one peer of each round may be among them
+# until the view is stale, so the rounds ask more peers before that.
+WIDEN_AFTER_SECONDS = 0.8
 # One lost exchange may be a pause of a busy machine.
 FAILURES_BEFORE_SUSPICION = 2
 # Each pending watch counts as one call of the object API.
@@ -78,7 +80,7 @@
         self.reader = configuration_reader.ConfigurationReader(store)
         self.rotation = peer_rotation.PeerRotation(instance.id)
         self.rotation_revision = -1
-        self.agents_key: tuple[int, int, int] = (-1, -1, -1)
+        self.agents_key = (-1, -1)
         self.agents_by_service: dict[str, list[membership_models.Instance]] = {}
         self.latest_answered_send = float("-inf")
         self.failures: dict[str, int] = {}
@@ -90,6 +92,9 @@
         self.extra_rounds = 0
         self.callbacks: list[collections.abc.Callable[[], None]] = []
         self.notified_revision = -1
+        self.latest_list: list[membership_models.Instance] = []
+        self.logged_members: set[str] = {instance.id}
+        self.logged_leaving: set[str] = set()
         self.store_available = True
         self.list_available = True
         self.tasks = tasks.TaskGroup()
@@ -112,10 +117,9 @@
 
     def agents_of(self, service: str) -> list[membership_models.Instance]:
         """Return the agents of a service that may receive work, sorted by id."""
-        now = time.monotonic()
-        key = (self.membership.revision, self.versions.operations_version, int(now))
+        key = (self.membership.revision, self.versions.operations_version)
         if key != self.agents_key:
-            self.agents_by_service = self.usable_agents(now)
+            self.agents_by_service = self.usable_agents(time.monotonic())
             self.agents_key = key
         return list(self.agents_by_service.get(service, ()))
 
@@ -210,17 +214,24 @@
         if unknown or instance.id in self.failures or member.suspected_at is not None:
             self.start_exchange(instance)
 
+    def held_version(self, kind: masticward_pb2.FetchRequest.Kind) -> int:
+        """Return the version held of one kind, 0 if none."""
+        if kind == CONFIGURATION:
+            return self.versions.config_version
+        return self.versions.operations_version
+
     def newest(self, kind: int) -> tuple[int, bytes]:
         """Return version and bytes of the newest value of a ``FetchRequest.Kind``; 0 if none."""
         if kind == CONFIGURATION:
             return self.versions.config_version, self.versions.configuration_bytes
         return self.versions.operations_version, self.versions.operations_bytes
 
-    def shards(self, version: int) -> tuple[bytes, dict[str, bytes]] | None:
-        """Return manifest and shards of the configuration ``version``, None if not held so."""
-        if version != self.reader.version:
+    def parts(self) -> peers.ConfigurationParts | None:
+        """Return the parts of the newest configuration, None if only its bytes are held."""
+        reader = self.reader
+        if not reader.version or reader.version != self.versions.config_version:
             return None
-        return self.reader.manifest, self.reader.known_shards
+        return peers.ConfigurationParts(reader.version, reader.manifest, reader.known_shards)
 
     # Life cycle
 
@@ -231,7 +242,8 @@
         """
         await self.read_list()
         self.update_rotation()
-        first = [self.exchange_with(peer) for peer in self.rotation.pick(frozenset())]
+        first_peers = self.rotation.pick(frozenset(), peer_rotation.PEERS_PER_EXTRA_ROUND)
+        first = [self.exchange_with(peer) for peer in first_peers]
         await asyncio.gather(*first)
         if not self.versions.config_version:
             await self.read_store()
@@ -267,22 +279,30 @@
             if not available:
                 event = events.Event.INSTANCE_LIST_UNAVAILABLE
             logger.log(event, detail="" if available else str(answer.failure()))
-        if not available:
-            return
-        now = time.monotonic()
-        before = {instance.id for instance in self.membership.members(now)}
-        self.membership.apply_list(answer.unwrap(), now)
-        after = {instance.id for instance in self.membership.members(now)}
-        for instance_id in sorted(after - before):
-            logger.log(events.Event.MEMBER_ADDED, instance=instance_id)
-        for instance_id in sorted(before - after):
-            logger.log(events.Event.MEMBER_REMOVED, instance=instance_id)
-        self.notify_members()
+        self.update_members(answer.unwrap() if available else None)
         # gRPC tries for ever to reach the address of a channel that is open but not connected.
         known = {member.instance.peer_address for member in self.membership.known.values()}
         await self.channels.prune(known)
         await self.exchange_channels.prune(known)
 
+    def update_members(self, listed: list[membership_models.Instance] | None) -> None:
+        """Apply a list; only the time if there is none or it is the one applied before."""
+        now = time.monotonic()
+        if listed is None or listed is self.latest_list:
+            self.membership.expire(now)
+        else:
+            self.membership.apply_list(listed, now)
+            self.latest_list = listed
+        if self.membership.revision == self.notified_revision:
+            return
+        ids = {instance.id for instance in self.membership.members(now)}
+        for instance_id in sorted(ids - self.logged_members):
+            logger.log(events.Event.MEMBER_ADDED, instance=instance_id)
+        for instance_id in sorted(self.logged_members - ids):
+            logger.log(events.Event.MEMBER_REMOVED, instance=instance_id)
+        self.logged_members = ids
+        self.notify()
+
     # Object API
 
     async def watch(self, name: str) -> None:
@@ -342,7 +362,7 @@
             if isinstance(error, errors.VersionRefusedError):
                 logger.log(events.Event.VERSION_REFUSED, reason=str(error))
             return False
-        self.take(CONFIGURATION, msgspec.json.encode(assembled.unwrap()), "object API")
+        self.take_configuration(assembled.unwrap(), "object API")
         return True
 
     def note_store(self, answer: result.Result[object, errors.StoreError]) -> None:
@@ -365,7 +385,7 @@
             self.update_rotation()
             self.round_wanted.clear()
             unanswered = self.membership.suspected_ids() | self.failures.keys()
-            for peer in self.rotation.pick(unanswered):
+            for peer in self.rotation.pick(unanswered, self.peers_of_round()):
                 self.start_exchange(peer)
             await asyncio.sleep(MINIMUM_ROUND_GAP_SECONDS)
             if self.extra_rounds > 0:
@@ -377,6 +397,13 @@
             except TimeoutError:
                 continue
 
+    def peers_of_round(self) -> int:
+        """Return how many peers the next round asks: more if a version is new or none answered."""
+        unanswered_seconds = time.monotonic() - self.latest_answered_send
+        if self.extra_rounds > 0 or unanswered_seconds > WIDEN_AFTER_SECONDS:
+            return peer_rotation.PEERS_PER_EXTRA_ROUND
+        return peer_rotation.PEERS_PER_ROUND
+
     def update_rotation(self) -> None:
         """Choose the partners again if the members have changed."""
         if self.rotation_revision == self.membership.revision:
@@ -487,7 +514,7 @@
         known_shards: list[str] | None,
     ) -> masticward_pb2.FetchReply | None:
         """Return a peer's newer value within ``timeout`` seconds, None if it gave none."""
-        known_version, _ = self.newest(kind)
+        known_version = self.held_version(kind)
         deadline = clocks.deadline_after(timeout)
         answer = await peers.fetch(
             self.exchange_channels, address, kind, known_version, deadline, known_shards
@@ -503,23 +530,35 @@
         if isinstance(assembled, result.Failure):
             logger.log(events.Event.VERSION_REFUSED, source=source, reason=str(assembled.failure()))
             return
-        self.take(CONFIGURATION, msgspec.json.encode(assembled.unwrap()), source)
+        self.take_configuration(assembled.unwrap(), source)
 
     def take(self, kind: masticward_pb2.FetchRequest.Kind, raw: bytes, source: str) -> None:
-        """Take a value if it is newer, then tell the subscribers and the peers."""
+        """Take an encoded value if it is newer."""
         if kind == CONFIGURATION:
             taken = self.versions.take_configuration(raw)
-            event = events.Event.CONFIGURATION_TAKEN
         else:
             taken = self.versions.take_operations(raw)
-            event = events.Event.OPERATIONS_TAKEN
         if isinstance(taken, result.Failure):
             logger.log(events.Event.VERSION_REFUSED, source=source, reason=str(taken.failure()))
         elif taken.unwrap():
-            logger.log(event, version=self.newest(kind)[0], source=source)
-            self.extra_rounds = EXTRA_ROUNDS
-            self.round_wanted.set()
-            self.notify()
+            self.spread(kind, source)
+
+    def take_configuration(
+        self, configuration: configuration_models.Configuration, source: str
+    ) -> None:
+        """Take a configuration if it is newer."""
+        if self.versions.take_decoded(configuration):
+            self.spread(CONFIGURATION, source)
+
+    def spread(self, kind: masticward_pb2.FetchRequest.Kind, source: str) -> None:
+        """Tell the subscribers and the peers of a newer value."""
+        event = events.Event.OPERATIONS_TAKEN
+        if kind == CONFIGURATION:
+            event = events.Event.CONFIGURATION_TAKEN
+        logger.log(event, version=self.held_version(kind), source=source)
+        self.extra_rounds = EXTRA_ROUNDS
+        self.round_wanted.set()
+        self.notify()
 
     def notify_members(self) -> None:
         """Tell the subscribers if the members have changed."""
@@ -529,6 +568,10 @@
     def notify(self) -> None:
         """Tell the subscribers."""
         self.notified_revision = self.membership.revision
+        leaving = self.membership.leaving_ids()
+        for instance_id in sorted(leaving - self.logged_leaving):
+            logger.log(events.Event.MEMBER_LEAVING, instance=instance_id)
+        self.logged_leaving = leaving
         for callback in list(self.callbacks):
             callback()
 
