Report to the dispatcher less often and to the standby once a second

Cause: reports were the largest part of control traffic under load, because each end of a call sent every changed counter to primary and standby. Change: periodic reports every 500 ms instead of 200 ms, ends share a report for 100 ms instead of 10 ms, the standby gets one a second. Reservations hold until the report, and a reservation covers the progress up to the estimate.

--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -17,10 +17,14 @@
 from masticward.wire import masticward_pb2
 
 LOG = logs.get_logger(__name__)
-REPORT_SECONDS = 0.2
+# The reservation of a running call covers its progress up to the estimate, so a later report only
+# delays what a call costs beyond it.
+REPORT_SECONDS = 0.5
 # Ends within this time share one report, which bounds the cost of agents with very short calls.
-# Offers are not delayed by it.
-REPORT_SPACING_SECONDS = 0.01
+# Offers are not delayed by it, and reservations hold until the report.
+REPORT_SPACING_SECONDS = 0.1
+# The standby decides nothing; once it is primary the next report brings it up to date.
+STANDBY_REPORT_SECONDS = 1.0
 # Deadlines within this time share one timer.
 EXPIRY_SPACING_SECONDS = 0.05
 INITIAL_BACKOFF_SECONDS = 0.05
@@ -98,6 +102,7 @@
         self.finished: dict[str, float] = {}
         self.sent_load: tuple[int, int, int, str] | None = None
         self.offered_until = 0.0
+        self.reported_at = 0.0
         self.answered = False
         self.backoff_seconds = INITIAL_BACKOFF_SECONDS
         self.task: asyncio.Task[None] | None = None
@@ -131,6 +136,7 @@
         self.sent_counters.clear()
         self.sent_progress.clear()
         self.sent_load = None
+        self.reported_at = 0.0
         self.answered = False
         self.loop.reported_at = 0.0
         self.loop.source.changed.set()
@@ -157,12 +163,22 @@
         self.loop.source.return_slots(slot_ids)
         self.loop.source.changed.set()
 
-    def send_report(self, report: ServiceReport) -> None:
-        """Send what changed since the last report of this session; nothing if nothing did."""
-        self.finished.update(report.finished)
+    def note_finished(self, finished: dict[str, float]) -> None:
+        """Keep the ended tickets for the next report; without a link there is none to tell."""
         if self.link is None:
             self.finished.clear()
+        else:
+            self.finished.update(finished)
+
+    def is_report_due(self, now: float) -> bool:
+        """Tell whether a session that gets no offers is due for a report."""
+        return now - self.reported_at >= STANDBY_REPORT_SECONDS
+
+    def send_report(self, report: ServiceReport, now: float) -> None:
+        """Send what changed since the last report of this session; nothing if nothing did."""
+        if self.link is None:
             return
+        self.reported_at = now
         counters = changed_values(report.counters, self.sent_counters)
         progress = changed_values(report.progress, self.sent_progress)
         load = (report.running, report.staged, report.limit, report.admission_state)
@@ -368,8 +384,11 @@
             self.report_timer = None
         self.reported_at = time.monotonic()
         report = self.source.report()
+        receiver = self.choose_session()
         for session in self.sessions.values():
-            session.send_report(report)
+            session.note_finished(report.finished)
+            if session is receiver or session.is_report_due(self.reported_at):
+                session.send_report(report, self.reported_at)
 
     async def report_periodically(self) -> None:
         """Report the progress of running work."""
