--- a/tools/measure_roles.py
+++ b/tools/measure_roles.py
@@ -10,6 +10,7 @@
 import collections
 import os
 import pathlib
+import statistics
 import time
 import typing
 
@@ -25,7 +26,7 @@
 MAXIMUM_CALLS = 40_000
 SEED = 11
 TEXT_LEVELS = (1, 2, 4, 8)
-BOOKING_LEVELS = (1, 2, 4, 8)
+BOOKING_LEVELS = (2, 4, 8, 16)
 
 
 class Sample(msgspec.Struct, frozen=True):
@@ -131,7 +132,7 @@
         calls_per_second=len(ended) / elapsed,
         tokens_per_second=sum(call.cost for call in ended) / elapsed,
         utilization=fairness.utilization(record, service, fleet.plan.capacity(service), window),
-        cpu={role: max(values) for role, values in cpu.items()},
+        cpu={role: statistics.fmean(values) for role, values in cpu.items()},
         resident_megabytes={role: max(values) for role, values in resident.items()},
         not_run=sum(call.outcome is work.Outcome.NOT_RUN for call in record.calls),
         unknown=sum(call.outcome is work.Outcome.UNKNOWN for call in record.calls),
@@ -178,10 +179,10 @@
         booking.append(
             await measure_level(
                 f"booking {level}",
-                lambda plan, level=level: mixes.booking_loads(plan, 16, 0.0)[:level],
+                lambda plan, level=level: mixes.booking_loads(plan, 1, 0.0)[:level],
                 seconds,
                 token_ms=10.0,
-                service_ms=20.0,
+                service_ms=50.0,
             )
         )
         print(msgspec.json.encode(booking[-1]).decode(), flush=True)
