Bound the retries of watches by the size of the fleet

Cause: during an outage of the object API 410 entries would try both watches twice per second each, 1,640 calls per second. Change: all entries together try about 100 times per second and object; up to 50 entries the period stays at 0.5 s.

--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -38,6 +38,8 @@
 # Each pending watch counts as one call of the object API.
 WATCH_SECONDS = 10.0
 WATCH_RETRY_SECONDS = 0.5
+# While the object API is down, all entries together try this often, whatever the fleet's size.
+WATCH_RETRIES_PER_SECOND_OF_FLEET = 100.0
 FALLBACK_SECONDS = 10.0
 # Bounds what all processes without a watch read together, whatever the size of the fleet.
 FALLBACK_READS_PER_SECOND_OF_FLEET = 20.0
@@ -313,7 +315,7 @@
             answer = await self.store.watch(name, known_version, deadline)
             self.note_store(answer)
             if isinstance(answer, result.Failure):
-                await asyncio.sleep(jittered(WATCH_RETRY_SECONDS))
+                await asyncio.sleep(jittered(self.watch_retry_seconds()))
                 continue
             stored = answer.unwrap()
             if stored is None:
@@ -321,7 +323,12 @@
             if await self.take_stored(stored):
                 known_version = stored.version
             else:
-                await asyncio.sleep(jittered(WATCH_RETRY_SECONDS))
+                await asyncio.sleep(jittered(self.watch_retry_seconds()))
+
+    def watch_retry_seconds(self) -> float:
+        """Return the time between two tries of a watch that fails."""
+        entries = sum(1 for item in self.members() if item.role is membership_models.Role.ENTRY)
+        return max(WATCH_RETRY_SECONDS, entries / WATCH_RETRIES_PER_SECOND_OF_FLEET)
 
     async def read_store_rarely(self) -> None:
         """Read the object API at a period that grows with the fleet, in case all peers are old."""
