--- a/src/masticward/coordination/run_execution.py
+++ b/src/masticward/coordination/run_execution.py
@@ -101,9 +101,13 @@
     def check_before_send(self) -> None:
         """Raise AttemptRefusedError if the call may no longer start.
 
-        The process may have been paused, or the zone taken out, since the run was launched.
+        Since the run was launched the process may have been paused, the zone taken out, or the
+        limit lowered below the calls in flight, of which this is one.
         """
         reason = self.runner.checks.on_start(self.run.request.call.deadline)
+        capacity = self.runner.capacity
+        if reason is None and capacity.in_flight.total > capacity.limit.limit:
+            reason = work.RefusalReason.AT_LIMIT
         if reason is not None:
             raise errors.AttemptRefusedError(reason.value)
 
--- a/tests/functional/test_cold_start.py
+++ b/tests/functional/test_cold_start.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import typing
 import unittest
 
 from masticward.models import attempts, work
@@ -109,6 +110,22 @@
                     await self.harness.run(self.harness.attempt())
                 await agent_harness.until(lambda: limit.limit == COLD_LIMIT)
 
+    async def test_limit_that_falls_between_launch_and_send(self) -> None:
+        await self.open("plain", service_ms=50)
+        limit = (await self.harness.start_agent(period=60.0)).capacity.limit
+        limit.raw_limit = WARM_LIMIT
+        run = self.harness.endpoint.run
+
+        def turn_cold_and_run(request: typing.Any) -> typing.Any:
+            limit.go_cold()
+            return run(request)
+
+        self.harness.endpoint.run = turn_cold_and_run
+        tasks = [self.harness.spawn(self.harness.attempt()) for _ in range(COLD_LIMIT + 1)]
+        reasons = [getattr((await task)[-1], "reason", None) for task in tasks]
+        self.assertEqual([work.RefusalReason.AT_LIMIT, None, None], reasons)
+        self.assertEqual(COLD_LIMIT, len(self.recorder.records))
+
     async def test_reports_that_lag_do_not_leave_slots_idle(self) -> None:
         await self.open("plain", service_ms=100, report_mode=Mode.LATE, report_lag_ms=300)
         runner = await self.harness.start_agent(report_lag_seconds=1.0, period=0.5)
