Keep an entry's session while its view knows no candidate

Cause: an entry whose view lost every agent for a moment closed a session that still worked, and its tickets lost their place.

--- a/src/masticward/coordination/tickets.py
+++ b/src/masticward/coordination/tickets.py
@@ -64,10 +64,15 @@
         return ranked[0] if ranked else None
 
     def follow_view(self) -> None:
-        """Leave the session if another agent has become the first candidate."""
+        """Leave the session if another agent has become the first candidate.
+
+        It is kept while no candidate is known: the view may only be cut off.
+        """
         self.changed.set()
         chosen = self.choose()
-        if self.link_task is not None and identity(chosen) != identity(self.target):
+        if chosen is None or self.link_task is None:
+            return
+        if identity(chosen) != identity(self.target):
             self.link_task.cancel()
 
     async def run(self) -> None:
--- a/src/masticward/state/fair_queue.py
+++ b/src/masticward/state/fair_queue.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import math
 
 import msgspec
 import sortedcontainers
@@ -257,7 +258,7 @@
         reservation = self.reservations.pop(ticket_id, None)
         if reservation is None:
             return False
-        if cost > 0.0:
+        if cost > 0.0 and math.isfinite(cost):
             self.ledger.observe_cost(reservation.team, cost)
         self.ledger.release(reservation.team, reservation.outstanding)
         return True
--- a/tests/functional/test_dispatch_sessions.py
+++ b/tests/functional/test_dispatch_sessions.py
@@ -252,6 +252,17 @@
         self.assertIn(first.agent_id, self.entry_view.suspected)
         self.assertIn(first.agent_id, self.agent_view.suspected)
 
+    async def test_session_outlives_a_view_without_candidates(self) -> None:
+        """Fails if an entry that is cut off leaves a dispatcher that still answers it."""
+        await self.start_fleet(1)
+        await self.start_agents()
+        await self.start_entry()
+        self.submit("t1")
+        await self.assert_started_once(1)
+        self.entry_view.suspect(self.agents[0].agent_id)
+        self.submit("t2")
+        await self.assert_started_once(2)
+
     async def test_silent_entry_loses_its_tickets(self) -> None:
         """Fails if a frozen entry keeps a place in the queue."""
         await self.start_fleet(1)
--- a/tests/unit/test_snapshots.py
+++ b/tests/unit/test_snapshots.py
@@ -43,11 +43,16 @@
         sender = asyncio.create_task(dispatch_server.DispatchServicer(role).send_snapshots())
         self.addCleanup(sender.cancel)
         ranked = [agent.id for agent in rendezvous.rank(dispatch_fleet.SERVICE, agents)]
-        total = 0.0
-        while peers[ranked[2]].outbox.qsize() < 3:
-            total += 1.0
+        for total in range(1, 400):
+            if peers[ranked[2]].outbox.qsize() >= 3:
+                break
             report = dispatch_role.AgentReport(
-                counters={"team-1": total}, progress={}, finished={}, running=0, staged=0, limit=1
+                counters={"team-1": float(total)},
+                progress={},
+                finished={},
+                running=0,
+                staged=0,
+                limit=1,
             )
             role.report(peers[ranked[0]], report)
             await asyncio.sleep(0.05)
