Close the object API stand-in without tracebacks

Cause: closing while watches were pending ended them with 'Lock is not acquired', because Python 3.11 cancels a wait on a condition without its lock. Change: watches wait on an event that is replaced at each change. Conclusion: tests of object API, view and change outcomes pass (22 tests).

--- a/src/masticward/standins/object_api.py
+++ b/src/masticward/standins/object_api.py
@@ -57,7 +57,8 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.calls_per_second = calls_per_second
         self.call_times: collections.deque[float] = collections.deque()
-        self.changed = asyncio.Condition()
+        # Set and replaced at each change, so that every pending watch sees it.
+        self.changed = asyncio.Event()
         self.late_tasks: set[asyncio.Task[None]] = set()
         self.server = web_server.WebServer(2 * MAXIMUM_VALUE_BYTES)
         router = self.server.application.router
@@ -107,18 +108,18 @@
         self, request: web.Request, name: str, known_version: int, deadline: float
     ) -> web.StreamResponse:
         """Answer a watch at a newer version, at its deadline or when the store goes down."""
-        async with self.changed:
-            while True:
-                refusal = self.refusal(request)
-                if refusal is not None:
-                    return refusal
-                stored = self.objects.get(name)
-                if stored is not None and stored.version > known_version:
-                    return object_response(stored)
-                try:
-                    await asyncio.wait_for(self.changed.wait(), clocks.remaining_seconds(deadline))
-                except TimeoutError:
-                    return web.Response(status=304)
+        while True:
+            changed = self.changed
+            refusal = self.refusal(request)
+            if refusal is not None:
+                return refusal
+            stored = self.objects.get(name)
+            if stored is not None and stored.version > known_version:
+                return object_response(stored)
+            try:
+                await asyncio.wait_for(changed.wait(), clocks.remaining_seconds(deadline))
+            except TimeoutError:
+                return web.Response(status=304)
 
     async def handle_write(self, request: web.Request) -> web.StreamResponse:
         """Write or delete one object under its condition."""
@@ -136,7 +137,7 @@
             self.write_late(request, value)
             return no_answer(request)
         try:
-            version = await self.apply(request, value)
+            version = self.apply(request, value)
         except WriteConflictError as conflict:
             return web.Response(
                 status=412, headers={"ETag": f'"{conflict.current_version}"'}, text="conflict"
@@ -153,7 +154,7 @@
         async def apply_later() -> None:
             await asyncio.sleep(delay_ms / clocks.MILLISECONDS_PER_SECOND)
             try:
-                await self.apply(request, value)
+                self.apply(request, value)
             except WriteConflictError:
                 return
 
@@ -161,37 +162,36 @@
         self.late_tasks.add(task)
         task.add_done_callback(self.late_tasks.discard)
 
-    async def apply(self, request: web.Request, value: bytes) -> int:
+    def apply(self, request: web.Request, value: bytes) -> int:
         """Carry out a write and wake the watches. Raises WriteConflictError."""
         name = request.match_info["name"]
         stored = self.objects.get(name)
         current = stored.version if stored is not None else 0
         if current != expected_version(request):
             raise WriteConflictError(current)
-        async with self.changed:
-            self.last_version += 1
-            if request.method == "DELETE":
-                self.objects.pop(name, None)
-            else:
-                self.objects[name] = StoredValue(self.last_version, value)
-            self.changed.notify_all()
+        self.last_version += 1
+        if request.method == "DELETE":
+            self.objects.pop(name, None)
+        else:
+            self.objects[name] = StoredValue(self.last_version, value)
+        self.wake()
         return self.last_version
 
     async def handle_faults(self, request: web.Request) -> web.StreamResponse:
         """Switch faults; fields that are not given return to their defaults."""
         self.faults = msgspec.json.decode(await request.read(), type=StoreFaults)
-        await self.wake()
+        self.wake()
         return web.json_response(msgspec.to_builtins(self.faults))
 
     async def set_faults(self, faults: StoreFaults) -> None:
         """Switch faults from the same process."""
         self.faults = faults
-        await self.wake()
+        self.wake()
 
-    async def wake(self) -> None:
-        """Let pending watches see the faults."""
-        async with self.changed:
-            self.changed.notify_all()
+    def wake(self) -> None:
+        """Let pending watches see a change of the objects or the faults."""
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def handle_calls(self, request: web.Request) -> web.StreamResponse:
         """Count the calls since the start, by kind."""
