Keep the view's loops running after unexpected failures

Cause: an exception in a subscriber or a loop ended the watch, the list polling or the exchanges of a process without any sign; it would have kept old versions. A test of freshness failed once in a run, because the peer's own calls made the process under test exchange again. Mutations in a scratch copy: without either guard the new test fails.

--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import random
 import time
 
@@ -40,6 +41,7 @@
 WATCH_RETRY_SECONDS = 0.5
 # While the object API is down, all entries together try this often, whatever the fleet's size.
 WATCH_RETRIES_PER_SECOND_OF_FLEET = 100.0
+LOOP_RESTART_SECONDS = 0.5
 FALLBACK_SECONDS = 10.0
 # Bounds what all processes without a watch read together, whatever the size of the fleet.
 FALLBACK_READS_PER_SECOND_OF_FLEET = 20.0
@@ -249,13 +251,14 @@
         await asyncio.gather(*first)
         if not self.versions.config_version:
             await self.read_store()
-        self.tasks.spawn(self.poll_list(), "poll-list")
-        self.tasks.spawn(self.exchange_rounds(), "exchange-rounds")
+        loops = [(self.poll_list, "poll-list"), (self.exchange_rounds, "exchange-rounds")]
         if self.watches:
-            self.tasks.spawn(self.watch(objects.MANIFEST), "watch-manifest")
-            self.tasks.spawn(self.watch(objects.OPERATIONS), "watch-operations")
+            loops.append((functools.partial(self.watch, objects.MANIFEST), "watch-manifest"))
+            loops.append((functools.partial(self.watch, objects.OPERATIONS), "watch-operations"))
         else:
-            self.tasks.spawn(self.read_store_rarely(), "read-store")
+            loops.append((self.read_store_rarely, "read-store"))
+        for loop, name in loops:
+            self.tasks.spawn(keep_running(loop, name), name)
 
     async def close(self) -> None:
         """Stop the background tasks and close the connections of the exchanges."""
@@ -580,7 +583,26 @@
             logger.log(events.Event.MEMBER_LEAVING, instance=instance_id)
         self.logged_leaving = leaving
         for callback in list(self.callbacks):
-            callback()
+            try:
+                callback()
+            except Exception as error:
+                # One subscriber must not keep the others, or the view, from a new version.
+                logger.log(events.Event.TASK_FAILED, task="view-subscriber", error=repr(error))
+
+
+async def keep_running(
+    loop: collections.abc.Callable[[], collections.abc.Awaitable[None]], name: str
+) -> None:
+    """Run a background loop, and run it again after an unexpected failure.
+
+    A process whose loop has ended would keep old versions without any sign of it.
+    """
+    while True:
+        try:
+            await loop()
+        except Exception as error:
+            logger.log(events.Event.TASK_FAILED, task=name, error=repr(error))
+        await asyncio.sleep(jittered(LOOP_RESTART_SECONDS))
 
 
 def jittered(seconds: float) -> float:
--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -80,6 +80,32 @@
         agent = await self.platform.add(platforms.make_agent("a1"))
         self.assertEqual((1, 0), agent.versions)
 
+    async def test_failures_in_a_process_do_not_end_its_view(self) -> None:
+        """Fails if an unexpected failure leaves a process at an old version for good."""
+        entry = await self.platform.add(platforms.make_entry("e1"))
+        seen: list[int] = []
+
+        def fail() -> None:
+            raise RuntimeError("a subscriber's fault")
+
+        entry.view.subscribe(fail)
+        entry.view.subscribe(lambda: seen.append(entry.versions[0]))
+        await self.platform.publish(share=1.0)
+        await self.wait_for_versions([entry], (1, 0))
+        store_watch = entry.store.watch
+
+        async def fail_once(*arguments: typing.Any) -> typing.Any:
+            entry.store.watch = store_watch
+            raise RuntimeError("an unexpected fault")
+
+        entry.store.watch = fail_once
+        for share in (2.0, 3.0):
+            await self.platform.publish(share=share)
+            took = await self.wait_for_versions([entry], (int(share), 0))
+            self.assertLess(took, 3.0)
+        self.assertIs(entry.store.watch, store_watch, "the fault did not occur")
+        self.assertIn(3, seen)
+
     async def test_peers_send_only_changed_shards(self) -> None:
         """Fails if each small change costs the traffic of the whole configuration."""
         teams = 3000
@@ -260,7 +286,10 @@
         self.addAsyncCleanup(self.platform.close)
         self.entry = await self.platform.add(platforms.make_entry("e1"))
         self.agent = await self.platform.add(platforms.make_agent("a1"))
-        await self.agent.view.tasks.cancel()
+        # The entry goes first: its calls make the agent exchange with it.
+        for process in (self.entry, self.agent):
+            while process.view.tasks.tasks:
+                await process.view.tasks.cancel()
         self.agent.view.latest_answered_send = float("-inf")
 
     async def test_answer_received_late_counts_from_its_sending(self) -> None:
