Ping dispatchers every 0.7 s

Cause: a ping and its pong cost each side about 0.5 ms of processor time. Change: 0.7 s instead of 0.5 s; two pings still fit into the 1.5 s after which a silent dispatcher is left.

--- a/src/masticward/protocol/dispatch_client.py
+++ b/src/masticward/protocol/dispatch_client.py
@@ -13,7 +13,8 @@
 from masticward.utils import clocks, tasks
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
 
-PING_SECONDS = 0.5
+# Two pings fit into the time after which a silent dispatcher is left; each costs both sides 0.5 ms.
+PING_SECONDS = 0.7
 # Three pings: a dispatcher that answers none of them is frozen or cut off.
 PONG_TIMEOUT_SECONDS = 1.5
 
