End the streams of running calls when the agent is stopped at once

close() cancelled the task of a running call without a last event, so its stream stayed open until the server was stopped. It now ends with Failed, and calls that wait are refused.

--- a/src/masticward/coordination/run_execution.py
+++ b/src/masticward/coordination/run_execution.py
@@ -70,9 +70,12 @@
         self.end_first_token_wait()
         self.runner.release(self.run, confirmed)
 
-    def note_task_end(self, _task: asyncio.Task[None]) -> None:
-        """Free the slot of a task that was cancelled before its first step."""
+    def note_task_end(self, task: asyncio.Task[None]) -> None:
+        """Free the slot of a task that was cancelled before its first step; tell a listener."""
         self.end(confirmed=True)
+        if task.cancelled() and self.run.listening:
+            self.run.stop_listening()
+            self.run.events.put_nowait(attempts.Failed("the agent stopped"))
 
     async def exchange(self) -> None:
         """Pass the endpoint's events on until the response is complete."""
--- a/tests/functional/test_agent_refusals.py
+++ b/tests/functional/test_agent_refusals.py
@@ -176,6 +176,13 @@
         self.harness.view.announce_leaving.assert_called_once()
         await self.runner.drained()
 
+    async def test_close_starts_nothing_and_ends_every_stream(self) -> None:
+        (staged,) = await self.stage(1)
+        await self.runner.close()
+        self.assertTrue((await self.running)[-1].may_have_run)
+        self.assertEqual(Reason.LEAVING, (await staged)[-1].reason)
+        self.assertEqual(1, len(self.harness.server.recorder.records))
+
     async def test_deadline(self) -> None:
         staged = await self.stage(seconds=0.1)
         await self.expect_not_run(staged, Reason.DEADLINE_PASSED, before_a_slot_is_free=True)
