--- a/src/masticward/bench/pictures.py
+++ b/src/masticward/bench/pictures.py
@@ -13,10 +13,11 @@
 
 
 class Mark(msgspec.Struct, frozen=True):
-    """A labelled moment in monotonic seconds."""
+    """A labelled moment of one run, in monotonic seconds."""
 
     at: float
     label: str
+    run: str
 
 
 def draw_service(
@@ -43,7 +44,7 @@
             base = curve.at(window.start)
             seconds = [moment - window.start for moment in moments]
             panel.plot(seconds, [curve.at(moment) - base for moment in moments], label=team, lw=1)
-        for mark in marks:
+        for mark in (mark for mark in marks if mark.run == label):
             panel.axvline(mark.at - window.start, color="black", lw=0.8, ls="--")
             panel.text(mark.at - window.start, 0.0, mark.label, rotation=90, fontsize=7)
         panel.set_title(f"{label}: service of {service} divided by share")
--- a/src/masticward/bench/reports.py
+++ b/src/masticward/bench/reports.py
@@ -131,63 +131,85 @@
 
 
 async def zone_move_report(options: Options) -> Report:
-    """Take a zone out under load and bring it back."""
+    """Take a zone out under load and bring it back, under each of the three policies."""
     service = mixes.language_model(options.plan).name
     zone = options.plan.configuration.availability_zones[1]
-    moments: dict[str, float] = {}
+    runs: dict[str, experiment.Measured] = {}
+    figures: dict[str, dict[str, typing.Any]] = {}
+    marks: list[pictures.Mark] = []
+    for policy in POLICIES:
+        label = str(policy)
+        moved = ZoneMove(zone)
+        runs[label] = await experiment.run(
+            experiment.Setup(
+                plan=fleet.with_policy(options.plan, policy),
+                loads=mixes.text_loads(options.plan, 3, FLOODING_TEAM),
+                seed=options.seed,
+                seconds=max(options.seconds, ZONE_OUT_AFTER_SECONDS + ZONE_OUT_SECONDS + 6.0),
+                maximum_calls=20_000,
+                weights=UNEVEN_WEIGHTS,
+            ),
+            moved.run,
+        )
+        figures[label] = zone_move_figures(runs[label], service, moved)
+        marks.append(pictures.Mark(moved.out_at, f"{zone} out", label))
+        marks.append(pictures.Mark(moved.in_at, f"{zone} in", label))
+    return Report(
+        name="zone-move",
+        figures=figures,
+        violations=violations_of(runs),
+        runs=runs,
+        service=service,
+        marks=marks,
+    )
 
-    async def move(local: fleet.LocalFleet) -> None:
+
+class ZoneMove:
+    """Takes a zone out and brings it back; the times are those of the acceptance."""
+
+    __slots__ = ("in_at", "out_at", "zone")
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.out_at = 0.0
+        self.in_at = 0.0
+
+    async def run(self, local: fleet.LocalFleet) -> None:
+        """Move the zone at fixed times after the warm-up."""
         await asyncio.sleep(ZONE_OUT_AFTER_SECONDS)
-        await local.platform.zone_out(zone)
-        moments["out"] = time.monotonic()
+        await local.platform.zone_out(self.zone)
+        self.out_at = time.monotonic()
         await asyncio.sleep(ZONE_OUT_SECONDS)
-        await local.platform.zone_in(zone)
-        moments["in"] = time.monotonic()
-
-    seconds = max(options.seconds, ZONE_OUT_AFTER_SECONDS + ZONE_OUT_SECONDS + 6.0)
-    measured = await experiment.run(
-        experiment.Setup(
-            plan=options.plan,
-            loads=mixes.text_loads(options.plan, 3),
-            seed=options.seed,
-            seconds=seconds,
-            maximum_calls=20_000,
-            weights=UNEVEN_WEIGHTS,
-        ),
-        move,
-    )
-    runs = {str(PRODUCT): measured}
+        await local.platform.zone_in(self.zone)
+        self.in_at = time.monotonic()
+
+
+def zone_move_figures(
+    measured: experiment.Measured, service: str, moved: ZoneMove
+) -> dict[str, typing.Any]:
+    """Return how fast the zone was left and used again, and the service around the move.
+
+    A time is None if no run started in the zone in that period.
+    """
     starts = [
         run.started_at
         for run in measured.history.runs
-        if run.availability_zone == zone and run.service == service
+        if run.availability_zone == moved.zone and run.service == service
     ]
-    stopped = [at for at in starts if moments["out"] <= at < moments["in"]]
-    resumed = [at for at in starts if at >= moments["in"]]
+    late = [at - moved.out_at for at in starts if moved.out_at <= at < moved.in_at]
+    resumed = [at - moved.in_at for at in starts if at >= moved.in_at]
     figures = fairness_figures(measured, service)
-    figures["last_start_after_out_seconds"] = max(stopped, default=moments["out"]) - moments["out"]
-    figures["first_start_after_in_seconds"] = (
-        min(resumed) - moments["in"] if resumed else float("inf")
-    )
+    figures["last_start_after_out_seconds"] = max(late, default=None)
+    figures["first_start_after_in_seconds"] = min(resumed, default=None)
     for label, start, end in (
-        ("before", measured.window.start, moments["out"]),
-        ("out", moments["out"], moments["in"]),
-        ("after", moments["in"], measured.window.end),
+        ("before", measured.window.start, moved.out_at),
+        ("out", moved.out_at, moved.in_at),
+        ("after", moved.in_at, measured.window.end),
     ):
         figures[f"cost_per_second_{label}"] = summary.completed_cost_rate(
             measured.history, service, fairness.Interval(start, end)
         )
-    return Report(
-        name="zone-move",
-        figures={str(PRODUCT): figures},
-        violations=violations_of(runs),
-        runs=runs,
-        service=service,
-        marks=[
-            pictures.Mark(moments["out"], f"{zone} out"),
-            pictures.Mark(moments["in"], f"{zone} in"),
-        ],
-    )
+    return figures
 
 
 async def control_report(options: Options) -> Report:
@@ -233,7 +255,7 @@
 
 
 async def recovery_report(options: Options) -> Report:
-    """Measure the pause of a service when its dispatcher leaves, and when an agent's does not."""
+    """Measure the pause of a service when its dispatcher shuts down."""
     service = mixes.language_model(options.plan).name
     runs = {}
     moments: dict[str, float] = {}
@@ -275,13 +297,16 @@
 async def overload_report(options: Options) -> Report:
     """Keep several times the capacity under way and measure memory, refusals and throughput."""
     service = mixes.language_model(options.plan).name
-    teams = len(options.plan.configuration.teams)
+    shares = sum(options.plan.shares().values())
     runs = {}
-    for label, factor in (("at-capacity", 1), ("overload", OVERLOAD_FACTOR)):
-        outstanding = max(1, factor * options.plan.capacity(service) // teams)
+    for label, policy, factor in (
+        ("at-capacity", PRODUCT, 1),
+        *((f"overload {policy}", policy, OVERLOAD_FACTOR) for policy in POLICIES),
+    ):
+        outstanding = factor * options.plan.capacity(service) / shares
         runs[label] = await experiment.run(
             experiment.Setup(
-                plan=options.plan,
+                plan=fleet.with_policy(options.plan, policy),
                 loads=mixes.text_loads(options.plan, outstanding),
                 seed=options.seed,
                 seconds=options.seconds,
