--- a/src/masticward/coordination/run_execution.py
+++ b/src/masticward/coordination/run_execution.py
@@ -70,9 +70,12 @@
         self.end_first_token_wait()
         self.runner.release(self.run, confirmed)
 
-    def note_task_end(self, _task: asyncio.Task[None]) -> None:
-        """Free the slot of a task that was cancelled before its first step."""
+    def note_task_end(self, task: asyncio.Task[None]) -> None:
+        """Free the slot of a task that was cancelled before its first step; tell a listener."""
         self.end(confirmed=True)
+        if task.cancelled() and self.run.listening:
+            self.run.stop_listening()
+            self.run.events.put_nowait(attempts.Failed("the agent stopped"))
 
     async def exchange(self) -> None:
         """Pass the endpoint's events on until the response is complete."""
@@ -101,9 +104,13 @@
     def check_before_send(self) -> None:
         """Raise AttemptRefusedError if the call may no longer start.
 
-        The process may have been paused, or the zone taken out, since the run was launched.
+        Since the run was launched the process may have been paused, the zone taken out, or the
+        limit lowered below the calls in flight, of which this is one.
         """
         reason = self.runner.checks.on_start(self.run.request.call.deadline)
+        capacity = self.runner.capacity
+        if reason is None and capacity.in_flight.total > capacity.limit.limit:
+            reason = work.RefusalReason.AT_LIMIT
         if reason is not None:
             raise errors.AttemptRefusedError(reason.value)
 
