Send the standby counters every 200 ms and no tickets it never assigned

Cause: each end was reported at once to primary and standby, although the standby needs counters only. Change: a dispatcher that was never offered slots on the link gets neither progress nor finished tickets, and reports go to it every 200 ms.

--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -98,6 +98,8 @@
         self.finished: dict[str, float] = {}
         self.sent_load: tuple[int, int, int, str] | None = None
         self.offered_until = 0.0
+        # Whether this link was ever offered slots; if not, the dispatcher knows no ticket here.
+        self.offered = False
         self.answered = False
         self.backoff_seconds = INITIAL_BACKOFF_SECONDS
         self.task: asyncio.Task[None] | None = None
@@ -131,6 +133,7 @@
         self.sent_counters.clear()
         self.sent_progress.clear()
         self.sent_load = None
+        self.offered = False
         self.answered = False
         self.loop.reported_at = 0.0
         self.loop.source.changed.set()
@@ -157,14 +160,30 @@
         self.loop.source.return_slots(slot_ids)
         self.loop.source.changed.set()
 
+    @property
+    def is_served_at_once(self) -> bool:
+        """Whether the dispatcher needs each end at once: it assigns slots, or knows nothing yet."""
+        return (
+            self is self.loop.primary
+            or self.offered_until > time.monotonic()
+            or self.sent_load is None
+        )
+
+    def keep_finished(self, report: ServiceReport) -> None:
+        """Keep the finished tickets for the next report of this session."""
+        if self.link is None or not self.offered:
+            self.finished.clear()
+        else:
+            self.finished.update(report.finished)
+
     def send_report(self, report: ServiceReport) -> None:
         """Send what changed since the last report of this session; nothing if nothing did."""
-        self.finished.update(report.finished)
+        self.keep_finished(report)
         if self.link is None:
-            self.finished.clear()
             return
         counters = changed_values(report.counters, self.sent_counters)
-        progress = changed_values(report.progress, self.sent_progress)
+        running = report.progress if self.offered else {}
+        progress = changed_values(running, self.sent_progress)
         load = (report.running, report.staged, report.limit, report.admission_state)
         if not counters and not progress and not self.finished and load == self.sent_load:
             return
@@ -183,7 +202,7 @@
             )
         )
         self.sent_counters.update(counters)
-        self.sent_progress = dict(report.progress)
+        self.sent_progress = dict(running)
         self.sent_load = load
         self.finished.clear()
 
@@ -330,6 +349,7 @@
         if offered.slot_ids:
             session.link.offer(offered.slot_ids, offered.deadline)
             session.offered_until = offered.deadline
+            session.offered = True
             self.note_expiry(offered.deadline)
 
     def note_expiry(self, deadline: float) -> None:
@@ -361,22 +381,24 @@
             loop = asyncio.get_running_loop()
             self.report_timer = loop.call_later(delay, self.send_reports)
 
-    def send_reports(self) -> None:
-        """Send to each session what it has not been told."""
+    def send_reports(self, to_all: bool = False) -> None:
+        """Send each session what it has not been told; the standby waits for the next period."""
         if self.report_timer is not None:
             self.report_timer.cancel()
             self.report_timer = None
         self.reported_at = time.monotonic()
         report = self.source.report()
         for session in self.sessions.values():
-            session.send_report(report)
+            if to_all or session.is_served_at_once:
+                session.send_report(report)
+            else:
+                session.keep_finished(report)
 
     async def report_periodically(self) -> None:
-        """Report the progress of running work."""
+        """Report the progress of running work to both dispatchers."""
         while True:
             await asyncio.sleep(REPORT_SECONDS)
-            if time.monotonic() - self.reported_at >= REPORT_SECONDS / 2:
-                self.send_reports()
+            self.send_reports(to_all=True)
 
     def store_snapshot(self, sender: DispatcherSession, message: masticward_pb2.Snapshot) -> None:
         """Keep the newest snapshot and pass it to the dispatcher in this agent's own process.
