--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -17,10 +17,14 @@
 from masticward.wire import masticward_pb2
 
 LOG = logs.get_logger(__name__)
-REPORT_SECONDS = 0.2
+# The reservation of a running call covers its progress up to the estimate, so a later report only
+# delays what a call costs beyond it.
+REPORT_SECONDS = 0.5
 # Ends within this time share one report, which bounds the cost of agents with very short calls.
-# Offers are not delayed by it.
-REPORT_SPACING_SECONDS = 0.01
+# Offers are not delayed by it, and reservations hold until the report.
+REPORT_SPACING_SECONDS = 0.1
+# The standby decides nothing; once it is primary the next report brings it up to date.
+STANDBY_REPORT_SECONDS = 1.0
 # Deadlines within this time share one timer.
 EXPIRY_SPACING_SECONDS = 0.05
 INITIAL_BACKOFF_SECONDS = 0.05
@@ -100,6 +104,7 @@
         self.offered_until = 0.0
         # Whether this link was ever offered slots; if not, the dispatcher knows no ticket here.
         self.offered = False
+        self.reported_at = 0.0
         self.answered = False
         self.backoff_seconds = INITIAL_BACKOFF_SECONDS
         self.task: asyncio.Task[None] | None = None
@@ -134,6 +139,7 @@
         self.sent_progress.clear()
         self.sent_load = None
         self.offered = False
+        self.reported_at = 0.0
         self.answered = False
         self.loop.reported_at = 0.0
         self.loop.source.changed.set()
@@ -160,27 +166,22 @@
         self.loop.source.return_slots(slot_ids)
         self.loop.source.changed.set()
 
-    @property
-    def is_served_at_once(self) -> bool:
-        """Whether the dispatcher needs each end at once: it assigns slots, or knows nothing yet."""
-        return (
-            self is self.loop.primary
-            or self.offered_until > time.monotonic()
-            or self.sent_load is None
-        )
-
-    def keep_finished(self, report: ServiceReport) -> None:
-        """Keep the finished tickets for the next report of this session."""
+    def note_finished(self, finished: dict[str, float]) -> None:
+        """Keep the ended tickets for the next report, if the dispatcher can know them."""
         if self.link is None or not self.offered:
             self.finished.clear()
         else:
-            self.finished.update(report.finished)
+            self.finished.update(finished)
+
+    def is_report_due(self, now: float) -> bool:
+        """Tell whether a session that gets no offers is due for a report."""
+        return now - self.reported_at >= STANDBY_REPORT_SECONDS
 
-    def send_report(self, report: ServiceReport) -> None:
+    def send_report(self, report: ServiceReport, now: float) -> None:
         """Send what changed since the last report of this session; nothing if nothing did."""
-        self.keep_finished(report)
         if self.link is None:
             return
+        self.reported_at = now
         counters = changed_values(report.counters, self.sent_counters)
         running = report.progress if self.offered else {}
         progress = changed_values(running, self.sent_progress)
@@ -381,24 +382,25 @@
             loop = asyncio.get_running_loop()
             self.report_timer = loop.call_later(delay, self.send_reports)
 
-    def send_reports(self, to_all: bool = False) -> None:
-        """Send each session what it has not been told; the standby waits for the next period."""
+    def send_reports(self) -> None:
+        """Send to each session what it has not been told."""
         if self.report_timer is not None:
             self.report_timer.cancel()
             self.report_timer = None
         self.reported_at = time.monotonic()
         report = self.source.report()
+        receiver = self.choose_session()
         for session in self.sessions.values():
-            if to_all or session.is_served_at_once:
-                session.send_report(report)
-            else:
-                session.keep_finished(report)
+            session.note_finished(report.finished)
+            if session is receiver or session.is_report_due(self.reported_at):
+                session.send_report(report, self.reported_at)
 
     async def report_periodically(self) -> None:
-        """Report the progress of running work to both dispatchers."""
+        """Report the progress of running work."""
         while True:
             await asyncio.sleep(REPORT_SECONDS)
-            self.send_reports(to_all=True)
+            if time.monotonic() - self.reported_at >= REPORT_SECONDS / 2:
+                self.send_reports()
 
     def store_snapshot(self, sender: DispatcherSession, message: masticward_pb2.Snapshot) -> None:
         """Keep the newest snapshot and pass it to the dispatcher in this agent's own process.
