--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -102,6 +102,8 @@
         self.finished: dict[str, float] = {}
         self.sent_load: tuple[int, int, int, str] | None = None
         self.offered_until = 0.0
+        # Whether this link was ever offered slots; if not, the dispatcher knows no ticket here.
+        self.offered = False
         self.reported_at = 0.0
         self.answered = False
         self.backoff_seconds = INITIAL_BACKOFF_SECONDS
@@ -136,6 +138,7 @@
         self.sent_counters.clear()
         self.sent_progress.clear()
         self.sent_load = None
+        self.offered = False
         self.reported_at = 0.0
         self.answered = False
         self.loop.reported_at = 0.0
@@ -164,8 +167,8 @@
         self.loop.source.changed.set()
 
     def note_finished(self, finished: dict[str, float]) -> None:
-        """Keep the ended tickets for the next report; without a link there is none to tell."""
-        if self.link is None:
+        """Keep the ended tickets for the next report, if the dispatcher can know them."""
+        if self.link is None or not self.offered:
             self.finished.clear()
         else:
             self.finished.update(finished)
@@ -180,7 +183,8 @@
             return
         self.reported_at = now
         counters = changed_values(report.counters, self.sent_counters)
-        progress = changed_values(report.progress, self.sent_progress)
+        running = report.progress if self.offered else {}
+        progress = changed_values(running, self.sent_progress)
         load = (report.running, report.staged, report.limit, report.admission_state)
         if not counters and not progress and not self.finished and load == self.sent_load:
             return
@@ -199,7 +203,7 @@
             )
         )
         self.sent_counters.update(counters)
-        self.sent_progress = dict(report.progress)
+        self.sent_progress = dict(running)
         self.sent_load = load
         self.finished.clear()
 
@@ -346,6 +350,7 @@
         if offered.slot_ids:
             session.link.offer(offered.slot_ids, offered.deadline)
             session.offered_until = offered.deadline
+            session.offered = True
             self.note_expiry(offered.deadline)
 
     def note_expiry(self, deadline: float) -> None:
