--- a/src/masticward/daemons/entry.py
+++ b/src/masticward/daemons/entry.py
@@ -69,6 +69,10 @@
         await self.tickets.close()
         await self.close_common()
 
+    def is_ready(self) -> bool:
+        """Ready once callers can connect; the admin port opens before the one for callers."""
+        return self.http_port > 0 and super().is_ready()
+
     def status(self) -> dict[str, typing.Any]:
         """Return versions, queue figures and the dispatcher of each service."""
         configuration = self.view.configuration
