Open the listeners of both HTTP servers in one place

Cause: the callers' and the admin server each parsed their address and bound a socket, with the same workaround for sanic's default port. Change: transport/listeners.py serves both; behaviour is the same.

--- a/src/masticward/transport/admin_http.py
+++ b/src/masticward/transport/admin_http.py
@@ -1,7 +1,6 @@
 """The admin port of both programs: liveness, readiness, metrics, status and explanations."""
 
 import abc
-import socket
 import typing
 
 import msgspec
@@ -9,7 +8,8 @@
 import sanic.response
 
 from masticward import metrics as metrics_module
-from masticward.utils import addresses, identifiers
+from masticward.transport import listeners
+from masticward.utils import identifiers
 
 # Admin answers are small and made from memory; a slower client is not worth a connection.
 ADMIN_TIMEOUT_SECONDS = 5
@@ -47,11 +47,7 @@
 
     async def start(self) -> int:
         """Listen and return the port in use."""
-        # Sanic replaces port 0 by its default port, so the socket is bound here.
-        host, port = addresses.split(self.address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family)
-        listener.setblocking(False)
+        listener = listeners.listen(self.address)
         self.port = listener.getsockname()[1]
         self.server = await self.create_app().create_server(
             sock=listener, return_asyncio_server=True, access_log=False
--- a/src/masticward/transport/entry_http.py
+++ b/src/masticward/transport/entry_http.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import logging
-import socket
 import time
 import typing
 
@@ -17,8 +16,8 @@
 from masticward import errors, events, logs, settings
 from masticward.models import work
 from masticward.state import refusals
-from masticward.transport import caller_headers, channels, request_gate, response_sink
-from masticward.utils import clocks, identifiers
+from masticward.transport import caller_headers, channels, listeners, request_gate, response_sink
+from masticward.utils import addresses, clocks, identifiers
 
 REQUEST_ID_HEADER = "masticward-request-id"
 OUTCOME_HEADER = "masticward-outcome"
@@ -246,11 +245,7 @@
         # Sanic's own lines are not numbered events and may hold request targets.
         for name in ("sanic.root", "sanic.error", "sanic.server", "sanic.access"):
             logging.getLogger(name).setLevel(logging.CRITICAL + 1)
-        host, _, port = self.address.rpartition(":")
-        host = host.strip("[]")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, int(port)), family=family, backlog=LISTEN_BACKLOG)
-        listener.setblocking(False)
+        listener = listeners.listen(self.address, LISTEN_BACKLOG)
         self.server = await self.app.create_server(
             sock=listener,
             protocol=CallerConnection,
@@ -260,7 +255,9 @@
         await self.server.startup()
         await self.server.start_serving()
         bound_port = int(listener.getsockname()[1])
-        logger.log(events.Event.ENTRY_LISTENING, host=host, port=bound_port)
+        logger.log(
+            events.Event.ENTRY_LISTENING, host=addresses.split(self.address)[0], port=bound_port
+        )
         return bound_port
 
     def stop_listening(self) -> None:
