Begin the faults of fleet tests once every endpoint is in use

The test waited a fixed 2 s after the start of the load; on a machine where programs start more slowly the agent had run nothing by then. Ruled out: the load (all calls of the test are bookings that must not be repeated, 48 of them kept under way for 12 slots). Change: FleetCase.load yields once every endpoint under load has begun a call, and counts the load's seconds from then. The test kills the agent only when its endpoint has just begun a call, which lasts 0.5 s instead of 0.3 s. No check was changed. Conclusion: the fault was in the test's timing.

--- a/tests/functional/test_process_faults.py
+++ b/tests/functional/test_process_faults.py
@@ -14,7 +14,8 @@
 # other, and a call must then run.
 RECOVERY_SECONDS = 5.0
 FREEZE_SECONDS = 4.0
-LONG_CALL_MS = 300.0
+# Long enough that a call seen under way is still so when its agent is killed.
+LONG_CALL_MS = 500.0
 
 
 class ProcessFaultTest(fleet_case.FleetCase):
@@ -33,6 +34,7 @@
             await self.fleet.platform.control_endpoint(endpoint.id, service_ms=LONG_CALL_MS)
         async with self.load(6.0, text=0, booking=3):
             await asyncio.sleep(WARM_SECONDS)
+            await self.wait_until_running(victim)
             await self.fleet.kill(victim)
             killed_at = time.monotonic()
         await self.assert_safe()
--- a/tests/lib/fleet_case.py
+++ b/tests/lib/fleet_case.py
@@ -16,6 +16,11 @@
 MAXIMUM_CALLS = 6_000
 TOKEN_MS = 10.0
 VERSION_PERIOD_SECONDS = 0.25
+# Until every endpoint is used; a busy machine needs several seconds.
+LOAD_START_SECONDS = 30.0
+POLL_SECONDS = 0.02
+JUST_BEGUN_SECONDS = 0.1
+RECENT_RECORDS = 20
 
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
@@ -64,7 +69,11 @@
     async def load(
         self, seconds: float, text: int = 3, booking: int = 1, deadline_seconds: float = 30.0
     ) -> collections.abc.AsyncIterator[load.LoadGenerator]:
-        """Run load beside the body of the context and wait for the last call at its end."""
+        """Run load beside the body of the context and wait for the last call at its end.
+
+        The body and the ``seconds`` begin once every endpoint under load has begun a call. A fixed
+        time for that was too short on a busy machine, and faults then met an idle fleet.
+        """
         plan = self.fleet.plan
         balancer = load.Balancer(self.fleet.targets((3.0, 1.0, 1.0)))
         generator = load.LoadGenerator(
@@ -73,16 +82,38 @@
         loads = (mixes.text_loads(plan, text) if text else []) + (
             mixes.booking_loads(plan, booking) if booking else []
         )
+        services = ({fleets.WRITER} if text else set()) | ({fleets.BOOKING} if booking else set())
         async with generator:
-            calls = asyncio.create_task(generator.run(loads, seconds))
+            calls = asyncio.create_task(generator.run(loads, LOAD_START_SECONDS + seconds))
             versions = asyncio.create_task(self.sample_versions())
             try:
+                await self.wait_until_used(services)
+                generator.stop_at = time.monotonic() + seconds
                 yield generator
                 await calls
             finally:
                 versions.cancel()
                 calls.cancel()
 
+    async def wait_until_used(self, services: set[str]) -> None:
+        """Wait until every endpoint of the services has begun a call."""
+        endpoints = [item for item in self.fleet.plan.endpoints if item.service in services]
+        servers = self.fleet.platform.endpoints
+        async with asyncio.timeout(LOAD_START_SECONDS):
+            while not all(servers[item.id].recorder.records for item in endpoints):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_until_running(self, endpoint_id: str) -> None:
+        """Wait until an endpoint has a call under way that it began just now."""
+        recorder = self.fleet.platform.endpoints[endpoint_id].recorder
+        async with asyncio.timeout(LOAD_START_SECONDS):
+            while not any(
+                record.finished_at is None
+                and time.monotonic() - record.started_at < JUST_BEGUN_SECONDS
+                for record in list(recorder.records)[-RECENT_RECORDS:]
+            ):
+                await asyncio.sleep(POLL_SECONDS)
+
     async def sample_versions(self) -> None:
         """Record the versions of all programs until cancelled."""
         while True:
