Measure refused attempts while configurations are published

Change: masticward bench changes publishes a new share of one team twice a second under a load that leaves a third of the slots free, and counts refused attempts by reason.

--- a/src/masticward/bench/platform.py
+++ b/src/masticward/bench/platform.py
@@ -112,10 +112,12 @@
         """Cut one program off from the object API; its bytes vanish silently."""
         self.forwarders[f"{instance_id}/objects"].set_mode(forwarder.ForwarderMode.DROP)
 
-    async def publish(self) -> None:
-        """Publish the configuration of the plan; raises PublishingError."""
+    async def publish(
+        self, configuration: configuration_models.Configuration | None = None
+    ) -> None:
+        """Publish a configuration, that of the plan by default; raises PublishingError."""
         change = publisher.Publisher(self.store, OPERATOR)
-        unwrap(await change.publish(self.plan.configuration, change_deadline()))
+        unwrap(await change.publish(configuration or self.plan.configuration, change_deadline()))
 
     async def zone_out(self, zone: str, bound: float = ZONE_BOUND_SECONDS) -> None:
         """Take a zone out; no start is allowed ``bound`` seconds after acceptance."""
--- a/src/masticward/bench/reports.py
+++ b/src/masticward/bench/reports.py
@@ -8,7 +8,16 @@
 import msgspec
 
 from masticward import settings as settings_module
-from masticward.bench import experiment, fairness, fleet, mixes, pictures, plans, summary
+from masticward.bench import (
+    configuration_changes,
+    experiment,
+    fairness,
+    fleet,
+    mixes,
+    pictures,
+    plans,
+    summary,
+)
 from masticward.models import work
 
 POLICIES = tuple(settings_module.QueuePolicyName)
@@ -22,6 +31,8 @@
 OVERLOAD_FACTOR = 5
 # One process does not carry the 240 calls per second of 100 ms each that fill all slots.
 SHORT_CALL_MS = 200.0
+# Part of the slots that the load of ``changes`` keeps busy, so that refusals show as latency.
+PARTIAL_LOAD = 2 / 3
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
@@ -333,6 +344,49 @@
     )
 
 
+async def changes_report(options: Options) -> Report:
+    """Publish a configuration twice a second under load that leaves a third of the slots free."""
+    service = mixes.language_model(options.plan).name
+    shares = sum(options.plan.shares().values())
+    outstanding = PARTIAL_LOAD * options.plan.capacity(service) / shares
+    changes = {
+        "undisturbed": configuration_changes.ShareChanges(0),
+        "changes": configuration_changes.ShareChanges(
+            int(options.seconds / configuration_changes.CHANGE_PERIOD_SECONDS)
+        ),
+    }
+    runs = {
+        label: await experiment.run(
+            experiment.Setup(
+                plan=options.plan,
+                loads=mixes.text_loads(options.plan, outstanding),
+                seed=options.seed,
+                seconds=options.seconds,
+                maximum_calls=20_000,
+                weights=UNEVEN_WEIGHTS,
+                token_ms=10.0,
+            ),
+            action.run,
+        )
+        for label, action in changes.items()
+    }
+    return Report(
+        name="changes",
+        figures={
+            label: {
+                "published": action.published,
+                "attempts_refused": dict(action.refusals),
+                **latency_figures(runs[label], service),
+                **msgspec.structs.asdict(summary.count(runs[label].history)),
+            }
+            for label, action in changes.items()
+        },
+        violations=violations_of(runs),
+        runs=runs,
+        service=service,
+    )
+
+
 MEASUREMENTS: dict[str, collections.abc.Callable[[Options], collections.abc.Awaitable[Report]]] = {
     "fairness": fairness_report,
     "utilization": utilization_report,
@@ -340,6 +394,7 @@
     "control": control_report,
     "recovery": recovery_report,
     "overload": overload_report,
+    "changes": changes_report,
 }
 
 
--- a/src/masticward/cli/bench.py
+++ b/src/masticward/cli/bench.py
@@ -91,6 +91,17 @@
     measure("overload", deployment, seconds, seed, output)
 
 
+@commands.command("changes")
+def changes(
+    deployment: Deployment = "mauritius",
+    seconds: Seconds = 10.0,
+    seed: Seed = 1,
+    output: Output = pathlib.Path("out"),
+) -> None:
+    """Publish a configuration twice a second under load and count refused attempts."""
+    measure("changes", deployment, seconds, seed, output)
+
+
 def measure(name: str, deployment: str, seconds: float, seed: int, output: pathlib.Path) -> None:
     """Run one measurement, print it, write it to ``output`` and exit."""
     raise typer.Exit(programs.run(run(name, deployment, seconds, seed, output)))
--- a/tests/unit/test_bench_reports.py
+++ b/tests/unit/test_bench_reports.py
@@ -37,6 +37,6 @@
 
     def test_all_measurements_are_registered(self) -> None:
         self.assertEqual(
-            {"fairness", "utilization", "zone-move", "control", "recovery", "overload"},
+            {"fairness", "utilization", "zone-move", "control", "recovery", "overload", "changes"},
             set(reports.MEASUREMENTS),
         )
