Compare the definition of an operation instead of configuration versions

A call that was routed by an earlier definition while it waited was sent under the newest version, so the comparison did not protect it: it could be repeated as idempotent after the operation had ceased to be. Change: the attempt carries a digest of service name, kind and operation as routed. The agent refuses another definition, and an entry whose configuration was superseded more than 4 s ago. Operations versions are not compared: the agent's own state decides, and an entry with a newer state has checked the agent against it. An entry that is refused because of a zone or instance that is out fetches the agent's operations state.

--- a/src/masticward/coordination/admission_checks.py
+++ b/src/masticward/coordination/admission_checks.py
@@ -8,6 +8,9 @@
 from masticward.models import configuration as configuration_models
 
 Reason = work.RefusalReason
+# An entry that still has an earlier configuration so long after this agent has a newer one is cut
+# off; 8 s is the time within which a configuration is in force everywhere.
+SUPERSEDED_SECONDS = 4.0
 
 
 class AdmissionChecks:
@@ -16,7 +19,15 @@
     ``is_endpoint_leaving`` tells whether the endpoint or the agent itself is about to stop.
     """
 
-    __slots__ = ("incarnation", "instance", "is_endpoint_leaving", "service_name", "view")
+    __slots__ = (
+        "incarnation",
+        "instance",
+        "is_endpoint_leaving",
+        "noted_version",
+        "service_name",
+        "superseded_deadline",
+        "view",
+    )
 
     def __init__(
         self,
@@ -31,6 +42,15 @@
         self.incarnation = incarnation
         self.service_name = service_name
         self.is_endpoint_leaving = is_endpoint_leaving
+        self.noted_version = self.config_version
+        # Until then attempts of entries with an earlier configuration may be admitted.
+        self.superseded_deadline = 0.0
+
+    def note_view(self, now: float) -> None:
+        """Note when a newer configuration arrives; call this after each change of the view."""
+        if self.config_version != self.noted_version:
+            self.noted_version = self.config_version
+            self.superseded_deadline = now + SUPERSEDED_SECONDS
 
     @property
     def service(self) -> configuration_models.Service | None:
@@ -55,7 +75,7 @@
         return (
             self.check_addressee(request)
             or self.on_start(request.call.deadline)
-            or self.check_versions(request)
+            or self.check_definition(request)
         )
 
     def on_start(self, deadline: float) -> Reason | None:
@@ -102,16 +122,30 @@
                 request.config_version, request.operations_version, request.entry_peer_address
             )
 
-    def check_versions(self, request: attempts.AttemptRequest) -> Reason | None:
-        """Compare the sender's versions with the own ones, which must be the same."""
-        operations_version = self.view.operations.version
-        if request.config_version != self.config_version:
-            newer = request.config_version > self.config_version
-            return Reason.NEWER_CONFIGURATION if newer else Reason.OLDER_CONFIGURATION
-        if request.operations_version != operations_version:
-            newer = request.operations_version > operations_version
-            return Reason.NEWER_OPERATIONS if newer else Reason.OLDER_OPERATIONS
-        return None
+    def check_definition(self, request: attempts.AttemptRequest) -> Reason | None:
+        """Check that the entry routed the call by the same definition of its operation.
+
+        Versions may differ, because most changes do not concern the call: to require the same one
+        would refuse attempts in the whole fleet until a change has spread. Operations versions are
+        not compared either. The agent's own state has been checked, and an entry with a newer one
+        has checked this agent against that.
+        """
+        service = self.service
+        operation = find_operation(service, request.call.operation) if service else None
+        same = (
+            service is not None
+            and operation is not None
+            and configuration_models.call_digest(service, operation) == request.call_digest
+        )
+        if request.config_version > self.config_version:
+            return None if same else Reason.NEWER_CONFIGURATION
+        if request.config_version < self.config_version:
+            in_time = time.monotonic() < self.superseded_deadline
+            return None if same and in_time else Reason.OLDER_CONFIGURATION
+        if operation is None:
+            return Reason.NO_CONFIGURATION
+        # The entry has this configuration now but routed the call by an earlier one.
+        return None if same else Reason.OLDER_CONFIGURATION
 
 
 def find_operation(
--- a/src/masticward/coordination/endpoint_runner.py
+++ b/src/masticward/coordination/endpoint_runner.py
@@ -184,6 +184,7 @@
 
     def settle(self) -> None:
         """Start what may start, refuse what may not, and tell the offer loop."""
+        self.checks.note_view(time.monotonic())
         service = self.checks.service
         if service is not None:
             self.capacity.limit.set_limits(service.cold_limit, service.warm_limit)
--- a/src/masticward/coordination/request_life.py
+++ b/src/masticward/coordination/request_life.py
@@ -36,9 +36,7 @@
 ANSWERED = "answered"
 REPLAYED = "replayed"
 CALLER_GONE = "caller-gone"
-OLDER_REASONS = frozenset(
-    (work.RefusalReason.OLDER_CONFIGURATION, work.RefusalReason.OLDER_OPERATIONS)
-)
+OUT_REASONS = frozenset((work.RefusalReason.ZONE_OUT, work.RefusalReason.INSTANCE_OUT))
 
 logger = logs.get_logger(__name__)
 
@@ -310,6 +308,7 @@
             call=self.call,
             config_version=configuration.version if configuration is not None else 0,
             operations_version=self.context.view.operations.version,
+            call_digest=self.route.call_digest,
             answer_deadline=self.call.deadline + grace,
         )
 
@@ -345,6 +344,8 @@
             raise errors.CallerGoneError("the caller left and its call was refused")
         if refusal.reason == work.RefusalReason.DEADLINE_PASSED:
             raise self.no_capacity("the deadline passed before the call was started")
+        if refusal.reason == work.RefusalReason.OLDER_CONFIGURATION and self.is_redefined():
+            raise self.no_capacity("the operation was changed while the call waited")
         if self.refusal_count >= self.context.refusal_limit or not self.context.budget.take():
             raise self.no_capacity(
                 f"agents refused the call {self.refusal_count} times, last: {refusal.reason}"
@@ -355,6 +356,16 @@
             f"an agent refused the call ({refusal.reason}) and the deadline is too near",
         )
 
+    def is_redefined(self) -> bool:
+        """Tell whether the newest configuration defines the operation differently or not at all."""
+        configuration = self.context.view.configuration
+        services = configuration.services if configuration is not None else ()
+        return all(
+            configuration_models.call_digest(service, operation) != self.route.call_digest
+            for service in services
+            for operation in service.operations
+        )
+
     def note_refusal(
         self, assignment: work.Assignment, refusal: errors.AttemptRefusedError
     ) -> None:
@@ -373,14 +384,16 @@
         view = self.context.view
         if refusal.reason == work.RefusalReason.UNREACHABLE:
             view.suspect(assignment.slot.agent_id)
-        if refusal.reason in OLDER_REASONS:
-            # The agent has a newer version than this entry, at least the next one.
+        # The entry sent the attempt, so the agent has at least the next version of what it refers
+        # to; if it has not, the fetch returns nothing.
+        older_configuration = refusal.reason == work.RefusalReason.OLDER_CONFIGURATION
+        older_operations = refusal.reason in OUT_REASONS
+        if older_configuration or older_operations:
             configuration = view.configuration
             version = configuration.version if configuration is not None else 0
-            newer_configuration = refusal.reason == work.RefusalReason.OLDER_CONFIGURATION
             view.note_versions(
-                version + int(newer_configuration),
-                view.operations.version + int(not newer_configuration),
+                version + int(older_configuration),
+                view.operations.version + int(older_operations),
                 assignment.slot.agent_address,
             )
 
--- a/src/masticward/models/attempts.py
+++ b/src/masticward/models/attempts.py
@@ -15,6 +15,7 @@
     slot_id: int
     config_version: int
     operations_version: int
+    call_digest: int
     call: work.CallRequest
     entry_peer_address: str = ""
 
--- a/src/masticward/models/configuration.py
+++ b/src/masticward/models/configuration.py
@@ -3,6 +3,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 
 class ServiceKind(enum.StrEnum):
@@ -45,6 +46,11 @@
     maximum_cost: float = 10_000.0
 
 
+def call_digest(service: Service, operation: Operation) -> int:
+    """Return a digest of what entry and agent must agree on to run a call of an operation."""
+    return xxhash.xxh3_64_intdigest(msgspec.json.encode((service.name, service.kind, operation)))
+
+
 class Team(msgspec.Struct, frozen=True, kw_only=True):
     """A tenant with its share of each service and the SHA-256 hex digests of its credentials."""
 
--- a/src/masticward/protocol/attempt_client.py
+++ b/src/masticward/protocol/attempt_client.py
@@ -36,6 +36,7 @@
     call: work.CallRequest
     config_version: int
     operations_version: int
+    call_digest: int
     answer_deadline: float
     sent: bool = False
 
@@ -179,6 +180,7 @@
         team=call.team,
         config_version=attempt.config_version,
         operations_version=attempt.operations_version,
+        call_digest=attempt.call_digest,
         remaining_ms=clocks.remaining_ms(call.deadline),
         method=call.method,
         path=call.path,
--- a/src/masticward/protocol/attempt_server.py
+++ b/src/masticward/protocol/attempt_server.py
@@ -106,6 +106,7 @@
         slot_id=request.slot_id,
         config_version=request.config_version,
         operations_version=request.operations_version,
+        call_digest=request.call_digest,
         entry_peer_address=request.entry_peer_address,
         call=work.CallRequest(
             request_id=request.request_id,
--- a/src/masticward/state/route_table.py
+++ b/src/masticward/state/route_table.py
@@ -54,12 +54,13 @@
 
 
 class Route:
-    """A service with one of its operations."""
+    """A service with one of its operations, and the digest by which agents check both."""
 
-    __slots__ = ("operation", "service")
+    __slots__ = ("call_digest", "operation", "service")
 
     def __init__(
         self, service: configuration_models.Service, operation: configuration_models.Operation
     ) -> None:
         self.service = service
         self.operation = operation
+        self.call_digest = configuration_models.call_digest(service, operation)
--- a/tests/lib/attempt_fakes.py
+++ b/tests/lib/attempt_fakes.py
@@ -43,6 +43,7 @@
         ),
         config_version=4,
         operations_version=5,
+        call_digest=6,
         answer_deadline=deadline,
     )
 
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from masticward import errors, settings
 from tests.lib import entry_fakes
 
@@ -53,6 +55,29 @@
         self.assertEqual("complete", sink.outcome)
         self.assertEqual(["agent-1"], [run.slot.agent_id for run in fixture.attempts.runs])
 
+    async def test_zone_out_refusal_fetches_the_agents_operations_state(self) -> None:
+        """Fails if an entry that missed a change keeps sending to agents that are out."""
+        fixture = entry_fakes.EntryFixture(
+            entry_fakes.refuse("zone-out"), entry_fakes.answer(b"ok")
+        )
+        self.assertEqual("complete", (await fixture.call("/v1/book")).outcome)
+        version = fixture.view.configuration.version
+        fixture.view.note_versions.assert_called_once_with(version, 2, "127.0.0.1:1")
+
+    async def test_call_whose_operation_was_changed_while_it_waited_is_not_run(self) -> None:
+        """Fails if such a call goes round the refusing agents until its deadline."""
+        fixture = entry_fakes.EntryFixture(entry_fakes.refuse("older-configuration"))
+        waiting = asyncio.ensure_future(fixture.call("/v1/book"))
+        await asyncio.sleep(0)
+        services = fixture.view.configuration.services
+        changed = tuple(msgspec.structs.replace(item, name=f"new-{item.name}") for item in services)
+        fixture.view.configuration = msgspec.structs.replace(
+            fixture.view.configuration, services=changed
+        )
+        sink = await waiting
+        self.assertEqual((503, "not-run"), (sink.status, sink.outcome))
+        self.assertEqual(1, len(fixture.attempts.runs))
+
 
 class PossibleStartTest(unittest.IsolatedAsyncioTestCase):
     async def test_non_idempotent_call_is_never_sent_twice(self) -> None:
