Measure what the fleet adds to the first byte and between tokens

Cause: the target names 0.38 s to the first token and 64 ms between tokens; no page said what part of them the fleet itself needs.

--- a/tools/measure_roles.py
+++ b/tools/measure_roles.py
@@ -37,12 +37,19 @@
 
 
 class Level(msgspec.Struct, kw_only=True):
-    """Figures of one load level. Processor time is per second and process of the role."""
+    """Figures of one load level. Processor time is per second and process of the role.
+
+    The first byte is that of calls sent within the window; its time includes the endpoint's own
+    of FIRST_TOKEN_MS for streams and ``service_ms`` for plain calls. Times are in milliseconds.
+    """
 
     name: str
     calls_per_second: float
     tokens_per_second: float
     utilization: float
+    first_byte_p50_ms: float
+    first_byte_p95_ms: float
+    between_tokens_p95_ms: float
     cpu: dict[str, float]
     resident_megabytes: dict[str, float]
     not_run: int
@@ -103,7 +110,8 @@
             end = time.monotonic()
             await running
         await fleet.platform.complete_history(record)
-        return summarize(name, fleet, record, roles, before, after, fairness.Interval(begin, end))
+        window = fairness.Interval(begin, end)
+        return summarize(name, fleet, record, roles, before, after, window, generator.latencies)
     finally:
         await fleet.close()
 
@@ -116,6 +124,7 @@
     before: dict[str, Sample],
     after: dict[str, Sample],
     window: fairness.Interval,
+    latencies: dict[str, load.Latencies],
 ) -> Level:
     """Return the figures of a level from samples at both ends of the window."""
     elapsed = window.end - window.start
@@ -127,8 +136,17 @@
         resident[role].append(after[program].resident_bytes / 1e6)
     ended = [call for call in record.calls if window.start <= call.ended_at <= window.end]
     service = fleets.WRITER if name.startswith("text") else fleets.BOOKING
+    first = sorted(
+        (call.first_byte_at - call.sent_at) * 1000.0
+        for call in record.calls
+        if call.first_byte_at and window.start <= call.sent_at <= window.end
+    )
+    between = latencies[service].between
     return Level(
         name=name,
+        first_byte_p50_ms=first[len(first) // 2],
+        first_byte_p95_ms=first[len(first) * 95 // 100],
+        between_tokens_p95_ms=between.get_value_at_percentile(95.0) / 1000.0,
         calls_per_second=len(ended) / elapsed,
         tokens_per_second=sum(call.cost for call in ended) / elapsed,
         utilization=fairness.utilization(record, service, fleet.plan.capacity(service), window),
