Declare the shared command-line options once

Cause: publish, zone, instance, status, explain, audit and config repeated the same parameter list and built base.Options from it by hand. Change: each field of base.Options carries its typer option, and the decorator base.takes_options adds the named fields to a command, which receives one Options object. Conclusion: names, help texts, environment variables, defaults and their order are the same.

--- a/src/masticward/cli/audit.py
+++ b/src/masticward/cli/audit.py
@@ -85,13 +85,11 @@
     """Add the command to the program."""
 
     @app.command("audit")
+    @base.takes_options(*base.READ_OPTIONS)
     def show_audit(
+        options: base.Options,
         kind: typing.Annotated[str, typer.Option(help="config, ops or all.")] = "all",
         limit: LimitOption = DEFAULT_LIMIT,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
     ) -> None:
         """List who changed the configuration and the operations state, the newest last.
 
@@ -99,7 +97,4 @@
         """
         if kind not in (*KINDS, "all"):
             raise typer.BadParameter(f"{kind!r} is not one of config, ops, all")
-        options = base.Options(
-            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-        )
         AuditCommand(options, KINDS if kind == "all" else (kind,), limit).run()
--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -2,7 +2,10 @@
 
 import abc
 import asyncio
+import collections.abc
+import functools
 import getpass
+import inspect
 import logging
 import pathlib
 import typing
@@ -18,38 +21,7 @@
 from masticward.utils import clocks, programs, tasks
 
 PROGRESS_SECONDS = 2.0
-DEFAULT_DEADLINE_SECONDS = 20.0
-DEFAULT_OBJECT_API = "http://127.0.0.1:7100"
-DEFAULT_INSTANCE_LIST = "http://127.0.0.1:7200"
 
-ObjectApiOption = typing.Annotated[
-    str,
-    typer.Option("--object-api", envvar="MASTICWARD_OBJECT_API", help="URL of the object API."),
-]
-InstanceListOption = typing.Annotated[
-    str,
-    typer.Option(
-        "--instance-list", envvar="MASTICWARD_INSTANCE_LIST", help="URL of the instance list."
-    ),
-]
-SettingsOption = typing.Annotated[
-    pathlib.Path | None,
-    typer.Option("--settings", help="Settings file of an entry or agent that holds the URLs."),
-]
-JsonOption = typing.Annotated[
-    bool, typer.Option("--json", help="Write the result as JSON to standard output.")
-]
-DeadlineOption = typing.Annotated[
-    float, typer.Option("--deadline", min=0.1, help="Seconds after which the command gives up.")
-]
-OperatorOption = typing.Annotated[
-    str,
-    typer.Option(
-        "--operator",
-        envvar="MASTICWARD_OPERATOR",
-        help="Name in the audit trail; the user's name if not given.",
-    ),
-]
 WaitOption = typing.Annotated[
     bool, typer.Option("--wait", help="Wait until the change is in force in every process.")
 ]
@@ -70,14 +42,88 @@
 
 
 class Options(msgspec.Struct, kw_only=True):
-    """The options that the commands have in common."""
-
-    object_api: str = DEFAULT_OBJECT_API
-    instance_list: str = DEFAULT_INSTANCE_LIST
-    settings: pathlib.Path | None = None
-    json: bool = False
-    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS
-    operator: str = ""
+    """The options that the commands have in common, as ``takes_options`` adds them."""
+
+    object_api: typing.Annotated[
+        str,
+        typer.Option("--object-api", envvar="MASTICWARD_OBJECT_API", help="URL of the object API."),
+    ] = "http://127.0.0.1:7100"
+    instance_list: typing.Annotated[
+        str,
+        typer.Option(
+            "--instance-list", envvar="MASTICWARD_INSTANCE_LIST", help="URL of the instance list."
+        ),
+    ] = "http://127.0.0.1:7200"
+    settings: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option("--settings", help="Settings file of an entry or agent that holds the URLs."),
+    ] = None
+    operator: typing.Annotated[
+        str,
+        typer.Option(
+            "--operator",
+            envvar="MASTICWARD_OPERATOR",
+            help="Name in the audit trail; the user's name if not given.",
+        ),
+    ] = ""
+    deadline_seconds: typing.Annotated[
+        float, typer.Option("--deadline", min=0.1, help="Seconds after which the command gives up.")
+    ] = 20.0
+    json: typing.Annotated[
+        bool, typer.Option("--json", help="Write the result as JSON to standard output.")
+    ] = False
+
+
+# Fields of Options, in the order in which ``--help`` lists them.
+OUTPUT_OPTIONS = ("json",)
+READ_OPTIONS = ("object_api", "settings", "deadline_seconds", "json")
+FLEET_OPTIONS = ("object_api", "instance_list", "settings", "json", "deadline_seconds")
+CHANGE_OPTIONS = (
+    "object_api",
+    "instance_list",
+    "settings",
+    "operator",
+    "deadline_seconds",
+    "json",
+)
+
+CommandFunction = collections.abc.Callable[..., None]
+
+
+def takes_options(
+    *names: str,
+) -> collections.abc.Callable[[CommandFunction], CommandFunction]:
+    """Return a decorator that adds the options of some fields of Options to a command.
+
+    The decorated function receives them as one Options object in its parameter ``options``.
+    ``--help`` lists its other parameters first.
+    """
+
+    def decorate(function: CommandFunction) -> CommandFunction:
+        @functools.wraps(function)
+        def command(**values: typing.Any) -> None:
+            options = Options(**{name: values.pop(name) for name in names})
+            function(options=options, **values)
+
+        signature = inspect.signature(function)
+        own = [item for item in signature.parameters.values() if item.name != "options"]
+        # typer reads the command line from the signature.
+        command.__signature__ = signature.replace(  # type: ignore[attr-defined]
+            parameters=[*own, *(option_parameter(name) for name in names)]
+        )
+        return command
+
+    return decorate
+
+
+def option_parameter(name: str) -> inspect.Parameter:
+    """Return a field of Options as a function's parameter, with annotation and default."""
+    return inspect.Parameter(
+        name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=Options.__struct_defaults__[Options.__struct_fields__.index(name)],
+        annotation=Options.__annotations__[name],
+    )
 
 
 class Command(abc.ABC):
--- a/src/masticward/cli/check.py
+++ b/src/masticward/cli/check.py
@@ -42,9 +42,10 @@
     """Add the command to the program."""
 
     @app.command("check")
-    def check_files(paths: base.PathsArgument, json: base.JsonOption = False) -> None:
+    @base.takes_options(*base.OUTPUT_OPTIONS)
+    def check_files(options: base.Options, paths: base.PathsArgument) -> None:
         """Check configuration files and report every problem at once.
 
         Example: masticward check services/
         """
-        CheckCommand(base.Options(json=json), paths).run()
+        CheckCommand(options, paths).run()
--- a/src/masticward/cli/config.py
+++ b/src/masticward/cli/config.py
@@ -85,52 +85,28 @@
     app.add_typer(group, name="config")
 
     @group.command("show")
-    def show(
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
-    ) -> None:
+    @base.takes_options(*base.READ_OPTIONS)
+    def show(options: base.Options) -> None:
         """Show the published configuration.
 
         Example: masticward config show --json
         """
-        ShowCommand(
-            base.Options(
-                object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-            )
-        ).run()
+        ShowCommand(options).run()
 
     @group.command("diff")
-    def diff(
-        paths: base.PathsArgument,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
-    ) -> None:
+    @base.takes_options(*base.READ_OPTIONS)
+    def diff(options: base.Options, paths: base.PathsArgument) -> None:
         """Show what publishing the files would change.
 
         Example: masticward config diff services/
         """
-        options = base.Options(
-            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-        )
         DiffCommand(options, paths).run()
 
     @group.command("history")
-    def history(
-        limit: audit.LimitOption = audit.DEFAULT_LIMIT,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
-    ) -> None:
+    @base.takes_options(*base.READ_OPTIONS)
+    def history(options: base.Options, limit: audit.LimitOption = audit.DEFAULT_LIMIT) -> None:
         """List the published versions, the newest last.
 
         Example: masticward config history --limit 5
         """
-        options = base.Options(
-            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-        )
         audit.AuditCommand(options, ("config",), limit).run()
--- a/src/masticward/cli/publish.py
+++ b/src/masticward/cli/publish.py
@@ -48,15 +48,9 @@
     """Add the command to the program."""
 
     @app.command("publish")
+    @base.takes_options(*base.CHANGE_OPTIONS)
     def publish(
-        paths: base.PathsArgument,
-        wait: base.WaitOption = False,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-        settings: base.SettingsOption = None,
-        operator: base.OperatorOption = "",
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
+        options: base.Options, paths: base.PathsArgument, wait: base.WaitOption = False
     ) -> None:
         """Publish all masticward.json files below the paths as one configuration.
 
@@ -65,12 +59,4 @@
 
         Example: masticward publish services/ --wait --object-api http://10.0.0.5:7100
         """
-        options = base.Options(
-            object_api=object_api,
-            instance_list=instance_list,
-            settings=settings,
-            json=json,
-            deadline_seconds=deadline,
-            operator=operator,
-        )
         PublishCommand(options, paths, wait).run()
--- a/src/masticward/cli/service_state.py
+++ b/src/masticward/cli/service_state.py
@@ -65,25 +65,13 @@
         help=f"Take {thing} out of service: it gets no new work within 3 s, running work ends."
         f"{common_help}\n\nExample: masticward {kind} out {example} --wait",
     )
+    @base.takes_options(*base.CHANGE_OPTIONS)
     def take_out(
+        options: base.Options,
         target: TargetArgument,
         force: base.ForceOption = False,
         wait: base.WaitOption = False,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-        settings: base.SettingsOption = None,
-        operator: base.OperatorOption = "",
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
     ) -> None:
-        options = base.Options(
-            object_api=object_api,
-            instance_list=instance_list,
-            settings=settings,
-            json=json,
-            deadline_seconds=deadline,
-            operator=operator,
-        )
         MoveCommand(options, kind, target, True, force, wait).run()
 
     @group.command(
@@ -91,24 +79,10 @@
         help=f"Bring {thing} back into service.{common_help}\n\n"
         f"Example: masticward {kind} in {example}",
     )
+    @base.takes_options(*base.CHANGE_OPTIONS)
     def bring_in(
-        target: TargetArgument,
-        wait: base.WaitOption = False,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-        settings: base.SettingsOption = None,
-        operator: base.OperatorOption = "",
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
+        options: base.Options, target: TargetArgument, wait: base.WaitOption = False
     ) -> None:
-        options = base.Options(
-            object_api=object_api,
-            instance_list=instance_list,
-            settings=settings,
-            json=json,
-            deadline_seconds=deadline,
-            operator=operator,
-        )
         MoveCommand(options, kind, target, False, False, wait).run()
 
     return group
--- a/src/masticward/cli/settings.py
+++ b/src/masticward/cli/settings.py
@@ -81,14 +81,15 @@
     """Add the command to the program."""
 
     @app.command("settings")
+    @base.takes_options(*base.OUTPUT_OPTIONS)
     def settings(
+        options: base.Options,
         describe: typing.Annotated[
             str, typer.Option("--describe", help="Describe the settings of: entry or agent.")
         ] = "",
         check: typing.Annotated[
             pathlib.Path | None, typer.Option("--check", help="Settings file to check.")
         ] = None,
-        json: base.JsonOption = False,
     ) -> None:
         """Describe the settings of a program, or check a settings file.
 
@@ -96,7 +97,6 @@
         """
         if bool(describe) == (check is not None):
             raise typer.BadParameter("give either --describe or --check")
-        options = base.Options(json=json)
         if check is not None:
             CheckSettingsCommand(options, check).run()
         if describe not in KINDS:
--- a/src/masticward/cli/status.py
+++ b/src/masticward/cli/status.py
@@ -198,46 +198,24 @@
     return lines
 
 
-def status(
-    object_api_url: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-    instance_list_url: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-    settings_file: base.SettingsOption = None,
-    as_json: base.JsonOption = False,
-    deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-) -> None:
+@base.takes_options(*base.FLEET_OPTIONS)
+def status(options: base.Options) -> None:
     """Show every process: versions, admission states, queues and dispatchers.
 
     Example: masticward status --instance-list http://10.0.0.5:7200
     """
-    options = base.Options(
-        object_api=object_api_url,
-        instance_list=instance_list_url,
-        settings=settings_file,
-        json=as_json,
-        deadline_seconds=deadline,
-    )
     StatusCommand(options).run()
 
 
+@base.takes_options(*base.FLEET_OPTIONS)
 def explain(
+    options: base.Options,
     request_id: typing.Annotated[str, typer.Argument(help="Value of Masticward-Request-Id.")],
-    object_api_url: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-    instance_list_url: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-    settings_file: base.SettingsOption = None,
-    as_json: base.JsonOption = False,
-    deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
 ) -> None:
     """Tell how one recent request fared: queue time, attempts, refusals, outcome.
 
     Example: masticward explain 3fJ0k2 --instance-list http://10.0.0.5:7200
     """
-    options = base.Options(
-        object_api=object_api_url,
-        instance_list=instance_list_url,
-        settings=settings_file,
-        json=as_json,
-        deadline_seconds=deadline,
-    )
     ExplainCommand(options, request_id).run()
 
 
