--- a/src/masticward/cli/bench.py
+++ b/src/masticward/cli/bench.py
@@ -12,10 +12,17 @@
 from masticward.cli import exit_codes
 from masticward.utils import programs
 
-commands = typer.Typer(no_args_is_help=True, help="Measure a fleet in this process.")
-
 ENTRIES = 3
 PICTURED = ("fairness", "zone-move")
+# Each measurement with its default of --seconds and its help text.
+MEASUREMENTS = {
+    "fairness": (10.0, "Compare the fairness gap of the three policies with one flooding team."),
+    "utilization": (8.0, "Measure busy slots while work waits, for streams and for short calls."),
+    "zone-move": (16.0, "Take an availability zone out under load and bring it back."),
+    "control": (8.0, "Measure control traffic of an idle and of a loaded fleet."),
+    "recovery": (10.0, "Measure the pause of a service when its dispatcher stops."),
+    "overload": (30.0, "Keep five times the capacity under way and measure memory and throughput."),
+}
 
 Deployment = typing.Annotated[str, typer.Option(help="Deployment to run: mauritius or bavaria.")]
 Seconds = typing.Annotated[
@@ -25,72 +32,6 @@
 Output = typing.Annotated[pathlib.Path, typer.Option(help="Directory for JSON and pictures.")]
 
 
-@commands.command("fairness")
-def fairness(
-    deployment: Deployment = "mauritius",
-    seconds: Seconds = 10.0,
-    seed: Seed = 1,
-    output: Output = pathlib.Path("out"),
-) -> None:
-    """Compare the fairness gap of the three policies with one flooding team."""
-    measure("fairness", deployment, seconds, seed, output)
-
-
-@commands.command("utilization")
-def utilization(
-    deployment: Deployment = "mauritius",
-    seconds: Seconds = 8.0,
-    seed: Seed = 1,
-    output: Output = pathlib.Path("out"),
-) -> None:
-    """Measure busy slots while work waits, for streams and for short calls."""
-    measure("utilization", deployment, seconds, seed, output)
-
-
-@commands.command("zone-move")
-def zone_move(
-    deployment: Deployment = "mauritius",
-    seconds: Seconds = 16.0,
-    seed: Seed = 1,
-    output: Output = pathlib.Path("out"),
-) -> None:
-    """Take an availability zone out under load and bring it back."""
-    measure("zone-move", deployment, seconds, seed, output)
-
-
-@commands.command("control")
-def control(
-    deployment: Deployment = "mauritius",
-    seconds: Seconds = 8.0,
-    seed: Seed = 1,
-    output: Output = pathlib.Path("out"),
-) -> None:
-    """Measure control traffic of an idle and of a loaded fleet."""
-    measure("control", deployment, seconds, seed, output)
-
-
-@commands.command("recovery")
-def recovery(
-    deployment: Deployment = "mauritius",
-    seconds: Seconds = 10.0,
-    seed: Seed = 1,
-    output: Output = pathlib.Path("out"),
-) -> None:
-    """Measure the pause of a service when its dispatcher stops."""
-    measure("recovery", deployment, seconds, seed, output)
-
-
-@commands.command("overload")
-def overload(
-    deployment: Deployment = "mauritius",
-    seconds: Seconds = 30.0,
-    seed: Seed = 1,
-    output: Output = pathlib.Path("out"),
-) -> None:
-    """Keep five times the capacity under way and measure memory and throughput."""
-    measure("overload", deployment, seconds, seed, output)
-
-
 def measure(name: str, deployment: str, seconds: float, seed: int, output: pathlib.Path) -> None:
     """Run one measurement, print it, write it to ``output`` and exit."""
     raise typer.Exit(programs.run(run(name, deployment, seconds, seed, output)))
@@ -140,4 +81,20 @@
 
 def register(app: typer.Typer) -> None:
     """Add the commands."""
-    app.add_typer(commands, name="bench")
+    group = typer.Typer(no_args_is_help=True, help="Measure a fleet in this process.")
+    app.add_typer(group, name="bench")
+    for name, (default_seconds, description) in MEASUREMENTS.items():
+        add_command(group, name, default_seconds, description)
+
+
+def add_command(group: typer.Typer, name: str, default_seconds: float, description: str) -> None:
+    """Add the command of one measurement."""
+
+    @group.command(name, help=description)
+    def run_measurement(
+        deployment: Deployment = "mauritius",
+        seconds: Seconds = default_seconds,
+        seed: Seed = 1,
+        output: Output = pathlib.Path("out"),
+    ) -> None:
+        measure(name, deployment, seconds, seed, output)
