Ask admin ports through one client

Cause: publishing/rollout.py opened a session of its own and repeated the request, the decoding and the list of errors of transport/admin_client.py, and the two treated a passed deadline differently. Change: AdminClient.get returns the decoded answer or the new AdminPortError; rollout and status both use it. An answer that is asked for after the deadline now ends at once in status too; aiohttp takes the timeout of 0 that was passed before as no timeout.

--- a/src/masticward/cli/status.py
+++ b/src/masticward/cli/status.py
@@ -92,11 +92,13 @@
 ) -> list[dict[str, typing.Any] | None]:
     """Return each process's answer, None for one that did not answer."""
     async with admin_client.AdminClient() as client:
-        return list(
-            await asyncio.gather(
-                *(client.get(instance.admin_address, path, deadline) for instance in instances)
+        answers = await asyncio.gather(
+            *(
+                client.get(instance.admin_address, path, dict[str, typing.Any], deadline)
+                for instance in instances
             )
         )
+    return [answer.value_or(None) for answer in answers]
 
 
 def status_lines(
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -98,6 +98,10 @@
     """Returned when a peer process did not answer in time."""
 
 
+class AdminPortError(MasticwardError):
+    """Returned when a process's admin port gave no usable answer in time."""
+
+
 class VersionRefusedError(MasticwardError):
     """Returned when a configuration or operations state does not decode or contradicts itself."""
 
--- a/src/masticward/publishing/rollout.py
+++ b/src/masticward/publishing/rollout.py
@@ -3,14 +3,13 @@
 import asyncio
 import time
 
-import aiohttp
 import msgspec
 from returns import result
 
 from masticward.models import membership
 from masticward.publishing import change
+from masticward.transport import admin_client
 from masticward.transport import instance_list as instance_list_module
-from masticward.transport import object_api
 
 POLL_SECONDS = 0.25
 
@@ -41,10 +40,10 @@
     deadline: float,
 ) -> Rollout:
     """Ask all live listed processes until they have both versions or the deadline passes."""
-    async with aiohttp.ClientSession(trust_env=False) as session:
+    async with admin_client.AdminClient() as client:
         while True:
             rollout = await ask_all(
-                session, instance_list, config_version, operations_version, deadline
+                client, instance_list, config_version, operations_version, deadline
             )
             if rollout.complete or time.monotonic() + POLL_SECONDS >= deadline:
                 return rollout
@@ -52,7 +51,7 @@
 
 
 async def ask_all(
-    session: aiohttp.ClientSession,
+    client: admin_client.AdminClient,
     instance_list: instance_list_module.InstanceList,
     config_version: int,
     operations_version: int,
@@ -68,7 +67,7 @@
         return Rollout((), {"instance list": "holds no live instance"})
     replies = await asyncio.gather(
         *(
-            ask(session, instance, config_version, operations_version, deadline)
+            ask(client, instance, config_version, operations_version, deadline)
             for instance in instances
         )
     )
@@ -80,23 +79,19 @@
 
 
 async def ask(
-    session: aiohttp.ClientSession,
+    client: admin_client.AdminClient,
     instance: membership.Instance,
     config_version: int,
     operations_version: int,
     deadline: float,
 ) -> str:
     """Return why a process is not known to have the versions, an empty string if it has them."""
-    if not instance.admin_address:
-        return "no admin address is listed"
-    try:
-        async with session.get(
-            f"http://{instance.admin_address}/status",
-            timeout=object_api.client_timeout(change.call_deadline(deadline)),
-        ) as response:
-            status = msgspec.json.decode(await response.read(), type=Status)
-    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
-        return object_api.describe(error)
+    answer = await client.get(
+        instance.admin_address, "/status", Status, change.call_deadline(deadline)
+    )
+    if isinstance(answer, result.Failure):
+        return str(answer.failure())
+    status = answer.unwrap()
     if status.config_version < config_version:
         return f"has configuration {status.config_version}"
     if status.operations_version < operations_version:
--- a/src/masticward/transport/admin_client.py
+++ b/src/masticward/transport/admin_client.py
@@ -5,20 +5,23 @@
 
 import aiohttp
 import msgspec
+from returns import result
 
-from masticward.utils import clocks
+from masticward import errors
+from masticward.transport import object_api
+
+AnswerT = typing.TypeVar("AnswerT")
 
 
 class AdminClient:
-    """Asks admin ports; used as an asynchronous context manager."""
+    """Reads from admin ports; used as an asynchronous context manager."""
 
     __slots__ = ("session",)
 
     def __init__(self) -> None:
-        self.session: aiohttp.ClientSession | None = None
+        self.session = aiohttp.ClientSession(trust_env=False)
 
     async def __aenter__(self) -> "AdminClient":
-        self.session = aiohttp.ClientSession(trust_env=False)
         return self
 
     async def __aexit__(
@@ -27,20 +30,18 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
-        if self.session is not None:
-            await self.session.close()
+        await self.session.close()
 
     async def get(
-        self, admin_address: str, path: str, deadline: float
-    ) -> dict[str, typing.Any] | None:
-        """Return the JSON object at a path, None if the process gave none by the deadline."""
-        if self.session is None or not admin_address:
-            return None
-        timeout = aiohttp.ClientTimeout(total=clocks.remaining_seconds(deadline))
+        self, admin_address: str, path: str, kind: type[AnswerT], deadline: float
+    ) -> result.Result[AnswerT, errors.AdminPortError]:
+        """Return the JSON value at a path, whatever the HTTP status, by a monotonic deadline."""
+        if not admin_address:
+            return result.Failure(errors.AdminPortError("no admin address is listed"))
         try:
-            url = f"http://{admin_address}{path}"
-            async with self.session.get(url, timeout=timeout) as response:
-                answer = msgspec.json.decode(await response.read())
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
-            return None
-        return answer if isinstance(answer, dict) else None
+            async with self.session.get(
+                f"http://{admin_address}{path}", timeout=object_api.client_timeout(deadline)
+            ) as response:
+                return result.Success(msgspec.json.decode(await response.read(), type=kind))
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
+            return result.Failure(errors.AdminPortError(object_api.describe(error)))
