Serve all HTTP stand-ins with one web server

Cause: the endpoint stand-ins opened their listener and waited for signals in code of their own beside standins/web.py, and three modules parsed IP:port by hand. Change: EndpointServer uses WebServer, which takes the two settings that differ; addresses are split by utils/addresses.py; milliseconds are converted with the constant of utils/clocks.py. Ran: the four stand-ins as programs (same first line, exit 0 on SIGTERM); endpoint calls, object API, cold start, forwarder, attempt server and whole path (31 passed); make check. Conclusion: behaviour is the same.

--- a/src/masticward/standins/endpoint_server.py
+++ b/src/masticward/standins/endpoint_server.py
@@ -3,7 +3,6 @@
 import abc
 import asyncio
 import enum
-import signal
 import time
 import typing
 
@@ -12,11 +11,11 @@
 
 from masticward.models import configuration as configuration_models
 from masticward.standins import recording
-from masticward.utils import programs
+from masticward.standins import web as web_server
+from masticward.utils import clocks
 
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 STOP_SECONDS = 1.0
-MILLISECONDS_PER_SECOND = 1000.0
 
 
 class ReportMode(enum.StrEnum):
@@ -84,38 +83,32 @@
         self.cold_epoch = 0
         self.warming_timer: asyncio.TimerHandle | None = None
         self.transports: set[asyncio.Transport] = set()
-        self.runner: web.AppRunner | None = None
+        self.server = web_server.WebServer(
+            MAXIMUM_BODY_BYTES,
+            cancels_handlers=self.stops_abandoned_calls,
+            shutdown_seconds=STOP_SECONDS,
+        )
+        router = self.server.application.router
+        router.add_get("/load", self.handle_load)
+        router.add_post("/control", self.handle_control)
+        router.add_get("/control/record", self.handle_record)
+        router.add_get("/control/state", self.handle_state)
+        router.add_route("*", "/v1/{rest:.*}", self.handle_call)
 
     # Life cycle
 
     async def start(self, address: str) -> int:
         """Listen on ``host:port`` and return the port in use."""
-        application = web.Application(client_max_size=MAXIMUM_BODY_BYTES)
-        application.router.add_get("/load", self.handle_load)
-        application.router.add_post("/control", self.handle_control)
-        application.router.add_get("/control/record", self.handle_record)
-        application.router.add_get("/control/state", self.handle_state)
-        application.router.add_route("*", "/v1/{rest:.*}", self.handle_call)
-        self.runner = web.AppRunner(
-            application,
-            access_log=None,
-            handler_cancellation=self.stops_abandoned_calls,
-            shutdown_timeout=STOP_SECONDS,
-        )
-        await self.runner.setup()
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(self.runner, host, int(port))
-        await site.start()
+        port = await self.server.start(address)
         self.arm_warming(self.faults)
         self.note_state()
-        return int(self.runner.addresses[0][1])
+        return port
 
     async def close(self) -> None:
         """Stop listening and drop what runs."""
         if self.warming_timer is not None:
             self.warming_timer.cancel()
-        if self.runner is not None:
-            await self.runner.cleanup()
+        await self.server.close()
 
     # Calls
 
@@ -198,7 +191,7 @@
             return web.Response(status=500)
         report: dict[str, object] | None = self.load()
         if self.faults.report_mode is ReportMode.LATE:
-            lag_seconds = self.faults.report_lag_ms / MILLISECONDS_PER_SECOND
+            lag_seconds = self.faults.report_lag_ms / clocks.MILLISECONDS_PER_SECOND
             report = self.recorder.state_before(time.monotonic() - lag_seconds)
         return web.Response(status=500) if report is None else answer_json(report)
 
@@ -234,7 +227,7 @@
             self.warming_timer = None
         if faults.cold and faults.cold_ms > 0:
             self.warming_timer = asyncio.get_running_loop().call_later(
-                faults.cold_ms / MILLISECONDS_PER_SECOND, self.become_warm
+                faults.cold_ms / clocks.MILLISECONDS_PER_SECOND, self.become_warm
             )
 
     def become_warm(self) -> None:
@@ -264,22 +257,6 @@
     return web.Response(body=msgspec.json.encode(value), content_type="application/json")
 
 
-def serve_until_signalled(server: EndpointServer, address: str) -> int:
-    """Run a stand-in as a program until SIGTERM or SIGINT; print the port first."""
-
-    async def main() -> int:
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        print(await server.start(address), flush=True)
-        await stop.wait()
-        await server.close()
-        return 0
-
-    return programs.run(main())
-
-
 def limits_of(service: configuration_models.Service) -> Faults:
     """Return a warm state with the limits of a configured service."""
     return Faults(cold_limit=service.cold_limit, warm_limit=service.warm_limit)
--- a/src/masticward/standins/engine.py
+++ b/src/masticward/standins/engine.py
@@ -1,17 +1,16 @@
 """A stand-in for a language-model engine: deterministic tokens as server-sent events."""
 
 import asyncio
-import sys
 
 import msgspec
 import typer
 from aiohttp import web
 
 from masticward.standins import endpoint_server, recording
-from masticward.utils import identifiers
+from masticward.standins import web as web_server
+from masticward.utils import clocks, identifiers
 
 END_EVENT = b"data: [DONE]\n\n"
-MILLISECONDS_PER_SECOND = 1000.0
 
 
 class GenerateRequest(msgspec.Struct):
@@ -66,7 +65,7 @@
             if index == 0:
                 await self.wait_for_first_token()
             else:
-                await asyncio.sleep(self.faults.token_ms / MILLISECONDS_PER_SECOND)
+                await asyncio.sleep(self.faults.token_ms / clocks.MILLISECONDS_PER_SECOND)
             await response.write(event)
         record.finish(b"".join(token_events) + END_EVENT, cost_of(wanted))
         await response.write(END_EVENT)
@@ -77,7 +76,7 @@
         """Wait as long as the prompt takes, which is long while cold."""
         faults = self.faults
         wait_ms = faults.cold_first_token_ms if faults.cold else faults.first_token_ms
-        await asyncio.sleep(wait_ms / MILLISECONDS_PER_SECOND)
+        await asyncio.sleep(wait_ms / clocks.MILLISECONDS_PER_SECOND)
 
 
 def events_of(body: bytes, output_tokens: int) -> list[bytes]:
@@ -116,7 +115,7 @@
         first_token_ms=first_token_ms,
         cold=cold,
     )
-    sys.exit(endpoint_server.serve_until_signalled(EngineServer(faults), address))
+    web_server.serve_until_signal(EngineServer(faults), address, "{port}")
 
 
 if __name__ == "__main__":
--- a/src/masticward/standins/forwarder.py
+++ b/src/masticward/standins/forwarder.py
@@ -8,7 +8,7 @@
 import struct
 import weakref
 
-from masticward.utils import tasks
+from masticward.utils import addresses, tasks
 
 READ_BYTES = 64 * 1024
 # SO_LINGER with a timeout of 0 makes close() send a reset.
@@ -79,8 +79,7 @@
 
     async def start(self, address: str = "127.0.0.1:0") -> int:
         """Listen on ``host:port`` and return the port in use; raises OSError."""
-        host, _, port = address.rpartition(":")
-        self.server = await asyncio.start_server(self.accept, host, int(port))
+        self.server = await asyncio.start_server(self.accept, *addresses.split(address))
         self.port = int(self.server.sockets[0].getsockname()[1])
         return self.port
 
--- a/src/masticward/standins/instance_list.py
+++ b/src/masticward/standins/instance_list.py
@@ -122,7 +122,9 @@
     address: typing.Annotated[str, typer.Option(help="IP:port to listen on")] = "127.0.0.1:7200",
 ) -> None:
     """Run the instance list stand-in."""
-    web_server.serve_until_signal(InstanceListStandin(), address, "instance list")
+    web_server.serve_until_signal(
+        InstanceListStandin(), address, "instance list listens on {address}"
+    )
 
 
 if __name__ == "__main__":
--- a/src/masticward/standins/object_api.py
+++ b/src/masticward/standins/object_api.py
@@ -261,7 +261,9 @@
     calls_per_second: typing.Annotated[int, typer.Option(help="0: no limit")] = 0,
 ) -> None:
     """Run the object API stand-in."""
-    web_server.serve_until_signal(ObjectApiStandin(calls_per_second), address, "object API")
+    web_server.serve_until_signal(
+        ObjectApiStandin(calls_per_second), address, "object API listens on {address}"
+    )
 
 
 if __name__ == "__main__":
--- a/src/masticward/standins/plain_service.py
+++ b/src/masticward/standins/plain_service.py
@@ -1,16 +1,14 @@
 """A stand-in for a plain service: each call gets the next serial number, as a booking would."""
 
 import asyncio
-import sys
 
 import msgspec
 import typer
 from aiohttp import web
 
 from masticward.standins import endpoint_server, recording
-from masticward.utils import identifiers
-
-MILLISECONDS_PER_SECOND = 1000.0
+from masticward.standins import web as web_server
+from masticward.utils import clocks, identifiers
 
 
 class PlainServer(endpoint_server.EndpointServer):
@@ -32,7 +30,7 @@
         """Do one piece of work and answer with its serial number."""
         if drop is endpoint_server.DropPoint.BEFORE_ANSWER:
             return self.abort(request)
-        await asyncio.sleep(self.faults.service_ms / MILLISECONDS_PER_SECOND)
+        await asyncio.sleep(self.faults.service_ms / clocks.MILLISECONDS_PER_SECOND)
         self.serial += 1
         answer = answer_of(self.serial, request.method, request.path_qs, body)
         record.finish(answer, 1.0)
@@ -76,7 +74,7 @@
     faults = endpoint_server.Faults(
         cold_limit=cold_limit, warm_limit=warm_limit, service_ms=service_ms, cold=cold
     )
-    sys.exit(endpoint_server.serve_until_signalled(PlainServer(faults), address))
+    web_server.serve_until_signal(PlainServer(faults), address, "{port}")
 
 
 if __name__ == "__main__":
