Pass one value to the endpoint stand-ins' serve

Cause: engine and plain service repeated a parameter list of request, body, record and drop point. Change: endpoint_server.Call holds the four. Ran: endpoint calls, cold start and attempt server tests pass; make check. Conclusion: behaviour is the same.

--- a/src/masticward/standins/endpoint_server.py
+++ b/src/masticward/standins/endpoint_server.py
@@ -62,6 +62,15 @@
     drop_count: int = 0
 
 
+class Call(msgspec.Struct, frozen=True):
+    """One call that the stand-in has recorded and is to serve."""
+
+    request: web.Request
+    body: bytes
+    record: recording.CallRecord
+    drop: DropPoint
+
+
 class EndpointServer(abc.ABC):
     """An endpoint on aiohttp that records its calls and can be told to misbehave.
 
@@ -113,9 +122,7 @@
     # Calls
 
     @abc.abstractmethod
-    async def serve(
-        self, request: web.Request, body: bytes, record: recording.CallRecord, drop: DropPoint
-    ) -> web.StreamResponse:
+    async def serve(self, call: Call) -> web.StreamResponse:
         """Do the work of one call and answer it."""
 
     async def handle_call(self, request: web.Request) -> web.StreamResponse:
@@ -136,7 +143,7 @@
         try:
             if while_cold and self.started_while_cold > self.faults.cold_limit:
                 return self.fall_over(request)
-            return await self.serve(request, body, record, drop)
+            return await self.serve(Call(request, body, record, drop))
         except (asyncio.CancelledError, ConnectionError):
             record.cancelled = True
             raise
--- a/src/masticward/standins/engine.py
+++ b/src/masticward/standins/engine.py
@@ -6,7 +6,7 @@
 import typer
 from aiohttp import web
 
-from masticward.standins import endpoint_server, recording
+from masticward.standins import endpoint_server
 from masticward.standins import web as web_server
 from masticward.utils import clocks, identifiers
 
@@ -26,48 +26,37 @@
 
     stops_abandoned_calls = True
 
-    async def serve(
-        self,
-        request: web.Request,
-        body: bytes,
-        record: recording.CallRecord,
-        drop: endpoint_server.DropPoint,
-    ) -> web.StreamResponse:
+    async def serve(self, call: endpoint_server.Call) -> web.StreamResponse:
         """Stream the tokens of one request."""
         try:
-            wanted = msgspec.json.decode(body, type=GenerateRequest)
+            wanted = msgspec.json.decode(call.body, type=GenerateRequest)
         except msgspec.MsgspecError as error:
             return web.json_response({"message": str(error)}, status=400)
-        if drop is endpoint_server.DropPoint.BEFORE_ANSWER:
-            return self.abort(request)
-        token_events = events_of(body, wanted.output_tokens)
-        if drop is endpoint_server.DropPoint.AFTER_WORK:
+        if call.drop is endpoint_server.DropPoint.BEFORE_ANSWER:
+            return self.abort(call.request)
+        if call.drop is endpoint_server.DropPoint.AFTER_WORK:
             await self.wait_for_first_token()
-            record.finish(answer_of(body), cost_of(wanted))
-            return self.abort(request)
-        return await self.stream(request, record, wanted, token_events, drop)
+            call.record.finish(answer_of(call.body), cost_of(wanted))
+            return self.abort(call.request)
+        return await self.stream(call, wanted)
 
     async def stream(
-        self,
-        request: web.Request,
-        record: recording.CallRecord,
-        wanted: GenerateRequest,
-        token_events: list[bytes],
-        drop: endpoint_server.DropPoint,
+        self, call: endpoint_server.Call, wanted: GenerateRequest
     ) -> web.StreamResponse:
         """Send one event after another."""
+        token_events = events_of(call.body, wanted.output_tokens)
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-        await response.prepare(request)
+        await response.prepare(call.request)
         half = len(token_events) // 2
         for index, event in enumerate(token_events):
-            if index == half and drop is endpoint_server.DropPoint.MIDDLE:
-                return self.abort(request)
+            if index == half and call.drop is endpoint_server.DropPoint.MIDDLE:
+                return self.abort(call.request)
             if index == 0:
                 await self.wait_for_first_token()
             else:
                 await asyncio.sleep(self.faults.token_ms / clocks.MILLISECONDS_PER_SECOND)
             await response.write(event)
-        record.finish(b"".join(token_events) + END_EVENT, cost_of(wanted))
+        call.record.finish(b"".join(token_events) + END_EVENT, cost_of(wanted))
         await response.write(END_EVENT)
         await response.write_eof()
         return response
--- a/src/masticward/standins/plain_service.py
+++ b/src/masticward/standins/plain_service.py
@@ -6,7 +6,7 @@
 import typer
 from aiohttp import web
 
-from masticward.standins import endpoint_server, recording
+from masticward.standins import endpoint_server
 from masticward.standins import web as web_server
 from masticward.utils import clocks, identifiers
 
@@ -20,23 +20,18 @@
         super().__init__(faults)
         self.serial = 0
 
-    async def serve(
-        self,
-        request: web.Request,
-        body: bytes,
-        record: recording.CallRecord,
-        drop: endpoint_server.DropPoint,
-    ) -> web.StreamResponse:
+    async def serve(self, call: endpoint_server.Call) -> web.StreamResponse:
         """Do one piece of work and answer with its serial number."""
-        if drop is endpoint_server.DropPoint.BEFORE_ANSWER:
-            return self.abort(request)
+        if call.drop is endpoint_server.DropPoint.BEFORE_ANSWER:
+            return self.abort(call.request)
         await asyncio.sleep(self.faults.service_ms / clocks.MILLISECONDS_PER_SECOND)
         self.serial += 1
-        answer = answer_of(self.serial, request.method, request.path_qs, body)
-        record.finish(answer, 1.0)
-        if drop is endpoint_server.DropPoint.AFTER_WORK:
+        request = call.request
+        answer = answer_of(self.serial, request.method, request.path_qs, call.body)
+        call.record.finish(answer, 1.0)
+        if call.drop is endpoint_server.DropPoint.AFTER_WORK:
             return self.abort(request)
-        if drop is endpoint_server.DropPoint.MIDDLE:
+        if call.drop is endpoint_server.DropPoint.MIDDLE:
             return await self.cut(request, answer)
         return web.Response(body=answer, content_type="application/json")
 
