List the headers of one connection in one place

Cause: transport/caller_headers.py and endpoint.py each listed the hop-by-hop and framing headers. Change: transport/connection_headers.py holds them. The agent's side now leaves out http2-settings too, which the entry drops from requests and responses in any case. Conclusion: callers and endpoints see the same headers as before.

--- a/src/masticward/transport/caller_headers.py
+++ b/src/masticward/transport/caller_headers.py
@@ -5,6 +5,7 @@
 import re
 
 from masticward.state import refusals
+from masticward.transport import connection_headers
 
 BEARER_PREFIX = "bearer "
 AUTHORIZATION = "authorization"
@@ -15,22 +16,9 @@
 LONGEST_KEY_CHARACTERS = 255
 MILLISECONDS_PER_SECOND = 1000.0
 
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "http2-settings",
-    )
+NOT_FORWARDED = (
+    connection_headers.HOP_BY_HOP | connection_headers.FRAMING | {"alt-svc", AUTHORIZATION}
 )
-# The server and the endpoint's client write these for their own connections.
-FRAMING = frozenset(("content-length", "host", "expect", "alt-svc"))
 FORBIDDEN_IN_VALUES = frozenset("\r\n\0")
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+")
 DOT_SEGMENTS = frozenset((".", ".."))
@@ -140,7 +128,7 @@
         if name == "connection"
         for token in value.split(",")
     }
-    dropped = HOP_BY_HOP | FRAMING | named | {AUTHORIZATION}
+    dropped = NOT_FORWARDED | named
     return tuple(
         (name, value)
         for name, value in listed
--- a/src/masticward/transport/endpoint.py
+++ b/src/masticward/transport/endpoint.py
@@ -14,7 +14,7 @@
 
 from masticward import errors
 from masticward.models import attempts, work
-from masticward.transport import token_stream
+from masticward.transport import connection_headers, token_stream
 from masticward.utils import clocks
 
 ATTEMPT_ID_HEADER = "Masticward-Attempt-Id"
@@ -26,25 +26,11 @@
 CONNECT_TIMEOUT_SECONDS = 2.0
 # A plain call is not cut off when its caller's deadline passes; this bounds one that hangs.
 PLAIN_OVERRUN_SECONDS = 60.0
-# Hop-by-hop headers (RFC 9110, 7.6.1), and those that each side sets itself.
-DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        ATTEMPT_ID_HEADER.lower(),
-        REQUEST_ID_HEADER.lower(),
-        TEAM_HEADER.lower(),
-    }
+# The agent sets the last three itself.
+DROPPED_HEADERS = (
+    connection_headers.HOP_BY_HOP
+    | connection_headers.FRAMING
+    | {ATTEMPT_ID_HEADER.lower(), REQUEST_ID_HEADER.lower(), TEAM_HEADER.lower()}
 )
 DEFAULT_HEADERS_NOT_SENT = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 BODYLESS_STATUSES = frozenset({204, 304})
