Convert milliseconds with the constant of utils/clocks.py

Cause: caller_headers.py and request_life.py defined MILLISECONDS_PER_SECOND again. Change: both use clocks.MILLISECONDS_PER_SECOND. Ran: entry HTTP and router tests pass; make check. Conclusion: behaviour is the same.

--- a/src/masticward/coordination/request_life.py
+++ b/src/masticward/coordination/request_life.py
@@ -32,7 +32,6 @@
 STARTS_OF_IDEMPOTENT = 2
 FIRST_PAUSE_SECONDS = 0.02
 LONGEST_PAUSE_SECONDS = 0.5
-MILLISECONDS_PER_SECOND = 1000.0
 ANSWERED = "answered"
 REPLAYED = "replayed"
 CALLER_GONE = "caller-gone"
@@ -319,7 +318,7 @@
         """Write the dispatch into the request's record and metrics."""
         if not self.record.attempts:
             waited = time.monotonic() - self.arrived_at
-            self.record.queue_ms = waited * MILLISECONDS_PER_SECOND
+            self.record.queue_ms = waited * clocks.MILLISECONDS_PER_SECOND
             self.context.meters.queue_seconds.observe(waited)
         self.record.attempts.append(
             explain.AttemptRecord(
@@ -351,7 +350,7 @@
             )
         self.holding.wait_again()
         await self.pause(
-            refusal.retry_after_ms / MILLISECONDS_PER_SECOND,
+            refusal.retry_after_ms / clocks.MILLISECONDS_PER_SECOND,
             f"an agent refused the call ({refusal.reason}) and the deadline is too near",
         )
 
@@ -476,7 +475,7 @@
         """Write the outcome into record and metrics."""
         self.record.outcome = outcome.value
         self.record.detail = detail or kind
-        self.record.total_ms = (time.monotonic() - self.arrived_at) * MILLISECONDS_PER_SECOND
+        self.record.total_ms = (time.monotonic() - self.arrived_at) * clocks.MILLISECONDS_PER_SECOND
         if self.record.attempts and not self.record.attempts[-1].result:
             self.record.attempts[-1].result = outcome.value
         self.context.meters.count_outcome(outcome, kind)
--- a/src/masticward/transport/caller_headers.py
+++ b/src/masticward/transport/caller_headers.py
@@ -6,6 +6,7 @@
 
 from masticward.state import refusals
 from masticward.transport import connection_headers
+from masticward.utils import clocks
 
 BEARER_PREFIX = "bearer "
 AUTHORIZATION = "authorization"
@@ -14,7 +15,6 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 OWN_PREFIX = "masticward-"
 LONGEST_KEY_CHARACTERS = 255
-MILLISECONDS_PER_SECOND = 1000.0
 
 NOT_FORWARDED = (
     connection_headers.HOP_BY_HOP | connection_headers.FRAMING | {"alt-svc", AUTHORIZATION}
@@ -81,7 +81,7 @@
 
 def deadline_seconds(headers: Headers) -> float:
     """Return the remaining time in seconds that the caller gives, or 0 if it gives none."""
-    return number(headers, DEADLINE) / MILLISECONDS_PER_SECOND
+    return number(headers, DEADLINE) / clocks.MILLISECONDS_PER_SECOND
 
 
 def idempotency_key(headers: Headers) -> str:
