Give commands their platform clients as attributes

Change: PlatformCommand (before: StoreCommand) holds both clients while work runs. Conclusion: behaviour is the same.

--- a/src/masticward/cli/audit.py
+++ b/src/masticward/cli/audit.py
@@ -9,7 +9,6 @@
 from masticward.models import configuration as configuration_models
 from masticward.models import objects
 from masticward.publishing import audit, change, operations, publisher
-from masticward.transport import instance_list as instance_list_module
 from masticward.transport import object_api
 
 KINDS = ("config", "ops")
@@ -52,7 +51,7 @@
     )
 
 
-class AuditCommand(base.StoreCommand):
+class AuditCommand(base.PlatformCommand):
     """Lists the audit entries of some kinds."""
 
     def __init__(self, options: base.Options, kinds: tuple[str, ...], limit: int) -> None:
@@ -60,18 +59,13 @@
         self.kinds = kinds
         self.limit = limit
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Read recent and rolled entries."""
         self.stage = "reading the audit trail"
         found = [
             (entry, kind)
             for kind in self.kinds
-            for entry in await read_entries(store, kind, deadline)
+            for entry in await read_entries(self.store, kind, deadline)
         ]
         found.sort(key=lambda item: item[0].time)
         shown = found[-self.limit :]
--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -171,41 +171,33 @@
         """The name in the audit trail."""
         return self.options.operator or getpass.getuser()
 
-    def urls(self) -> tuple[str, str]:
-        """Return the URLs of object API and instance list. Raises SettingsError."""
-        if self.options.settings is None:
-            return self.options.object_api, self.options.instance_list
-        platform = load_any(self.options.settings).platform
-        return platform.object_api_url, platform.instance_list_url
-
-    def open_store(self) -> object_api.ObjectStore:
-        """Return a client of the object API; the caller closes it."""
-        return object_api.HttpObjectStore(self.urls()[0])
-
-    def open_instance_list(self) -> instance_list_module.InstanceList:
-        """Return a client of the instance list; the caller closes it."""
-        return instance_list_module.HttpInstanceList(self.urls()[1])
 
+class PlatformCommand(Command):
+    """A command that uses the object API or the instance list, which are open during ``work``."""
 
-class StoreCommand(Command):
-    """A command that uses the object API and the instance list."""
+    store: object_api.ObjectStore
+    instance_list: instance_list_module.InstanceList
 
     async def execute(self, deadline: float) -> Report:
-        """Open the clients, work with them and close them."""
-        store, instance_list = self.open_store(), self.open_instance_list()
+        """Open the clients, do the work and close them."""
+        object_api_url, instance_list_url = self.urls()
+        self.store = object_api.HttpObjectStore(object_api_url)
+        self.instance_list = instance_list_module.HttpInstanceList(instance_list_url)
         try:
-            return await self.work(store, instance_list, deadline)
+            return await self.work(deadline)
         finally:
-            await store.close()
-            await instance_list.close()
+            await self.store.close()
+            await self.instance_list.close()
+
+    def urls(self) -> tuple[str, str]:
+        """Return the URLs of object API and instance list. Raises SettingsError."""
+        if self.options.settings is None:
+            return self.options.object_api, self.options.instance_list
+        platform = load_any(self.options.settings).platform
+        return platform.object_api_url, platform.instance_list_url
 
     @abc.abstractmethod
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> Report:
+    async def work(self, deadline: float) -> Report:
         """Do the work by a monotonic deadline. Raises MasticwardError."""
 
 
--- a/src/masticward/cli/change_report.py
+++ b/src/masticward/cli/change_report.py
@@ -2,14 +2,12 @@
 
 from masticward.cli import base, exit_codes
 from masticward.publishing import change, rollout
-from masticward.transport import instance_list as instance_list_module
 
 
 async def report_change(
-    command: base.Command,
+    command: base.PlatformCommand,
     accepted: change.Accepted,
     what: str,
-    instance_list: instance_list_module.InstanceList,
     wait: bool,
     versions: tuple[int, int],
     deadline: float,
@@ -29,7 +27,7 @@
     if not wait:
         return base.Report(lines=lines, data=data)
     command.stage = f"waiting until version {accepted.version} is in force"
-    outcome = await rollout.wait_in_force(instance_list, *versions, deadline)
+    outcome = await rollout.wait_in_force(command.instance_list, *versions, deadline)
     data["in_force"] = sorted(outcome.in_force)
     data["missing"] = outcome.missing
     if outcome.complete:
--- a/src/masticward/cli/config.py
+++ b/src/masticward/cli/config.py
@@ -9,7 +9,6 @@
 from masticward.cli import audit, base, check
 from masticward.models import configuration as configuration_models
 from masticward.publishing import differences, publisher
-from masticward.transport import instance_list as instance_list_module
 from masticward.transport import object_api
 
 
@@ -23,18 +22,13 @@
     return read.unwrap().configuration
 
 
-class ShowCommand(base.StoreCommand):
+class ShowCommand(base.PlatformCommand):
     """Shows the published configuration."""
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Read manifest and shards."""
         self.stage = "reading the configuration"
-        found = await read_configuration(store, deadline)
+        found = await read_configuration(self.store, deadline)
         if found is None:
             return base.Report(lines=["no configuration is published"], data={"version": 0})
         lines = [
@@ -55,23 +49,18 @@
         return base.Report(lines=lines, data=msgspec.to_builtins(found))
 
 
-class DiffCommand(base.StoreCommand):
+class DiffCommand(base.PlatformCommand):
     """Shows what publishing some files would change."""
 
     def __init__(self, options: base.Options, paths: list[pathlib.Path]) -> None:
         super().__init__(options)
         self.paths = paths
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Compare the files with the published configuration."""
         self.stage = "comparing"
         wanted = check.collect_and_check(self.paths)
-        found = await read_configuration(store, deadline)
+        found = await read_configuration(self.store, deadline)
         lines = differences.describe(found, wanted)
         return base.Report(
             lines=lines or ["no differences"],
--- a/src/masticward/cli/publish.py
+++ b/src/masticward/cli/publish.py
@@ -7,11 +7,9 @@
 
 from masticward.cli import base, change_report, check
 from masticward.publishing import publisher
-from masticward.transport import instance_list as instance_list_module
-from masticward.transport import object_api
 
 
-class PublishCommand(base.StoreCommand):
+class PublishCommand(base.PlatformCommand):
     """Publishes the files below some paths."""
 
     def __init__(self, options: base.Options, paths: list[pathlib.Path], wait: bool) -> None:
@@ -19,17 +17,12 @@
         self.paths = paths
         self.wait = wait
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Check, publish and, if asked for, wait."""
         self.stage = "checking files"
         wanted = check.collect_and_check(self.paths)
         self.stage = "publishing"
-        outcome = await publisher.Publisher(store, self.operator).publish(wanted, deadline)
+        outcome = await publisher.Publisher(self.store, self.operator).publish(wanted, deadline)
         if isinstance(outcome, result.Failure):
             raise outcome.failure()
         accepted = outcome.unwrap()
@@ -37,7 +30,6 @@
             self,
             accepted,
             "configuration",
-            instance_list,
             self.wait,
             (accepted.version, 0),
             deadline,
--- a/src/masticward/cli/service_state.py
+++ b/src/masticward/cli/service_state.py
@@ -7,13 +7,11 @@
 
 from masticward.cli import base, change_report
 from masticward.publishing import operations
-from masticward.transport import instance_list as instance_list_module
-from masticward.transport import object_api
 
 TargetArgument = typing.Annotated[str, typer.Argument(help="Name of the zone or id.")]
 
 
-class MoveCommand(base.StoreCommand):
+class MoveCommand(base.PlatformCommand):
     """Takes a zone or instance out of service or brings it back."""
 
     def __init__(
@@ -26,22 +24,17 @@
         self.force = force
         self.wait = wait
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Change the operations state and, if asked for, wait."""
         what = f"{self.kind} {self.target} {'out' if self.out else 'in'}"
         self.stage = f"changing {what}"
-        changes = operations.OperationsChange(store, instance_list, self.operator)
+        changes = operations.OperationsChange(self.store, self.instance_list, self.operator)
         outcome = await changes.move(self.target, self.kind, self.out, self.force, deadline)
         if isinstance(outcome, result.Failure):
             raise outcome.failure()
         accepted = outcome.unwrap()
         return await change_report.report_change(
-            self, accepted, what, instance_list, self.wait, (0, accepted.version), deadline
+            self, accepted, what, self.wait, (0, accepted.version), deadline
         )
 
 
--- a/src/masticward/cli/status.py
+++ b/src/masticward/cli/status.py
@@ -7,24 +7,19 @@
 
 from masticward.cli import base, exit_codes
 from masticward.models import membership
-from masticward.transport import admin_client, object_api
+from masticward.transport import admin_client
 from masticward.transport import instance_list as instance_list_module
 
 NEWEST_TEAMS = 16
 
 
-class StatusCommand(base.StoreCommand):
+class StatusCommand(base.PlatformCommand):
     """Reads the instance list and asks every process for its state."""
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Ask all processes at once; one that does not answer is reported as silent."""
         self.stage = "asking every process for its state"
-        instances = await read_instances(instance_list, deadline)
+        instances = await read_instances(self.instance_list, deadline)
         answers = await ask_all(instances, "/status", deadline)
         data = {
             "instances": [
@@ -42,24 +37,19 @@
         return base.Report(lines=status_lines(instances, answers), data=data)
 
 
-class ExplainCommand(base.StoreCommand):
+class ExplainCommand(base.PlatformCommand):
     """Asks every entry for the record of one request."""
 
     def __init__(self, options: base.Options, request_id: str) -> None:
         super().__init__(options)
         self.request_id = request_id
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Return the record from the entry that has it."""
         self.stage = "asking every entry for the request"
         instances = [
             instance
-            for instance in await read_instances(instance_list, deadline)
+            for instance in await read_instances(self.instance_list, deadline)
             if instance.role is membership.Role.ENTRY
         ]
         answers = await ask_all(instances, f"/explain/{self.request_id}", deadline)
