--- a/src/masticward/cli/audit.py
+++ b/src/masticward/cli/audit.py
@@ -3,7 +3,6 @@
 import typing
 
 import typer
-from returns import result
 
 from masticward.cli import base
 from masticward.models import configuration as configuration_models
@@ -27,10 +26,7 @@
         document = await read_document(
             store, objects.OPERATIONS, operations.EMPTY_OPERATIONS, deadline
         )
-    listed = await audit.list_entries(store, document, deadline)
-    if isinstance(listed, result.Failure):
-        raise listed.failure()
-    return listed.unwrap()
+    return base.value_or_raise(await audit.list_entries(store, document, deadline))
 
 
 async def read_document(
@@ -38,9 +34,7 @@
 ) -> change.DocumentT:
     """Return an audited document. Raises PublishingError."""
     read = await change.read_current(store, name, empty, deadline)
-    if isinstance(read, result.Failure):
-        raise read.failure()
-    return read.unwrap().document
+    return base.value_or_raise(read).document
 
 
 def describe_entry(kind: str, entry: configuration_models.AuditEntry) -> str:
--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -12,6 +12,7 @@
 
 import msgspec
 import typer
+from returns import result
 
 from masticward import errors, logs
 from masticward import settings as settings_module
@@ -87,6 +88,7 @@
     "json",
 )
 
+ValueT = typing.TypeVar("ValueT")
 CommandFunction = collections.abc.Callable[..., None]
 
 
@@ -140,7 +142,7 @@
     def run(self) -> typing.NoReturn:
         """Run the command and leave the program with its exit code."""
         logs.configure(logging.ERROR)
-        report = programs_result(self)
+        report = run_on_uvloop(self)
         if self.options.json:
             typer.echo(msgspec.json.format(msgspec.json.encode(report.data)).decode())
         else:
@@ -201,8 +203,15 @@
         """Do the work by a monotonic deadline. Raises MasticwardError."""
 
 
-def programs_result(command: Command) -> Report:
-    """Run a command's coroutine on uvloop and return its report."""
+def value_or_raise(answer: result.Result[ValueT, errors.MasticwardError]) -> ValueT:
+    """Return the value of a result, or raise its failure."""
+    if isinstance(answer, result.Failure):
+        raise answer.failure()
+    return answer.unwrap()
+
+
+def run_on_uvloop(command: Command) -> Report:
+    """Run a command to its end and return its report."""
     reports: list[Report] = []
 
     async def main() -> int:
--- a/src/masticward/cli/check.py
+++ b/src/masticward/cli/check.py
@@ -3,7 +3,6 @@
 import pathlib
 
 import typer
-from returns import result
 
 from masticward.cli import base
 from masticward.models import configuration as configuration_models
@@ -12,10 +11,7 @@
 
 def collect_and_check(paths: list[pathlib.Path]) -> configuration_models.Configuration:
     """Return the configuration of the files. Raises ConfigurationError with every problem."""
-    checked = check.check(collect.collect(paths))
-    if isinstance(checked, result.Failure):
-        raise checked.failure()
-    return checked.unwrap()
+    return base.value_or_raise(check.check(collect.collect(paths)))
 
 
 class CheckCommand(base.Command):
--- a/src/masticward/cli/config.py
+++ b/src/masticward/cli/config.py
@@ -4,7 +4,6 @@
 
 import msgspec
 import typer
-from returns import result
 
 from masticward.cli import audit, base, check
 from masticward.models import configuration as configuration_models
@@ -17,9 +16,7 @@
 ) -> configuration_models.Configuration | None:
     """Return the published configuration, None if there is none. Raises PublishingError."""
     read = await publisher.read_published(store, deadline)
-    if isinstance(read, result.Failure):
-        raise read.failure()
-    return read.unwrap().configuration
+    return base.value_or_raise(read).configuration
 
 
 class ShowCommand(base.PlatformCommand):
--- a/src/masticward/cli/publish.py
+++ b/src/masticward/cli/publish.py
@@ -3,7 +3,6 @@
 import pathlib
 
 import typer
-from returns import result
 
 from masticward.cli import base, change_report, check
 from masticward.publishing import publisher
@@ -23,9 +22,7 @@
         wanted = check.collect_and_check(self.paths)
         self.stage = "publishing"
         outcome = await publisher.Publisher(self.store, self.operator).publish(wanted, deadline)
-        if isinstance(outcome, result.Failure):
-            raise outcome.failure()
-        accepted = outcome.unwrap()
+        accepted = base.value_or_raise(outcome)
         return await change_report.report_change(
             self,
             accepted,
--- a/src/masticward/cli/service_state.py
+++ b/src/masticward/cli/service_state.py
@@ -3,7 +3,6 @@
 import typing
 
 import typer
-from returns import result
 
 from masticward.cli import base, change_report
 from masticward.publishing import operations
@@ -30,9 +29,7 @@
         self.stage = f"changing {what}"
         changes = operations.OperationsChange(self.store, self.instance_list, self.operator)
         outcome = await changes.move(self.target, self.kind, self.out, self.force, deadline)
-        if isinstance(outcome, result.Failure):
-            raise outcome.failure()
-        accepted = outcome.unwrap()
+        accepted = base.value_or_raise(outcome)
         return await change_report.report_change(
             self, accepted, what, self.wait, (0, accepted.version), deadline
         )
--- a/src/masticward/cli/status.py
+++ b/src/masticward/cli/status.py
@@ -70,10 +70,7 @@
     instance_list: instance_list_module.InstanceList, deadline: float
 ) -> list[membership.Instance]:
     """Return the listed instances in a stable order. Raises InstanceListError."""
-    answer = await instance_list.fetch(deadline)
-    instances = answer.value_or(None)
-    if instances is None:
-        raise answer.failure()
+    instances = base.value_or_raise(await instance_list.fetch(deadline))
     return sorted(instances, key=lambda instance: (instance.role, instance.service, instance.id))
 
 
