List started programs of a local fleet in one place

Cause: bench/fleet.py built the listed instance of agents and of entries with the same six fields. Change: listed_instance builds it from the program. Conclusion: behaviour is the same.

--- a/src/masticward/bench/fleet.py
+++ b/src/masticward/bench/fleet.py
@@ -10,6 +10,7 @@
 from masticward import settings as settings_module
 from masticward.bench import load, plans, platform
 from masticward.daemons import agent as agent_daemon
+from masticward.daemons import common
 from masticward.daemons import entry as entry_daemon
 from masticward.models import membership
 
@@ -55,16 +56,7 @@
         daemon = agent_daemon.AgentDaemon(settings)
         await daemon.start()
         self.agents[endpoint.id] = daemon
-        await self.platform.list_instance(
-            membership.Instance(
-                id=endpoint.id,
-                role=membership.Role.AGENT,
-                service=endpoint.service,
-                availability_zone=endpoint.availability_zone,
-                peer_address=f"{HOST}:{daemon.peer_port}",
-                admin_address=f"{HOST}:{daemon.admin_port}",
-            )
-        )
+        await self.platform.list_instance(listed_instance(daemon, endpoint.service))
 
     async def start_entry(self, entry: plans.EntryPlan) -> None:
         """Start one entry and list it."""
@@ -74,16 +66,7 @@
         daemon = entry_daemon.EntryDaemon(settings)
         await daemon.start()
         self.entries[entry.id] = daemon
-        await self.platform.list_instance(
-            membership.Instance(
-                id=entry.id,
-                role=membership.Role.ENTRY,
-                service="",
-                availability_zone=entry.availability_zone,
-                peer_address=f"{HOST}:{daemon.peer_port}",
-                admin_address=f"{HOST}:{daemon.admin_port}",
-            )
-        )
+        await self.platform.list_instance(listed_instance(daemon, service=""))
 
     async def wait_ready(self) -> None:
         """Wait until every program reports ready; raises FleetNotReadyError."""
@@ -130,6 +113,18 @@
         ]
 
 
+def listed_instance(daemon: common.Node, service: str) -> membership.Instance:
+    """Return a started program as the instance list shows it."""
+    return membership.Instance(
+        id=daemon.common.instance_id,
+        role=daemon.role,
+        service=service,
+        availability_zone=daemon.common.availability_zone,
+        peer_address=f"{HOST}:{daemon.peer_port}",
+        admin_address=f"{HOST}:{daemon.admin_port}",
+    )
+
+
 async def answers(session: aiohttp.ClientSession, url: str) -> bool:
     """Tell whether a readiness check succeeds."""
     try:
