Select runs of a service in one place of the bench summary

Cause: three functions of bench/summary.py repeated the selection by service and window. Change: runs_of and Interval.contains select. Conclusion: the figures are computed as before.

--- a/src/masticward/bench/fairness.py
+++ b/src/masticward/bench/fairness.py
@@ -20,6 +20,10 @@
     start: float
     end: float
 
+    def contains(self, moment: float) -> bool:
+        """Tell whether a moment lies in the period, its ends included."""
+        return self.start <= moment <= self.end
+
 
 class Gap(msgspec.Struct, frozen=True, kw_only=True):
     """The largest gap of normalized service and where it was seen."""
--- a/src/masticward/bench/summary.py
+++ b/src/masticward/bench/summary.py
@@ -41,11 +41,16 @@
     )
 
 
+def runs_of(history: history_module.History, service: str) -> list[history_module.EndpointRecord]:
+    """Return the runs of one service at all endpoints."""
+    return [run for run in history.runs if run.service == service]
+
+
 def fairness_bound(
     history: history_module.History, plan: plans.FleetPlan, service: str, overlap_cost: float = 0.0
 ) -> float:
     """Return the gap bound of section 6.1 with the largest request that was served."""
-    runs = [run for run in history.runs if run.service == service and run.finished_at]
+    runs = [run for run in runs_of(history, service) if run.finished_at]
     if not runs:
         return 0.0
     durations = [run.finished_at - run.started_at for run in runs]
@@ -77,11 +82,8 @@
     history: history_module.History, service: str, window: fairness.Interval
 ) -> float:
     """Return the longest time in seconds between two starts of a service within a window."""
-    moments = sorted(
-        run.started_at
-        for run in history.runs
-        if run.service == service and window.start <= run.started_at <= window.end
-    )
+    runs = runs_of(history, service)
+    moments = sorted(run.started_at for run in runs if window.contains(run.started_at))
     edges = [window.start, *moments, window.end]
     return max(after - before for before, after in itertools.pairwise(edges))
 
@@ -90,9 +92,6 @@
     history: history_module.History, service: str, window: fairness.Interval
 ) -> float:
     """Return the cost units per second of runs that ended within a window."""
-    done = sum(
-        run.cost
-        for run in history.runs
-        if run.service == service and window.start <= run.finished_at <= window.end
-    )
+    runs = runs_of(history, service)
+    done = sum(run.cost for run in runs if window.contains(run.finished_at))
     return done / (window.end - window.start)
