Build the calls of all load mixes in one place

Cause: both mixes of bench/calls.py copied the operation's fields into a CallSpec. Change: CallMix holds service and operation, and CallMix.spec builds the call.

--- a/src/masticward/bench/calls.py
+++ b/src/masticward/bench/calls.py
@@ -30,12 +30,34 @@
 
 
 class CallMix(abc.ABC):
-    """Makes calls of one kind."""
+    """Makes calls of one operation."""
+
+    def __init__(
+        self,
+        service: configuration_models.Service,
+        operation: configuration_models.Operation,
+    ) -> None:
+        self.service = service
+        self.operation = operation
 
     @abc.abstractmethod
     def make(self, rng: random.Random, call_id: str) -> CallSpec:
         """Return a call whose body contains ``call_id`` and is therefore unique."""
 
+    def spec(self, body: object, cost: float, key: str = "", cost_hint: float = 0.0) -> CallSpec:
+        """Return a call of the operation with a JSON body; costs are in cost units."""
+        return CallSpec(
+            service=self.service.name,
+            operation=self.operation.name,
+            idempotent=self.operation.idempotent,
+            method=self.operation.method,
+            path=concrete_path(self.operation.path),
+            body=msgspec.json.encode(body),
+            cost=cost,
+            key=key,
+            cost_hint=cost_hint,
+        )
+
 
 class TextCalls(CallMix):
     """Language-model calls. Token counts are drawn evenly from inclusive ranges."""
@@ -48,8 +70,7 @@
         output_tokens: tuple[int, int],
         hints: bool = True,
     ) -> None:
-        self.service = service
-        self.operation = operation
+        super().__init__(service, operation)
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.hints = hints
@@ -60,16 +81,8 @@
         output = rng.randint(*self.output_tokens)
         cost = prompt * self.service.prompt_token_weight + output * self.service.output_token_weight
         body = {"prompt_tokens": prompt, "output_tokens": output, "text": call_id}
-        return CallSpec(
-            service=self.service.name,
-            operation=self.operation.name,
-            idempotent=self.operation.idempotent,
-            method=self.operation.method,
-            path=concrete_path(self.operation.path),
-            body=msgspec.json.encode(body),
-            cost=cost,
-            cost_hint=cost * rng.choice(HINT_ERRORS) if self.hints else 0.0,
-        )
+        hint = cost * rng.choice(HINT_ERRORS) if self.hints else 0.0
+        return self.spec(body, cost, cost_hint=hint)
 
 
 class PlainCalls(CallMix):
@@ -81,23 +94,13 @@
         operation: configuration_models.Operation,
         keyed_ratio: float = 0.0,
     ) -> None:
-        self.service = service
-        self.operation = operation
+        super().__init__(service, operation)
         self.keyed_ratio = keyed_ratio
 
     def make(self, rng: random.Random, call_id: str) -> CallSpec:
         """Return one call."""
-        body = {"call_id": call_id}
-        return CallSpec(
-            service=self.service.name,
-            operation=self.operation.name,
-            idempotent=self.operation.idempotent,
-            method=self.operation.method,
-            path=concrete_path(self.operation.path),
-            body=msgspec.json.encode(body),
-            cost=self.operation.cost,
-            key=f"key-{call_id}" if rng.random() < self.keyed_ratio else "",
-        )
+        key = f"key-{call_id}" if rng.random() < self.keyed_ratio else ""
+        return self.spec({"call_id": call_id}, self.operation.cost, key=key)
 
 
 def concrete_path(pattern: str) -> str:
