--- a/src/masticward/bench/reports.py
+++ b/src/masticward/bench/reports.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from masticward import settings as settings_module
-from masticward.bench import experiment, fairness, fleet, mixes, pictures, plans, summary
+from masticward.bench import experiment, fairness, fleet, load, mixes, pictures, plans, summary
 from masticward.models import work
 
 POLICIES = tuple(settings_module.QueuePolicyName)
@@ -43,6 +43,24 @@
     seed: int
     seconds: float
 
+    def setup(
+        self,
+        plan: plans.FleetPlan,
+        loads: list[load.TeamLoad],
+        *,
+        seconds: float | None = None,
+        maximum_calls: int = 20_000,
+    ) -> experiment.Setup:
+        """Return a run with most calls at one entry; ``seconds`` replaces the measured time."""
+        return experiment.Setup(
+            plan=plan,
+            loads=loads,
+            seed=self.seed,
+            seconds=self.seconds if seconds is None else seconds,
+            maximum_calls=maximum_calls,
+            weights=UNEVEN_WEIGHTS,
+        )
+
 
 async def fairness_report(options: Options) -> Report:
     """Compare the fairness gap of the three policies with one flooding team."""
@@ -51,14 +69,7 @@
     for policy in POLICIES:
         plan = fleet.with_policy(options.plan, policy)
         runs[str(policy)] = await experiment.run(
-            experiment.Setup(
-                plan=plan,
-                loads=mixes.text_loads(plan, 3, FLOODING_TEAM),
-                seed=options.seed,
-                seconds=options.seconds,
-                maximum_calls=20_000,
-                weights=UNEVEN_WEIGHTS,
-            )
+            options.setup(plan, mixes.text_loads(plan, 3, FLOODING_TEAM))
         )
     return Report(
         name="fairness",
@@ -103,17 +114,9 @@
             (short, mixes.booking_loads(plan, 8, keyed_ratio=0.0)),
         ):
             label = f"{policy} {service}"
-            runs[label] = await experiment.run(
-                experiment.Setup(
-                    plan=plan,
-                    loads=loads,
-                    seed=options.seed,
-                    seconds=options.seconds,
-                    maximum_calls=40_000,
-                    weights=UNEVEN_WEIGHTS,
-                    service_ms=SHORT_CALL_MS,
-                )
-            )
+            setup = options.setup(plan, loads, maximum_calls=40_000)
+            setup.service_ms = SHORT_CALL_MS
+            runs[label] = await experiment.run(setup)
             figures[label] = {
                 "utilization": utilization(runs[label], service),
                 "cost_per_second": summary.completed_cost_rate(
@@ -223,16 +226,7 @@
             mixes.text_loads(options.plan, 3) + mixes.booking_loads(options.plan, 2),
         ),
     ):
-        runs[label] = await experiment.run(
-            experiment.Setup(
-                plan=options.plan,
-                loads=loads,
-                seed=options.seed,
-                seconds=options.seconds,
-                maximum_calls=20_000,
-                weights=UNEVEN_WEIGHTS,
-            )
-        )
+        runs[label] = await experiment.run(options.setup(options.plan, loads))
     nodes = len(options.plan.entries) + len(options.plan.endpoints)
     return Report(
         name="control",
@@ -269,13 +263,10 @@
                 await local.shutdown_agent(local.dispatcher_of(service))
 
         measured = await experiment.run(
-            experiment.Setup(
-                plan=options.plan,
-                loads=mixes.text_loads(options.plan, 3),
-                seed=options.seed,
+            options.setup(
+                options.plan,
+                mixes.text_loads(options.plan, 3),
                 seconds=max(options.seconds, RECOVERY_AFTER_SECONDS + 6.0),
-                maximum_calls=20_000,
-                weights=UNEVEN_WEIGHTS,
             ),
             stop_dispatcher,
         )
@@ -305,13 +296,10 @@
     ):
         outstanding = factor * options.plan.capacity(service) / shares
         runs[label] = await experiment.run(
-            experiment.Setup(
-                plan=fleet.with_policy(options.plan, policy),
-                loads=mixes.text_loads(options.plan, outstanding),
-                seed=options.seed,
-                seconds=options.seconds,
+            options.setup(
+                fleet.with_policy(options.plan, policy),
+                mixes.text_loads(options.plan, outstanding),
                 maximum_calls=40_000,
-                weights=UNEVEN_WEIGHTS,
             )
         )
     figures = {
