Inherit the counts in the figures of the demo

Cause: DemoFigures repeated the six fields of summary.Counts. Change: it inherits them; order and names of the JSON fields are the same. Ran: tests.unit.test_bench_reports, which compares the fields; make check. Conclusion: the output is the same.

--- a/src/masticward/cli/demo.py
+++ b/src/masticward/cli/demo.py
@@ -25,15 +25,9 @@
 ENTRY_WEIGHTS = (3.0, 1.0)
 
 
-class DemoFigures(msgspec.Struct, kw_only=True):
+class DemoFigures(summary.Counts, frozen=True, kw_only=True):
     """The figures of ``--json``. The gap and its bound are in cost units per unit of share."""
 
-    sent: int
-    complete: int
-    not_run: int
-    unknown: int
-    executed_twice: int
-    cut: int
     fairness_gap: float
     fairness_bound: float
     utilization: float
