Give errors with the same fields a common base

Cause: SettingsError and ConfigurationError, and RequestRefusedError and OutcomeUnknownError, had the same constructor. Change: FileError and RequestError hold the fields; the commands map FileError to exit code 3. Conclusion: messages, statuses and exit codes are the same.

--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -225,7 +225,7 @@
 def failure_report(error: errors.MasticwardError) -> Report:
     """Return the report of a failure, every problem on a line of its own."""
     problems = [str(error)]
-    if isinstance(error, errors.ConfigurationError | errors.SettingsError):
+    if isinstance(error, errors.FileError):
         problems = error.problems
     return Report(
         lines=problems,
@@ -237,8 +237,7 @@
 def exit_code_of(error: errors.MasticwardError) -> int:
     """Return the exit code of a failure."""
     codes: tuple[tuple[type[errors.MasticwardError], int], ...] = (
-        (errors.ConfigurationError, exit_codes.INVALID_FILES),
-        (errors.SettingsError, exit_codes.INVALID_FILES),
+        (errors.FileError, exit_codes.INVALID_FILES),
         (errors.ChangeConflictError, exit_codes.CONFLICT),
         (errors.ChangeNotMadeError, exit_codes.STORE_UNAVAILABLE),
         (errors.ChangeOutcomeUnknownError, exit_codes.OUTCOME_UNKNOWN),
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -7,20 +7,20 @@
     """Base of all failures raised or returned by this package."""
 
 
-class SettingsError(MasticwardError):
-    """Raised when a settings file has errors; ``problems`` holds one line for each."""
+class FileError(MasticwardError):
+    """Base of failures of files; ``problems`` holds one line for each problem."""
 
     def __init__(self, problems: list[str]) -> None:
         super().__init__("; ".join(problems))
         self.problems = problems
 
 
-class ConfigurationError(MasticwardError):
-    """Returned when collected configuration files have errors; ``problems`` holds all of them."""
+class SettingsError(FileError):
+    """Raised when a settings file has errors."""
 
-    def __init__(self, problems: list[str]) -> None:
-        super().__init__("; ".join(problems))
-        self.problems = problems
+
+class ConfigurationError(FileError):
+    """Returned when collected configuration files have errors."""
 
 
 class StoreError(MasticwardError):
@@ -139,8 +139,8 @@
     """Returned when a change is not allowed as asked for; nothing was changed."""
 
 
-class RequestRefusedError(MasticwardError):
-    """Raised when a caller's request surely was not run; ``status`` is the HTTP status."""
+class RequestError(MasticwardError):
+    """Base of failures of a caller's request; ``status`` is the HTTP status of the response."""
 
     def __init__(self, status: int, kind: str, message: str, retry_after_ms: int = 0) -> None:
         super().__init__(message)
@@ -150,15 +150,12 @@
         self.retry_after_ms = retry_after_ms
 
 
-class OutcomeUnknownError(MasticwardError):
-    """Raised when a caller's request may have run without a whole response."""
+class RequestRefusedError(RequestError):
+    """Raised when a caller's request surely was not run."""
 
-    def __init__(self, status: int, kind: str, message: str, retry_after_ms: int = 0) -> None:
-        super().__init__(message)
-        self.status = status
-        self.kind = kind
-        self.message = message
-        self.retry_after_ms = retry_after_ms
+
+class OutcomeUnknownError(RequestError):
+    """Raised when a caller's request may have run without a whole response."""
 
 
 class QueueFullError(MasticwardError):
