--- a/src/masticward/coordination/request_life.py
+++ b/src/masticward/coordination/request_life.py
@@ -4,21 +4,13 @@
 import contextlib
 import time
 
-from returns import result
-
 from masticward import errors, events, logs
-from masticward.coordination import (
-    claims,
-    entry_meters,
-    fleet_view,
-    response_writer,
-    ticket_desk,
-)
+from masticward.coordination import call_claim, life_context, request_trace, response_writer
 from masticward.models import configuration as configuration_models
 from masticward.models import work
 from masticward.protocol import attempt_client
 from masticward.state import claims as claims_state
-from masticward.state import entry_queue, explain, frames, refusals, retry_budget, route_table
+from masticward.state import entry_queue, explain, frames, refusals, route_table
 from masticward.transport import response_sink
 from masticward.utils import clocks, identifiers
 
@@ -28,7 +20,6 @@
 # How long the entry listens for the outcome of a plain call after the caller's deadline. The
 # caller is told 504 at the deadline; only the claim still needs the outcome.
 OUTCOME_GRACE_SECONDS = 30.0
-FINISH_WAIT_SECONDS = 0.5  # the end of a keyed response waits at most this long for its record
 STARTS_OF_IDEMPOTENT = 2
 FIRST_PAUSE_SECONDS = 0.02
 LONGEST_PAUSE_SECONDS = 0.5
@@ -42,34 +33,6 @@
 logger = logs.get_logger(__name__)
 
 
-class LifeContext:
-    """What all requests of one entry share."""
-
-    __slots__ = ("attempts", "budget", "claims", "desk", "entry_id", "meters", "refusal_limit",
-                 "view")  # fmt: skip
-
-    def __init__(
-        self,
-        *,
-        entry_id: str,
-        view: fleet_view.FleetView,
-        attempts: attempt_client.AttemptClient,
-        claim_service: claims.ClaimService | None,
-        desk: ticket_desk.TicketDesk,
-        budget: retry_budget.RetryBudget,
-        meters: entry_meters.EntryMeters,
-        refusal_limit: int,
-    ) -> None:
-        self.entry_id = entry_id
-        self.view = view
-        self.attempts = attempts
-        self.claims = claim_service
-        self.desk = desk
-        self.budget = budget
-        self.meters = meters
-        self.refusal_limit = refusal_limit
-
-
 class RequestLife:
     """One admitted request with its body.
 
@@ -78,7 +41,6 @@
     """
 
     __slots__ = (
-        "arrived_at",
         "attempt",
         "call",
         "claim",
@@ -88,18 +50,18 @@
         "holding",
         "idempotency_key",
         "pauses",
-        "record",
         "refusal_count",
         "route",
         "sink",
         "task",
         "ticket_count",
         "ticket_id",
+        "trace",
     )
 
     def __init__(
         self,
-        context: LifeContext,
+        context: life_context.LifeContext,
         *,
         call: work.CallRequest,
         route: route_table.Route,
@@ -113,10 +75,9 @@
         self.route = route
         self.holding = holding
         self.sink = sink
-        self.record = record
         self.idempotency_key = idempotency_key
-        self.arrived_at = time.monotonic()
-        self.claim: claims_state.Claim | None = None
+        self.trace = request_trace.RequestTrace(record, context.meters)
+        self.claim = call_claim.CallClaim(context.claims)
         self.attempt: attempt_client.AttemptRequest | None = None
         self.eviction: errors.RequestRefusedError | None = None
         self.task: asyncio.Task[None] | None = None
@@ -164,7 +125,7 @@
     async def run_claimed(self) -> None:
         """Claim the key if the call needs it, then attempt the call until it ends."""
         if self.idempotency_key and not self.route.operation.idempotent:
-            outcome = await self.open_claim()
+            outcome = await self.claim.open(self.call, self.idempotency_key)
             if outcome is not None:
                 await self.replay(outcome)
                 return
@@ -179,39 +140,12 @@
             else:
                 return
 
-    async def open_claim(self) -> claims_state.RecordedOutcome | None:
-        """Claim the key; returns the recorded outcome if the call was run before."""
-        if self.context.claims is None:
-            raise refusals.claim_unavailable(
-                errors.ClaimUnavailableError("the entry has no object API", 0)
-            )
-        claimed = await self.context.claims.claim(
-            self.call.team,
-            self.call.service,
-            self.idempotency_key,
-            claims_state.request_digest(self.call.method, self.call.path, self.call.body),
-            self.call.deadline,
-        )
-        if not isinstance(claimed, result.Success):
-            raise refusals.claim_unavailable(claimed.failure())
-        answer: claims.ClaimAnswer = claimed.unwrap()
-        if answer.verdict is claims_state.ClaimVerdict.GRANTED:
-            self.claim = answer.claim
-            return None
-        if answer.verdict is claims_state.ClaimVerdict.OTHER_REQUEST:
-            raise refusals.key_of_other_request()
-        if answer.verdict is claims_state.ClaimVerdict.UNFINISHED:
-            raise refusals.key_unfinished()
-        if answer.outcome is None:
-            raise refusals.outcome_not_kept()
-        return answer.outcome
-
     async def replay(self, outcome: claims_state.RecordedOutcome) -> None:
         """Send the recorded outcome of an earlier call."""
         await self.sink.send_whole(
             outcome.status, outcome.headers, outcome.body, work.Outcome.COMPLETE
         )
-        self.end(work.Outcome.COMPLETE, REPLAYED)
+        self.trace.ended(work.Outcome.COMPLETE, REPLAYED)
 
     async def wait_for_slot(self) -> work.Assignment:
         """Wait until the dispatcher gives the request a slot that may be used."""
@@ -241,7 +175,7 @@
             service=self.call.service,
             entry_id=self.context.entry_id,
             cost_hint=self.call.cost_hint,
-            arrived_at=self.arrived_at,
+            arrived_at=self.trace.arrived_at,
             deadline=self.call.deadline,
             retried=self.ticket_count > 1,
         )
@@ -257,12 +191,13 @@
         Raises AttemptRefusedError, AttemptFailedError, OutcomeUnknownError or CallerGoneError.
         """
         attempt = self.new_attempt(assignment)
-        self.note_dispatch(assignment, attempt)
+        dispatcher_id = self.context.desk.dispatcher_of(self.call.service)
+        self.trace.dispatched(assignment, attempt.attempt_id, dispatcher_id)
         self.attempt = attempt
         writer = response_writer.ResponseWriter(
             self.sink,
             held_limit=HELD_RESPONSE_BYTES if self.is_plain else 0,
-            keep=self.claim is not None,
+            keep=self.claim.held,
             must_finish=self.is_plain,
         )
         try:
@@ -291,12 +226,12 @@
 
     async def finish(self, writer: response_writer.ResponseWriter) -> None:
         """Record the outcome of a keyed call, then end the response."""
-        if self.claim is not None and self.context.claims is not None:
-            recorded = self.context.claims.finish(self.claim, writer.outcome())
-            self.claim = None
-            await asyncio.wait({recorded}, timeout=FINISH_WAIT_SECONDS)
+        if self.claim.held:
+            await self.claim.record(writer.outcome())
         await writer.finish()
-        self.end(work.Outcome.COMPLETE, ANSWERED if not self.sink.abandoned else CALLER_GONE)
+        self.trace.ended(
+            work.Outcome.COMPLETE, ANSWERED if not self.sink.abandoned else CALLER_GONE
+        )
 
     def new_attempt(self, assignment: work.Assignment) -> attempt_client.AttemptRequest:
         """Return the attempt for a slot, with the newest versions this entry has."""
@@ -312,27 +247,6 @@
             answer_deadline=self.call.deadline + grace,
         )
 
-    def note_dispatch(
-        self, assignment: work.Assignment, attempt: attempt_client.AttemptRequest
-    ) -> None:
-        """Write the dispatch into the request's record and metrics."""
-        if not self.record.attempts:
-            waited = time.monotonic() - self.arrived_at
-            self.record.queue_ms = waited * clocks.MILLISECONDS_PER_SECOND
-            self.context.meters.queue_seconds.observe(waited)
-        self.record.attempts.append(
-            explain.AttemptRecord(
-                attempt_id=attempt.attempt_id,
-                ticket_id=assignment.ticket_id,
-                agent_id=assignment.slot.agent_id,
-                availability_zone=assignment.slot.availability_zone,
-                dispatcher_id=self.context.desk.dispatcher_of(self.call.service),
-                reason_chosen="its slot was free when the team had the least virtual time",
-                virtual_time=assignment.virtual_time,
-                queue_ms=assignment.queue_ms,
-            )
-        )
-
     async def after_refusal(
         self, assignment: work.Assignment, refusal: errors.AttemptRefusedError
     ) -> None:
@@ -359,9 +273,7 @@
     ) -> None:
         """Give the slot back and tell the view what the refusal says about the agent."""
         self.context.desk.decline(assignment, slot_valid=False)
-        self.context.meters.count_refusal(refusal.reason)
-        self.record.refusals.append(str(refusal.reason))
-        self.record.attempts[-1].result = f"refused: {refusal.reason}"
+        self.trace.refused(str(refusal.reason))
         logger.log(
             events.Event.ATTEMPT_REFUSED,
             request_id=self.call.request_id,
@@ -387,11 +299,11 @@
         """Allow one more attempt of an idempotent call, or raise OutcomeUnknownError."""
         self.attempt = None
         self.failed_starts += 1
-        self.record.attempts[-1].result = f"failed: {failure}"
+        agent_id = self.trace.failed(failure)
         logger.log(
             events.Event.ATTEMPT_FAILED,
             request_id=self.call.request_id,
-            agent_id=self.record.attempts[-1].agent_id,
+            agent_id=agent_id,
             detail=str(failure),
         )
         may_repeat = (
@@ -413,7 +325,7 @@
             raise self.no_capacity(message)
         await asyncio.sleep(seconds)
 
-    def no_capacity(self, message: str) -> errors.RequestRefusedError | errors.OutcomeUnknownError:
+    def no_capacity(self, message: str) -> errors.RequestError:
         """Return the end of a request without a slot, which depends on earlier attempts."""
         if not self.may_have_run:
             return refusals.no_capacity(message)
@@ -426,8 +338,8 @@
         if self.may_have_run:
             await self.end_unknown(refusals.attempt_failed(error.message))
             return
-        self.release_claim()
-        self.end(work.Outcome.NOT_RUN, error.kind, error.message)
+        self.claim.release()
+        self.trace.ended(work.Outcome.NOT_RUN, error.kind, error.message)
         await self.answer(error, work.Outcome.NOT_RUN)
 
     async def end_unknown(self, error: errors.OutcomeUnknownError) -> None:
@@ -435,50 +347,25 @@
         logger.log(
             events.Event.REQUEST_UNKNOWN, request_id=self.call.request_id, detail=error.message
         )
-        self.end(work.Outcome.UNKNOWN, error.kind, error.message)
+        self.trace.ended(work.Outcome.UNKNOWN, error.kind, error.message)
         await self.answer(error, work.Outcome.UNKNOWN)
 
-    async def answer(
-        self,
-        error: errors.RequestRefusedError | errors.OutcomeUnknownError,
-        outcome: work.Outcome,
-    ) -> None:
+    async def answer(self, error: errors.RequestError, outcome: work.Outcome) -> None:
         """Send the response for an error, or cut the response that was started.
 
         An abandoned sink is left alone: its connection may already serve the next request.
         """
-        if self.sink.abandoned:
-            return
-        if self.sink.started:
-            self.sink.abort()
-        else:
-            headers, body = refusals.encode(error)
-            with contextlib.suppress(errors.CallerGoneError):
-                await self.sink.send_whole(error.status, headers, body, outcome)
+        if not self.sink.abandoned:
+            await response_writer.send_error(self.sink, error, outcome)
 
     def end_without_caller(self) -> None:
-        """Close the books on a request whose caller left."""
+        """Note the outcome of a request whose caller left; nothing is sent."""
         logger.log(events.Event.CALLER_GONE, request_id=self.call.request_id)
         if self.may_have_run:
-            self.end(work.Outcome.UNKNOWN, CALLER_GONE)
+            self.trace.ended(work.Outcome.UNKNOWN, CALLER_GONE)
         else:
-            self.release_claim()
-            self.end(work.Outcome.NOT_RUN, CALLER_GONE)
-
-    def release_claim(self) -> None:
-        """Give up the claim of a call that surely was not run."""
-        if self.claim is not None and self.context.claims is not None:
-            self.context.claims.release(self.claim)
-            self.claim = None
-
-    def end(self, outcome: work.Outcome, kind: str, detail: str = "") -> None:
-        """Write the outcome into record and metrics."""
-        self.record.outcome = outcome.value
-        self.record.detail = detail or kind
-        self.record.total_ms = (time.monotonic() - self.arrived_at) * clocks.MILLISECONDS_PER_SECOND
-        if self.record.attempts and not self.record.attempts[-1].result:
-            self.record.attempts[-1].result = outcome.value
-        self.context.meters.count_outcome(outcome, kind)
+            self.claim.release()
+            self.trace.ended(work.Outcome.NOT_RUN, CALLER_GONE)
 
     def on_caller_gone(self) -> None:
         """Cancel the request, except a plain call that was sent, which runs to its end."""
@@ -492,12 +379,9 @@
         if not self.is_plain or not self.in_flight:
             return False
         self.sink.abandoned = True
-        if self.sink.started:
-            self.sink.abort()
-            return True
-        headers, body = refusals.encode(refusals.deadline_passed())
-        with contextlib.suppress(errors.CallerGoneError):
-            await self.sink.send_whole(504, headers, body, work.Outcome.UNKNOWN)
+        await response_writer.send_error(
+            self.sink, refusals.deadline_passed(), work.Outcome.UNKNOWN
+        )
         return True
 
     def on_evicted(self) -> None:
--- /dev/null
+++ b/src/masticward/coordination/request_trace.py
@@ -0,0 +1,61 @@
+"""Writes what happens to one request into its explain record and the entry's metrics."""
+
+import time
+
+from masticward import errors
+from masticward.coordination import entry_meters
+from masticward.models import work
+from masticward.state import explain
+from masticward.utils import clocks
+
+
+class RequestTrace:
+    """The trace of one request. ``arrived_at`` is in monotonic seconds."""
+
+    __slots__ = ("arrived_at", "meters", "record")
+
+    def __init__(self, record: explain.RequestRecord, meters: entry_meters.EntryMeters) -> None:
+        self.record = record
+        self.meters = meters
+        self.arrived_at = time.monotonic()
+
+    def dispatched(self, assignment: work.Assignment, attempt_id: str, dispatcher_id: str) -> None:
+        """Add an attempt; the first one ends the request's time in the queue."""
+        if not self.record.attempts:
+            waited = time.monotonic() - self.arrived_at
+            self.record.queue_ms = waited * clocks.MILLISECONDS_PER_SECOND
+            self.meters.queue_seconds.observe(waited)
+        self.record.attempts.append(
+            explain.AttemptRecord(
+                attempt_id=attempt_id,
+                ticket_id=assignment.ticket_id,
+                agent_id=assignment.slot.agent_id,
+                availability_zone=assignment.slot.availability_zone,
+                dispatcher_id=dispatcher_id,
+                reason_chosen="its slot was free when the team had the least virtual time",
+                virtual_time=assignment.virtual_time,
+                queue_ms=assignment.queue_ms,
+            )
+        )
+
+    def refused(self, reason: str) -> None:
+        """Note that an agent refused the last attempt."""
+        self.meters.count_refusal(reason)
+        self.record.refusals.append(reason)
+        self.record.attempts[-1].result = f"refused: {reason}"
+
+    def failed(self, failure: errors.AttemptFailedError) -> str:
+        """Note that the last attempt failed, and return the id of its agent."""
+        attempt = self.record.attempts[-1]
+        attempt.result = f"failed: {failure}"
+        return attempt.agent_id
+
+    def ended(self, outcome: work.Outcome, kind: str, detail: str = "") -> None:
+        """Note the request's outcome; ``kind`` is the type of the error or how it ended."""
+        self.record.outcome = outcome.value
+        self.record.detail = detail or kind
+        total_seconds = time.monotonic() - self.arrived_at
+        self.record.total_ms = total_seconds * clocks.MILLISECONDS_PER_SECOND
+        if self.record.attempts and not self.record.attempts[-1].result:
+            self.record.attempts[-1].result = outcome.value
+        self.meters.count_outcome(outcome, kind)
--- a/src/masticward/coordination/response_writer.py
+++ b/src/masticward/coordination/response_writer.py
@@ -1,9 +1,11 @@
 """Passes one attempt's response to the caller and keeps a copy for the claim if there is one."""
 
+import contextlib
+
 from masticward import errors
 from masticward.models import work
 from masticward.state import claims as claims_state
-from masticward.state import frames
+from masticward.state import frames, refusals
 from masticward.transport import response_sink
 
 
@@ -94,3 +96,15 @@
         return claims_state.RecordedOutcome(
             status=self.head.status, headers=self.head.headers, body=b"".join(self.captured)
         )
+
+
+async def send_error(
+    sink: response_sink.ResponseSink, error: errors.RequestError, outcome: work.Outcome
+) -> None:
+    """Send the response for an error, or cut the response that was started."""
+    if sink.started:
+        sink.abort()
+        return
+    headers, body = refusals.encode(error)
+    with contextlib.suppress(errors.CallerGoneError):
+        await sink.send_whole(error.status, headers, body, outcome)
--- a/src/masticward/coordination/router.py
+++ b/src/masticward/coordination/router.py
@@ -7,6 +7,7 @@
 from masticward.coordination import (
     entry_meters,
     fleet_view,
+    life_context,
     request_life,
     ticket_desk,
 )
@@ -102,7 +103,7 @@
         self.meters.queue_length.set_function(lambda: self.queue.waiting)
         self.meters.bytes_held.set_function(lambda: self.queue.body_bytes)
         self.meters.held.set_function(lambda: len(self.admissions))
-        self.context = request_life.LifeContext(
+        self.context = life_context.LifeContext(
             entry_id=entry_id,
             view=view,
             attempts=attempts,
--- a/src/masticward/state/refusals.py
+++ b/src/masticward/state/refusals.py
@@ -19,9 +19,7 @@
     retry_after_ms: int
 
 
-def encode(
-    error: errors.RequestRefusedError | errors.OutcomeUnknownError,
-) -> tuple[tuple[tuple[str, str], ...], bytes]:
+def encode(error: errors.RequestError) -> tuple[tuple[tuple[str, str], ...], bytes]:
     """Return headers and body of the response for an error."""
     headers = [("content-type", "application/json")]
     if error.retry_after_ms:
