--- a/src/masticward/cli/audit.py
+++ b/src/masticward/cli/audit.py
@@ -3,13 +3,11 @@
 import typing
 
 import typer
-from returns import result
 
 from masticward.cli import base
 from masticward.models import configuration as configuration_models
 from masticward.models import objects
 from masticward.publishing import audit, change, operations, publisher
-from masticward.transport import instance_list as instance_list_module
 from masticward.transport import object_api
 
 KINDS = ("config", "ops")
@@ -28,10 +26,7 @@
         document = await read_document(
             store, objects.OPERATIONS, operations.EMPTY_OPERATIONS, deadline
         )
-    listed = await audit.list_entries(store, document, deadline)
-    if isinstance(listed, result.Failure):
-        raise listed.failure()
-    return listed.unwrap()
+    return base.value_or_raise(await audit.list_entries(store, document, deadline))
 
 
 async def read_document(
@@ -39,9 +34,7 @@
 ) -> change.DocumentT:
     """Return an audited document. Raises PublishingError."""
     read = await change.read_current(store, name, empty, deadline)
-    if isinstance(read, result.Failure):
-        raise read.failure()
-    return read.unwrap().document
+    return base.value_or_raise(read).document
 
 
 def describe_entry(kind: str, entry: configuration_models.AuditEntry) -> str:
@@ -52,7 +45,7 @@
     )
 
 
-class AuditCommand(base.StoreCommand):
+class AuditCommand(base.PlatformCommand):
     """Lists the audit entries of some kinds."""
 
     def __init__(self, options: base.Options, kinds: tuple[str, ...], limit: int) -> None:
@@ -60,18 +53,13 @@
         self.kinds = kinds
         self.limit = limit
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Read recent and rolled entries."""
         self.stage = "reading the audit trail"
         found = [
             (entry, kind)
             for kind in self.kinds
-            for entry in await read_entries(store, kind, deadline)
+            for entry in await read_entries(self.store, kind, deadline)
         ]
         found.sort(key=lambda item: item[0].time)
         shown = found[-self.limit :]
@@ -85,13 +73,11 @@
     """Add the command to the program."""
 
     @app.command("audit")
+    @base.takes_options(*base.READ_OPTIONS)
     def show_audit(
+        options: base.Options,
         kind: typing.Annotated[str, typer.Option(help="config, ops or all.")] = "all",
         limit: LimitOption = DEFAULT_LIMIT,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
     ) -> None:
         """List who changed the configuration and the operations state, the newest last.
 
@@ -99,7 +85,4 @@
         """
         if kind not in (*KINDS, "all"):
             raise typer.BadParameter(f"{kind!r} is not one of config, ops, all")
-        options = base.Options(
-            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-        )
         AuditCommand(options, KINDS if kind == "all" else (kind,), limit).run()
--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -2,13 +2,17 @@
 
 import abc
 import asyncio
+import collections.abc
+import functools
 import getpass
+import inspect
 import logging
 import pathlib
 import typing
 
 import msgspec
 import typer
+from returns import result
 
 from masticward import errors, logs
 from masticward import settings as settings_module
@@ -18,38 +22,7 @@
 from masticward.utils import clocks, programs, tasks
 
 PROGRESS_SECONDS = 2.0
-DEFAULT_DEADLINE_SECONDS = 20.0
-DEFAULT_OBJECT_API = "http://127.0.0.1:7100"
-DEFAULT_INSTANCE_LIST = "http://127.0.0.1:7200"
 
-ObjectApiOption = typing.Annotated[
-    str,
-    typer.Option("--object-api", envvar="MASTICWARD_OBJECT_API", help="URL of the object API."),
-]
-InstanceListOption = typing.Annotated[
-    str,
-    typer.Option(
-        "--instance-list", envvar="MASTICWARD_INSTANCE_LIST", help="URL of the instance list."
-    ),
-]
-SettingsOption = typing.Annotated[
-    pathlib.Path | None,
-    typer.Option("--settings", help="Settings file of an entry or agent that holds the URLs."),
-]
-JsonOption = typing.Annotated[
-    bool, typer.Option("--json", help="Write the result as JSON to standard output.")
-]
-DeadlineOption = typing.Annotated[
-    float, typer.Option("--deadline", min=0.1, help="Seconds after which the command gives up.")
-]
-OperatorOption = typing.Annotated[
-    str,
-    typer.Option(
-        "--operator",
-        envvar="MASTICWARD_OPERATOR",
-        help="Name in the audit trail; the user's name if not given.",
-    ),
-]
 WaitOption = typing.Annotated[
     bool, typer.Option("--wait", help="Wait until the change is in force in every process.")
 ]
@@ -70,14 +43,89 @@
 
 
 class Options(msgspec.Struct, kw_only=True):
-    """The options that the commands have in common."""
-
-    object_api: str = DEFAULT_OBJECT_API
-    instance_list: str = DEFAULT_INSTANCE_LIST
-    settings: pathlib.Path | None = None
-    json: bool = False
-    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS
-    operator: str = ""
+    """The options that the commands have in common, as ``takes_options`` adds them."""
+
+    object_api: typing.Annotated[
+        str,
+        typer.Option("--object-api", envvar="MASTICWARD_OBJECT_API", help="URL of the object API."),
+    ] = "http://127.0.0.1:7100"
+    instance_list: typing.Annotated[
+        str,
+        typer.Option(
+            "--instance-list", envvar="MASTICWARD_INSTANCE_LIST", help="URL of the instance list."
+        ),
+    ] = "http://127.0.0.1:7200"
+    settings: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option("--settings", help="Settings file of an entry or agent that holds the URLs."),
+    ] = None
+    operator: typing.Annotated[
+        str,
+        typer.Option(
+            "--operator",
+            envvar="MASTICWARD_OPERATOR",
+            help="Name in the audit trail; the user's name if not given.",
+        ),
+    ] = ""
+    deadline_seconds: typing.Annotated[
+        float, typer.Option("--deadline", min=0.1, help="Seconds after which the command gives up.")
+    ] = 20.0
+    json: typing.Annotated[
+        bool, typer.Option("--json", help="Write the result as JSON to standard output.")
+    ] = False
+
+
+# Fields of Options, in the order in which ``--help`` lists them.
+OUTPUT_OPTIONS = ("json",)
+READ_OPTIONS = ("object_api", "settings", "deadline_seconds", "json")
+FLEET_OPTIONS = ("object_api", "instance_list", "settings", "json", "deadline_seconds")
+CHANGE_OPTIONS = (
+    "object_api",
+    "instance_list",
+    "settings",
+    "operator",
+    "deadline_seconds",
+    "json",
+)
+
+ValueT = typing.TypeVar("ValueT")
+CommandFunction = collections.abc.Callable[..., None]
+
+
+def takes_options(
+    *names: str,
+) -> collections.abc.Callable[[CommandFunction], CommandFunction]:
+    """Return a decorator that adds the options of some fields of Options to a command.
+
+    The decorated function receives them as one Options object in its parameter ``options``.
+    ``--help`` lists its other parameters first.
+    """
+
+    def decorate(function: CommandFunction) -> CommandFunction:
+        @functools.wraps(function)
+        def command(**values: typing.Any) -> None:
+            options = Options(**{name: values.pop(name) for name in names})
+            function(options=options, **values)
+
+        signature = inspect.signature(function)
+        own = [item for item in signature.parameters.values() if item.name != "options"]
+        # typer reads the command line from the signature.
+        command.__signature__ = signature.replace(  # type: ignore[attr-defined]
+            parameters=[*own, *(option_parameter(name) for name in names)]
+        )
+        return command
+
+    return decorate
+
+
+def option_parameter(name: str) -> inspect.Parameter:
+    """Return a field of Options as a function's parameter, with annotation and default."""
+    return inspect.Parameter(
+        name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=Options.__struct_defaults__[Options.__struct_fields__.index(name)],
+        annotation=Options.__annotations__[name],
+    )
 
 
 class Command(abc.ABC):
@@ -94,7 +142,7 @@
     def run(self) -> typing.NoReturn:
         """Run the command and leave the program with its exit code."""
         logs.configure(logging.ERROR)
-        report = programs_result(self)
+        report = run_on_uvloop(self)
         if self.options.json:
             typer.echo(msgspec.json.format(msgspec.json.encode(report.data)).decode())
         else:
@@ -125,46 +173,45 @@
         """The name in the audit trail."""
         return self.options.operator or getpass.getuser()
 
-    def urls(self) -> tuple[str, str]:
-        """Return the URLs of object API and instance list. Raises SettingsError."""
-        if self.options.settings is None:
-            return self.options.object_api, self.options.instance_list
-        platform = load_any(self.options.settings).platform
-        return platform.object_api_url, platform.instance_list_url
-
-    def open_store(self) -> object_api.ObjectStore:
-        """Return a client of the object API; the caller closes it."""
-        return object_api.HttpObjectStore(self.urls()[0])
-
-    def open_instance_list(self) -> instance_list_module.InstanceList:
-        """Return a client of the instance list; the caller closes it."""
-        return instance_list_module.HttpInstanceList(self.urls()[1])
 
+class PlatformCommand(Command):
+    """A command that uses the object API or the instance list, which are open during ``work``."""
 
-class StoreCommand(Command):
-    """A command that uses the object API and the instance list."""
+    store: object_api.ObjectStore
+    instance_list: instance_list_module.InstanceList
 
     async def execute(self, deadline: float) -> Report:
-        """Open the clients, work with them and close them."""
-        store, instance_list = self.open_store(), self.open_instance_list()
+        """Open the clients, do the work and close them."""
+        object_api_url, instance_list_url = self.urls()
+        self.store = object_api.HttpObjectStore(object_api_url)
+        self.instance_list = instance_list_module.HttpInstanceList(instance_list_url)
         try:
-            return await self.work(store, instance_list, deadline)
+            return await self.work(deadline)
         finally:
-            await store.close()
-            await instance_list.close()
+            await self.store.close()
+            await self.instance_list.close()
+
+    def urls(self) -> tuple[str, str]:
+        """Return the URLs of object API and instance list. Raises SettingsError."""
+        if self.options.settings is None:
+            return self.options.object_api, self.options.instance_list
+        platform = load_any(self.options.settings).platform
+        return platform.object_api_url, platform.instance_list_url
 
     @abc.abstractmethod
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> Report:
+    async def work(self, deadline: float) -> Report:
         """Do the work by a monotonic deadline. Raises MasticwardError."""
 
 
-def programs_result(command: Command) -> Report:
-    """Run a command's coroutine on uvloop and return its report."""
+def value_or_raise(answer: result.Result[ValueT, errors.MasticwardError]) -> ValueT:
+    """Return the value of a result, or raise its failure."""
+    if isinstance(answer, result.Failure):
+        raise answer.failure()
+    return answer.unwrap()
+
+
+def run_on_uvloop(command: Command) -> Report:
+    """Run a command to its end and return its report."""
     reports: list[Report] = []
 
     async def main() -> int:
@@ -178,7 +225,7 @@
 def failure_report(error: errors.MasticwardError) -> Report:
     """Return the report of a failure, every problem on a line of its own."""
     problems = [str(error)]
-    if isinstance(error, errors.ConfigurationError | errors.SettingsError):
+    if isinstance(error, errors.FileError):
         problems = error.problems
     return Report(
         lines=problems,
@@ -190,8 +237,7 @@
 def exit_code_of(error: errors.MasticwardError) -> int:
     """Return the exit code of a failure."""
     codes: tuple[tuple[type[errors.MasticwardError], int], ...] = (
-        (errors.ConfigurationError, exit_codes.INVALID_FILES),
-        (errors.SettingsError, exit_codes.INVALID_FILES),
+        (errors.FileError, exit_codes.INVALID_FILES),
         (errors.ChangeConflictError, exit_codes.CONFLICT),
         (errors.ChangeNotMadeError, exit_codes.STORE_UNAVAILABLE),
         (errors.ChangeOutcomeUnknownError, exit_codes.OUTCOME_UNKNOWN),
--- a/src/masticward/cli/check.py
+++ b/src/masticward/cli/check.py
@@ -3,7 +3,6 @@
 import pathlib
 
 import typer
-from returns import result
 
 from masticward.cli import base
 from masticward.models import configuration as configuration_models
@@ -12,10 +11,7 @@
 
 def collect_and_check(paths: list[pathlib.Path]) -> configuration_models.Configuration:
     """Return the configuration of the files. Raises ConfigurationError with every problem."""
-    checked = check.check(collect.collect(paths))
-    if isinstance(checked, result.Failure):
-        raise checked.failure()
-    return checked.unwrap()
+    return base.value_or_raise(check.check(collect.collect(paths)))
 
 
 class CheckCommand(base.Command):
@@ -42,9 +38,10 @@
     """Add the command to the program."""
 
     @app.command("check")
-    def check_files(paths: base.PathsArgument, json: base.JsonOption = False) -> None:
+    @base.takes_options(*base.OUTPUT_OPTIONS)
+    def check_files(options: base.Options, paths: base.PathsArgument) -> None:
         """Check configuration files and report every problem at once.
 
         Example: masticward check services/
         """
-        CheckCommand(base.Options(json=json), paths).run()
+        CheckCommand(options, paths).run()
--- a/src/masticward/cli/config.py
+++ b/src/masticward/cli/config.py
@@ -4,12 +4,10 @@
 
 import msgspec
 import typer
-from returns import result
 
 from masticward.cli import audit, base, check
 from masticward.models import configuration as configuration_models
 from masticward.publishing import differences, publisher
-from masticward.transport import instance_list as instance_list_module
 from masticward.transport import object_api
 
 
@@ -18,23 +16,16 @@
 ) -> configuration_models.Configuration | None:
     """Return the published configuration, None if there is none. Raises PublishingError."""
     read = await publisher.read_published(store, deadline)
-    if isinstance(read, result.Failure):
-        raise read.failure()
-    return read.unwrap().configuration
+    return base.value_or_raise(read).configuration
 
 
-class ShowCommand(base.StoreCommand):
+class ShowCommand(base.PlatformCommand):
     """Shows the published configuration."""
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Read manifest and shards."""
         self.stage = "reading the configuration"
-        found = await read_configuration(store, deadline)
+        found = await read_configuration(self.store, deadline)
         if found is None:
             return base.Report(lines=["no configuration is published"], data={"version": 0})
         lines = [
@@ -55,23 +46,18 @@
         return base.Report(lines=lines, data=msgspec.to_builtins(found))
 
 
-class DiffCommand(base.StoreCommand):
+class DiffCommand(base.PlatformCommand):
     """Shows what publishing some files would change."""
 
     def __init__(self, options: base.Options, paths: list[pathlib.Path]) -> None:
         super().__init__(options)
         self.paths = paths
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Compare the files with the published configuration."""
         self.stage = "comparing"
         wanted = check.collect_and_check(self.paths)
-        found = await read_configuration(store, deadline)
+        found = await read_configuration(self.store, deadline)
         lines = differences.describe(found, wanted)
         return base.Report(
             lines=lines or ["no differences"],
@@ -85,52 +71,28 @@
     app.add_typer(group, name="config")
 
     @group.command("show")
-    def show(
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
-    ) -> None:
+    @base.takes_options(*base.READ_OPTIONS)
+    def show(options: base.Options) -> None:
         """Show the published configuration.
 
         Example: masticward config show --json
         """
-        ShowCommand(
-            base.Options(
-                object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-            )
-        ).run()
+        ShowCommand(options).run()
 
     @group.command("diff")
-    def diff(
-        paths: base.PathsArgument,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
-    ) -> None:
+    @base.takes_options(*base.READ_OPTIONS)
+    def diff(options: base.Options, paths: base.PathsArgument) -> None:
         """Show what publishing the files would change.
 
         Example: masticward config diff services/
         """
-        options = base.Options(
-            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-        )
         DiffCommand(options, paths).run()
 
     @group.command("history")
-    def history(
-        limit: audit.LimitOption = audit.DEFAULT_LIMIT,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        settings: base.SettingsOption = None,
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
-    ) -> None:
+    @base.takes_options(*base.READ_OPTIONS)
+    def history(options: base.Options, limit: audit.LimitOption = audit.DEFAULT_LIMIT) -> None:
         """List the published versions, the newest last.
 
         Example: masticward config history --limit 5
         """
-        options = base.Options(
-            object_api=object_api, settings=settings, json=json, deadline_seconds=deadline
-        )
         audit.AuditCommand(options, ("config",), limit).run()
--- a/src/masticward/cli/service_state.py
+++ b/src/masticward/cli/service_state.py
@@ -3,17 +3,14 @@
 import typing
 
 import typer
-from returns import result
 
 from masticward.cli import base, change_report
 from masticward.publishing import operations
-from masticward.transport import instance_list as instance_list_module
-from masticward.transport import object_api
 
 TargetArgument = typing.Annotated[str, typer.Argument(help="Name of the zone or id.")]
 
 
-class MoveCommand(base.StoreCommand):
+class MoveCommand(base.PlatformCommand):
     """Takes a zone or instance out of service or brings it back."""
 
     def __init__(
@@ -26,22 +23,15 @@
         self.force = force
         self.wait = wait
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Change the operations state and, if asked for, wait."""
         what = f"{self.kind} {self.target} {'out' if self.out else 'in'}"
         self.stage = f"changing {what}"
-        changes = operations.OperationsChange(store, instance_list, self.operator)
+        changes = operations.OperationsChange(self.store, self.instance_list, self.operator)
         outcome = await changes.move(self.target, self.kind, self.out, self.force, deadline)
-        if isinstance(outcome, result.Failure):
-            raise outcome.failure()
-        accepted = outcome.unwrap()
+        accepted = base.value_or_raise(outcome)
         return await change_report.report_change(
-            self, accepted, what, instance_list, self.wait, (0, accepted.version), deadline
+            self, accepted, what, self.wait, (0, accepted.version), deadline
         )
 
 
@@ -65,25 +55,13 @@
         help=f"Take {thing} out of service: it gets no new work within 3 s, running work ends."
         f"{common_help}\n\nExample: masticward {kind} out {example} --wait",
     )
+    @base.takes_options(*base.CHANGE_OPTIONS)
     def take_out(
+        options: base.Options,
         target: TargetArgument,
         force: base.ForceOption = False,
         wait: base.WaitOption = False,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-        settings: base.SettingsOption = None,
-        operator: base.OperatorOption = "",
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
     ) -> None:
-        options = base.Options(
-            object_api=object_api,
-            instance_list=instance_list,
-            settings=settings,
-            json=json,
-            deadline_seconds=deadline,
-            operator=operator,
-        )
         MoveCommand(options, kind, target, True, force, wait).run()
 
     @group.command(
@@ -91,24 +69,10 @@
         help=f"Bring {thing} back into service.{common_help}\n\n"
         f"Example: masticward {kind} in {example}",
     )
+    @base.takes_options(*base.CHANGE_OPTIONS)
     def bring_in(
-        target: TargetArgument,
-        wait: base.WaitOption = False,
-        object_api: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-        instance_list: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-        settings: base.SettingsOption = None,
-        operator: base.OperatorOption = "",
-        deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-        json: base.JsonOption = False,
+        options: base.Options, target: TargetArgument, wait: base.WaitOption = False
     ) -> None:
-        options = base.Options(
-            object_api=object_api,
-            instance_list=instance_list,
-            settings=settings,
-            json=json,
-            deadline_seconds=deadline,
-            operator=operator,
-        )
         MoveCommand(options, kind, target, False, False, wait).run()
 
     return group
--- a/src/masticward/cli/status.py
+++ b/src/masticward/cli/status.py
@@ -7,24 +7,19 @@
 
 from masticward.cli import base, exit_codes
 from masticward.models import membership
-from masticward.transport import admin_client, object_api
+from masticward.transport import admin_client
 from masticward.transport import instance_list as instance_list_module
 
 NEWEST_TEAMS = 16
 
 
-class StatusCommand(base.StoreCommand):
+class StatusCommand(base.PlatformCommand):
     """Reads the instance list and asks every process for its state."""
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Ask all processes at once; one that does not answer is reported as silent."""
         self.stage = "asking every process for its state"
-        instances = await read_instances(instance_list, deadline)
+        instances = await read_instances(self.instance_list, deadline)
         answers = await ask_all(instances, "/status", deadline)
         data = {
             "instances": [
@@ -42,24 +37,19 @@
         return base.Report(lines=status_lines(instances, answers), data=data)
 
 
-class ExplainCommand(base.StoreCommand):
+class ExplainCommand(base.PlatformCommand):
     """Asks every entry for the record of one request."""
 
     def __init__(self, options: base.Options, request_id: str) -> None:
         super().__init__(options)
         self.request_id = request_id
 
-    async def work(
-        self,
-        store: object_api.ObjectStore,
-        instance_list: instance_list_module.InstanceList,
-        deadline: float,
-    ) -> base.Report:
+    async def work(self, deadline: float) -> base.Report:
         """Return the record from the entry that has it."""
         self.stage = "asking every entry for the request"
         instances = [
             instance
-            for instance in await read_instances(instance_list, deadline)
+            for instance in await read_instances(self.instance_list, deadline)
             if instance.role is membership.Role.ENTRY
         ]
         answers = await ask_all(instances, f"/explain/{self.request_id}", deadline)
@@ -80,10 +70,7 @@
     instance_list: instance_list_module.InstanceList, deadline: float
 ) -> list[membership.Instance]:
     """Return the listed instances in a stable order. Raises InstanceListError."""
-    answer = await instance_list.fetch(deadline)
-    instances = answer.value_or(None)
-    if instances is None:
-        raise answer.failure()
+    instances = base.value_or_raise(await instance_list.fetch(deadline))
     return sorted(instances, key=lambda instance: (instance.role, instance.service, instance.id))
 
 
@@ -92,11 +79,13 @@
 ) -> list[dict[str, typing.Any] | None]:
     """Return each process's answer, None for one that did not answer."""
     async with admin_client.AdminClient() as client:
-        return list(
-            await asyncio.gather(
-                *(client.get(instance.admin_address, path, deadline) for instance in instances)
+        answers = await asyncio.gather(
+            *(
+                client.get(instance.admin_address, path, dict[str, typing.Any], deadline)
+                for instance in instances
             )
         )
+    return [answer.value_or(None) for answer in answers]
 
 
 def status_lines(
@@ -198,46 +187,24 @@
     return lines
 
 
-def status(
-    object_api_url: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-    instance_list_url: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-    settings_file: base.SettingsOption = None,
-    as_json: base.JsonOption = False,
-    deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
-) -> None:
+@base.takes_options(*base.FLEET_OPTIONS)
+def status(options: base.Options) -> None:
     """Show every process: versions, admission states, queues and dispatchers.
 
     Example: masticward status --instance-list http://10.0.0.5:7200
     """
-    options = base.Options(
-        object_api=object_api_url,
-        instance_list=instance_list_url,
-        settings=settings_file,
-        json=as_json,
-        deadline_seconds=deadline,
-    )
     StatusCommand(options).run()
 
 
+@base.takes_options(*base.FLEET_OPTIONS)
 def explain(
+    options: base.Options,
     request_id: typing.Annotated[str, typer.Argument(help="Value of Masticward-Request-Id.")],
-    object_api_url: base.ObjectApiOption = base.DEFAULT_OBJECT_API,
-    instance_list_url: base.InstanceListOption = base.DEFAULT_INSTANCE_LIST,
-    settings_file: base.SettingsOption = None,
-    as_json: base.JsonOption = False,
-    deadline: base.DeadlineOption = base.DEFAULT_DEADLINE_SECONDS,
 ) -> None:
     """Tell how one recent request fared: queue time, attempts, refusals, outcome.
 
     Example: masticward explain 3fJ0k2 --instance-list http://10.0.0.5:7200
     """
-    options = base.Options(
-        object_api=object_api_url,
-        instance_list=instance_list_url,
-        settings=settings_file,
-        json=as_json,
-        deadline_seconds=deadline,
-    )
     ExplainCommand(options, request_id).run()
 
 
--- a/src/masticward/transport/caller_headers.py
+++ b/src/masticward/transport/caller_headers.py
@@ -5,6 +5,8 @@
 import re
 
 from masticward.state import refusals
+from masticward.transport import connection_headers
+from masticward.utils import clocks
 
 BEARER_PREFIX = "bearer "
 AUTHORIZATION = "authorization"
@@ -13,24 +15,10 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 OWN_PREFIX = "masticward-"
 LONGEST_KEY_CHARACTERS = 255
-MILLISECONDS_PER_SECOND = 1000.0
-
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "http2-settings",
-    )
+
+NOT_FORWARDED = (
+    connection_headers.HOP_BY_HOP | connection_headers.FRAMING | {"alt-svc", AUTHORIZATION}
 )
-# The server and the endpoint's client write these for their own connections.
-FRAMING = frozenset(("content-length", "host", "expect", "alt-svc"))
 FORBIDDEN_IN_VALUES = frozenset("\r\n\0")
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+")
 DOT_SEGMENTS = frozenset((".", ".."))
@@ -93,7 +81,7 @@
 
 def deadline_seconds(headers: Headers) -> float:
     """Return the remaining time in seconds that the caller gives, or 0 if it gives none."""
-    return number(headers, DEADLINE) / MILLISECONDS_PER_SECOND
+    return number(headers, DEADLINE) / clocks.MILLISECONDS_PER_SECOND
 
 
 def idempotency_key(headers: Headers) -> str:
@@ -140,7 +128,7 @@
         if name == "connection"
         for token in value.split(",")
     }
-    dropped = HOP_BY_HOP | FRAMING | named | {AUTHORIZATION}
+    dropped = NOT_FORWARDED | named
     return tuple(
         (name, value)
         for name, value in listed
