Deliver accepted zone and instance changes to some processes

Cause: processes learn of a change from the object API, and entries try to watch it again every 0.5 s after an outage. A change accepted between two outages less than that apart stayed unknown until the object API was back.

Change: Peer.Deliver and publishing/delivery.py. The receiver takes it as it takes one from a peer: only if it is newer and decodes. A failed delivery is reported and changes neither outcome nor exit code. The bench's zone_in returns the time of the acceptance and the zone tests measure from it, which is stricter than measuring from the end of the delivery.

Published configurations are not delivered: at the target size that is megabytes of shards, and a process that lacks an unchanged shard could not use the changed ones alone.

Delivery with TLS files was not run.

--- a/src/masticward/bench/part_costs.py
+++ b/src/masticward/bench/part_costs.py
@@ -206,6 +206,9 @@
         """Return nothing newer."""
         return 0, b""
 
+    def receive_delivery(self, delivery: masticward_pb2.Delivery) -> None:
+        """Ignore the delivery."""
+
 
 async def exchange_slopes() -> list[Slope]:
     """Return processor time (both sides) and message bytes by number of exchanges."""
--- a/src/masticward/bench/platform.py
+++ b/src/masticward/bench/platform.py
@@ -13,7 +13,7 @@
 from masticward.bench import plans, records, restrictions
 from masticward.models import configuration as configuration_models
 from masticward.models import membership
-from masticward.publishing import operations, publisher
+from masticward.publishing import change, delivery, operations, publisher
 from masticward.standins import engine, forwarder, instance_list, object_api, plain_service
 from masticward.transport import instance_list as instance_list_client
 from masticward.transport import object_api as object_api_client
@@ -114,18 +114,36 @@
 
     async def publish(self) -> None:
         """Publish the configuration of the plan; raises PublishingError."""
-        change = publisher.Publisher(self.store, OPERATOR)
-        unwrap(await change.publish(self.plan.configuration, change_deadline()))
+        operator = publisher.Publisher(self.store, OPERATOR)
+        unwrap(await operator.publish(self.plan.configuration, change_deadline()))
 
-    async def zone_out(self, zone: str, bound: float = ZONE_BOUND_SECONDS) -> None:
-        """Take a zone out; no start is allowed ``bound`` seconds after acceptance."""
-        unwrap(await self.operations().take_out_zone(zone, False, change_deadline()))
-        self.restrictions.begin_zone(zone, time.monotonic() + bound)
+    async def zone_out(self, zone: str, bound: float = ZONE_BOUND_SECONDS) -> float:
+        """Take a zone out; no start is allowed ``bound`` seconds after acceptance.
 
-    async def zone_in(self, zone: str) -> None:
-        """Bring a zone back; raises PublishingError."""
+        Returns the monotonic time of the acceptance; raises PublishingError.
+        """
+        accepted = unwrap(await self.operations().take_out_zone(zone, False, change_deadline()))
+        accepted_at = time.monotonic()
+        self.restrictions.begin_zone(zone, accepted_at + bound)
+        await self.deliver(accepted)
+        return accepted_at
+
+    async def zone_in(self, zone: str) -> float:
+        """Bring a zone back and return the monotonic time of the acceptance.
+
+        Raises PublishingError.
+        """
         self.restrictions.end(zone, time.monotonic())
-        unwrap(await self.operations().bring_in_zone(zone, change_deadline()))
+        accepted = unwrap(await self.operations().bring_in_zone(zone, change_deadline()))
+        accepted_at = time.monotonic()
+        await self.deliver(accepted)
+        return accepted_at
+
+    async def deliver(self, accepted: change.Accepted) -> None:
+        """Deliver an accepted change as the operator's command does."""
+        await delivery.deliver(
+            accepted, plans.peer_security(self.plan), self.list_client, change_deadline()
+        )
 
     def operations(self) -> operations.OperationsChange:
         """Return the changes of one operator."""
@@ -215,7 +233,8 @@
     return clocks.deadline_after(CHANGE_SECONDS)
 
 
-def unwrap(answer: result.Result[typing.Any, errors.PublishingError]) -> None:
-    """Raise the failure of a change, if it failed."""
+def unwrap(answer: result.Result[change.Accepted, errors.PublishingError]) -> change.Accepted:
+    """Return the outcome of a change; raises its failure."""
     if isinstance(answer, result.Failure):
         raise answer.failure()
+    return answer.unwrap()
--- a/src/masticward/bench/reports.py
+++ b/src/masticward/bench/reports.py
@@ -177,11 +177,9 @@
     async def run(self, local: fleet.LocalFleet) -> None:
         """Move the zone at fixed times after the warm-up."""
         await asyncio.sleep(ZONE_OUT_AFTER_SECONDS)
-        await local.platform.zone_out(self.zone)
-        self.out_at = time.monotonic()
+        self.out_at = await local.platform.zone_out(self.zone)
         await asyncio.sleep(ZONE_OUT_SECONDS)
-        await local.platform.zone_in(self.zone)
-        self.in_at = time.monotonic()
+        self.in_at = await local.platform.zone_in(self.zone)
 
 
 def zone_move_figures(
--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -34,7 +34,10 @@
 ]
 SettingsOption = typing.Annotated[
     pathlib.Path | None,
-    typer.Option("--settings", help="Settings file of an entry or agent that holds the URLs."),
+    typer.Option(
+        "--settings",
+        help="Settings file of an entry or agent that holds the URLs and the key for deliveries.",
+    ),
 ]
 JsonOption = typing.Annotated[
     bool, typer.Option("--json", help="Write the result as JSON to standard output.")
--- a/src/masticward/cli/service_state.py
+++ b/src/masticward/cli/service_state.py
@@ -2,11 +2,13 @@
 
 import typing
 
+import msgspec
 import typer
 from returns import result
 
+from masticward import settings as settings_module
 from masticward.cli import base, change_report
-from masticward.publishing import operations
+from masticward.publishing import delivery, operations
 from masticward.transport import instance_list as instance_list_module
 from masticward.transport import object_api
 
@@ -40,9 +42,20 @@
         if isinstance(outcome, result.Failure):
             raise outcome.failure()
         accepted = outcome.unwrap()
-        return await change_report.report_change(
+        self.stage = f"delivering version {accepted.version}"
+        delivered = await delivery.deliver(accepted, self.peer_security(), instance_list, deadline)
+        report = await change_report.report_change(
             self, accepted, what, instance_list, self.wait, (0, accepted.version), deadline
         )
+        report.lines += delivered.lines()
+        report.data["delivery"] = msgspec.to_builtins(delivered)
+        return report
+
+    def peer_security(self) -> settings_module.PeerSecurity | None:
+        """Return the authentication between the programs, None without a settings file."""
+        if self.options.settings is None:
+            return None
+        return base.load_any(self.options.settings).peer_security
 
 
 def register(app: typer.Typer) -> None:
--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -237,6 +237,11 @@
             return None
         return peers.ConfigurationParts(reader.version, reader.manifest, reader.known_shards)
 
+    def receive_delivery(self, delivery: masticward_pb2.Delivery) -> None:
+        """Take an operations state from an operator's command if it is newer and valid."""
+        if delivery.version > self.versions.operations_version:
+            self.take(OPERATIONS, delivery.value, "delivery")
+
     # Life cycle
 
     async def start(self) -> None:
--- a/src/masticward/protocol/peers.py
+++ b/src/masticward/protocol/peers.py
@@ -1,4 +1,4 @@
-"""Exchange of versions between any two processes, and the fetch of what is newer."""
+"""Exchange of versions between any two processes, fetch of what is newer, delivery of changes."""
 
 import abc
 import collections.abc
@@ -58,6 +58,10 @@
         """Return the parts of the newest configuration, None if only its bytes are held."""
         return None
 
+    @abc.abstractmethod
+    def receive_delivery(self, delivery: masticward_pb2.Delivery) -> None:
+        """Take an operations state from an operator's command if it is newer and valid."""
+
 
 class PeerServicer(masticward_pb2_grpc.PeerServicer):
     """Answers the calls of peers from the process's view."""
@@ -85,6 +89,13 @@
             return masticward_pb2.FetchReply(version=0)
         return masticward_pb2.FetchReply(version=version, value=value)
 
+    async def Deliver(  # noqa: N802
+        self, request: masticward_pb2.Delivery, context: typing.Any
+    ) -> masticward_pb2.ViewDigest:
+        """Take a delivered state if it is newer and return this process's digest."""
+        self.view.receive_delivery(request)
+        return self.view.digest()
+
 
 async def exchange(
     pool: channels.ChannelPool,
@@ -124,6 +135,16 @@
     return await call(pool, address, stub.Fetch, request, deadline)
 
 
+async def deliver(
+    pool: channels.ChannelPool, address: str, version: int, value: bytes, deadline: float
+) -> result.Result[int, errors.PeerUnavailableError]:
+    """Send an accepted operations state to a process and return the version it then holds."""
+    stub = masticward_pb2_grpc.PeerStub(pool.get(address))
+    delivery = masticward_pb2.Delivery(version=version, value=value)
+    answer = await call(pool, address, stub.Deliver, delivery, deadline)
+    return answer.map(lambda digest: int(digest.operations_version))
+
+
 async def call(
     pool: channels.ChannelPool,
     address: str,
--- a/src/masticward/publishing/change.py
+++ b/src/masticward/publishing/change.py
@@ -32,11 +32,15 @@
 
 
 class Accepted(msgspec.Struct, frozen=True, kw_only=True):
-    """A change that was read back, or one that was not needed (``changed`` is False)."""
+    """A change that was read back, or one that was not needed (``changed`` is False).
+
+    ``document`` is the encoded object as read, which may hold later changes too.
+    """
 
     version: int
     changed: bool
     changes: tuple[str, ...] = ()
+    document: bytes = b""
 
 
 def new_entry(
@@ -179,17 +183,17 @@
             return result.Failure(
                 unknown if doubtful else errors.ChangeConflictError(self.name, ())
             )
-        later = await audit.entries_after(
-            self.store, answer.unwrap().document, self.entry.from_version, deadline
-        )
+        document = answer.unwrap().document
+        later = await audit.entries_after(self.store, document, self.entry.from_version, deadline)
         if isinstance(later, result.Failure):
             return result.Failure(
                 unknown if doubtful else errors.ChangeConflictError(self.name, ())
             )
-        return self.judge(later.unwrap(), unknown if written else None)
+        return self.judge(document, later.unwrap(), unknown if written else None)
 
     def judge(
         self,
+        document: DocumentT,
         later: tuple[configuration_models.AuditEntry, ...],
         unknown: errors.PublishingError | None,
     ) -> result.Result[Accepted, errors.PublishingError]:
@@ -199,7 +203,10 @@
                 events.Event.CHANGE_ACCEPTED, object=self.name, version=self.entry.to_version
             )
             accepted = Accepted(
-                version=self.entry.to_version, changed=True, changes=self.entry.changes
+                version=self.entry.to_version,
+                changed=True,
+                changes=self.entry.changes,
+                document=msgspec.json.encode(document),
             )
             return result.Success(accepted)
         if unknown is not None:
--- a/src/masticward/publishing/operations.py
+++ b/src/masticward/publishing/operations.py
@@ -67,7 +67,13 @@
         current = read.unwrap()
         wanted = with_target(current.document, target, kind, out)
         if wanted == current.document:
-            return result.Success(change.Accepted(version=current.document.version, changed=False))
+            return result.Success(
+                change.Accepted(
+                    version=current.document.version,
+                    changed=False,
+                    document=msgspec.json.encode(current.document),
+                )
+            )
         if out:
             refusal = await self.check_out(current.document, wanted, target, kind, force, deadline)
             if refusal is not None:
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from masticward import settings
 from masticward.bench import deployments
 from masticward.cli import exit_codes
 from masticward.standins import object_api as standin
@@ -103,6 +104,48 @@
         self.assertIn("still changing zone ebene in", error)
         self.assertEqual("", output)
 
+    async def test_failed_delivery_does_not_change_the_outcome(self) -> None:
+        """Fails if an accepted change is reported as failed because no process adopted it."""
+        await self.run_command("publish", MAURITIUS)
+        process = await self.platform.add(platforms.make_entry("e1"))
+        await self.platform.stop_process(process)
+        living = await self.platform.add(
+            platforms.make_entry("e2"), object_api_url=platforms.UNREACHABLE_URL
+        )
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory, "entry.json")
+            arguments = ("--json", "--settings", str(path))
+            path.write_bytes(msgspec.json.encode(self.entry_settings("wrong")))
+            code, output, _ = await self.run_command("zone", "out", "ebene", *arguments)
+            answer = json.loads(output)
+            self.assertEqual((exit_codes.SUCCESS, True), (code, answer["changed"]))
+            self.assertEqual({"e1", "e2"}, answer["delivery"]["failed"].keys())
+            self.assertEqual((0, 0), living.versions)
+            path.write_bytes(
+                msgspec.json.encode(self.entry_settings(platforms.SECURITY.shared_key))
+            )
+            code, output, _ = await self.run_command("zone", "in", "ebene", *arguments)
+            self.assertEqual(exit_codes.SUCCESS, code)
+            self.assertEqual(["e2"], json.loads(output)["delivery"]["adopted"])
+            self.assertEqual((0, 2), living.versions)
+        code, output, _ = await self.run_command("zone", "out", "ebene")
+        self.assertEqual(exit_codes.SUCCESS, code)
+        self.assertIn("not delivered", output)
+
+    def entry_settings(self, shared_key: str) -> settings.EntrySettings:
+        """Return the settings of an entry, as an operator passes them to a command."""
+        return settings.EntrySettings(
+            instance_id="e2",
+            availability_zone="north",
+            http_address=platforms.ANY_PORT,
+            peer_address=platforms.ANY_PORT,
+            admin_address=platforms.ANY_PORT,
+            platform=settings.PlatformSettings(
+                object_api_url=self.platform.store_url, instance_list_url=self.platform.list_url
+            ),
+            peer_security=msgspec.structs.replace(platforms.SECURITY, shared_key=shared_key),
+        )
+
     async def test_lost_answers_are_settled_or_told(self) -> None:
         """Fails if a command guesses after the object API has swallowed an answer."""
         await self.run_command("publish", MAURITIUS)
--- a/tests/functional/test_zone_moves.py
+++ b/tests/functional/test_zone_moves.py
@@ -3,7 +3,6 @@
 
 import asyncio
 import signal
-import time
 
 from tests.lib import fleet_case, fleets
 
@@ -64,8 +63,7 @@
             if store_down:
                 await platform.set_object_api("up")
                 await asyncio.sleep(settle_seconds)
-            await platform.zone_in(ZONE)
-            returned_at = time.monotonic()
+            returned_at = await platform.zone_in(ZONE)
             if store_down:
                 await platform.set_object_api("down")
             await asyncio.sleep(bound + OBSERVED_SECONDS)
