Measure service during a zone move at partial load

Cause: the zone move was measured under a backlog only, where the time to the first token is mostly time in the queue and says nothing about the move.

Change: the load generator can let calls arrive at random (Poisson) without waiting for earlier ones. bench zone-move adds a run with three moves of the second zone at 60% of the slots that stay, and two steady runs of all zones: at 60% of all slots, the same load per live slot as while the zone is out, and at the rate of the moves, the same as before and after. It prints the time to the first token before, out and after and in the first 3 s of each leaving and return, the ratios of the 99th percentiles, and the calls that were not complete. --no-backlogged runs this part alone (about 2 minutes).

--- a/src/masticward/bench/load.py
+++ b/src/masticward/bench/load.py
@@ -1,4 +1,4 @@
-"""A load generator bounded in calls and time. It keeps up a backlog for each team."""
+"""A load generator bounded in calls and time: a backlog or an open load for each team."""
 
 import asyncio
 import collections.abc
@@ -29,13 +29,18 @@
 
 
 class TeamLoad(msgspec.Struct, kw_only=True):
-    """Keeps ``outstanding`` calls of one team under way. ``patient`` teams honour Retry-After."""
+    """Keeps ``outstanding`` calls of one team under way. ``patient`` teams honour Retry-After.
+
+    With ``calls_per_second`` above 0 the load is open instead: calls arrive at random (Poisson)
+    whether or not earlier ones have ended, and ``outstanding`` and ``patient`` have no effect.
+    """
 
     team: str
     credential: str
     outstanding: int
     mix: calls_module.CallMix
     patient: bool = True
+    calls_per_second: float = 0.0
 
 
 class Target(msgspec.Struct, kw_only=True):
@@ -134,11 +139,13 @@
     async def run(self, teams: collections.abc.Iterable[TeamLoad], duration_seconds: float) -> None:
         """Keep the load up for a time, then wait until the last calls have ended."""
         self.stop_at = time.monotonic() + duration_seconds
-        workers = [
-            self.work(load, f"{load.team}-{load.mix.__class__.__name__}-{worker}")
-            for load in teams
-            for worker in range(load.outstanding)
-        ]
+        workers = []
+        for load in teams:
+            name = f"{load.team}-{load.mix.__class__.__name__}"
+            if load.calls_per_second > 0.0:
+                workers.append(self.arrive(load, name))
+                continue
+            workers += [self.work(load, f"{name}-{worker}") for worker in range(load.outstanding)]
         await asyncio.gather(*workers)
 
     def stop(self) -> None:
@@ -158,6 +165,24 @@
                 patience = LONGEST_PAUSE_SECONDS if load.patient else SHORTEST_PAUSE_SECONDS
                 await asyncio.sleep(rng.uniform(SHORTEST_PAUSE_SECONDS, patience))
 
+    async def arrive(self, load: TeamLoad, name: str) -> None:
+        """Start calls at random times until the load stops, then wait for the last ones."""
+        rng = random.Random(f"{self.seed}-{name}")
+        under_way: set[asyncio.Task[history_module.CallRecord]] = set()
+        next_at, number = time.monotonic(), 0
+        while True:
+            next_at += rng.expovariate(load.calls_per_second)
+            await asyncio.sleep(max(0.0, min(next_at, self.stop_at) - time.monotonic()))
+            if time.monotonic() >= self.stop_at or self.calls_left <= 0:
+                break
+            self.calls_left -= 1
+            number += 1
+            spec = load.mix.make(rng, f"{self.seed}-{name}-{number}")
+            task = asyncio.create_task(self.call(load, spec, f"{name}-{number}", rng))
+            under_way.add(task)
+            task.add_done_callback(under_way.discard)
+        await asyncio.gather(*under_way)
+
     async def call(
         self,
         load: TeamLoad,
--- a/src/masticward/bench/mixes.py
+++ b/src/masticward/bench/mixes.py
@@ -8,6 +8,9 @@
 
 # Short prompts with long answers, long prompts with short answers, and everything between.
 TOKEN_RANGES = (((10, 50), (20, 40)), ((200, 400), (10, 20)), ((10, 400), (10, 40)))
+# Prompt and output tokens of the open load. Short streams give many calls, and so usable tail
+# percentiles, without the tokens per second at which one process becomes the bottleneck.
+OPEN_TOKENS = ((10, 50), (5, 15))
 KEYED_RATIO = 0.5
 FLOOD_FACTOR = 6
 
@@ -61,6 +64,23 @@
     return loads
 
 
+def open_text_loads(plan: plans.FleetPlan, calls_per_second: float) -> list[load.TeamLoad]:
+    """Return an open load of short language-model streams, split over the teams by share."""
+    service = language_model(plan)
+    operation = service.operations[0]
+    shares = plan.shares()
+    return [
+        load.TeamLoad(
+            team=team,
+            credential=plan.credentials[team],
+            outstanding=0,
+            mix=calls.TextCalls(service, operation, *OPEN_TOKENS),
+            calls_per_second=calls_per_second * share / sum(shares.values()),
+        )
+        for team, share in shares.items()
+    ]
+
+
 def booking_loads(
     plan: plans.FleetPlan,
     outstanding: int,
--- a/src/masticward/bench/reports.py
+++ b/src/masticward/bench/reports.py
@@ -8,7 +8,16 @@
 import msgspec
 
 from masticward import settings as settings_module
-from masticward.bench import experiment, fairness, fleet, mixes, pictures, plans, summary
+from masticward.bench import (
+    experiment,
+    fairness,
+    fleet,
+    mixes,
+    pictures,
+    plans,
+    summary,
+    zone_service,
+)
 from masticward.models import work
 
 POLICIES = tuple(settings_module.QueuePolicyName)
@@ -37,11 +46,15 @@
 
 
 class Options(msgspec.Struct, frozen=True, kw_only=True):
-    """What all measurements have in common."""
+    """What all measurements have in common.
+
+    Without ``backlogged`` a zone move is measured at partial load only.
+    """
 
     plan: plans.FleetPlan
     seed: int
     seconds: float
+    backlogged: bool = True
 
 
 async def fairness_report(options: Options) -> Report:
@@ -131,13 +144,13 @@
 
 
 async def zone_move_report(options: Options) -> Report:
-    """Take a zone out under load and bring it back, under each of the three policies."""
+    """Take a zone out and bring it back, under a backlog with each policy and at partial load."""
     service = mixes.language_model(options.plan).name
     zone = options.plan.configuration.availability_zones[1]
     runs: dict[str, experiment.Measured] = {}
     figures: dict[str, dict[str, typing.Any]] = {}
     marks: list[pictures.Mark] = []
-    for policy in POLICIES:
+    for policy in POLICIES if options.backlogged else ():
         label = str(policy)
         moved = ZoneMove(zone)
         runs[label] = await experiment.run(
@@ -154,6 +167,9 @@
         figures[label] = zone_move_figures(runs[label], service, moved)
         marks.append(pictures.Mark(moved.out_at, f"{zone} out", label))
         marks.append(pictures.Mark(moved.in_at, f"{zone} in", label))
+    partial = await zone_service.measure(options.plan, options.seed)
+    runs.update(partial.runs)
+    figures["partial load"] = partial.figures
     return Report(
         name="zone-move",
         figures=figures,
--- a/src/masticward/cli/bench.py
+++ b/src/masticward/cli/bench.py
@@ -22,6 +22,9 @@
     float, typer.Option(min=4.0, max=60.0, help="Measured seconds of each run.")
 ]
 Seed = typing.Annotated[int, typer.Option(help="Seed of the random choices of the load.")]
+Backlogged = typing.Annotated[
+    bool, typer.Option(help="Run with a backlog too, or at partial load only.")
+]
 Output = typing.Annotated[pathlib.Path, typer.Option(help="Directory for JSON and pictures.")]
 
 
@@ -53,9 +56,14 @@
     seconds: Seconds = 16.0,
     seed: Seed = 1,
     output: Output = pathlib.Path("out"),
+    backlogged: Backlogged = True,
 ) -> None:
-    """Take an availability zone out under load and bring it back."""
-    measure("zone-move", deployment, seconds, seed, output)
+    """Take an availability zone out and bring it back.
+
+    Runs each policy with a backlog, then the product at partial load: 60% of the slots that stay,
+    compared with steady load at the same load per live slot (about 2 minutes, whatever --seconds).
+    """
+    measure("zone-move", deployment, seconds, seed, output, backlogged)
 
 
 @commands.command("control")
@@ -91,24 +99,30 @@
     measure("overload", deployment, seconds, seed, output)
 
 
-def measure(name: str, deployment: str, seconds: float, seed: int, output: pathlib.Path) -> None:
+def measure(
+    name: str,
+    deployment: str,
+    seconds: float,
+    seed: int,
+    output: pathlib.Path,
+    backlogged: bool = True,
+) -> None:
     """Run one measurement, print it, write it to ``output`` and exit."""
-    raise typer.Exit(programs.run(run(name, deployment, seconds, seed, output)))
+    plan = deployment_files.load(deployment, ENTRIES)
+    options = reports.Options(plan=plan, seed=seed, seconds=seconds, backlogged=backlogged)
+    raise typer.Exit(programs.run(run(name, deployment, options, output)))
 
 
-async def run(name: str, deployment: str, seconds: float, seed: int, output: pathlib.Path) -> int:
+async def run(name: str, deployment: str, options: reports.Options, output: pathlib.Path) -> int:
     """Run one measurement and return the exit code."""
     logs.configure(level=logging.ERROR)
-    plan = deployment_files.load(deployment, ENTRIES)
-    report = await reports.MEASUREMENTS[name](
-        reports.Options(plan=plan, seed=seed, seconds=seconds)
-    )
+    report = await reports.MEASUREMENTS[name](options)
     output.mkdir(parents=True, exist_ok=True)
     document = {
         "name": report.name,
         "deployment": deployment,
-        "seed": seed,
-        "seconds": seconds,
+        "seed": options.seed,
+        "seconds": options.seconds,
         "figures": report.figures,
         "violations": report.violations,
     }
--- a/tests/unit/test_bench_load.py
+++ b/tests/unit/test_bench_load.py
@@ -6,10 +6,20 @@
 import unittest
 
 import grpc.aio
+import msgspec
 from aiohttp import web
 
 from masticward import settings
-from masticward.bench import calls, history, load, mixes, restrictions, traffic
+from masticward.bench import (
+    calls,
+    fairness,
+    history,
+    load,
+    mixes,
+    restrictions,
+    traffic,
+    zone_service,
+)
 from masticward.models import work
 from masticward.transport import channels
 from masticward.utils import identifiers
@@ -77,6 +87,43 @@
         record = await self.call("down")
         self.assertIs(work.Outcome.NOT_RUN, record.outcome)
 
+    async def test_open_load_does_not_wait_for_earlier_calls(self) -> None:
+        """Fails if slow answers thin out the load, which hides the wait they cause."""
+        self.generator.balancer.targets.pop("down")
+        load_of_team = msgspec.structs.replace(
+            mixes.booking_loads(self.plan, 1)[0], calls_per_second=1000.0
+        )
+        await self.generator.run([load_of_team], 60.0)
+        sent = [record.sent_at for record in self.history.calls]
+        first_end = min(record.ended_at for record in self.history.calls)
+        self.assertEqual(10, len(sent), "the bound on calls holds")
+        self.assertGreater(sum(1 for at in sent if at < first_end), 1)
+
+
+class ZoneServiceTest(unittest.TestCase):
+    def test_calls_count_for_the_phase_in_which_they_were_sent(self) -> None:
+        """Fails if the slow calls of a zone's leaving are counted for a calm phase."""
+        calls_made = [
+            history.CallRecord(
+                call_id=f"c{sent_at}",
+                team="t",
+                service="writer",
+                operation="generate",
+                idempotent=True,
+                request_digest=0,
+                sent_at=sent_at,
+                first_byte_at=sent_at + wait,
+                outcome=work.Outcome.COMPLETE,
+            )
+            for sent_at, wait in ((1.0, 0.1), (2.0, 0.9), (4.0, 0.3))
+        ]
+        made = history.History(calls=calls_made)
+        leaving = [fairness.Interval(2.0, 3.0), fairness.Interval(4.0, 5.0)]
+        figures = zone_service.first_token_figures(made, "writer", leaving)
+        self.assertAlmostEqual(300.0, figures[50.0], delta=1.0)
+        self.assertAlmostEqual(900.0, figures[99.0], delta=1.0)
+        self.assertEqual(0.0, zone_service.first_token_figures(made, "other", leaving)[99.0])
+
 
 class MeterTest(unittest.IsolatedAsyncioTestCase):
     async def test_counts_serialized_messages(self) -> None:
