--- a/src/masticward/bench/reports.py
+++ b/src/masticward/bench/reports.py
@@ -18,6 +18,7 @@
     pictures,
     plans,
     summary,
+    zone_service,
 )
 from masticward.models import work
 
@@ -179,6 +180,18 @@
     )
 
 
+async def zone_service_report(options: Options) -> Report:
+    """Compare the first token during zone moves with steady load at the same load per slot."""
+    partial = await zone_service.measure(options.plan, options.seed, options.seconds)
+    return Report(
+        name="zone-service",
+        figures={"zone moves": partial.figures},
+        violations=violations_of(partial.runs),
+        runs=partial.runs,
+        service=mixes.language_model(options.plan).name,
+    )
+
+
 class ZoneMove:
     """Takes a zone out and brings it back; the times are those of the acceptance."""
 
@@ -192,11 +205,9 @@
     async def run(self, local: fleet.LocalFleet) -> None:
         """Move the zone at fixed times after the warm-up."""
         await asyncio.sleep(ZONE_OUT_AFTER_SECONDS)
-        await local.platform.zone_out(self.zone)
-        self.out_at = time.monotonic()
+        self.out_at = await local.platform.zone_out(self.zone)
         await asyncio.sleep(ZONE_OUT_SECONDS)
-        await local.platform.zone_in(self.zone)
-        self.in_at = time.monotonic()
+        self.in_at = await local.platform.zone_in(self.zone)
 
 
 def zone_move_figures(
@@ -370,6 +381,7 @@
     "fairness": fairness_report,
     "utilization": utilization_report,
     "zone-move": zone_move_report,
+    "zone-service": zone_service_report,
     "control": control_report,
     "recovery": recovery_report,
     "overload": overload_report,
--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -57,7 +57,10 @@
     ] = "http://127.0.0.1:7200"
     settings: typing.Annotated[
         pathlib.Path | None,
-        typer.Option("--settings", help="Settings file of an entry or agent that holds the URLs."),
+        typer.Option(
+            "--settings",
+            help="Settings file of an entry or agent with the URLs and the key for deliveries.",
+        ),
     ] = None
     operator: typing.Annotated[
         str,
--- a/src/masticward/cli/bench.py
+++ b/src/masticward/cli/bench.py
@@ -19,6 +19,7 @@
     "fairness": (10.0, "Compare the fairness gap of the three policies with one flooding team."),
     "utilization": (8.0, "Measure busy slots while work waits, for streams and for short calls."),
     "zone-move": (16.0, "Take an availability zone out under load and bring it back."),
+    "zone-service": (24.0, "Compare the first token during zone moves with steady partial load."),
     "control": (8.0, "Measure control traffic of an idle and of a loaded fleet."),
     "recovery": (10.0, "Measure the pause of a service when its dispatcher stops."),
     "overload": (30.0, "Keep five times the capacity under way and measure memory and throughput."),
--- a/src/masticward/cli/service_state.py
+++ b/src/masticward/cli/service_state.py
@@ -2,10 +2,12 @@
 
 import typing
 
+import msgspec
 import typer
 
+from masticward import settings as settings_module
 from masticward.cli import base, change_report
-from masticward.publishing import operations
+from masticward.publishing import delivery, operations
 
 TargetArgument = typing.Annotated[str, typer.Argument(help="Name of the zone or id.")]
 
@@ -30,9 +32,22 @@
         changes = operations.OperationsChange(self.store, self.instance_list, self.operator)
         outcome = await changes.move(self.target, self.kind, self.out, self.force, deadline)
         accepted = base.value_or_raise(outcome)
-        return await change_report.report_change(
+        self.stage = f"delivering version {accepted.version}"
+        delivered = await delivery.deliver(
+            accepted, self.peer_security(), self.instance_list, deadline
+        )
+        report = await change_report.report_change(
             self, accepted, what, self.wait, (0, accepted.version), deadline
         )
+        report.lines += delivered.lines()
+        report.data["delivery"] = msgspec.to_builtins(delivered)
+        return report
+
+    def peer_security(self) -> settings_module.PeerSecurity | None:
+        """Return the authentication between the programs, None without a settings file."""
+        if self.options.settings is None:
+            return None
+        return base.load_any(self.options.settings).peer_security
 
 
 def register(app: typer.Typer) -> None:
--- a/tests/unit/test_bench_reports.py
+++ b/tests/unit/test_bench_reports.py
@@ -37,6 +37,15 @@
 
     def test_all_measurements_are_registered(self) -> None:
         self.assertEqual(
-            {"fairness", "utilization", "zone-move", "control", "recovery", "overload", "changes"},
+            {
+                "fairness",
+                "utilization",
+                "zone-move",
+                "zone-service",
+                "control",
+                "recovery",
+                "overload",
+                "changes",
+            },
             set(reports.MEASUREMENTS),
         )
