Limit hints to a multiple of the corrected mean

Cause: a hint was reserved in full up to the maximum cost of the service. With a maximum cost far above the usual costs, a hint ten times too high took its team off the slots for as long as ten requests.

Change: once a team has a recent mean, its hint is multiplied by the recent ratio of true cost to hint and counts up to 3 times the root mean square of the recent costs. The first hints of a team still count in full.

Without the limit the fuzz and test_single_wrong_hint_is_limited fail; without the ratio the fuzz and test_constant_error_is_corrected fail; without both, test_hints_ten_times_off_below_a_far_maximum_cost fails as well; without the root mean square the fuzz fails (each tried on a scratch copy).

--- a/src/masticward/state/fair_queue.py
+++ b/src/masticward/state/fair_queue.py
@@ -20,11 +20,12 @@
 class Reservation:
     """What a dispatched ticket is expected to cost and has cost so far, in cost units."""
 
-    __slots__ = ("estimate", "progress", "team")
+    __slots__ = ("estimate", "hint", "progress", "team")
 
-    def __init__(self, team: str, estimate: float) -> None:
+    def __init__(self, team: str, estimate: float, hint: float) -> None:
         self.team = team
         self.estimate = estimate
+        self.hint = hint
         self.progress = 0.0
 
     @property
@@ -213,7 +214,7 @@
         virtual_time = self.ledger.effective_of(ticket.team)
         estimate = self.ledger.estimate(ticket.team, ticket.cost_hint)
         self.take_out(entry)
-        self.reservations[ticket.id] = Reservation(ticket.team, estimate)
+        self.reservations[ticket.id] = Reservation(ticket.team, estimate, ticket.cost_hint)
         self.policy.note_served(entry.group)
         self.ledger.reserve(ticket.team, estimate)
         self.ledger.unqueue(ticket.team)
@@ -254,12 +255,12 @@
             self.settle(ticket_id, cost)
 
     def settle(self, ticket_id: str, cost: float = 0.0) -> bool:
-        """End a reservation; a cost above 0 counts in the team's mean. False if there is none."""
+        """End a reservation; a cost above 0 counts in the team's means. False if there is none."""
         reservation = self.reservations.pop(ticket_id, None)
         if reservation is None:
             return False
         if cost > 0.0 and math.isfinite(cost):
-            self.ledger.observe_cost(reservation.team, cost)
+            self.ledger.observe_cost(reservation.team, cost, reservation.hint)
         self.ledger.release(reservation.team, reservation.outstanding)
         return True
 
--- a/src/masticward/state/ledger.py
+++ b/src/masticward/state/ledger.py
@@ -12,6 +12,9 @@
 UNKNOWN_TEAM_SHARE = 1.0
 # Weight of the newest finished request in a team's mean cost; about the last 9 requests count.
 MEAN_COST_WEIGHT = 0.2
+# A corrected hint counts up to this multiple of the corrected mean. With multiples of the plain
+# mean, right hints of teams that mix short and long requests were cut off too.
+HINT_LIMIT_MEANS = 3.0
 # Smaller relative changes of a virtual time are rounding errors and do not change the order.
 RELATIVE_TOLERANCE = 1e-12
 
@@ -69,12 +72,17 @@
 
     ``charged`` is the virtual time without reservations, ``reserved`` the reserved cost units,
     ``running`` and ``queued`` count tickets, ``position`` is the virtual time by which the queue
-    orders the team, None while it has no waiting ticket.
+    orders the team, None while it has no waiting ticket. ``mean_cost`` and
+    ``mean_square_cost`` are recent means over the finished requests; ``mean_hint`` and
+    ``mean_hinted_cost`` are those of hint and true cost over the requests that had a hint.
     """
 
     __slots__ = (
         "charged",
         "mean_cost",
+        "mean_hint",
+        "mean_hinted_cost",
+        "mean_square_cost",
         "position",
         "queued",
         "reserved",
@@ -91,8 +99,16 @@
         self.running = 0
         self.queued = 0
         self.mean_cost = 0.0
+        self.mean_square_cost = 0.0
+        self.mean_hint = 0.0
+        self.mean_hinted_cost = 0.0
         self.position: float | None = None
 
+    @property
+    def corrected_mean(self) -> float:
+        """The mean cost corrected for its spread: the root mean square, not below the mean."""
+        return max(self.mean_cost, math.sqrt(self.mean_square_cost))
+
     @property
     def effective(self) -> float:
         """The virtual time with reservations, by which teams are ordered."""
@@ -152,9 +168,22 @@
         return self.account_of(team).effective
 
     def estimate(self, team: str, hint: float) -> float:
-        """Return the cost units to reserve for a request: the larger of hint and recent mean."""
-        estimate = max(hint if math.isfinite(hint) else 0.0, self.account_of(team).mean_cost, 0.0)
-        return min(estimate, self.terms.maximum_cost)
+        """Return the cost units to reserve for a request.
+
+        This is the larger of the team's mean cost and the hint. Once the team has a mean cost, the
+        hint is multiplied by the recent ratio of true cost to hint and then limited.
+        """
+        account = self.account_of(team)
+        expected = self.valid_hint(hint)
+        if account.mean_cost > 0.0:
+            if account.mean_hint > 0.0:
+                expected *= account.mean_hinted_cost / account.mean_hint
+            expected = min(expected, HINT_LIMIT_MEANS * account.corrected_mean)
+        return min(max(expected, account.mean_cost), self.terms.maximum_cost)
+
+    def valid_hint(self, hint: float) -> float:
+        """Return a hint clamped to the costs that are possible; 0 if it is no finite number."""
+        return min(max(hint, 0.0), self.terms.maximum_cost) if math.isfinite(hint) else 0.0
 
     def queue(self, team: str) -> None:
         """Count one more waiting ticket of a team; one that had none joins the backlogged teams."""
@@ -193,13 +222,15 @@
         self.reposition(account)
         self.deactivate_if_idle(account)
 
-    def observe_cost(self, team: str, cost: float) -> None:
-        """Let the cost of a finished request count in the recent mean of its team."""
+    def observe_cost(self, team: str, cost: float, hint: float) -> None:
+        """Let the cost of a finished request count in the recent means of its team."""
         account = self.account_of(team)
-        if account.mean_cost == 0.0:
-            account.mean_cost = cost
-        else:
-            account.mean_cost += MEAN_COST_WEIGHT * (cost - account.mean_cost)
+        account.mean_cost = updated_mean(account.mean_cost, cost)
+        account.mean_square_cost = updated_mean(account.mean_square_cost, cost * cost)
+        hint = self.valid_hint(hint)
+        if hint > 0.0:
+            account.mean_hint = updated_mean(account.mean_hint, hint)
+            account.mean_hinted_cost = updated_mean(account.mean_hinted_cost, cost)
 
     def activate(self, team: str) -> TeamAccount:
         """Count a team as active; the first one ends the passive state."""
@@ -385,5 +416,10 @@
                 known.totals[team] = max(total, known.totals.get(team, 0.0))
 
 
+def updated_mean(mean: float, sample: float) -> float:
+    """Return a recent mean after one more sample; a mean of 0 stands for none."""
+    return mean + MEAN_COST_WEIGHT * (sample - mean) if mean else sample
+
+
 def ignore_change(team: str) -> None:
     """Do nothing; used until a queue listens."""
--- a/tests/lib/queue_oracle.py
+++ b/tests/lib/queue_oracle.py
@@ -5,6 +5,7 @@
 import typing
 
 MEAN_WEIGHT = 0.2
+HINT_LIMIT = 3.0
 
 
 class Ticket(typing.NamedTuple):
@@ -23,7 +24,10 @@
         self.debt_cap = debt_cap
         self.charged: dict[str, float] = {}
         self.means: dict[str, float] = collections.defaultdict(float)
+        # Cost and hint of the finished requests of each team.
+        self.finished: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
         self.waiting: dict[str, Ticket] = {}
+        self.hints: dict[str, float] = {}
         # Team, estimate and progress by ticket.
         self.running: dict[str, tuple[str, float, float]] = {}
         self.known: dict[str, tuple[int, dict[str, float]]] = {}
@@ -74,12 +78,26 @@
     def take(self, ticket_id: str) -> None:
         ticket = self.waiting.pop(ticket_id)
         self.last_system = self.effective(ticket.team)
-        estimate = min(max(ticket.hint, self.means[ticket.team]), self.maximum_cost)
+        self.hints[ticket_id] = hint = min(ticket.hint, self.maximum_cost)
+        estimate = min(self.estimate(ticket.team, hint), self.maximum_cost)
         self.running[ticket_id] = (ticket.team, estimate, 0.0)
 
+    def estimate(self, team: str, hint: float) -> float:
+        """Return the larger of the mean and the corrected hint, which is limited."""
+        mean = self.means[team]
+        if mean == 0.0:
+            return hint
+        hinted = [(cost, given) for cost, given in self.finished[team] if given > 0.0]
+        if hinted:
+            hint *= recent_mean([cost for cost, _ in hinted])
+            hint /= recent_mean([given for _, given in hinted])
+        square = recent_mean([cost * cost for cost, _ in self.finished[team]])
+        return max(mean, min(hint, HINT_LIMIT * max(mean, math.sqrt(square))))
+
     def settle(self, ticket_id: str, cost: float) -> None:
         team = self.running[ticket_id][0]
         if cost > 0.0:
+            self.finished[team].append((cost, self.hints[ticket_id]))
             mean = self.means[team]
             self.means[team] = cost if mean == 0.0 else mean + MEAN_WEIGHT * (cost - mean)
         del self.running[ticket_id]
@@ -147,6 +165,17 @@
                 self.charge(team, cost, self.last_system)
 
 
+def recent_mean(samples: list[float]) -> float:
+    """Return the mean of samples whose weights fall from the newest to the oldest; 0 if none."""
+    weights = [
+        MEAN_WEIGHT * (1.0 - MEAN_WEIGHT) ** age
+        if age < len(samples) - 1
+        else (1.0 - MEAN_WEIGHT) ** age
+        for age in reversed(range(len(samples)))
+    ]
+    return math.fsum(weight * sample for weight, sample in zip(weights, samples, strict=True))
+
+
 class Oracle:
     """The list of events and the state that follows from it."""
 
--- a/tests/lib/shared_pool.py
+++ b/tests/lib/shared_pool.py
@@ -38,6 +38,7 @@
         slots: int,
         policy: settings.QueuePolicyName = settings.QueuePolicyName.FAIR_SHARE,
         debt_cap: float | None = None,
+        maximum_cost: float | None = None,
     ) -> None:
         self.teams = {team.name: team for team in teams}
         self.slots = slots
@@ -45,7 +46,7 @@
         self.times = ledger.VirtualTimes(
             ledger.Terms(
                 shares={team.name: team.share for team in teams},
-                maximum_cost=self.largest,
+                maximum_cost=maximum_cost or self.largest,
                 debt_cap=slots * self.largest if debt_cap is None else debt_cap,
             )
         )
--- a/tests/unit/test_fair_queue_model.py
+++ b/tests/unit/test_fair_queue_model.py
@@ -16,6 +16,7 @@
 AGENTS = ("agent-1", "agent-2")
 FAR = 1e9
 COSTS = strategies.integers(0, 120).map(float)
+SMALL_COSTS = strategies.integers(1, 8).map(float)
 INDEXES = strategies.integers(0, 1000)
 ENDS = strategies.booleans()
 
@@ -136,6 +137,22 @@
         for ticket_id in finished:
             del self.running[ticket_id]
 
+    @stateful.rule(
+        agent=strategies.sampled_from(AGENTS),
+        calls=strategies.lists(
+            strategies.tuples(strategies.sampled_from(TEAMS), COSTS, SMALL_COSTS),
+            min_size=2,
+            max_size=8,
+        ),
+    )
+    def serve_to_the_end(self, agent: str, calls: list[tuple[str, float, float]]) -> None:
+        """Calls end one after the other, so that later hints meet means of earlier costs."""
+        for team, hint, cost in calls:
+            self.add(team, hint, True, FAR)
+            self.take(agent, 1)
+            self.render(len(self.running) - 1, cost, False, False)
+            self.report(agent, True)
+
     @stateful.rule(agent=strategies.sampled_from(AGENTS))
     def late_report(self, agent: str) -> None:
         """A report of an earlier incarnation or with lower totals changes nothing."""
--- a/tests/unit/test_fairness_bounds.py
+++ b/tests/unit/test_fairness_bounds.py
@@ -4,6 +4,7 @@
 import unittest
 
 from masticward import settings
+from masticward.state import ledger
 from tests.lib import shared_pool
 
 
@@ -27,6 +28,32 @@
         pool.run(6000)
         self.assert_gaps_bounded(pool)
 
+    def test_hints_ten_times_off_below_a_far_maximum_cost(self) -> None:
+        """Fails if a wrong hint is reserved in full up to the declared maximum cost."""
+        for costs in ((10.0,), (1.0, 1.0, 1.0, 100.0)):
+            with self.subTest(costs=costs):
+                pool = shared_pool.SharedPool(
+                    [
+                        shared_pool.Team("low", costs=costs, hint_factor=0.1),
+                        shared_pool.Team("high", costs=costs, hint_factor=10.0),
+                        shared_pool.Team("exact", costs=costs),
+                    ],
+                    slots=8,
+                    maximum_cost=1000.0,
+                    debt_cap=8000.0,
+                )
+                pool.run(6000)
+                self.assert_gaps_bounded(pool)
+
+    def test_hints_that_turn_ten_times_too_high(self) -> None:
+        """Fails if hints count without a limit until their correction has adapted."""
+        teams = [shared_pool.Team("turning"), shared_pool.Team("exact")]
+        pool = shared_pool.SharedPool(teams, slots=8, maximum_cost=1000.0, debt_cap=8000.0)
+        pool.run(1000)
+        pool.teams["turning"].hint_factor = 10.0
+        pool.run(2000)
+        self.assert_gaps_bounded(pool)
+
     def test_first_come_first_served_breaks_the_bound(self) -> None:
         """Shows that the bound can fail: the baseline follows the number of requests."""
         teams = [shared_pool.Team("few", backlog=4), shared_pool.Team("many", backlog=100)]
@@ -75,6 +102,35 @@
         self.assert_gaps_bounded(pool)
 
 
+class HintTest(unittest.TestCase):
+    def reserved(self, costs: list[float], factor: float, hint: float) -> float:
+        """Return the estimate for a hint after requests with these costs have finished."""
+        terms = ledger.Terms(shares={}, maximum_cost=1000.0, debt_cap=1000.0)
+        times = ledger.VirtualTimes(terms)
+        for cost in costs:
+            times.observe_cost("team", cost, cost * factor)
+        return times.estimate("team", hint)
+
+    def test_first_hint_counts_in_full(self) -> None:
+        """Fails if a team without a mean cost is charged nothing for its first requests."""
+        self.assertEqual(self.reserved([], 1.0, 400.0), 400.0)
+
+    def test_single_wrong_hint_is_limited(self) -> None:
+        """Fails if one hint ten times too high is reserved in full."""
+        self.assertAlmostEqual(self.reserved([10.0] * 5, 1.0, 100.0), 30.0)
+
+    def test_constant_error_is_corrected(self) -> None:
+        """Fails if a team whose hints are always wrong by one factor is charged that factor."""
+        for factor in (0.1, 10.0):
+            with self.subTest(factor=factor):
+                reserved = self.reserved([5.0, 45.0] * 20, factor, 50.0 * factor)
+                self.assertAlmostEqual(reserved, 50.0)
+
+    def test_low_hint_does_not_undercut_the_mean(self) -> None:
+        """Fails if a team gains by hints below its costs."""
+        self.assertAlmostEqual(self.reserved([20.0] * 5, 1.0, 1.0), 20.0)
+
+
 class StarvationTest(unittest.TestCase):
     def test_share_one_beside_share_one_thousand(self) -> None:
         """Fails if the small team waits longer than its share explains."""
