Let hints count only while they are better than the mean

The fault of the policy is to follow hints that foretell less than the mean.

Change: a hint counts only while the corrected hints of the team's recent requests were closer to their costs than its mean cost was.

--- a/src/masticward/state/ledger.py
+++ b/src/masticward/state/ledger.py
@@ -10,8 +10,8 @@
 import msgspec
 
 UNKNOWN_TEAM_SHARE = 1.0
-# Weight of the newest finished request in a team's mean cost; about the last 9 requests count.
-MEAN_COST_WEIGHT = 0.2
+# Weight of the newest finished request in a team's recent means; about the last 9 requests count.
+RECENT_WEIGHT = 0.2
 # A corrected hint counts up to this multiple of the corrected mean. With multiples of the plain
 # mean, right hints of teams that mix short and long requests were cut off too.
 HINT_LIMIT_MEANS = 3.0
@@ -75,11 +75,15 @@
     orders the team, None while it has no waiting ticket. ``mean_cost`` and
     ``mean_square_cost`` are recent means over the finished requests; ``mean_hint`` and
     ``mean_hinted_cost`` are those of hint and true cost over the requests that had a hint.
+    ``hint_error`` and ``mean_error`` are the recent distances of these costs from what the
+    corrected hint and the mean cost foretold.
     """
 
     __slots__ = (
         "charged",
+        "hint_error",
         "mean_cost",
+        "mean_error",
         "mean_hint",
         "mean_hinted_cost",
         "mean_square_cost",
@@ -102,6 +106,8 @@
         self.mean_square_cost = 0.0
         self.mean_hint = 0.0
         self.mean_hinted_cost = 0.0
+        self.hint_error = 0.0
+        self.mean_error = 0.0
         self.position: float | None = None
 
     @property
@@ -109,6 +115,15 @@
         """The mean cost corrected for its spread: the root mean square, not below the mean."""
         return max(self.mean_cost, math.sqrt(self.mean_square_cost))
 
+    @property
+    def uses_hints(self) -> bool:
+        """Whether hints count: without a mean cost, or if they foretell costs better than it."""
+        return self.mean_cost == 0.0 or self.hint_error < self.mean_error
+
+    def correct(self, hint: float) -> float:
+        """Return a hint multiplied by the recent ratio of true cost to hint."""
+        return hint * self.mean_hinted_cost / self.mean_hint if self.mean_hint else hint
+
     @property
     def effective(self) -> float:
         """The virtual time with reservations, by which teams are ordered."""
@@ -171,15 +186,14 @@
         """Return the cost units to reserve for a request.
 
         This is the larger of the team's mean cost and the hint. Once the team has a mean cost, the
-        hint is multiplied by the recent ratio of true cost to hint and then limited.
+        hint is corrected and limited, and it counts only if hints are better than the mean.
         """
         account = self.account_of(team)
-        expected = self.valid_hint(hint)
+        expected = self.valid_hint(hint) if account.uses_hints else 0.0
         if account.mean_cost > 0.0:
-            if account.mean_hint > 0.0:
-                expected *= account.mean_hinted_cost / account.mean_hint
-            expected = min(expected, HINT_LIMIT_MEANS * account.corrected_mean)
-        return min(max(expected, account.mean_cost), self.terms.maximum_cost)
+            limit = HINT_LIMIT_MEANS * account.corrected_mean
+            expected = max(account.mean_cost, min(account.correct(expected), limit))
+        return min(expected, self.terms.maximum_cost)
 
     def valid_hint(self, hint: float) -> float:
         """Return a hint clamped to the costs that are possible; 0 if it is no finite number."""
@@ -225,9 +239,14 @@
     def observe_cost(self, team: str, cost: float, hint: float) -> None:
         """Let the cost of a finished request count in the recent means of its team."""
         account = self.account_of(team)
+        hint = self.valid_hint(hint)
+        if hint > 0.0 and account.mean_cost > 0.0:
+            hint_error = abs(cost - account.correct(hint))
+            mean_error = abs(cost - account.mean_cost)
+            account.hint_error += RECENT_WEIGHT * (hint_error - account.hint_error)
+            account.mean_error += RECENT_WEIGHT * (mean_error - account.mean_error)
         account.mean_cost = updated_mean(account.mean_cost, cost)
         account.mean_square_cost = updated_mean(account.mean_square_cost, cost * cost)
-        hint = self.valid_hint(hint)
         if hint > 0.0:
             account.mean_hint = updated_mean(account.mean_hint, hint)
             account.mean_hinted_cost = updated_mean(account.mean_hinted_cost, cost)
@@ -418,7 +437,7 @@
 
 def updated_mean(mean: float, sample: float) -> float:
     """Return a recent mean after one more sample; a mean of 0 stands for none."""
-    return mean + MEAN_COST_WEIGHT * (sample - mean) if mean else sample
+    return mean + RECENT_WEIGHT * (sample - mean) if mean else sample
 
 
 def ignore_change(team: str) -> None:
