--- a/tests/lib/queue_oracle.py
+++ b/tests/lib/queue_oracle.py
@@ -5,6 +5,7 @@
 import typing
 
 MEAN_WEIGHT = 0.2
+HINT_LIMIT = 3.0
 
 
 class Ticket(typing.NamedTuple):
@@ -14,6 +15,14 @@
     order: tuple[int, float, int]
 
 
+class Finished(typing.NamedTuple):
+    """A finished request with the mean cost of its team before it."""
+
+    cost: float
+    hint: float
+    mean_before: float
+
+
 class State:
     """Everything the fair queue should hold after a list of events."""
 
@@ -23,7 +32,9 @@
         self.debt_cap = debt_cap
         self.charged: dict[str, float] = {}
         self.means: dict[str, float] = collections.defaultdict(float)
+        self.finished: dict[str, list[Finished]] = collections.defaultdict(list)
         self.waiting: dict[str, Ticket] = {}
+        self.hints: dict[str, float] = {}
         # Team, estimate and progress by ticket.
         self.running: dict[str, tuple[str, float, float]] = {}
         self.known: dict[str, tuple[int, dict[str, float]]] = {}
@@ -74,13 +85,37 @@
     def take(self, ticket_id: str) -> None:
         ticket = self.waiting.pop(ticket_id)
         self.last_system = self.effective(ticket.team)
-        estimate = min(max(ticket.hint, self.means[ticket.team]), self.maximum_cost)
+        self.hints[ticket_id] = hint = min(ticket.hint, self.maximum_cost)
+        estimate = min(self.estimate(ticket.team, hint), self.maximum_cost)
         self.running[ticket_id] = (ticket.team, estimate, 0.0)
 
+    def estimate(self, team: str, hint: float) -> float:
+        """Return the larger of the mean and the corrected hint, which is limited."""
+        mean = self.means[team]
+        if mean == 0.0:
+            return hint
+        finished = self.finished[team]
+        if not self.hints_are_better(team):
+            return mean
+        square = recent_mean([done.cost * done.cost for done in finished])
+        limit = HINT_LIMIT * max(mean, math.sqrt(square))
+        return max(mean, min(corrected(hint, finished), limit))
+
+    def hints_are_better(self, team: str) -> bool:
+        """Compare the errors of corrected hints and means over the finished requests."""
+        hint_error = mean_error = 0.0
+        for number, done in enumerate(self.finished[team]):
+            if done.hint > 0.0 and done.mean_before > 0.0:
+                foretold = corrected(done.hint, self.finished[team][:number])
+                hint_error += MEAN_WEIGHT * (abs(done.cost - foretold) - hint_error)
+                mean_error += MEAN_WEIGHT * (abs(done.cost - done.mean_before) - mean_error)
+        return hint_error < mean_error
+
     def settle(self, ticket_id: str, cost: float) -> None:
         team = self.running[ticket_id][0]
         if cost > 0.0:
             mean = self.means[team]
+            self.finished[team].append(Finished(cost, self.hints[ticket_id], mean))
             self.means[team] = cost if mean == 0.0 else mean + MEAN_WEIGHT * (cost - mean)
         del self.running[ticket_id]
 
@@ -147,6 +182,26 @@
                 self.charge(team, cost, self.last_system)
 
 
+def recent_mean(samples: list[float]) -> float:
+    """Return the mean of samples whose weights fall from the newest to the oldest; 0 if none."""
+    weights = [
+        MEAN_WEIGHT * (1.0 - MEAN_WEIGHT) ** age
+        if age < len(samples) - 1
+        else (1.0 - MEAN_WEIGHT) ** age
+        for age in reversed(range(len(samples)))
+    ]
+    return math.fsum(weight * sample for weight, sample in zip(weights, samples, strict=True))
+
+
+def corrected(hint: float, finished: list[Finished]) -> float:
+    """Return a hint multiplied by the ratio of cost to hint over the finished requests."""
+    hinted = [done for done in finished if done.hint > 0.0]
+    if not hinted:
+        return hint
+    cost = recent_mean([done.cost for done in hinted])
+    return hint * cost / recent_mean([done.hint for done in hinted])
+
+
 class Oracle:
     """The list of events and the state that follows from it."""
 
--- a/tests/unit/test_fair_queue_model.py
+++ b/tests/unit/test_fair_queue_model.py
@@ -16,6 +16,8 @@
 AGENTS = ("agent-1", "agent-2")
 FAR = 1e9
 COSTS = strategies.integers(0, 120).map(float)
+SMALL_COSTS = strategies.integers(1, 8).map(float)
+HINT_FACTORS = strategies.sampled_from([1.0, 1.0, 1.0, 0.1, 10.0])
 INDEXES = strategies.integers(0, 1000)
 ENDS = strategies.booleans()
 
@@ -136,6 +138,23 @@
         for ticket_id in finished:
             del self.running[ticket_id]
 
+    @stateful.rule(
+        agent=strategies.sampled_from(AGENTS),
+        calls=strategies.lists(
+            strategies.tuples(strategies.sampled_from(TEAMS), SMALL_COSTS, HINT_FACTORS),
+            min_size=2,
+            max_size=8,
+        ),
+    )
+    def serve_to_the_end(self, agent: str, calls: list[tuple[str, float, float]]) -> None:
+        """Calls end one after the other, so that later hints meet means of earlier costs."""
+        for team, cost, factor in calls:
+            self.add(team, cost * factor, True, FAR)
+            self.take(agent, 1)
+            self.agrees_with_the_oracle()
+            self.render(len(self.running) - 1, cost, False, False)
+            self.report(agent, True)
+
     @stateful.rule(agent=strategies.sampled_from(AGENTS))
     def late_report(self, agent: str) -> None:
         """A report of an earlier incarnation or with lower totals changes nothing."""
