Wait for the state that each fleet test needs instead of sleeping

Cause: the tests of fleets of processes slept 1.5 s to 3 s before a fault and ended the load after a fixed time. On a busy machine neither says that the fleet is warm, that an entry watches the object API or that a call came after the fault.

Change: the load lasts as long as the body of the test, which waits for calls answered, runs started, the dispatcher that all entries use, a warm endpoint, or pending watches (counted by the stand-in). A start that ends is reported at once with the end of its log.

Conclusion: no fixed time precedes a fault any more.

--- a/src/masticward/standins/object_api.py
+++ b/src/masticward/standins/object_api.py
@@ -59,6 +59,8 @@
         self.call_times: collections.deque[float] = collections.deque()
         # Set and replaced at each change, so that every pending watch sees it.
         self.changed = asyncio.Event()
+        # How many watches of each object wait for a change now.
+        self.pending_watches: collections.Counter[str] = collections.Counter()
         self.late_tasks: set[asyncio.Task[None]] = set()
         self.server = web_server.WebServer(2 * MAXIMUM_VALUE_BYTES)
         router = self.server.application.router
@@ -116,10 +118,13 @@
             stored = self.objects.get(name)
             if stored is not None and stored.version > known_version:
                 return object_response(stored)
+            self.pending_watches[name] += 1
             try:
                 await asyncio.wait_for(changed.wait(), clocks.remaining_seconds(deadline))
             except TimeoutError:
                 return web.Response(status=304)
+            finally:
+                self.pending_watches[name] -= 1
 
     async def handle_write(self, request: web.Request) -> web.StreamResponse:
         """Write or delete one object under its condition."""
--- a/tests/functional/test_keyed_calls.py
+++ b/tests/functional/test_keyed_calls.py
@@ -10,7 +10,8 @@
 from masticward.models import work
 from tests.lib import fleet_case
 
-WARM_SECONDS = 1.5
+LOST_ANSWERS = 5
+LATER_CALLS = 20
 
 
 class KeyedCallTest(fleet_case.FleetCase):
@@ -51,24 +52,23 @@
         self.assertEqual(422, answer.status)
 
     async def test_object_api_down(self) -> None:
-        async with self.load(60.0, text=0, booking=2) as generator:
-            await asyncio.sleep(WARM_SECONDS)
+        async with self.load(text=0, booking=2):
             await self.fleet.platform.set_object_api("down")
             keyed = await self.book("entry-1")
             unkeyed = await self.book("entry-1", keyed=False)
             await self.fleet.platform.set_object_api("up")
-            await asyncio.sleep(WARM_SECONDS)
-            generator.stop()
+            await self.wait_for_answers(lambda call: bool(call.key), LATER_CALLS)
         await self.assert_safe()
         self.assertIs(work.Outcome.NOT_RUN, keyed[1].outcome)
         self.assertIs(work.Outcome.COMPLETE, unkeyed[1].outcome)
 
     async def test_object_api_loses_answers(self) -> None:
-        async with self.load(60.0, text=0, booking=2) as generator:
+        store = self.fleet.platform.object_api
+        async with self.load(text=0, booking=2):
             for _ in range(5):
-                await asyncio.sleep(0.5)
-                await self.fleet.platform.set_object_api("up", lose_answers=5)
-            generator.stop()
+                await self.fleet.platform.set_object_api("up", lose_answers=LOST_ANSWERS)
+                await self.wait_for(lambda: not store.faults.lose_answers, "answers are lost")
+            await self.wait_for_answers(lambda call: bool(call.key), LATER_CALLS)
         await self.assert_safe()
         keyed = self.outcomes(lambda call: bool(call.key))
         self.assertGreater(keyed[work.Outcome.COMPLETE], 0)
--- a/tests/functional/test_process_faults.py
+++ b/tests/functional/test_process_faults.py
@@ -6,23 +6,25 @@
 import signal
 import time
 
+from masticward.bench import load
 from masticward.models import work
 from tests.lib import fleet_case, fleets
 
-WARM_SECONDS = 2.0
 # The dispatcher is replaced in about 1.5 s and issued slots expire in 2 s; both may follow each
 # other, and a call must then run.
 RECOVERY_SECONDS = 5.0
 FREEZE_SECONDS = 4.0
 # Long enough that a call seen under way is still so when its agent is killed.
 LONG_CALL_MS = 500.0
+# Calls that must be answered, or started, after a fault before the load ends.
+LATER_CALLS = 50
 
 
 class ProcessFaultTest(fleet_case.FleetCase):
     async def test_entry_killed(self) -> None:
-        async with self.load(4.5):
-            await asyncio.sleep(WARM_SECONDS)
+        async with self.load():
             await self.fleet.kill("entry-1")
+            await self.wait_for_answers(lambda call: call.entry == "entry-2", LATER_CALLS)
         await self.assert_safe()
         survivors = self.outcomes(lambda call: call.entry == "entry-2")
         self.assertGreater(survivors[work.Outcome.COMPLETE], 0)
@@ -32,11 +34,12 @@
         victim = "booking-1"
         for endpoint in self.fleet.plan.endpoints:
             await self.fleet.platform.control_endpoint(endpoint.id, service_ms=LONG_CALL_MS)
-        async with self.load(6.0, text=0, booking=3):
-            await asyncio.sleep(WARM_SECONDS)
+        async with self.load(text=0, booking=3):
             await self.wait_until_running(victim)
             await self.fleet.kill(victim)
             killed_at = time.monotonic()
+            await fleet_case.sleep_until(killed_at + RECOVERY_SECONDS / 2)
+            await self.wait_for_answers(lambda call: True)
         await self.assert_safe()
         victims = {
             run.request_digest
@@ -51,43 +54,60 @@
         self.assertEqual({work.Outcome.COMPLETE}, set(later))
 
     async def test_dispatcher_killed(self) -> None:
-        async with self.load(9.0):
-            await asyncio.sleep(WARM_SECONDS)
-            dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
+        async with self.load():
+            dispatcher = await self.wait_for_dispatcher(fleets.WRITER)
             await self.fleet.kill(dispatcher)
             killed_at = time.monotonic()
+            await self.wait_past_recovery(killed_at, dispatcher)
         await self.assert_safe()
         self.assert_resumes(killed_at, dispatcher)
 
     async def test_dispatcher_frozen_and_thawed(self) -> None:
-        async with self.load(9.0):
-            await asyncio.sleep(WARM_SECONDS)
-            dispatcher = await self.fleet.dispatcher_of(fleets.WRITER)
+        async with self.load():
+            dispatcher = await self.wait_for_dispatcher(fleets.WRITER)
             self.fleet.signal(dispatcher, signal.SIGSTOP)
             frozen_at = time.monotonic()
             await asyncio.sleep(FREEZE_SECONDS)
             self.fleet.signal(dispatcher, signal.SIGCONT)
+            await self.wait_past_recovery(frozen_at, dispatcher)
         await self.assert_safe()
         self.assert_resumes(frozen_at, dispatcher)
 
     async def test_endpoint_cold_again_under_load(self) -> None:
         endpoint = "writer-2"
-        async with self.load(8.0, text=4, booking=0):
-            await asyncio.sleep(WARM_SECONDS + 1.0)
+        async with self.load(text=4, booking=0):
+            await self.wait_until_warm(endpoint)
+            await self.wait_until_running(endpoint)
             await self.fleet.platform.restart_endpoint_cold(endpoint)
+            server = self.fleet.platform.endpoints[endpoint]
+            await self.wait_for(lambda: not server.faults.cold, "the end of the cold start")
+            await self.wait_for_starts([endpoint], time.monotonic(), LATER_CALLS)
         await self.assert_safe()
         outcomes = self.outcomes()
         self.assertGreater(outcomes[work.Outcome.COMPLETE], 0)
 
     async def test_rolling_restart_loses_no_request(self) -> None:
-        async with self.load(60.0, text=2, booking=1) as generator:
-            await asyncio.sleep(WARM_SECONDS)
+        async with self.load(text=2, booking=1) as generator:
             for name in [*self.fleet.agent_names(), *self.fleet.entry_names()]:
                 self.assertEqual(0, await self.fleet.rolling_restart(name), name)
-            generator.stop()
+                await self.wait_until_in_use(name, generator.balancer)
         await self.assert_safe()
         self.assertEqual({work.Outcome.COMPLETE}, set(self.outcomes()))
 
+    async def wait_until_in_use(self, name: str, balancer: load.Balancer) -> None:
+        """Wait until a restarted program works again, as a rolling restart of a platform does."""
+        if name in balancer.targets:
+            await self.wait_for(lambda: balancer.targets[name].ready, f"{name} in the balancer")
+            await self.wait_for_answers(lambda call: call.entry == name)
+        else:
+            await self.wait_for_starts([name], time.monotonic())
+
+    async def wait_past_recovery(self, since: float, dispatcher: str) -> None:
+        """Wait until other agents start work after the recovery time."""
+        await fleet_case.sleep_until(since + RECOVERY_SECONDS)
+        others = [name for name in self.endpoints_of(fleets.WRITER) if name != dispatcher]
+        await self.wait_for_starts(others, since + RECOVERY_SECONDS)
+
     def never_ran(self) -> set[int]:
         """Return the calls that no endpoint recorded."""
         ran = {run.request_digest for run in self.history.runs}
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,14 +1,14 @@
 """Guards the whole path: answers that get lost, crossed or cut, calls that run twice, and programs
 that start processes, use io_uring, leave shared memory or need more than 256 MB."""
 
-import asyncio
 import os
 import pathlib
 
 from masticward.models import work
 from tests.lib import fleet_case
 
-LOAD_SECONDS = 6.0
+# Enough that every team and entry has had several.
+CALLS = 500
 MEMORY_BOUND_BYTES = 256 * 1024 * 1024
 SHARED_MEMORY = pathlib.Path("/dev/shm")
 
@@ -20,9 +20,10 @@
 
     async def test_every_answer_matches_the_endpoints_records(self) -> None:
         before = set(os.listdir(SHARED_MEMORY))
-        async with self.load(LOAD_SECONDS, text=3, booking=2):
-            await asyncio.sleep(LOAD_SECONDS / 2)
+        async with self.load(text=3, booking=2):
+            await self.wait_for_answers(lambda call: True, CALLS)
             self.check_processes()
+            await self.wait_for_answers(lambda call: True, CALLS)
         await self.assert_safe()
         outcomes = self.outcomes()
         self.assertEqual(0, outcomes[work.Outcome.UNKNOWN])
--- a/tests/functional/test_zone_moves.py
+++ b/tests/functional/test_zone_moves.py
@@ -5,16 +5,14 @@
 import signal
 import time
 
+from masticward.models import objects
 from tests.lib import fleet_case, fleets
 
-WARM_SECONDS = 2.0
 ZONE = "middle"
 BOUND_SECONDS = 3.0
 BOUND_WITHOUT_STORE_SECONDS = 5.0
 # Long enough to see starts after the cut-off if there were any.
 OBSERVED_SECONDS = 1.5
-# After an outage the entries watch the object API again within this time.
-SETTLE_SECONDS = 2.0
 
 
 class ZoneMoveTest(fleet_case.FleetCase):
@@ -26,11 +24,10 @@
 
     async def test_object_api_up_only_for_the_acceptance(self) -> None:
         """Fails if a change is lost to the fleet when the next outage follows it at once."""
-        await self.move_zone(BOUND_WITHOUT_STORE_SECONDS, store_down=True, settle_seconds=0.0)
+        await self.move_zone(BOUND_WITHOUT_STORE_SECONDS, store_down=True, settle=False)
 
     async def test_entry_cut_off_from_object_api(self) -> None:
-        self.fleet.platform.cut_off("entry-1")
-        await self.move_zone(BOUND_WITHOUT_STORE_SECONDS)
+        await self.move_zone(BOUND_WITHOUT_STORE_SECONDS, cut_off="entry-1")
 
     async def test_agent_paused_across_the_change(self) -> None:
         paused = next(
@@ -45,12 +42,15 @@
         bound: float,
         store_down: bool = False,
         paused: str | None = None,
-        settle_seconds: float = SETTLE_SECONDS,
+        cut_off: str | None = None,
+        settle: bool = True,
     ) -> None:
         """Take the zone out and bring it back under load; check both bounds."""
         platform = self.fleet.platform
-        async with self.load(60.0) as generator:
-            await asyncio.sleep(WARM_SECONDS)
+        async with self.load():
+            await self.wait_until_entries_watch()
+            if cut_off:
+                platform.cut_off(cut_off)
             if paused:
                 self.fleet.signal(paused, signal.SIGSTOP)
             await platform.zone_out(ZONE, bound)
@@ -63,7 +63,8 @@
                 await asyncio.sleep(OBSERVED_SECONDS)
             if store_down:
                 await platform.set_object_api("up")
-                await asyncio.sleep(settle_seconds)
+                if settle:
+                    await self.wait_until_entries_watch()
             await platform.zone_in(ZONE)
             returned_at = time.monotonic()
             if store_down:
@@ -71,10 +72,15 @@
             await asyncio.sleep(bound + OBSERVED_SECONDS)
             if store_down:
                 await platform.set_object_api("up")
-            generator.stop()
         await self.assert_safe()
         starts = self.starts(fleets.WRITER, lambda run: run.availability_zone == ZONE)
         self.assertTrue([at for at in starts if at < returned_at], "the zone was never used")
         resumed = [at for at in starts if at > returned_at]
         self.assertTrue(resumed, "the zone was not used again")
         self.assertLess(resumed[0] - returned_at, bound)
+
+    async def wait_until_entries_watch(self) -> None:
+        """Wait until every entry waits for the next operations state, also after an outage."""
+        watches = self.fleet.platform.object_api.pending_watches
+        entries = len(self.fleet.entry_names())
+        await self.wait_for(lambda: watches[objects.OPERATIONS] >= entries, "watches of entries")
--- a/tests/lib/fleet_case.py
+++ b/tests/lib/fleet_case.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import itertools
 import logging
 import time
 import typing
@@ -10,14 +11,17 @@
 
 from masticward import logs, settings
 from masticward.bench import checker, history, load, mixes
+from masticward.models import work
+from masticward.state import admission
 from tests.lib import fleets, processes
 
 SEED = 4711
-MAXIMUM_CALLS = 6_000
+# Bounds a load whose body hangs; the longest body makes about 3,000 calls.
+MAXIMUM_CALLS = 20_000
 TOKEN_MS = 10.0
 VERSION_PERIOD_SECONDS = 0.25
-# Until every endpoint is used; a busy machine needs several seconds.
-LOAD_START_SECONDS = 30.0
+# Ends a load or a wait that would never end by itself; no check depends on it.
+HANG_SECONDS = 120.0
 POLL_SECONDS = 0.02
 JUST_BEGUN_SECONDS = 0.1
 RECENT_RECORDS = 20
@@ -67,12 +71,13 @@
 
     @contextlib.asynccontextmanager
     async def load(
-        self, seconds: float, text: int = 3, booking: int = 1, deadline_seconds: float = 30.0
+        self, text: int = 3, booking: int = 1, deadline_seconds: float = 30.0
     ) -> collections.abc.AsyncIterator[load.LoadGenerator]:
-        """Run load beside the body of the context and wait for the last call at its end.
+        """Run load beside the body of the context and wait for the last call after its end.
 
-        The body and the ``seconds`` begin once every endpoint under load has begun a call. A fixed
-        time for that was too short on a busy machine, and faults then met an idle fleet.
+        The body begins once every endpoint under load has begun a call and every entry has answered
+        one. A fixed time for that was too short on a busy machine, and faults then met an idle
+        fleet. The load lasts as long as the body, so that no fault outlasts it.
         """
         plan = self.fleet.plan
         balancer = load.Balancer(self.fleet.targets((3.0, 1.0, 1.0)))
@@ -84,35 +89,109 @@
         )
         services = ({fleets.WRITER} if text else set()) | ({fleets.BOOKING} if booking else set())
         async with generator:
-            calls = asyncio.create_task(generator.run(loads, LOAD_START_SECONDS + seconds))
+            calls = asyncio.create_task(generator.run(loads, 2 * HANG_SECONDS))
             versions = asyncio.create_task(self.sample_versions())
             try:
-                await self.wait_until_used(services)
-                generator.stop_at = time.monotonic() + seconds
+                for endpoint_id in self.endpoints_of(*services):
+                    await self.wait_for_starts([endpoint_id], 0.0)
+                for entry in self.fleet.entry_names():
+                    await self.wait_for_answers(lambda call, e=entry: call.entry == e)
                 yield generator
+                self.assertGreater(generator.calls_left, 0, "the load ran out of calls")
+                generator.stop()
                 await calls
             finally:
                 versions.cancel()
                 calls.cancel()
 
-    async def wait_until_used(self, services: set[str]) -> None:
-        """Wait until every endpoint of the services has begun a call."""
-        endpoints = [item for item in self.fleet.plan.endpoints if item.service in services]
-        servers = self.fleet.platform.endpoints
-        async with asyncio.timeout(LOAD_START_SECONDS):
-            while not all(servers[item.id].recorder.records for item in endpoints):
-                await asyncio.sleep(POLL_SECONDS)
+    async def wait_for(self, condition: collections.abc.Callable[[], bool], what: str) -> None:
+        """Wait for a condition; fails with ``what`` if it never holds."""
+        deadline = time.monotonic() + HANG_SECONDS
+        while not condition():
+            if time.monotonic() > deadline:
+                self.fail(f"not within {HANG_SECONDS} s: {what}")
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_for_answers(
+        self, accept: collections.abc.Callable[[history.CallRecord], bool], count: int = 1
+    ) -> None:
+        """Wait until so many accepted calls that are sent from now on are complete."""
+        first = len(self.history.calls)
+
+        def answered() -> bool:
+            complete = (
+                call for call in self.history.calls[first:] if call.outcome is work.Outcome.COMPLETE
+            )
+            return sum(1 for call in complete if accept(call)) >= count
+
+        await self.wait_for(answered, f"{count} complete calls")
+
+    async def wait_for_starts(
+        self, endpoint_ids: collections.abc.Iterable[str], since: float, count: int = 1
+    ) -> None:
+        """Wait until so many runs have started after ``since`` on the endpoints together."""
+        recorders = [self.fleet.platform.endpoints[name].recorder for name in endpoint_ids]
+
+        def started() -> int:
+            return sum(
+                1
+                for recorder in recorders
+                for _ in itertools.takewhile(
+                    lambda record: record.started_at > since, reversed(recorder.records)
+                )
+            )
+
+        await self.wait_for(lambda: started() >= count, f"{count} starts on {endpoint_ids}")
 
     async def wait_until_running(self, endpoint_id: str) -> None:
         """Wait until an endpoint has a call under way that it began just now."""
         recorder = self.fleet.platform.endpoints[endpoint_id].recorder
-        async with asyncio.timeout(LOAD_START_SECONDS):
-            while not any(
+        await self.wait_for(
+            lambda: any(
                 record.finished_at is None
                 and time.monotonic() - record.started_at < JUST_BEGUN_SECONDS
                 for record in list(recorder.records)[-RECENT_RECORDS:]
-            ):
-                await asyncio.sleep(POLL_SECONDS)
+            ),
+            f"a call under way on {endpoint_id}",
+        )
+
+    async def wait_until_warm(self, endpoint_id: str) -> None:
+        """Wait until an agent holds its endpoint for warm, with the whole limit."""
+        deadline = time.monotonic() + HANG_SECONDS
+        while time.monotonic() < deadline:
+            status = await self.fleet.status(endpoint_id) or {}
+            if status.get("endpoint", {}).get("state") == admission.AdmissionState.WARM:
+                return
+            await asyncio.sleep(POLL_SECONDS)
+        self.fail(f"{endpoint_id} is not warm within {HANG_SECONDS} s")
+
+    async def wait_for_dispatcher(
+        self,
+        service: str,
+        accept: collections.abc.Callable[[str], bool] = lambda dispatcher: True,
+    ) -> str:
+        """Wait until all entries use the same accepted dispatcher of a service; return its id."""
+        deadline = time.monotonic() + HANG_SECONDS
+        while time.monotonic() < deadline:
+            found = await asyncio.gather(
+                *(
+                    self.fleet.dispatcher_of(service, entry)
+                    for entry in self.fleet.entry_names()
+                    if self.fleet.is_running(entry)
+                )
+            )
+            if len(set(found)) == 1 and found[0] and accept(found[0]):
+                return found[0]
+            await asyncio.sleep(POLL_SECONDS)
+        raise AssertionError(f"no such dispatcher of {service} within {HANG_SECONDS} s")
+
+    def endpoints_of(self, *services: str, zone: str = "") -> list[str]:
+        """Return the ids of the endpoints of the services, in one zone or in all."""
+        return [
+            item.id
+            for item in self.fleet.plan.endpoints
+            if item.service in services and zone in ("", item.availability_zone)
+        ]
 
     async def sample_versions(self) -> None:
         """Record the versions of all programs until cancelled."""
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -25,6 +25,7 @@
 START_SECONDS = 30.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
+LOG_END_CHARACTERS = 2_000
 
 
 def own_loopback_address() -> str:
@@ -207,6 +208,7 @@
         deadline = time.monotonic() + timeout
         waiting = list(names)
         while waiting:
+            self.check_running(waiting)
             ready = [await self.is_ready(name) for name in waiting]
             waiting = [name for name, up in zip(waiting, ready, strict=True) if not up]
             if waiting and time.monotonic() > deadline:
@@ -214,6 +216,14 @@
             if waiting:
                 await asyncio.sleep(POLL_SECONDS)
 
+    def check_running(self, names: typing.Iterable[str]) -> None:
+        """Raise RuntimeError with the end of its log if one of the programs has ended."""
+        for name in names:
+            program = self.programs[name]
+            if not self.is_running(name):
+                log = (self.directory / f"{name}.{program.starts}.log").read_text()
+                raise RuntimeError(f"{name} has ended:\n{log[-LOG_END_CHARACTERS:]}")
+
     async def is_ready(self, name: str) -> bool:
         """Tell whether a program answers its readiness check."""
         assert self.session is not None
@@ -250,16 +260,15 @@
             if answer is not None
         ]
 
-    async def dispatcher_of(self, service: str) -> str:
-        """Return the id of the agent that dispatches a service, as the last entry sees it."""
-        deadline = time.monotonic() + START_SECONDS
-        while time.monotonic() < deadline:
-            answer = await self.status(self.entry_names()[-1])
-            dispatcher = str((answer or {}).get("dispatchers", {}).get(service, ""))
-            if dispatcher:
-                return dispatcher
-            await asyncio.sleep(POLL_SECONDS)
-        raise TimeoutError(f"no dispatcher of {service}")
+    async def dispatcher_of(self, service: str, entry: str) -> str:
+        """Return the id of the agent that an entry uses as dispatcher, an empty string if none."""
+        answer = await self.status(entry)
+        return str((answer or {}).get("dispatchers", {}).get(service, ""))
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a program has been started and has not ended."""
+        process = self.programs[name].process
+        return process is not None and process.poll() is None
 
     def agent_names(self) -> list[str]:
         return [endpoint.id for endpoint in self.plan.endpoints]
