Keep an entry in the test balancer for two probes without an answer

Cause: the balancer of the load generator dropped an entry after one readiness probe without an answer in 0.5 s. When the machine is slow for all entries at once none is left, and the generator itself records the calls as "not run".

Change: three probes in a row must stay unanswered; an answer that is not 200 and a refused connection count at once, as before.

Figures: the new test fails without the change ([True, False, True]) and passes with it.

--- a/src/masticward/bench/load.py
+++ b/src/masticward/bench/load.py
@@ -21,6 +21,9 @@
 READINESS_PATH = "/ready"
 READINESS_PERIOD_SECONDS = 0.1
 READINESS_TIMEOUT_SECONDS = 0.5
+# A pause of this process lets the probes of all entries time out together, and a balancer that
+# believed a single one had no entry left.
+UNANSWERED_PROBES = 3
 # How long a caller waits past its own deadline before it gives up on the entry.
 GRACE_SECONDS = 5.0
 SHORTEST_PAUSE_SECONDS = 0.02
@@ -46,6 +49,7 @@
     readiness_url: str = ""
     weight: float = 1.0
     ready: bool = True
+    unanswered: int = 0
 
 
 class Latencies:
@@ -91,12 +95,16 @@
             await asyncio.sleep(READINESS_PERIOD_SECONDS)
 
     async def probe(self, session: aiohttp.ClientSession, target: Target) -> None:
-        """Update the readiness of one entry."""
+        """Update the readiness of one entry; without an answer it stays for a few probes."""
         timeout = aiohttp.ClientTimeout(total=READINESS_TIMEOUT_SECONDS)
         try:
             async with session.get(target.readiness_url, timeout=timeout) as response:
                 target.ready = response.status == 200
-        except (aiohttp.ClientError, TimeoutError, OSError):
+                target.unanswered = 0
+        except TimeoutError:
+            target.unanswered += 1
+            target.ready = target.ready and target.unanswered < UNANSWERED_PROBES
+        except (aiohttp.ClientError, OSError):
             target.ready = False
 
 
--- a/tests/unit/test_bench_load.py
+++ b/tests/unit/test_bench_load.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 
+import aiohttp
 import grpc.aio
 from aiohttp import web
 
@@ -78,6 +79,54 @@
         self.assertIs(work.Outcome.NOT_RUN, record.outcome)
 
 
+class BalancerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.answers = [200]
+        self.answered = 0
+        application = web.Application()
+        application.router.add_get("/ready", self.answer)
+        self.runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        host, port = self.runner.addresses[0][:2]
+        self.target = load.Target(id="e", url="", readiness_url=f"http://{host}:{port}/ready")
+        self.balancer = load.Balancer([self.target])
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        await self.runner.cleanup()
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        """Answer with the next status, 0 meaning not in time."""
+        self.answered += 1
+        status = self.answers.pop(0)
+        if not status:
+            await asyncio.sleep(3600.0)
+        return web.Response(status=status)
+
+    async def probe(self, *answers: int) -> list[bool]:
+        """Return the readiness after each of the answers."""
+        self.answers = list(answers)
+        found = []
+        for _ in answers:
+            await self.balancer.probe(self.session, self.target)
+            found.append(self.target.ready)
+        return found
+
+    async def test_a_pause_of_the_balancer_does_not_empty_it(self) -> None:
+        """Fails if calls are "not run" because one probe of each entry timed out together."""
+        self.assertEqual([True, True, True], await self.probe(200, 0, 200))
+        self.assertEqual([True, True, False, True], await self.probe(0, 0, 0, 200))
+
+    async def test_an_entry_that_is_not_ready_or_gone_gets_no_calls(self) -> None:
+        """Fails if an entry is used after it said that it drains, or when nothing listens."""
+        self.assertEqual([False, True], await self.probe(503, 200))
+        await self.runner.cleanup()
+        await self.balancer.probe(self.session, self.target)
+        self.assertFalse(self.target.ready)
+
+
 class MeterTest(unittest.IsolatedAsyncioTestCase):
     async def test_counts_serialized_messages(self) -> None:
         class Servicer(masticward_pb2_grpc.PeerServicer):  # type: ignore[misc]
