Give the stand-ins of each process a loopback address of their own

Cause: entries and agents under test listen on an address of their own since, but all stand-ins, forwarders and fleets in one process (demo, bench, tests) still shared 127.0.0.1. A port that one run leaves is soon another run's, so a caller or agent of one run can reach an endpoint of another; a call that reaches an endpoint stand-in without an agent leaves a record with an empty request id. Two process ids 254 apart also had the same address (number % 254). That this caused the record seen once is a suspicion from the code: no trace was kept, and no run here showed it.

Change: one function gives every process id up to 2**22 its own address; platform, plans and the test library use it. RawServer stays on 127.0.0.1, because a test reaches it as "localhost".

Conclusion: runs on one machine share no port any more, except those of RawServer and of unit tests.

--- a/src/masticward/bench/fleet.py
+++ b/src/masticward/bench/fleet.py
@@ -23,7 +23,7 @@
 
 
 class LocalFleet:
-    """Stand-ins, entries and agents of one plan, all on 127.0.0.1."""
+    """Stand-ins, entries and agents of one plan, all on one loopback address."""
 
     def __init__(
         self, plan: plans.FleetPlan, limits: settings_module.EntryLimits | None = None
--- a/src/masticward/bench/plans.py
+++ b/src/masticward/bench/plans.py
@@ -4,9 +4,9 @@
 
 from masticward import settings as settings_module
 from masticward.models import configuration as configuration_models
-from masticward.utils import identifiers
+from masticward.utils import addresses, identifiers
 
-ANY_LOCAL_PORT = "127.0.0.1:0"
+ANY_LOCAL_PORT = f"{addresses.own_loopback_host()}:0"
 
 
 class EntryPlan(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/masticward/bench/platform.py
+++ b/src/masticward/bench/platform.py
@@ -17,10 +17,10 @@
 from masticward.standins import engine, forwarder, instance_list, object_api, plain_service
 from masticward.transport import instance_list as instance_list_client
 from masticward.transport import object_api as object_api_client
-from masticward.utils import clocks
+from masticward.utils import addresses, clocks
 
 CONTROL_TIMEOUT_SECONDS = 5.0
-HOST = "127.0.0.1"
+HOST = addresses.own_loopback_host()
 OPERATOR = "bench"
 CHANGE_SECONDS = 10.0
 # Section 2 of the design: no new start later than this after the change was accepted.
@@ -96,7 +96,7 @@
         relays = []
         for name, url in (("objects", self.object_api_url), ("list", self.instance_list_url)):
             relay = forwarder.Forwarder(HOST, int(url.rpartition(":")[2]))
-            await relay.start()
+            await relay.start(f"{HOST}:0")
             self.forwarders[f"{instance_id}/{name}"] = relay
             relays.append(relay)
         return settings_module.PlatformSettings(
--- a/src/masticward/utils/addresses.py
+++ b/src/masticward/utils/addresses.py
@@ -1,5 +1,17 @@
 """Addresses written as ``IP:port``."""
 
+import os
+
+
+def own_loopback_host() -> str:
+    """Return an address of 127.0.0.0/8 that no other process of this machine listens on.
+
+    Fleets that shared 127.0.0.1 took each other's ports, so that a process of one could reach a
+    port that it knew in the other. Each process id up to 2**22 has an address of its own.
+    """
+    number = os.getpid()
+    return f"127.{64 + number // 65536 % 64}.{number // 256 % 256}.{number % 256}"
+
 
 def split(address: str) -> tuple[str, int]:
     """Return host and port of ``IP:port``; an IPv6 host is written in brackets."""
--- a/tests/functional/test_channel_pool.py
+++ b/tests/functional/test_channel_pool.py
@@ -10,7 +10,7 @@
     async def test_prune_keeps_connected_channels_of_unlisted_instances(self) -> None:
         transport = channels.PeerTransport(platforms.SECURITY)
         server = transport.create_server()
-        address = f"127.0.0.1:{transport.bind(server, platforms.ANY_PORT)}"
+        address = f"{platforms.HOST}:{transport.bind(server, platforms.ANY_PORT)}"
         await server.start()
         pool = channels.ChannelPool(transport)
         await pool.get(address).channel_ready()
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -59,7 +59,9 @@
         self.platform.enlist(platforms.make_agent("a1"))
         listed = self.platform.instances.instances["a1"]
         self.platform.instances.set_instance(
-            msgspec.structs.replace(listed, admin_address=f"127.0.0.1:{port}", service="booking")
+            msgspec.structs.replace(
+                listed, admin_address=f"{platforms.HOST}:{port}", service="booking"
+            )
         )
 
     async def test_publish_waits_until_the_version_is_in_force(self) -> None:
--- a/tests/functional/test_entry_http.py
+++ b/tests/functional/test_entry_http.py
@@ -155,7 +155,7 @@
         ) as server:
             slow = socket.socket()
             slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-            slow.connect(("127.0.0.1", server.port))
+            slow.connect((entry_http_client.HOST, server.port))
             slow.sendall(entry_http_client.request())
             await entry_fakes.until(lambda: server.entry.attempts.runs)
             await asyncio.sleep(0.2)
--- a/tests/lib/agent_harness.py
+++ b/tests/lib/agent_harness.py
@@ -1,4 +1,4 @@
-"""An agent's runner against a real stand-in on 127.0.0.1, with a view that the test changes."""
+"""An agent's runner against a real stand-in, with a view that the test changes."""
 
 import asyncio
 import collections.abc
@@ -16,7 +16,9 @@
 from masticward.models import configuration as configuration_models
 from masticward.standins import endpoint_server, engine, plain_service
 from masticward.transport import endpoint as endpoint_module
+from masticward.utils import addresses
 
+HOST = addresses.own_loopback_host()
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 INCARNATION = 7
 ZONE = "ebene"
@@ -145,7 +147,7 @@
     # The debug mode of the loop makes each step so slow that it hides the behaviour under load.
     asyncio.get_running_loop().set_debug(False)
     harness = Harness(kind, limits, faults)
-    harness.url = f"http://127.0.0.1:{await harness.server.start('127.0.0.1:0')}"
+    harness.url = f"http://{HOST}:{await harness.server.start(f'{HOST}:0')}"
     harness.stack.push_async_callback(harness.server.close)
     test.addAsyncCleanup(harness.stack.aclose)
     return harness
--- a/tests/lib/attempt_fakes.py
+++ b/tests/lib/attempt_fakes.py
@@ -9,9 +9,10 @@
 from masticward.models import work
 from masticward.protocol import attempt_client
 from masticward.transport import channels
-from masticward.utils import identifiers
+from masticward.utils import addresses, identifiers
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
 
+HOST = addresses.own_loopback_host()
 PARTS = (b"first", b"", b"second part")
 
 
@@ -96,7 +97,7 @@
 
     async def __aenter__(self) -> "ScriptedAgent":
         masticward_pb2_grpc.add_AttemptServicer_to_server(self, self.server)
-        self.address = f"127.0.0.1:{self.transport.bind(self.server, '127.0.0.1:0')}"
+        self.address = f"{HOST}:{self.transport.bind(self.server, f'{HOST}:0')}"
         await self.server.start()
         return self
 
--- a/tests/lib/dispatch_fleet.py
+++ b/tests/lib/dispatch_fleet.py
@@ -12,8 +12,10 @@
 from masticward.models import membership, work
 from masticward.protocol import dispatch_role, dispatch_server
 from masticward.transport import channels
+from masticward.utils import addresses
 from masticward.wire import masticward_pb2_grpc
 
+HOST = addresses.own_loopback_host()
 SERVICE = "drafting"
 ZONE = "bayern-nord"
 
@@ -200,8 +202,8 @@
         self.pool = channels.ChannelPool(self.transport)
         self.source = FakeSource(limit)
         self.server: grpc.aio.Server = self.transport.create_server()
-        self.port = self.transport.bind(self.server, "127.0.0.1:0")
-        self.instance = agent(agent_id, f"127.0.0.1:{self.port}")
+        self.port = self.transport.bind(self.server, f"{HOST}:0")
+        self.instance = agent(agent_id, f"{HOST}:{self.port}")
         self.stopped = False
 
     async def start(self, view: FakeView, incarnation: int = 1) -> None:
--- a/tests/lib/entry_http_client.py
+++ b/tests/lib/entry_http_client.py
@@ -4,8 +4,11 @@
 
 from masticward import settings
 from masticward.transport import entry_http
+from masticward.utils import addresses
 from tests.lib import entry_fakes
 
+HOST = addresses.own_loopback_host()
+
 
 class ServerFixture:
     """An HTTP server in front of a router with fakes."""
@@ -14,9 +17,7 @@
         self, *steps: entry_fakes.Step, limits: settings.EntryLimits | None = None
     ) -> None:
         self.entry = entry_fakes.EntryFixture(*steps, limits=limits)
-        self.server = entry_http.EntryHttpServer(
-            self.entry.router, "127.0.0.1:0", self.entry.limits
-        )
+        self.server = entry_http.EntryHttpServer(self.entry.router, f"{HOST}:0", self.entry.limits)
         self.port = 0
 
     async def __aenter__(self) -> "ServerFixture":
@@ -27,7 +28,7 @@
         await self.server.close()
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection("127.0.0.1", self.port)
+        return await asyncio.open_connection(HOST, self.port)
 
     async def exchange(self, raw: bytes, seconds: float = 10.0) -> bytes:
         """Send bytes and return all that comes until the connection is closed."""
--- a/tests/lib/platforms.py
+++ b/tests/lib/platforms.py
@@ -16,10 +16,11 @@
 from masticward.standins import instance_list as instance_list_standin
 from masticward.standins import object_api as object_api_standin
 from masticward.transport import channels, instance_list, object_api
-from masticward.utils import clocks
+from masticward.utils import addresses, clocks
 from masticward.wire import masticward_pb2_grpc
 
-ANY_PORT = "127.0.0.1:0"
+HOST = addresses.own_loopback_host()
+ANY_PORT = f"{HOST}:0"
 # Nothing listens on the discard port of the loopback address in a test.
 UNREACHABLE_URL = "http://127.0.0.1:9"
 TIMEOUT_SECONDS = 20.0
@@ -122,10 +123,10 @@
         self.pool = channels.ChannelPool(transport)
         self.server = transport.create_server()
         port = transport.bind(self.server, ANY_PORT)
-        address = f"127.0.0.1:{port}"
+        address = f"{HOST}:{port}"
         if gated:
-            self.gate = Partition("127.0.0.1", port)
-            address = f"127.0.0.1:{await self.gate.start()}"
+            self.gate = Partition(HOST, port)
+            address = f"{HOST}:{await self.gate.start(ANY_PORT)}"
         self.instance = msgspec.structs.replace(self.instance, peer_address=address)
         self.store = object_api.HttpObjectStore(object_api_url)
         self.list = instance_list.HttpInstanceList(self.platform.list_url)
@@ -174,8 +175,8 @@
 
     async def start(self) -> None:
         """Start the stand-ins."""
-        self.store_url = f"http://127.0.0.1:{await self.objects.start(ANY_PORT)}"
-        self.list_url = f"http://127.0.0.1:{await self.instances.start(ANY_PORT)}"
+        self.store_url = f"http://{HOST}:{await self.objects.start(ANY_PORT)}"
+        self.list_url = f"http://{HOST}:{await self.instances.start(ANY_PORT)}"
         self.store = object_api.HttpObjectStore(self.store_url)
         self.list = instance_list.HttpInstanceList(self.list_url)
 
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -26,18 +26,7 @@
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
 LOG_END_CHARACTERS = 2_000
-
-
-def own_loopback_address() -> str:
-    """Return an address of 127.0.0.0/8 that other test runs on this machine do not use.
-
-    On 127.0.0.1 a program of another run took a port between its reservation and its use.
-    """
-    number = os.getpid()
-    return f"127.{64 + number // 65536 % 64}.{number // 256 % 256}.{number % 254 + 1}"
-
-
-HOST = own_loopback_address()
+HOST = platform.HOST
 LEAVING_BOUND_SECONDS = 3.0
 
 
