End the programs of a fleet test with the test process

Cause: when a test run is killed (a time limit, for example), its entries and agents keep running. Shown by a run that kills itself after the start of a fleet: a second later its programs were sleeping or running.

Change: PR_SET_PDEATHSIG in the child. After: the same run leaves three ended processes (zombies until they are reaped), none running.

--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -1,6 +1,7 @@
 """Runs entries and agents of a plan as separate processes and disturbs them one by one."""
 
 import asyncio
+import ctypes
 import os
 import pathlib
 import shutil
@@ -28,6 +29,17 @@
 LOG_END_CHARACTERS = 2_000
 HOST = platform.HOST
 LEAVING_BOUND_SECONDS = 3.0
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent() -> None:
+    """Make the kernel end the calling process when its parent dies.
+
+    A test run that was killed left its programs running. They went on calling the ports of their
+    stand-ins, which later runs take.
+    """
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class Program:
@@ -163,6 +175,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 cwd=self.directory,
+                preexec_fn=end_with_parent,
             )
 
     def signal(self, name: str, number: signal.Signals) -> None:
