--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -1,6 +1,7 @@
 """Runs entries and agents of a plan as separate processes and disturbs them one by one."""
 
 import asyncio
+import ctypes
 import os
 import pathlib
 import shutil
@@ -25,19 +26,20 @@
 START_SECONDS = 30.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
+LOG_END_CHARACTERS = 2_000
+HOST = platform.HOST
+LEAVING_BOUND_SECONDS = 3.0
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
 
 
-def own_loopback_address() -> str:
-    """Return an address of 127.0.0.0/8 that other test runs on this machine do not use.
+def end_with_parent() -> None:
+    """Make the kernel end the calling process when its parent dies.
 
-    On 127.0.0.1 a program of another run took a port between its reservation and its use.
+    A test run that was killed left its programs running. They went on calling the ports of their
+    stand-ins, which later runs take.
     """
-    number = os.getpid()
-    return f"127.{64 + number // 65536 % 64}.{number // 256 % 256}.{number % 254 + 1}"
-
-
-HOST = own_loopback_address()
-LEAVING_BOUND_SECONDS = 3.0
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class Program:
@@ -173,6 +175,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 cwd=self.directory,
+                preexec_fn=end_with_parent,
             )
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -207,6 +210,7 @@
         deadline = time.monotonic() + timeout
         waiting = list(names)
         while waiting:
+            self.check_running(waiting)
             ready = [await self.is_ready(name) for name in waiting]
             waiting = [name for name, up in zip(waiting, ready, strict=True) if not up]
             if waiting and time.monotonic() > deadline:
@@ -214,6 +218,14 @@
             if waiting:
                 await asyncio.sleep(POLL_SECONDS)
 
+    def check_running(self, names: typing.Iterable[str]) -> None:
+        """Raise RuntimeError with the end of its log if one of the programs has ended."""
+        for name in names:
+            program = self.programs[name]
+            if not self.is_running(name):
+                log = (self.directory / f"{name}.{program.starts}.log").read_text()
+                raise RuntimeError(f"{name} has ended:\n{log[-LOG_END_CHARACTERS:]}")
+
     async def is_ready(self, name: str) -> bool:
         """Tell whether a program answers its readiness check."""
         assert self.session is not None
@@ -254,13 +266,22 @@
         """Return the id of the agent that dispatches a service, as the last entry sees it."""
         deadline = time.monotonic() + START_SECONDS
         while time.monotonic() < deadline:
-            answer = await self.status(self.entry_names()[-1])
-            dispatcher = str((answer or {}).get("dispatchers", {}).get(service, ""))
+            dispatcher = await self.dispatcher_at(self.entry_names()[-1], service)
             if dispatcher:
                 return dispatcher
             await asyncio.sleep(POLL_SECONDS)
         raise TimeoutError(f"no dispatcher of {service}")
 
+    async def dispatcher_at(self, entry: str, service: str) -> str:
+        """Return the id of the agent that an entry uses as dispatcher, an empty string if none."""
+        answer = await self.status(entry)
+        return str((answer or {}).get("dispatchers", {}).get(service, ""))
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a program has been started and has not ended."""
+        process = self.programs[name].process
+        return process is not None and process.poll() is None
+
     def agent_names(self) -> list[str]:
         return [endpoint.id for endpoint in self.plan.endpoints]
 
