Notice a silent connection while a call runs

Cause: a call on a connection that silently drops everything waited for its whole deadline. Trace (two agents cut from attempts, deadline 15 s): ten bookings and 13 texts ended "unknown" after 15.00 s to 15.05 s, "the deadline passed after the call may have started". grpcio 1.85 closes a connection after grpc.http2.ping_timeout_ms (default 60 s); grpc.keepalive_timeout_ms, which was set to 2 s, has no effect on that.

Change: both options are 5 s, so that a process that is paused for a few seconds keeps its calls.

--- a/src/masticward/transport/channels.py
+++ b/src/masticward/transport/channels.py
@@ -12,14 +12,18 @@
 
 MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
 KEY_METADATA = "masticward-key"
+# A shorter time would break the calls of a process that is paused for a moment.
+PING_TIMEOUT_MS = 5000
 UNAUTHENTICATED_DETAIL = "the shared key is missing or wrong"
 
 COMMON_OPTIONS: tuple[tuple[str, int], ...] = (
     ("grpc.max_send_message_length", MAXIMUM_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAXIMUM_MESSAGE_BYTES),
     # Keep-alive pings notice a partition that drops packets silently while a call runs. Idle
-    # connections need none: every exchange has a deadline of its own.
-    ("grpc.keepalive_timeout_ms", 2000),
+    # connections need none: every exchange has a deadline of its own. grpcio 1.85 waits 60 s for
+    # the answer to a ping unless ping_timeout_ms is set; keepalive_timeout_ms has no effect on it.
+    ("grpc.keepalive_timeout_ms", PING_TIMEOUT_MS),
+    ("grpc.http2.ping_timeout_ms", PING_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 0),
     ("grpc.http2.max_pings_without_data", 0),
 )
--- a/tests/functional/test_attempt_client.py
+++ b/tests/functional/test_attempt_client.py
@@ -5,6 +5,7 @@
 
 from masticward import errors
 from masticward.protocol import attempt_client
+from masticward.standins import forwarder
 from masticward.state import frames
 from masticward.wire import masticward_pb2
 from tests.lib import attempt_fakes, entry_fakes
@@ -78,6 +79,20 @@
             with self.assertRaises(errors.AttemptFailedError):
                 await run
 
+    async def test_silent_connection_ends_long_before_the_deadline(self) -> None:
+        """Fails if a call on a connection that drops everything waits for its whole deadline."""
+        async with attempt_fakes.ScriptedAgent() as agent:
+            agent.hold = True
+            relay = forwarder.Forwarder(attempt_fakes.HOST, int(agent.address.rpartition(":")[2]))
+            port = await relay.start(f"{attempt_fakes.HOST}:0")
+            attempt = attempt_fakes.build_attempt(f"{attempt_fakes.HOST}:{port}", seconds=60.0)
+            run = asyncio.ensure_future(collect(agent.client, attempt))
+            await entry_fakes.until(lambda: agent.requests)
+            relay.set_mode(forwarder.ForwarderMode.DROP)
+            with self.assertRaisesRegex(errors.AttemptFailedError, "UNAVAILABLE"):
+                await run
+            await relay.close()
+
     async def test_attempt_is_not_sent_twice(self) -> None:
         async with attempt_fakes.ScriptedAgent() as agent:
             agent.frames = attempt_fakes.whole_frames()
