Let a partition cut attempts too

Cause: entries reached a relayed agent through a forwarder for sessions and exchanges, but its attempts went past it, because an agent announces the address it listens on and puts it into its slots. No partition test cut a running attempt.

Change: settings have announced_peer_address (empty: the listening address, as before), as instances behind a translated address need it too. Relayed agents announce their forwarder.

What remains: the dispatcher goes on giving out slots of an agent that can send but not be reached, and an entry tries each for up to 2 s, because it does not look at its own suspicion of the agent.

--- a/src/masticward/daemons/common.py
+++ b/src/masticward/daemons/common.py
@@ -57,7 +57,8 @@
             role=self.role,
             service=service,
             availability_zone=self.common.availability_zone,
-            peer_address=addresses.with_port(self.common.peer_address, self.peer_port),
+            peer_address=self.common.announced_peer_address
+            or addresses.with_port(self.common.peer_address, self.peer_port),
             admin_address=addresses.with_port(self.common.admin_address, self.admin_port),
         )
 
--- a/src/masticward/settings.py
+++ b/src/masticward/settings.py
@@ -14,6 +14,7 @@
 PositiveSeconds = typing.Annotated[float, msgspec.Meta(gt=0)]
 PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1)]
 Address = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]+$")]
+OptionalAddress = typing.Annotated[str, msgspec.Meta(pattern=r"^([0-9a-fA-F.:\[\]]+:[0-9]+)?$")]
 
 
 class SecurityMode(enum.StrEnum):
@@ -61,7 +62,10 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of ``masticward entry``. Addresses are ``IP:port``."""
+    """Settings of ``masticward entry``. Addresses are ``IP:port``.
+
+    Peers call the process at ``announced_peer_address``, by default at ``peer_address``.
+    """
 
     instance_id: str
     availability_zone: str
@@ -71,6 +75,7 @@
     platform: PlatformSettings
     peer_security: PeerSecurity
     limits: EntryLimits = EntryLimits()
+    announced_peer_address: OptionalAddress = ""
 
 
 class EndpointSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,7 +96,10 @@
 
 
 class AgentSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of ``masticward agent``. Addresses are ``IP:port``."""
+    """Settings of ``masticward agent``. Addresses are ``IP:port``.
+
+    Peers call the process at ``announced_peer_address``, by default at ``peer_address``.
+    """
 
     instance_id: str
     availability_zone: str
@@ -101,6 +109,7 @@
     peer_security: PeerSecurity
     endpoint: EndpointSettings
     queue_policy: QueuePolicyName = QueuePolicyName.FAIR_SHARE
+    announced_peer_address: OptionalAddress = ""
 
 
 SettingsT = typing.TypeVar("SettingsT", EntrySettings, AgentSettings)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -82,22 +82,18 @@
     ) -> None:
         """Start everything and wait until each program is ready.
 
-        The instance list shows forwarders as the peer addresses of ``relayed`` programs.
+        Peers reach the ``relayed`` agents only through forwarders, with their attempts too.
         """
         timeout = aiohttp.ClientTimeout(total=2.0)
         self.session = aiohttp.ClientSession(timeout=timeout)
         await self.platform.start()
         await self.platform.publish()
         for endpoint in self.plan.endpoints:
-            await self.add_agent(endpoint)
+            await self.add_agent(endpoint, endpoint.id in relayed)
         for entry in self.plan.entries:
             await self.add_entry(entry, limits)
         for program in self.programs.values():
-            address = await self.relay(program) if program.name in relayed else ""
-            listed = msgspec.structs.replace(
-                program.instance, peer_address=address or program.instance.peer_address
-            )
-            await self.platform.list_instance(listed)
+            await self.platform.list_instance(program.instance)
             self.spawn(program)
         await self.wait_ready(*self.programs)
 
@@ -117,20 +113,23 @@
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
 
-    async def relay(self, program: Program) -> str:
+    async def relay(self, name: str, peer_address: str) -> str:
         """Put a forwarder in front of a program's peer port and return its address."""
-        port = int(program.instance.peer_address.rpartition(":")[2])
-        self.relays[program.name] = forwarder.Forwarder(HOST, port)
-        return f"{HOST}:{await self.relays[program.name].start(f'{HOST}:0')}"
+        self.relays[name] = forwarder.Forwarder(HOST, int(peer_address.rpartition(":")[2]))
+        return f"{HOST}:{await self.relays[name].start(f'{HOST}:0')}"
 
-    async def add_agent(self, endpoint: plans.EndpointPlan) -> None:
+    async def add_agent(self, endpoint: plans.EndpointPlan, relayed: bool) -> None:
         settings = plans.agent_settings(
             self.plan,
             endpoint,
             self.platform.endpoint_urls[endpoint.id],
             await self.platform.settings_for(endpoint.id),
         )
-        self.add("agent", msgspec.structs.replace(settings, **self.reserve("peer", "admin")))
+        addresses = self.reserve("peer", "admin")
+        if relayed:
+            relay_address = await self.relay(endpoint.id, addresses["peer_address"])
+            addresses["announced_peer_address"] = relay_address
+        self.add("agent", msgspec.structs.replace(settings, **addresses))
 
     async def add_entry(
         self, entry: plans.EntryPlan, limits: settings_module.EntryLimits | None
@@ -155,7 +154,7 @@
             role=membership.Role(role),
             service=service,
             availability_zone=settings.availability_zone,
-            peer_address=settings.peer_address,
+            peer_address=settings.announced_peer_address or settings.peer_address,
             admin_address=settings.admin_address,
         )
         command = [sys.executable, "-m", "masticward", role, "--settings", str(path)]
