Name teams and tickets once in the reports of a session

Cause: half of the messages' bytes under load are service reports, and most of a report is the team and ticket ids that it repeats: 328 bytes a report.

Change: a report names a team or a ticket once in a session; later reports use its number, in packed lists. The admission state, which nobody read, is not sent any more. A number that was never named ends the session.

--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -4,14 +4,13 @@
 import asyncio
 import collections
 import time
-import typing
 
 import msgspec
 
 from masticward import errors, events, logs
 from masticward.coordination import fleet_view, rendezvous
 from masticward.models import membership
-from masticward.protocol import dispatch_client
+from masticward.protocol import dispatch_client, dispatch_reports, dispatch_role
 from masticward.transport import channels as channels_module
 from masticward.utils import tasks
 from masticward.wire import masticward_pb2
@@ -100,7 +99,8 @@
         self.sent_counters: dict[str, float] = {}
         self.sent_progress: dict[str, float] = {}
         self.finished: dict[str, float] = {}
-        self.sent_load: tuple[int, int, int, str] | None = None
+        self.sent_load: tuple[int, int, int] | None = None
+        self.writer = dispatch_reports.ReportWriter()
         self.offered_until = 0.0
         # Whether this link was ever offered slots; if not, the dispatcher knows no ticket here.
         self.offered = False
@@ -138,6 +138,7 @@
         self.sent_counters.clear()
         self.sent_progress.clear()
         self.sent_load = None
+        self.writer = dispatch_reports.ReportWriter()
         self.offered = False
         self.reported_at = 0.0
         self.answered = False
@@ -185,23 +186,20 @@
         counters = changed_values(report.counters, self.sent_counters)
         running = report.progress if self.offered else {}
         progress = changed_values(running, self.sent_progress)
-        load = (report.running, report.staged, report.limit, report.admission_state)
+        load = (report.running, report.staged, report.limit)
         if not counters and not progress and not self.finished and load == self.sent_load:
             return
-        self.link.report(
-            masticward_pb2.ServiceReport(
-                counters=[
-                    masticward_pb2.TeamCounter(team=team, total=total)
-                    for team, total in counters.items()
-                ],
-                progress=write_costs(progress),
-                finished=write_costs(self.finished),
+        message = self.writer.write(
+            dispatch_role.AgentReport(
+                counters=counters,
+                progress=progress,
+                finished=self.finished,
                 running=report.running,
                 staged=report.staged,
                 limit=report.limit,
-                admission_state=report.admission_state,
             )
         )
+        self.link.report(message)
         self.sent_counters.update(counters)
         self.sent_progress = dict(running)
         self.sent_load = load
@@ -424,11 +422,3 @@
 def changed_values(values: dict[str, float], sent: dict[str, float]) -> dict[str, float]:
     """Return the entries that differ from those sent before."""
     return {key: value for key, value in values.items() if sent.get(key) != value}
-
-
-def write_costs(costs: dict[str, float]) -> list[typing.Any]:
-    """Return costs by ticket in wire form."""
-    return [
-        masticward_pb2.AttemptProgress(ticket_id=ticket_id, cost=cost)
-        for ticket_id, cost in costs.items()
-    ]
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -98,6 +98,10 @@
     """Returned when a peer process did not answer in time."""
 
 
+class SessionMessageError(MasticwardError):
+    """Raised when a message of a dispatch session refers to something its session never named."""
+
+
 class VersionRefusedError(MasticwardError):
     """Returned when a configuration or operations state does not decode or contradicts itself."""
 
--- /dev/null
+++ b/src/masticward/protocol/dispatch_reports.py
@@ -0,0 +1,93 @@
+"""Service reports on an agent's session: names are sent once and are numbers from then on.
+
+Both ends number the names in the order in which they first appear on the session, from 0. A new
+session starts with empty tables.
+"""
+
+import collections.abc
+
+from masticward import errors
+from masticward.protocol import dispatch_role
+from masticward.wire import masticward_pb2
+
+
+class ReportWriter:
+    """The agent's end of one session."""
+
+    __slots__ = ("next_ticket", "team_numbers", "ticket_numbers")
+
+    def __init__(self) -> None:
+        self.team_numbers: dict[str, int] = {}
+        # Only tickets that have not finished.
+        self.ticket_numbers: dict[str, int] = {}
+        self.next_ticket = 0
+
+    def write(self, report: dispatch_role.AgentReport) -> masticward_pb2.ServiceReport:
+        """Return the wire form of a report."""
+        message = masticward_pb2.ServiceReport(
+            running=report.running, staged=report.staged, limit=report.limit
+        )
+        for team, total in report.counters.items():
+            if team not in self.team_numbers:
+                self.team_numbers[team] = len(self.team_numbers)
+                message.new_teams.append(team)
+            message.counter_teams.append(self.team_numbers[team])
+            message.counter_totals.append(total)
+        for ticket_id, cost in report.progress.items():
+            message.progress_tickets.append(self.number_of(ticket_id, message))
+            message.progress_costs.append(cost)
+        for ticket_id, cost in report.finished.items():
+            message.finished_tickets.append(self.number_of(ticket_id, message))
+            message.finished_costs.append(cost)
+            del self.ticket_numbers[ticket_id]
+        return message
+
+    def number_of(self, ticket_id: str, message: masticward_pb2.ServiceReport) -> int:
+        """Return the number of a ticket; a new one is named in the message."""
+        number = self.ticket_numbers.get(ticket_id)
+        if number is None:
+            number = self.ticket_numbers[ticket_id] = self.next_ticket
+            self.next_ticket += 1
+            message.new_tickets.append(ticket_id)
+        return number
+
+
+class ReportReader:
+    """The dispatcher's end of one session."""
+
+    __slots__ = ("next_ticket", "teams", "tickets")
+
+    def __init__(self) -> None:
+        self.teams: list[str] = []
+        self.tickets: dict[int, str] = {}
+        self.next_ticket = 0
+
+    def read(self, message: masticward_pb2.ServiceReport) -> dispatch_role.AgentReport:
+        """Return the report of a message. Raises SessionMessageError on an unknown number."""
+        self.teams.extend(message.new_teams)
+        for ticket_id in message.new_tickets:
+            self.tickets[self.next_ticket] = ticket_id
+            self.next_ticket += 1
+        try:
+            report = dispatch_role.AgentReport(
+                counters=pair(self.teams, message.counter_teams, message.counter_totals),
+                progress=pair(self.tickets, message.progress_tickets, message.progress_costs),
+                finished=pair(self.tickets, message.finished_tickets, message.finished_costs),
+                running=message.running,
+                staged=message.staged,
+                limit=message.limit,
+            )
+        except (LookupError, ValueError) as error:
+            raise errors.SessionMessageError(f"service report: {error!r}") from error
+        for number in message.finished_tickets:
+            del self.tickets[number]
+        return report
+
+
+def pair(
+    names: list[str] | dict[int, str],
+    numbers: collections.abc.Iterable[int],
+    values: collections.abc.Iterable[float],
+) -> dict[str, float]:
+    """Return values by name. Raises LookupError or ValueError if they do not fit together."""
+    return {names[number]: value for number, value in zip(numbers, values, strict=True)}
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -7,9 +7,9 @@
 import grpc
 import grpc.aio
 
-from masticward import events, logs
+from masticward import errors, events, logs
 from masticward.models import work
-from masticward.protocol import dispatch_role, snapshots
+from masticward.protocol import dispatch_reports, dispatch_role, snapshots
 from masticward.utils import clocks, tasks
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
 
@@ -161,22 +161,29 @@
 
     async def read_agent(self, peer: dispatch_role.AgentPeer, context: SessionContext) -> None:
         """Pass an agent's messages to the dispatcher."""
+        reader = dispatch_reports.ReportReader()
         async with asyncio.timeout(SILENCE_SECONDS) as silence:
             while (message := await context.read()) is not grpc.aio.EOF:
-                self.receive_from_agent(peer, message)
+                try:
+                    self.receive_from_agent(peer, message, reader)
+                except errors.SessionMessageError as error:
+                    await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
                 if message.HasField("ping"):
                     silence.reschedule(asyncio.get_running_loop().time() + SILENCE_SECONDS)
 
     def receive_from_agent(
-        self, peer: dispatch_role.AgentPeer, message: masticward_pb2.AgentMessage
+        self,
+        peer: dispatch_role.AgentPeer,
+        message: masticward_pb2.AgentMessage,
+        reader: dispatch_reports.ReportReader,
     ) -> None:
-        """Apply one message of an agent."""
+        """Apply one message of an agent. Raises SessionMessageError."""
         kind = message.WhichOneof("message")
         if kind == "offer":
             deadline = clocks.deadline_from_remaining_ms(message.offer.remaining_ms)
             self.dispatcher.offer(peer, tuple(message.offer.slot_ids), deadline)
         elif kind == "report":
-            self.dispatcher.report(peer, read_report(message.report))
+            self.dispatcher.report(peer, reader.read(message.report))
         elif kind == "retract":
             self.dispatcher.retract(peer)
         elif kind == "snapshot":
@@ -222,18 +229,6 @@
     )
 
 
-def read_report(message: masticward_pb2.ServiceReport) -> dispatch_role.AgentReport:
-    """Return the report of a message."""
-    return dispatch_role.AgentReport(
-        counters={entry.team: entry.total for entry in message.counters},
-        progress={entry.ticket_id: entry.cost for entry in message.progress},
-        finished={entry.ticket_id: entry.cost for entry in message.finished},
-        running=message.running,
-        staged=message.staged,
-        limit=message.limit,
-    )
-
-
 def write_assign(assignment: work.Assignment) -> masticward_pb2.Assign:
     """Return the wire form of an assignment."""
     slot = assignment.slot
