Send an agent's identity once in the assignments of a session

Cause: an assignment takes 93 bytes, half of them the agent's id, incarnation, address and zone, which repeat in each one.

Change: the first assignment of a session for an agent incarnation carries its identity; later ones carry its number.

--- a/src/masticward/protocol/dispatch_client.py
+++ b/src/masticward/protocol/dispatch_client.py
@@ -9,6 +9,7 @@
 
 from masticward import errors
 from masticward.models import work
+from masticward.protocol import dispatch_assignments
 from masticward.transport import channels as channels_module
 from masticward.utils import clocks, tasks
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
@@ -76,6 +77,8 @@
             ) from error
         except (grpc.aio.UsageError, asyncio.InvalidStateError) as error:
             raise errors.PeerUnavailableError(f"session with {self.address}: {error}") from error
+        except errors.SessionMessageError as error:
+            raise errors.PeerUnavailableError(f"session with {self.address}: {error}") from error
         except TimeoutError as error:
             raise errors.PeerUnavailableError(
                 f"no pong from {self.address} for {PONG_TIMEOUT_SECONDS} s"
@@ -146,6 +149,7 @@
     ) -> None:
         super().__init__(channels, address)
         self.listener = listener
+        self.assignments = dispatch_assignments.AssignmentReader()
         self.outbox.put_nowait(masticward_pb2.EntryMessage(hello=hello))
 
     def enqueue(self, ticket: work.Ticket) -> None:
@@ -188,7 +192,7 @@
     def receive(self, message: masticward_pb2.DispatcherToEntry) -> int | None:
         """Pass assignments on."""
         if message.HasField("assign"):
-            self.listener.on_assign(read_assign(message.assign))
+            self.listener.on_assign(self.assignments.read(message.assign))
             return None
         return message.pong.sequence if message.HasField("pong") else None
 
@@ -252,23 +256,6 @@
         self.listener.on_pong(pong.waiting, round_trip_seconds)
 
 
-def read_assign(message: masticward_pb2.Assign) -> work.Assignment:
-    """Return the assignment of a message."""
-    return work.Assignment(
-        ticket_id=message.ticket_id,
-        slot=work.Slot(
-            id=message.slot_id,
-            agent_id=message.agent_id,
-            agent_incarnation=message.agent_incarnation,
-            agent_address=message.agent_address,
-            availability_zone=message.availability_zone,
-            deadline=clocks.deadline_from_remaining_ms(message.slot_remaining_ms),
-        ),
-        virtual_time=message.virtual_time,
-        queue_ms=message.queue_ms,
-    )
-
-
 def is_newer(message: masticward_pb2.Snapshot, stored: masticward_pb2.Snapshot | None) -> bool:
     """Tell whether a snapshot includes at least as much service as the stored one."""
     return stored is None or message.included_total >= stored.included_total
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -9,7 +9,7 @@
 
 from masticward import errors, events, logs
 from masticward.models import work
-from masticward.protocol import dispatch_reports, dispatch_role, snapshots
+from masticward.protocol import dispatch_assignments, dispatch_reports, dispatch_role, snapshots
 from masticward.utils import clocks, tasks
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
 
@@ -153,10 +153,11 @@
 
     async def write_entry(self, peer: dispatch_role.EntryPeer, context: SessionContext) -> None:
         """Write assignments and pongs as soon as they are there."""
+        assignments = dispatch_assignments.AssignmentWriter()
         while True:
             item = await peer.outbox.get()
             if isinstance(item, work.Assignment):
-                item = masticward_pb2.DispatcherToEntry(assign=write_assign(item))
+                item = masticward_pb2.DispatcherToEntry(assign=assignments.write(item))
             await context.write(item)
 
     async def read_agent(self, peer: dispatch_role.AgentPeer, context: SessionContext) -> None:
@@ -227,19 +228,3 @@
         slot_id=message.slot_id,
         slot_valid=message.slot_valid,
     )
-
-
-def write_assign(assignment: work.Assignment) -> masticward_pb2.Assign:
-    """Return the wire form of an assignment."""
-    slot = assignment.slot
-    return masticward_pb2.Assign(
-        ticket_id=assignment.ticket_id,
-        agent_id=slot.agent_id,
-        agent_incarnation=slot.agent_incarnation,
-        agent_address=slot.agent_address,
-        slot_id=slot.id,
-        slot_remaining_ms=clocks.remaining_ms(slot.deadline),
-        virtual_time=assignment.virtual_time,
-        queue_ms=assignment.queue_ms,
-        availability_zone=slot.availability_zone,
-    )
