Base the next write of a claim shard on the value written last

Cause: each keyed call reads its shard twice, once to claim and once to record the outcome, although the entry itself wrote the shard in between.

Change: an entry keeps the small values that it wrote last (at most 256 of up to 16 KB) with their versions and bases the next conditional write on them. If the write is not needed, meets a conflict or fails, nothing is concluded from the kept value: it is dropped and the object is read, as before. A lost answer thus is still resolved by reading.

The new tests fail on a scratch copy that keeps nothing, on one that keeps without bound, and on one that answers from the kept value without a write.

--- a/src/masticward/coordination/claims.py
+++ b/src/masticward/coordination/claims.py
@@ -26,6 +26,11 @@
 BACKGROUND_CHANGES = 10_000
 BACKGROUND_BYTES = 16 * 1024 * 1024
 
+# Shard values kept after a write of this entry. Larger ones are read again: a kept value costs
+# memory until its claims finish, and 256 of them take at most 4 MB.
+KNOWN_SHARDS = 256
+KNOWN_SHARD_BYTES = 16 * 1024
+
 logger = logs.get_logger(__name__)
 
 
@@ -95,6 +100,7 @@
         "background_changes",
         "entry_id",
         "group",
+        "known",
         "postponed",
         "retry_task",
         "shards",
@@ -105,6 +111,8 @@
         self.store = store
         self.entry_id = entry_id
         self.shards: dict[str, ShardQueue] = {}
+        # What this entry wrote last to a shard, oldest first, as version and value.
+        self.known: dict[str, tuple[int, bytes]] = {}
         self.postponed: dict[str, list[Change]] = {}
         self.group = tasks.TaskGroup()
         self.retry_task: asyncio.Task[None] | None = None
@@ -306,29 +314,63 @@
     async def commit_once(
         self, shard: ShardQueue, changes: list[Change]
     ) -> result.Result[None, errors.StoreError]:
-        """Read the object, apply the changes and write it back if that changes anything.
+        """Apply the changes to the object and write it back if that changes anything.
+
+        The value that this entry wrote last is used first. Only a conditional write that succeeds
+        proves that it was current, so in all other cases the object is read.
 
         After a lost answer the read shows whether the write took effect. If it did not, the same
         version is written again, so that a delayed first write meets a conflict.
         """
+        known = self.known.pop(shard.name, None)
+        if known is not None:
+            version, value = known
+            records = claims_state.ClaimShard.decode(value)
+            written = await self.write_changes(shard, changes, version, records)
+            if isinstance(written, result.Success):
+                if written.unwrap():
+                    return result.Success(None)
+            elif not isinstance(written.failure(), errors.VersionConflictError):
+                return result.Failure(written.failure())
         read = await self.read_shard(shard.name)
         if not isinstance(read, result.Success):
             return result.Failure(read.failure())
         version, records = read.unwrap()
+        written = await self.write_changes(shard, changes, version, records)
+        return written.map(lambda _: None)
+
+    async def write_changes(
+        self,
+        shard: ShardQueue,
+        changes: list[Change],
+        version: int,
+        records: claims_state.ClaimShard,
+    ) -> result.Result[bool, errors.StoreError]:
+        """Apply the changes to a version's content; True if they had to be written and were."""
         for change in changes:
             stored = await self.apply(records, change)
             if not isinstance(stored, result.Success):
-                return stored
+                return result.Failure(stored.failure())
         fenced = any(change.uncertain and change.kind is ChangeKind.RELEASE for change in changes)
         if not records.dirty and not fenced:
-            return result.Success(None)
+            return result.Success(False)
+        value = records.encode()
         written = await self.store.put(
-            shard.name, records.encode(), version, clocks.deadline_after(CALL_SECONDS)
+            shard.name, value, version, clocks.deadline_after(CALL_SECONDS)
         )
         if not isinstance(written, result.Success):
             return result.Failure(written.failure())
+        self.keep(shard.name, written.unwrap(), value)
         self.clean_up(records.pruned)
-        return result.Success(None)
+        return result.Success(True)
+
+    def keep(self, name: str, version: int, value: bytes) -> None:
+        """Keep a small shard's value for the next change of the same shard."""
+        if len(value) > KNOWN_SHARD_BYTES:
+            return
+        self.known[name] = (version, value)
+        if len(self.known) > KNOWN_SHARDS:
+            del self.known[next(iter(self.known))]
 
     async def read_shard(
         self, name: str
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -146,6 +146,45 @@
         records = [claims_state.ClaimShard.decode(o.value) for o in self.store.objects.values()]
         self.assertEqual([{}], [dict(x) for x in {tuple(r.records) for r in records}])
 
+    async def test_last_written_value_saves_the_read_of_a_finish(self) -> None:
+        """Fails if recording an outcome reads a shard that nobody else has written."""
+        claim = (await self.claim("k")).unwrap().claim
+        outcome = claims_state.RecordedOutcome(status=200, headers=(), body=b"x")
+        with unittest.mock.patch.object(self.store, "get", wraps=self.store.get) as read:
+            await self.service.finish(claim, outcome)
+        self.assertEqual(0, read.call_count)
+        self.assertEqual(outcome, (await self.claim("k")).unwrap().outcome)
+
+    async def test_another_entry_may_write_between_claim_and_finish(self) -> None:
+        """Fails if an entry overwrites, or answers from, a value that is no longer current."""
+        other = claims.ClaimService(self.store, "entry-2")
+        held = (await other.claim("t", "s", "k2", "d", time.monotonic() + 10)).unwrap().claim
+        own = (await self.claim("k1")).unwrap().claim
+        outcome = claims_state.RecordedOutcome(status=200, headers=(), body=b"x")
+        await other.finish(held, outcome)
+        self.assertEqual(
+            claims_state.ClaimVerdict.FINISHED, (await self.claim("k2")).unwrap().verdict
+        )
+        await other.claim("t", "s", "k3", "d", time.monotonic() + 10)
+        await self.service.finish(own, outcome)
+        shard = claims_state.ClaimShard.decode(self.store.objects["claims/0000"].value)
+        states = sorted(record.state for record in shard.records.values())
+        self.assertEqual(["claimed", "finished", "finished"], states)
+
+    async def test_kept_values_are_bounded(self) -> None:
+        """Fails if every shard that was ever written stays in the entry's memory."""
+        with (
+            unittest.mock.patch.object(claims_state, "SHARD_COUNT", 4096),
+            unittest.mock.patch.object(claims, "KNOWN_SHARDS", 5),
+            unittest.mock.patch.object(claims, "KNOWN_SHARD_BYTES", 1000),
+        ):
+            for index in range(20):
+                claim = (await self.claim(f"k{index}")).unwrap().claim
+            self.assertEqual(5, len(self.service.known))
+            outcome = claims_state.RecordedOutcome(status=200, headers=(), body=b"x" * 2000)
+            await self.service.finish(claim, outcome)
+            self.assertEqual(4, len(self.service.known))
+
 
 class KeyedRouterTest(unittest.IsolatedAsyncioTestCase):
     def build(self, *steps: entry_fakes.Step) -> entry_fakes.EntryFixture:
