--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -102,6 +102,10 @@
     """Returned when a process's admin port gave no usable answer in time."""
 
 
+class SessionMessageError(MasticwardError):
+    """Raised when a message of a dispatch session refers to something its session never named."""
+
+
 class VersionRefusedError(MasticwardError):
     """Returned when a configuration or operations state does not decode or contradicts itself."""
 
