Say in plain terms what stand-ins and records do

Cause: docstrings and names such as fall_over, without a word, bears and misbehave were figurative, and some did not say what a value means. Change: they name the action (crash, reset without a response, limit). The key fallen of the stand-in's state report stays. Conclusion: no behaviour changes.

--- a/src/masticward/bench/checker.py
+++ b/src/masticward/bench/checker.py
@@ -161,7 +161,7 @@
 
 
 def check_overload(history: history_module.History) -> collections.abc.Iterator[Violation]:
-    """Report endpoints that met more calls than they bear."""
+    """Report endpoints that received more calls than their limit."""
     for endpoint in history.overloaded:
         yield Violation(
             rule=Rule.COLD_LIMIT,
--- a/src/masticward/bench/fairness.py
+++ b/src/masticward/bench/fairness.py
@@ -206,7 +206,7 @@
 ) -> float:
     """Return busy slot time divided by slot time, over the time in ``window`` while work waits.
 
-    ``capacity`` is the number of calls that all endpoints of the service bear together. Returns
+    ``capacity`` is the number of calls that all endpoints of the service run at once. Returns
     0.0 if no work waited.
     """
     waits = itertools.chain.from_iterable(waiting_intervals(history, service).values())
--- a/src/masticward/bench/history.py
+++ b/src/masticward/bench/history.py
@@ -15,9 +15,9 @@
     """One call as its caller saw it.
 
     ``request_digest`` identifies the call, because each call has a unique body; repeats of a keyed
-    call share key and body. ``cost`` is the
-    true cost in cost units. ``cut`` is True if the response began and did not end. ``entry`` is the
-    entry that took the request, empty if no connection could be opened.
+    call share key and body. ``cost`` is the true cost in cost units. ``cut`` is True if the
+    response began and did not end. ``entry`` is the entry that took the request, empty if no
+    connection could be opened.
     """
 
     call_id: str
@@ -83,7 +83,7 @@
 
 
 class History(msgspec.Struct, kw_only=True):
-    """All records of one run. ``overloaded`` names endpoints that met calls above their limit."""
+    """All records of one run. ``overloaded`` names endpoints with calls above their limit."""
 
     seed: int = 0
     calls: list[CallRecord] = []
--- a/src/masticward/bench/plans.py
+++ b/src/masticward/bench/plans.py
@@ -41,7 +41,7 @@
         return next(item for item in self.configuration.services if item.name == name)
 
     def capacity(self, name: str) -> int:
-        """Return how many concurrent calls all warm endpoints of a service bear."""
+        """Return how many concurrent calls all warm endpoints of a service may run."""
         count = sum(1 for endpoint in self.endpoints if endpoint.service == name)
         return count * self.service(name).warm_limit
 
--- a/src/masticward/bench/platform.py
+++ b/src/masticward/bench/platform.py
@@ -109,7 +109,7 @@
         return sum(relay.bytes_up + relay.bytes_down for relay in self.forwarders.values())
 
     def cut_off(self, instance_id: str) -> None:
-        """Cut one program off from the object API; its bytes vanish silently."""
+        """Cut one program off from the object API; its bytes are dropped without an error."""
         self.forwarders[f"{instance_id}/objects"].set_mode(forwarder.ForwarderMode.DROP)
 
     async def publish(self) -> None:
@@ -142,7 +142,7 @@
         )
 
     def overloaded_endpoints(self) -> list[str]:
-        """Return the endpoints that met more calls than they bear."""
+        """Return the endpoints that received more calls than their limit."""
         return [name for name, server in self.endpoints.items() if server.overloaded]
 
     async def complete_history(self, history: history_module.History) -> None:
--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -163,7 +163,7 @@
             await background.cancel()
 
     async def show_progress(self) -> None:
-        """Tell on standard error what a slow command is doing."""
+        """Print the stage of a slow command to standard error, every ``PROGRESS_SECONDS``."""
         while True:
             await asyncio.sleep(PROGRESS_SECONDS)
             typer.echo(f"still {self.stage}", err=True)
@@ -258,7 +258,7 @@
 def settings_kind(
     path: pathlib.Path,
 ) -> type[settings_module.EntrySettings] | type[settings_module.AgentSettings]:
-    """Tell whose settings a file holds. Raises SettingsError if it cannot be read."""
+    """Return which program's settings a file holds. Raises SettingsError if it cannot be read."""
     try:
         document = msgspec.json.decode(path.read_bytes())
     except OSError as error:
--- a/src/masticward/standins/endpoint_server.py
+++ b/src/masticward/standins/endpoint_server.py
@@ -72,10 +72,10 @@
 
 
 class EndpointServer(abc.ABC):
-    """An endpoint on aiohttp that records its calls and can be told to misbehave.
+    """An endpoint on aiohttp that records its calls and can be given faults.
 
     The cold limit holds for the calls that start while it is cold: those that run when it becomes
-    cold are carried to their end. A call beyond the limit makes a cold endpoint fall over: it drops
+    cold are carried to their end. A call beyond the limit makes a cold endpoint crash: it drops
     all calls and serves nothing until ``POST /control`` changes ``incarnation``.
     """
 
@@ -86,7 +86,7 @@
         self.faults = faults or Faults()
         self.recorder = recording.Recorder()
         self.overloaded = False
-        self.fallen = False
+        self.crashed = False
         self.refused = 0
         self.started_while_cold = 0
         self.cold_epoch = 0
@@ -129,7 +129,7 @@
         """Run, refuse or drop a call."""
         body = await request.read()
         drop = self.take_drop()
-        if self.fallen or drop is DropPoint.BEFORE_WORK:
+        if self.crashed or drop is DropPoint.BEFORE_WORK:
             return self.abort(request)
         if self.faults.refuse:
             self.refused += 1
@@ -142,7 +142,7 @@
             self.transports.add(request.transport)
         try:
             if while_cold and self.started_while_cold > self.faults.cold_limit:
-                return self.fall_over(request)
+                return self.crash(request)
             return await self.serve(Call(request, body, record, drop))
         except (asyncio.CancelledError, ConnectionError):
             record.cancelled = True
@@ -162,16 +162,16 @@
         self.faults.drop_count -= 1
         return self.faults.drop
 
-    def fall_over(self, request: web.Request) -> web.StreamResponse:
-        """Crash: drop all calls."""
+    def crash(self, request: web.Request) -> web.StreamResponse:
+        """Drop all calls, and all further ones until a new incarnation."""
         self.overloaded = True
-        self.fallen = True
+        self.crashed = True
         for transport in list(self.transports):
             transport.abort()
         return self.abort(request)
 
     def abort(self, request: web.Request) -> web.StreamResponse:
-        """Close the caller's connection without a word."""
+        """Reset the caller's connection without a response."""
         if isinstance(request.transport, asyncio.Transport):
             request.transport.abort()
         return web.Response()
@@ -189,12 +189,12 @@
         }
 
     def note_state(self) -> None:
-        """Keep the load for reports that lag."""
+        """Note the load as it is now, for reports that lag."""
         self.recorder.note_state(self.load())
 
     async def handle_load(self, _request: web.Request) -> web.Response:
         """Answer ``GET /load``."""
-        if self.fallen or self.faults.report_mode is ReportMode.MISSING:
+        if self.crashed or self.faults.report_mode is ReportMode.MISSING:
             return web.Response(status=500)
         report: dict[str, object] | None = self.load()
         if self.faults.report_mode is ReportMode.LATE:
@@ -217,9 +217,9 @@
         return answer_json(faults)
 
     def set_faults(self, faults: Faults) -> None:
-        """Take over a new state; a new incarnation gets up again after a fall."""
+        """Apply new faults; a new incarnation ends a crash."""
         if faults.incarnation != self.faults.incarnation:
-            self.fallen = False
+            self.crashed = False
         if faults.cold != self.faults.cold:
             self.started_while_cold = 0
             self.cold_epoch += 1
@@ -250,7 +250,7 @@
         return answer_json(
             {
                 "overloaded": self.overloaded,
-                "fallen": self.fallen,
+                "fallen": self.crashed,
                 "refused": self.refused,
                 "running": self.recorder.running,
                 "peak_running": self.recorder.peak_running,
--- a/src/masticward/standins/forwarder.py
+++ b/src/masticward/standins/forwarder.py
@@ -22,7 +22,7 @@
     CUT = "cut"
     """Existing connections are reset and new ones are reset when they arrive."""
     DROP = "drop"
-    """Nothing is passed on in either direction and nobody is told."""
+    """Nothing is passed on in either direction, and neither side is notified."""
 
 
 class Connection:
--- a/src/masticward/standins/recording.py
+++ b/src/masticward/standins/recording.py
@@ -1,4 +1,4 @@
-"""What endpoint stand-ins remember of each call, so that a test can tell what really ran."""
+"""Records of the calls that an endpoint stand-in ran; tests compare them with callers' records."""
 
 import collections
 import collections.abc
--- a/src/masticward/transport/endpoint.py
+++ b/src/masticward/transport/endpoint.py
@@ -57,7 +57,7 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
-    """What the endpoint tells of itself, with a lag. ``limit_hint`` 0 means that it gave none."""
+    """The endpoint's own report, which lags. ``limit_hint`` is 0 if the endpoint gave none."""
 
     running: int
     limit_hint: int = 0
--- a/src/masticward/transport/object_api.py
+++ b/src/masticward/transport/object_api.py
@@ -52,7 +52,7 @@
 
 
 class WriteProgress:
-    """Tells whether a write can have left this process."""
+    """Whether a write may have been sent: ``connected`` is True once its connection is open."""
 
     __slots__ = ("connected",)
 
