--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -129,7 +129,12 @@
 
 
 class Command(abc.ABC):
-    """One run of a subcommand."""
+    """One run of a subcommand.
+
+    ``run`` is called by the command function and ends the program; it runs ``main`` on uvloop,
+    which runs ``execute`` and turns its failures into reports. ``stage`` says what the command is
+    doing, for the progress lines.
+    """
 
     def __init__(self, options: Options) -> None:
         self.options = options
@@ -137,7 +142,7 @@
 
     @abc.abstractmethod
     async def execute(self, deadline: float) -> Report:
-        """Do the work by a monotonic deadline. Raises MasticwardError."""
+        """Do the work by a deadline in monotonic seconds. Raises MasticwardError."""
 
     def run(self) -> typing.NoReturn:
         """Run the command and leave the program with its exit code."""
@@ -200,7 +205,7 @@
 
     @abc.abstractmethod
     async def work(self, deadline: float) -> Report:
-        """Do the work by a monotonic deadline. Raises MasticwardError."""
+        """Do the work by a deadline in monotonic seconds. Raises MasticwardError."""
 
 
 def value_or_raise(answer: result.Result[ValueT, errors.MasticwardError]) -> ValueT:
