Explain the settings whose names do not say what they bound

Cause: EntryLimits was described as bounds of one entry; drain_notice_seconds, retry_budget_ratio, refusals_per_request and tickets_per_team could be understood only from the code that reads them. Ran: make check. Conclusion: fields, bounds and defaults are the same.

--- a/src/masticward/settings.py
+++ b/src/masticward/settings.py
@@ -34,7 +34,7 @@
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Where the platform's services answer."""
+    """URLs of the platform's services, and how they are called."""
 
     object_api_url: str
     instance_list_url: str
@@ -43,7 +43,14 @@
 
 
 class EntryLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Bounds of one entry."""
+    """Bounds of one entry.
+
+    ``tickets_per_team`` bounds the tickets of a team at the dispatcher of one service.
+    ``drain_notice_seconds`` is how long an entry that shuts down still accepts requests.
+    ``refusals_per_request`` bounds the agents' refusals after which a request is given up, and
+    ``retry_budget_ratio`` the retries of all requests in proportion to the requests.
+    ``explain_records`` is the number of requests that ``masticward explain`` can report on.
+    """
 
     queue_requests: PositiveCount = 4096
     queue_bytes: PositiveCount = 64 * 1024 * 1024
@@ -74,7 +81,7 @@
 
 
 class EndpointSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """The endpoint beside the agent."""
+    """The endpoint beside the agent; its load report is read each ``load_period_seconds``."""
 
     service: str
     kind: configuration_models.ServiceKind
