Separate the text of config show from its reading

Cause: ShowCommand.work read the configuration and formatted it. Change: configuration_lines formats. Ran: tests.functional.test_commands; make check. Conclusion: the output is the same.

--- a/src/masticward/cli/config.py
+++ b/src/masticward/cli/config.py
@@ -28,22 +28,27 @@
         found = await read_configuration(self.store, deadline)
         if found is None:
             return base.Report(lines=["no configuration is published"], data={"version": 0})
-        lines = [
-            f"version {found.version}",
-            f"availability zones: {', '.join(found.availability_zones)}",
+        return base.Report(lines=configuration_lines(found), data=msgspec.to_builtins(found))
+
+
+def configuration_lines(found: configuration_models.Configuration) -> list[str]:
+    """Return a configuration as text, one line for each zone list, service, operation and team."""
+    lines = [
+        f"version {found.version}",
+        f"availability zones: {', '.join(found.availability_zones)}",
+    ]
+    for service in found.services:
+        lines.append(
+            f"service {service.name} ({service.kind}): {service.endpoints} endpoints, limits"
+            f" {service.cold_limit} cold, {service.warm_limit} warm"
+        )
+        lines += [
+            f"  {operation.method} {operation.path} {operation.name}"
+            f"{' idempotent' if operation.idempotent else ''}"
+            for operation in service.operations
         ]
-        for service in found.services:
-            lines.append(
-                f"service {service.name} ({service.kind}): {service.endpoints} endpoints, limits"
-                f" {service.cold_limit} cold, {service.warm_limit} warm"
-            )
-            lines += [
-                f"  {operation.method} {operation.path} {operation.name}"
-                f"{' idempotent' if operation.idempotent else ''}"
-                for operation in service.operations
-            ]
-        lines += [f"team {team.name}: share {team.share:g}" for team in found.teams]
-        return base.Report(lines=lines, data=msgspec.to_builtins(found))
+    lines += [f"team {team.name}: share {team.share:g}" for team in found.teams]
+    return lines
 
 
 class DiffCommand(base.PlatformCommand):
