Name the settings of a program program_settings in daemons

Cause: Node.common said neither that it holds settings nor whose; three docstrings of predicates repeated the name. Change: the attribute is called program_settings; the docstrings say what is returned. Ran: tests.functional.test_commands, test_whole_path, tests.unit.test_metrics_page; make check. Conclusion: behaviour is the same.

--- a/src/masticward/bench/fleet.py
+++ b/src/masticward/bench/fleet.py
@@ -116,10 +116,10 @@
 def listed_instance(daemon: common.Node, service: str) -> membership.Instance:
     """Return a started program as the instance list shows it."""
     return membership.Instance(
-        id=daemon.common.instance_id,
+        id=daemon.program_settings.instance_id,
         role=daemon.role,
         service=service,
-        availability_zone=daemon.common.availability_zone,
+        availability_zone=daemon.program_settings.availability_zone,
         peer_address=f"{HOST}:{daemon.peer_port}",
         admin_address=f"{HOST}:{daemon.admin_port}",
     )
--- a/src/masticward/daemons/common.py
+++ b/src/masticward/daemons/common.py
@@ -32,7 +32,7 @@
     role: membership.Role
 
     def __init__(self, program_settings: settings.EntrySettings | settings.AgentSettings) -> None:
-        self.common = program_settings
+        self.program_settings = program_settings
         self.incarnation = identifiers.new_incarnation()
         self.metrics = metrics.ProcessMetrics()
         self.transport = channels.PeerTransport(program_settings.peer_security)
@@ -51,14 +51,14 @@
     async def bind(self, service: str) -> membership.Instance:
         """Open the admin and peer ports and return this process as an instance."""
         self.admin_port = await self.admin.start()
-        self.peer_port = self.transport.bind(self.server, self.common.peer_address)
+        self.peer_port = self.transport.bind(self.server, self.program_settings.peer_address)
         return membership.Instance(
-            id=self.common.instance_id,
+            id=self.program_settings.instance_id,
             role=self.role,
             service=service,
-            availability_zone=self.common.availability_zone,
-            peer_address=addresses.with_port(self.common.peer_address, self.peer_port),
-            admin_address=addresses.with_port(self.common.admin_address, self.admin_port),
+            availability_zone=self.program_settings.availability_zone,
+            peer_address=addresses.with_port(self.program_settings.peer_address, self.peer_port),
+            admin_address=addresses.with_port(self.program_settings.admin_address, self.admin_port),
         )
 
     def create_view(self, instance: membership.Instance, watches: bool) -> None:
@@ -66,7 +66,7 @@
         self.view = view.PlatformFleetView(
             instance,
             self.incarnation,
-            self.common.platform,
+            self.program_settings.platform,
             self.channels,
             self.store,
             self.instance_list,
@@ -81,7 +81,7 @@
         await self.view.start()
         LOGGER.log(
             events.Event.PROCESS_STARTED,
-            instance=self.common.instance_id,
+            instance=self.program_settings.instance_id,
             role=self.role.value,
             peer_port=self.peer_port,
             admin_port=self.admin_port,
@@ -95,20 +95,20 @@
         await self.store.close()
         await self.instance_list.close()
         await self.admin.close()
-        LOGGER.log(events.Event.PROCESS_STOPPED, instance=self.common.instance_id)
+        LOGGER.log(events.Event.PROCESS_STOPPED, instance=self.program_settings.instance_id)
 
     def is_ready(self) -> bool:
-        """Ready once there is a configuration and until a shutdown begins."""
+        """Tell whether there is a configuration and no shutdown has begun."""
         return not self.stopping and self.view.configuration is not None
 
     def common_status(self) -> dict[str, typing.Any]:
         """Return the part of the status that both programs share."""
         configuration = self.view.configuration
         return {
-            "instance_id": self.common.instance_id,
+            "instance_id": self.program_settings.instance_id,
             "incarnation": self.incarnation,
             "role": self.role.value,
-            "availability_zone": self.common.availability_zone,
+            "availability_zone": self.program_settings.availability_zone,
             "config_version": configuration.version if configuration is not None else 0,
             "operations_version": self.view.operations.version,
             "zones_out": list(self.view.operations.zones_out),
@@ -118,7 +118,7 @@
         }
 
     def explain(self, request_id: str) -> dict[str, typing.Any] | None:
-        """Only entries keep records of requests."""
+        """Return None: only entries keep records of requests."""
         return None
 
     async def start(self) -> None:
@@ -145,6 +145,6 @@
         loop.add_signal_handler(number, handle_signal)
     await node.start()
     await stop_requested.wait()
-    LOGGER.log(events.Event.PROCESS_STOPPING, instance=node.common.instance_id)
+    LOGGER.log(events.Event.PROCESS_STOPPING, instance=node.program_settings.instance_id)
     await node.shutdown()
     return 0
--- a/src/masticward/daemons/entry.py
+++ b/src/masticward/daemons/entry.py
@@ -70,7 +70,7 @@
         await self.close_common()
 
     def is_ready(self) -> bool:
-        """Ready once callers can connect; the admin port opens before the one for callers."""
+        """Tell whether callers can connect too; their port opens after the admin port."""
         return self.http_port > 0 and super().is_ready()
 
     def status(self) -> dict[str, typing.Any]:
