Separate the figures of a bench run from its load

Cause: experiment.run_load drove the load and computed the figures. Change: evaluate computes them from the history and the two samples. Conclusion: the figures are computed as before.

--- a/src/masticward/bench/experiment.py
+++ b/src/masticward/bench/experiment.py
@@ -105,6 +105,19 @@
             await beside
         await calls
     await local.platform.complete_history(history)
+    return evaluate(setup, local, history, generator.latencies, meter, (before, after))
+
+
+def evaluate(
+    setup: Setup,
+    local: fleet.LocalFleet,
+    history: history_module.History,
+    latencies: dict[str, load.Latencies],
+    meter: traffic.Meter,
+    samples: tuple[ControlSample, ControlSample],
+) -> Measured:
+    """Return the figures of a run from its complete history and the samples around the window."""
+    before, after = samples
     nodes = len(local.entries) + len(local.agents)
     node_seconds = nodes * (after.at - before.at)
     message_bytes = 2 * (after.message_bytes - before.message_bytes)
@@ -114,7 +127,7 @@
         history=history,
         violations=checker.check(history),
         window=fairness.Interval(before.at, after.at),
-        latencies=generator.latencies,
+        latencies=latencies,
         control_bytes_per_node_second=(message_bytes + platform_bytes) / node_seconds,
         platform_bytes_per_node_second=platform_bytes / node_seconds,
         bytes_by_method=meter.by_method(),
