--- a/src/masticward/cli/base.py
+++ b/src/masticward/cli/base.py
@@ -132,7 +132,12 @@
 
 
 class Command(abc.ABC):
-    """One run of a subcommand."""
+    """One run of a subcommand.
+
+    ``run`` is called by the command function and ends the program; it runs ``main`` on uvloop,
+    which runs ``execute`` and turns its failures into reports. ``stage`` says what the command is
+    doing, for the progress lines.
+    """
 
     def __init__(self, options: Options) -> None:
         self.options = options
@@ -140,7 +145,7 @@
 
     @abc.abstractmethod
     async def execute(self, deadline: float) -> Report:
-        """Do the work by a monotonic deadline. Raises MasticwardError."""
+        """Do the work by a deadline in monotonic seconds. Raises MasticwardError."""
 
     def run(self) -> typing.NoReturn:
         """Run the command and leave the program with its exit code."""
@@ -166,7 +171,7 @@
             await background.cancel()
 
     async def show_progress(self) -> None:
-        """Tell on standard error what a slow command is doing."""
+        """Print the stage of a slow command to standard error, every ``PROGRESS_SECONDS``."""
         while True:
             await asyncio.sleep(PROGRESS_SECONDS)
             typer.echo(f"still {self.stage}", err=True)
@@ -203,7 +208,7 @@
 
     @abc.abstractmethod
     async def work(self, deadline: float) -> Report:
-        """Do the work by a monotonic deadline. Raises MasticwardError."""
+        """Do the work by a deadline in monotonic seconds. Raises MasticwardError."""
 
 
 def value_or_raise(answer: result.Result[ValueT, errors.MasticwardError]) -> ValueT:
@@ -261,7 +266,7 @@
 def settings_kind(
     path: pathlib.Path,
 ) -> type[settings_module.EntrySettings] | type[settings_module.AgentSettings]:
-    """Tell whose settings a file holds. Raises SettingsError if it cannot be read."""
+    """Return which program's settings a file holds. Raises SettingsError if it cannot be read."""
     try:
         document = msgspec.json.decode(path.read_bytes())
     except OSError as error:
