Move versions and reads of the platform out of the view

Change: version_keeper.py takes newer values from any source, store_follower.py watches and reads the object API, list_follower.py reads the instance list, background.py keeps loops running. The view keeps members, exchanges and pulls. No behaviour changes, except that events 5001 to 5003, 5201, 5202, 6101, 6102 and 1004 of these loops name the new modules in the field module. One test reads the attribute available from its new place.

--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -3,19 +3,26 @@
 import asyncio
 import collections.abc
 import functools
-import random
 import time
 
 from returns import result
 
-from masticward import errors, events, logs
+from masticward import events, logs
 from masticward import settings as settings_module
-from masticward.coordination import configuration_reader, fleet_view, peer_rotation
+from masticward.coordination import (
+    background,
+    configuration_reader,
+    fleet_view,
+    list_follower,
+    peer_rotation,
+    store_follower,
+    version_keeper,
+)
 from masticward.models import configuration as configuration_models
 from masticward.models import membership as membership_models
 from masticward.models import objects
 from masticward.protocol import peers
-from masticward.state import membership, versions
+from masticward.state import membership
 from masticward.transport import channels as channels_module
 from masticward.transport import instance_list as instance_list_module
 from masticward.transport import object_api
@@ -36,19 +43,6 @@
 WIDEN_AFTER_SECONDS = 0.8
 # One lost exchange may be a pause of a busy machine.
 FAILURES_BEFORE_SUSPICION = 2
-# Each pending watch counts as one call of the object API.
-WATCH_SECONDS = 10.0
-WATCH_RETRY_SECONDS = 0.5
-# While the object API is down, all entries together try this often, whatever the fleet's size.
-WATCH_RETRIES_PER_SECOND_OF_FLEET = 100.0
-LOOP_RESTART_SECONDS = 0.5
-FALLBACK_SECONDS = 10.0
-# Bounds what all processes without a watch read together, whatever the size of the fleet.
-FALLBACK_READS_PER_SECOND_OF_FLEET = 20.0
-JITTER = 0.25
-
-CONFIGURATION = masticward_pb2.FetchRequest.Kind.CONFIGURATION
-OPERATIONS = masticward_pb2.FetchRequest.Kind.OPERATIONS
 
 logger = logs.get_logger(__name__)
 
@@ -72,16 +66,17 @@
     ) -> None:
         self.instance = instance
         self.incarnation = incarnation
-        self.platform = platform
-        self.store = store
-        self.instance_list = instance_list
         self.watches = watches
         self.channels = channels
         # Connections of their own: a reset after a silent partition must not break running calls.
         self.exchange_channels = channels_module.ChannelPool(channels.transport)
-        self.versions = versions.VersionStore()
         self.membership = membership.MembershipView(instance)
         self.reader = configuration_reader.ConfigurationReader(store)
+        self.keeper = version_keeper.VersionKeeper(self.reader, self.spread)
+        self.versions = self.keeper.versions
+        self.store_follower = store_follower.StoreFollower(
+            store, self.keeper, self, platform.call_timeout_seconds
+        )
         self.rotation = peer_rotation.PeerRotation(instance.id)
         self.rotation_revision = -1
         self.agents_key = (-1, -1)
@@ -96,11 +91,9 @@
         self.extra_rounds = 0
         self.callbacks: list[collections.abc.Callable[[], None]] = []
         self.notified_revision = -1
-        self.latest_list: list[membership_models.Instance] = []
+        self.list_follower = list_follower.ListFollower(instance_list, platform, self.apply_list)
         self.logged_members: set[str] = {instance.id}
         self.logged_leaving: set[str] = set()
-        self.store_available = True
-        self.list_available = True
         self.tasks = tasks.TaskGroup()
 
     # FleetView
@@ -164,7 +157,7 @@
         self, config_version: int, operations_version: int, peer_address: str
     ) -> None:
         """Pull from the peer at once if it has a newer version."""
-        if not self.is_behind(config_version, operations_version) or not peer_address:
+        if not self.keeper.is_behind(config_version, operations_version) or not peer_address:
             return
         key = (peer_address, config_version, operations_version)
         if key in self.pulling:
@@ -218,29 +211,18 @@
         if unknown or instance.id in self.failures or member.suspected_at is not None:
             self.start_exchange(instance)
 
-    def held_version(self, kind: masticward_pb2.FetchRequest.Kind) -> int:
-        """Return the version held of one kind, 0 if none."""
-        if kind == CONFIGURATION:
-            return self.versions.config_version
-        return self.versions.operations_version
-
     def newest(self, kind: int) -> tuple[int, bytes]:
         """Return version and bytes of the newest value of a ``FetchRequest.Kind``; 0 if none."""
-        if kind == CONFIGURATION:
-            return self.versions.config_version, self.versions.configuration_bytes
-        return self.versions.operations_version, self.versions.operations_bytes
+        return self.keeper.newest(kind)
 
     def parts(self) -> peers.ConfigurationParts | None:
         """Return the parts of the newest configuration, None if only its bytes are held."""
-        reader = self.reader
-        if not reader.version or reader.version != self.versions.config_version:
-            return None
-        return peers.ConfigurationParts(reader.version, reader.manifest, reader.known_shards)
+        return self.keeper.parts()
 
     def receive_delivery(self, delivery: masticward_pb2.Delivery) -> None:
         """Take an operations state from an operator's command if it is newer and valid."""
         if delivery.version > self.versions.operations_version:
-            self.take(OPERATIONS, delivery.value, "delivery")
+            self.keeper.take(version_keeper.OPERATIONS, delivery.value, "delivery")
 
     # Life cycle
 
@@ -249,60 +231,45 @@
 
         Returns within a few call timeouts even if nothing answers.
         """
-        await self.read_list()
+        await self.list_follower.read()
         self.update_rotation()
         first_peers = self.rotation.pick(frozenset(), peer_rotation.PEERS_PER_EXTRA_ROUND)
         first = [self.exchange_with(peer) for peer in first_peers]
         await asyncio.gather(*first)
         if not self.versions.config_version:
-            await self.read_store()
-        loops = [(self.poll_list, "poll-list"), (self.exchange_rounds, "exchange-rounds")]
+            await self.store_follower.read()
+        loops = [(self.list_follower.poll, "poll-list"), (self.exchange_rounds, "exchange-rounds")]
         if self.watches:
-            loops.append((functools.partial(self.watch, objects.MANIFEST), "watch-manifest"))
-            loops.append((functools.partial(self.watch, objects.OPERATIONS), "watch-operations"))
+            watch = self.store_follower.watch
+            loops.append((functools.partial(watch, objects.MANIFEST), "watch-manifest"))
+            loops.append((functools.partial(watch, objects.OPERATIONS), "watch-operations"))
         else:
-            loops.append((self.read_store_rarely, "read-store"))
+            loops.append((self.store_follower.read_rarely, "read-store"))
         for loop, name in loops:
-            self.tasks.spawn(keep_running(loop, name), name)
+            self.tasks.spawn(background.keep_running(loop, name), name)
 
     async def close(self) -> None:
         """Stop the background tasks and close the connections of the exchanges."""
         await self.tasks.cancel()
         await self.exchange_channels.close()
 
-    # Instance list
+    # Members
 
-    async def poll_list(self) -> None:
-        """Read the instance list once per period."""
-        while True:
-            await asyncio.sleep(jittered(self.platform.instance_list_period_seconds))
-            await self.read_list()
-
-    async def read_list(self) -> None:
-        """Read the instance list; the last one is kept if that fails."""
-        deadline = clocks.deadline_after(self.platform.call_timeout_seconds)
-        answer = await self.instance_list.fetch(deadline)
-        available = isinstance(answer, result.Success)
-        if available != self.list_available:
-            self.list_available = available
-            event = events.Event.INSTANCE_LIST_RESTORED
-            if not available:
-                event = events.Event.INSTANCE_LIST_UNAVAILABLE
-            logger.log(event, detail="" if available else str(answer.failure()))
-        self.update_members(answer.unwrap() if available else None)
+    async def apply_list(self, listed: list[membership_models.Instance] | None) -> None:
+        """Apply an instance list; only the time if there is no new one."""
+        self.update_members(listed)
         # gRPC tries for ever to reach the address of a channel that is open but not connected.
         known = {member.instance.peer_address for member in self.membership.known.values()}
         await self.channels.prune(known)
         await self.exchange_channels.prune(known)
 
     def update_members(self, listed: list[membership_models.Instance] | None) -> None:
-        """Apply a list; only the time if there is none or it is the one applied before."""
+        """Update the members, log which ones came and went, and tell the subscribers."""
         now = time.monotonic()
-        if listed is None or listed is self.latest_list:
+        if listed is None:
             self.membership.expire(now)
         else:
             self.membership.apply_list(listed, now)
-            self.latest_list = listed
         if self.membership.revision == self.notified_revision:
             return
         ids = {instance.id for instance in self.membership.members(now)}
@@ -313,85 +280,6 @@
         self.logged_members = ids
         self.notify()
 
-    # Object API
-
-    async def watch(self, name: str) -> None:
-        """Follow one object; a peer may still bring a version earlier."""
-        known_version = 0
-        while True:
-            deadline = clocks.deadline_after(WATCH_SECONDS)
-            answer = await self.store.watch(name, known_version, deadline)
-            self.note_store(answer)
-            if isinstance(answer, result.Failure):
-                await asyncio.sleep(jittered(self.watch_retry_seconds()))
-                continue
-            stored = answer.unwrap()
-            if stored is None:
-                continue
-            if await self.take_stored(stored):
-                known_version = stored.version
-            else:
-                await asyncio.sleep(jittered(self.watch_retry_seconds()))
-
-    def watch_retry_seconds(self) -> float:
-        """Return the time between two tries of a watch that fails."""
-        entries = sum(1 for item in self.members() if item.role is membership_models.Role.ENTRY)
-        return max(WATCH_RETRY_SECONDS, entries / WATCH_RETRIES_PER_SECOND_OF_FLEET)
-
-    async def read_store_rarely(self) -> None:
-        """Read the object API at a period that grows with the fleet, in case all peers are old."""
-        while True:
-            members = len(self.members())
-            period = max(FALLBACK_SECONDS, members / FALLBACK_READS_PER_SECOND_OF_FLEET)
-            if time.monotonic() >= self.fresh_until() or not self.versions.config_version:
-                period = FALLBACK_SECONDS
-            await asyncio.sleep(jittered(period))
-            await self.read_store()
-
-    async def read_store(self) -> None:
-        """Read both objects once."""
-        deadline = clocks.deadline_after(self.platform.call_timeout_seconds)
-        names = (objects.MANIFEST, objects.OPERATIONS)
-        answers = await asyncio.gather(*(self.store.get(name, deadline) for name in names))
-        for answer in answers:
-            self.note_store(answer)
-            if isinstance(answer, result.Success):
-                await self.take_stored(answer.unwrap())
-
-    async def take_stored(self, stored: object_api.StoredObject) -> bool:
-        """Take a value from the object API; False if it must be read again."""
-        if stored.name == objects.OPERATIONS:
-            self.take(OPERATIONS, stored.value, "object API")
-            return True
-        decoded = configuration_reader.decode_manifest(stored.value)
-        if isinstance(decoded, result.Failure):
-            logger.log(events.Event.VERSION_REFUSED, reason=str(decoded.failure()))
-            return True
-        manifest = decoded.unwrap()
-        if manifest.version <= self.versions.config_version:
-            return True
-        deadline = clocks.deadline_after(self.platform.call_timeout_seconds)
-        assembled = await self.reader.assemble(manifest, deadline)
-        if isinstance(assembled, result.Failure):
-            error = assembled.failure()
-            if isinstance(error, errors.VersionRefusedError):
-                logger.log(events.Event.VERSION_REFUSED, reason=str(error))
-            return False
-        self.take_configuration(assembled.unwrap(), "object API")
-        return True
-
-    def note_store(self, answer: result.Result[object, errors.StoreError]) -> None:
-        """Log when the object API becomes unavailable and when it is back."""
-        available = isinstance(answer, result.Success) or isinstance(
-            answer.failure(), errors.ObjectNotFoundError
-        )
-        if available != self.store_available:
-            self.store_available = available
-            if available:
-                logger.log(events.Event.OBJECT_API_RESTORED)
-            else:
-                logger.log(events.Event.OBJECT_API_UNAVAILABLE, detail=str(answer.failure()))
-
     # Exchanges
 
     async def exchange_rounds(self) -> None:
@@ -406,7 +294,7 @@
             if self.extra_rounds > 0:
                 self.extra_rounds -= 1
                 continue
-            rest = jittered(EXCHANGE_PERIOD_SECONDS) - MINIMUM_ROUND_GAP_SECONDS
+            rest = background.jittered(EXCHANGE_PERIOD_SECONDS) - MINIMUM_ROUND_GAP_SECONDS
             try:
                 await asyncio.wait_for(self.round_wanted.wait(), rest)
             except TimeoutError:
@@ -491,35 +379,28 @@
 
     # Versions
 
-    def is_behind(self, config_version: int, operations_version: int) -> bool:
-        """Tell whether one of the versions is newer than this process's own."""
-        return (
-            config_version > self.versions.config_version
-            or operations_version > self.versions.operations_version
-        )
-
     async def catch_up(self, address: str, config_version: int, operations_version: int) -> bool:
         """Pull what a peer has newer; tells whether this process is as new as the peer now."""
         if operations_version > self.versions.operations_version:
-            await self.pull(address, OPERATIONS)
+            await self.pull(address, version_keeper.OPERATIONS)
         if config_version > self.versions.config_version:
-            await self.pull(address, CONFIGURATION)
-        return not self.is_behind(config_version, operations_version)
+            await self.pull(address, version_keeper.CONFIGURATION)
+        return not self.keeper.is_behind(config_version, operations_version)
 
     async def pull(self, address: str, kind: masticward_pb2.FetchRequest.Kind) -> None:
         """Fetch one kind of value from a peer and take it if it is newer."""
-        if kind == OPERATIONS:
+        if kind == version_keeper.OPERATIONS:
             reply = await self.fetch(address, kind, OPERATIONS_FETCH_SECONDS, None)
             if reply is not None:
-                self.take(kind, reply.value, address)
+                self.keeper.take(kind, reply.value, address)
             return
         async with self.configuration_lock:
             known_shards = list(self.reader.known_shards)
             reply = await self.fetch(address, kind, CONFIGURATION_FETCH_SECONDS, known_shards)
             if reply is not None and reply.manifest:
-                self.take_parts(reply, address)
+                self.keeper.take_parts(reply, address)
             elif reply is not None:
-                self.take(kind, reply.value, address)
+                self.keeper.take(kind, reply.value, address)
 
     async def fetch(
         self,
@@ -529,7 +410,7 @@
         known_shards: list[str] | None,
     ) -> masticward_pb2.FetchReply | None:
         """Return a peer's newer value within ``timeout`` seconds, None if it gave none."""
-        known_version = self.held_version(kind)
+        known_version = self.keeper.held_version(kind)
         deadline = clocks.deadline_after(timeout)
         answer = await peers.fetch(
             self.exchange_channels, address, kind, known_version, deadline, known_shards
@@ -538,39 +419,8 @@
             return None
         return answer.unwrap()
 
-    def take_parts(self, reply: masticward_pb2.FetchReply, source: str) -> None:
-        """Take a configuration that a peer sent as a manifest and the shards unknown here."""
-        received = {shard.name: shard.content for shard in reply.shards}
-        assembled = self.reader.assemble_received(reply.manifest, received)
-        if isinstance(assembled, result.Failure):
-            logger.log(events.Event.VERSION_REFUSED, source=source, reason=str(assembled.failure()))
-            return
-        self.take_configuration(assembled.unwrap(), source)
-
-    def take(self, kind: masticward_pb2.FetchRequest.Kind, raw: bytes, source: str) -> None:
-        """Take an encoded value if it is newer."""
-        if kind == CONFIGURATION:
-            taken = self.versions.take_configuration(raw)
-        else:
-            taken = self.versions.take_operations(raw)
-        if isinstance(taken, result.Failure):
-            logger.log(events.Event.VERSION_REFUSED, source=source, reason=str(taken.failure()))
-        elif taken.unwrap():
-            self.spread(kind, source)
-
-    def take_configuration(
-        self, configuration: configuration_models.Configuration, source: str
-    ) -> None:
-        """Take a configuration if it is newer."""
-        if self.versions.take_decoded(configuration):
-            self.spread(CONFIGURATION, source)
-
-    def spread(self, kind: masticward_pb2.FetchRequest.Kind, source: str) -> None:
+    def spread(self) -> None:
         """Tell the subscribers and the peers of a newer value."""
-        event = events.Event.OPERATIONS_TAKEN
-        if kind == CONFIGURATION:
-            event = events.Event.CONFIGURATION_TAKEN
-        logger.log(event, version=self.held_version(kind), source=source)
         self.extra_rounds = EXTRA_ROUNDS
         self.round_wanted.set()
         self.notify()
@@ -593,23 +443,3 @@
             except Exception as error:
                 # One subscriber must not keep the others, or the view, from a new version.
                 logger.log(events.Event.TASK_FAILED, task="view-subscriber", error=repr(error))
-
-
-async def keep_running(
-    loop: collections.abc.Callable[[], collections.abc.Awaitable[None]], name: str
-) -> None:
-    """Run a background loop, and run it again after an unexpected failure.
-
-    A process whose loop has ended would keep old versions without any sign of it.
-    """
-    while True:
-        try:
-            await loop()
-        except Exception as error:
-            logger.log(events.Event.TASK_FAILED, task=name, error=repr(error))
-        await asyncio.sleep(jittered(LOOP_RESTART_SECONDS))
-
-
-def jittered(seconds: float) -> float:
-    """Return a random time within JITTER of ``seconds``, so that processes do not act at once."""
-    return seconds * random.uniform(1 - JITTER, 1 + JITTER)
--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -204,7 +204,7 @@
         self.platform.enlist(platforms.make_agent("a1", peer_address="127.0.0.1:9"))
         await platforms.wait_until(lambda: len(entry.view.members()) == 2, "listed")
         self.platform.instances.faults.mode = "down"
-        await platforms.wait_until(lambda: not entry.view.list_available, "outage noticed")
+        await platforms.wait_until(lambda: not entry.view.list_follower.available, "outage noticed")
         self.assertEqual(["a1", "e1"], [instance.id for instance in entry.view.members()])
 
     async def test_exchange_resumes_within_a_second_after_a_partition(self) -> None:
