Move pulls from peers out of the view

Cause: view.py still held pulls beside members and exchanges.

Change: version_puller.py fetches what peers hold newer. No behaviour changes.

--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -17,6 +17,7 @@
     peer_rotation,
     store_follower,
     version_keeper,
+    version_puller,
 )
 from masticward.models import configuration as configuration_models
 from masticward.models import membership as membership_models
@@ -26,7 +27,7 @@
 from masticward.transport import channels as channels_module
 from masticward.transport import instance_list as instance_list_module
 from masticward.transport import object_api
-from masticward.utils import clocks, tasks
+from masticward.utils import tasks
 from masticward.wire import masticward_pb2
 
 EXCHANGE_PERIOD_SECONDS = 0.5
@@ -35,8 +36,6 @@
 # next regular round, up to 0.47 s later.
 EXTRA_ROUNDS = 3
 MINIMUM_ROUND_GAP_SECONDS = 0.05
-CONFIGURATION_FETCH_SECONDS = 2.0
-OPERATIONS_FETCH_SECONDS = 0.6
 FRESH_SECONDS = 2.0
 # Longer than a round. When several peers die at once, the one peer of each round may be among them
 # until the view is stale, so the rounds ask more peers before that.
@@ -84,9 +83,6 @@
         self.latest_answered_send = float("-inf")
         self.failures: dict[str, int] = {}
         self.exchanging: set[str] = set()
-        # A configuration can be megabytes, so only one is fetched at a time.
-        self.configuration_lock = asyncio.Lock()
-        self.pulling: set[tuple[str, int, int]] = set()
         self.round_wanted = asyncio.Event()
         self.extra_rounds = 0
         self.callbacks: list[collections.abc.Callable[[], None]] = []
@@ -95,6 +91,7 @@
         self.logged_members: set[str] = {instance.id}
         self.logged_leaving: set[str] = set()
         self.tasks = tasks.TaskGroup()
+        self.puller = version_puller.VersionPuller(self.keeper, self.exchange_channels, self.tasks)
 
     # FleetView
 
@@ -157,16 +154,7 @@
         self, config_version: int, operations_version: int, peer_address: str
     ) -> None:
         """Pull from the peer at once if it has a newer version."""
-        if not self.keeper.is_behind(config_version, operations_version) or not peer_address:
-            return
-        key = (peer_address, config_version, operations_version)
-        if key in self.pulling:
-            return
-        self.pulling.add(key)
-        task = self.tasks.spawn(
-            self.catch_up(peer_address, config_version, operations_version), "pull"
-        )
-        task.add_done_callback(lambda _: self.pulling.discard(key))
+        self.puller.pull_soon(peer_address, config_version, operations_version)
 
     def announce_leaving(self) -> None:
         """Tell the peers from now on that this instance is leaving."""
@@ -350,7 +338,7 @@
             await self.note_silence(peer)
         self.note_answer(digest, sent_at)
         versions_of_peer = (digest.config_version, digest.operations_version)
-        if await self.catch_up(peer.peer_address, *versions_of_peer):
+        if await self.puller.catch_up(peer.peer_address, *versions_of_peer):
             self.latest_answered_send = max(self.latest_answered_send, sent_at)
 
     def note_answer(self, digest: masticward_pb2.ViewDigest, sent_at: float) -> None:
@@ -377,47 +365,7 @@
         if channel is not None:
             await channel.close()
 
-    # Versions
-
-    async def catch_up(self, address: str, config_version: int, operations_version: int) -> bool:
-        """Pull what a peer has newer; tells whether this process is as new as the peer now."""
-        if operations_version > self.versions.operations_version:
-            await self.pull(address, version_keeper.OPERATIONS)
-        if config_version > self.versions.config_version:
-            await self.pull(address, version_keeper.CONFIGURATION)
-        return not self.keeper.is_behind(config_version, operations_version)
-
-    async def pull(self, address: str, kind: masticward_pb2.FetchRequest.Kind) -> None:
-        """Fetch one kind of value from a peer and take it if it is newer."""
-        if kind == version_keeper.OPERATIONS:
-            reply = await self.fetch(address, kind, OPERATIONS_FETCH_SECONDS, None)
-            if reply is not None:
-                self.keeper.take(kind, reply.value, address)
-            return
-        async with self.configuration_lock:
-            known_shards = list(self.reader.known_shards)
-            reply = await self.fetch(address, kind, CONFIGURATION_FETCH_SECONDS, known_shards)
-            if reply is not None and reply.manifest:
-                self.keeper.take_parts(reply, address)
-            elif reply is not None:
-                self.keeper.take(kind, reply.value, address)
-
-    async def fetch(
-        self,
-        address: str,
-        kind: masticward_pb2.FetchRequest.Kind,
-        timeout: float,
-        known_shards: list[str] | None,
-    ) -> masticward_pb2.FetchReply | None:
-        """Return a peer's newer value within ``timeout`` seconds, None if it gave none."""
-        known_version = self.keeper.held_version(kind)
-        deadline = clocks.deadline_after(timeout)
-        answer = await peers.fetch(
-            self.exchange_channels, address, kind, known_version, deadline, known_shards
-        )
-        if isinstance(answer, result.Failure) or answer.unwrap().version <= known_version:
-            return None
-        return answer.unwrap()
+    # Notification
 
     def spread(self) -> None:
         """Tell the subscribers and the peers of a newer value."""
--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -116,14 +116,14 @@
         )
         await self.wait_for_versions([entry, other], (1, 0))
         sizes: list[int] = []
-        fetch = other.view.fetch
+        fetch = other.view.puller.fetch
 
         async def measure(*arguments: typing.Any) -> masticward_pb2.FetchReply | None:
             reply = await fetch(*arguments)
             sizes.append(reply.ByteSize() if reply is not None else 0)
             return reply
 
-        other.view.fetch = measure
+        other.view.puller.fetch = measure
         await self.platform.publish(share=1.0, teams=teams + 1)
         await self.wait_for_versions([other], (2, 0))
         self.assertEqual(entry.view.configuration, other.view.configuration)
