--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -116,14 +116,14 @@
         )
         await self.wait_for_versions([entry, other], (1, 0))
         sizes: list[int] = []
-        fetch = other.view.fetch
+        fetch = other.view.puller.fetch
 
         async def measure(*arguments: typing.Any) -> masticward_pb2.FetchReply | None:
             reply = await fetch(*arguments)
             sizes.append(reply.ByteSize() if reply is not None else 0)
             return reply
 
-        other.view.fetch = measure
+        other.view.puller.fetch = measure
         await self.platform.publish(share=1.0, teams=teams + 1)
         await self.wait_for_versions([other], (2, 0))
         self.assertEqual(entry.view.configuration, other.view.configuration)
@@ -204,7 +204,7 @@
         self.platform.enlist(platforms.make_agent("a1", peer_address="127.0.0.1:9"))
         await platforms.wait_until(lambda: len(entry.view.members()) == 2, "listed")
         self.platform.instances.faults.mode = "down"
-        await platforms.wait_until(lambda: not entry.view.list_available, "outage noticed")
+        await platforms.wait_until(lambda: not entry.view.list_follower.available, "outage noticed")
         self.assertEqual(["a1", "e1"], [instance.id for instance in entry.view.members()])
 
     async def test_exchange_resumes_within_a_second_after_a_partition(self) -> None:
