--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -5,7 +5,7 @@
 import pathlib
 
 from masticward.models import work
-from tests.lib import fleet_case
+from tests.lib import fleet_case, processes
 
 # Enough that every team and entry has had several.
 CALLS = 500
@@ -46,17 +46,9 @@
                     [link for link in links if forbidden in link], f"{program.name} {forbidden}"
                 )
             self.assertNotIn("/dev/shm", (directory / "maps").read_text())
-            self.assertLess(peak_memory_bytes(directory), MEMORY_BOUND_BYTES, program.name)
-
-
-def peak_memory_bytes(directory: pathlib.Path) -> int:
-    """Return the largest resident size so far."""
-    fields = dict(
-        line.split(":", 1)
-        for line in (directory / "status").read_text().splitlines()
-        if ":" in line
-    )
-    return int(fields["VmHWM"].split()[0]) * 1024
+            self.assertLess(
+                processes.peak_memory_bytes(program.pid), MEMORY_BOUND_BYTES, program.name
+            )
 
 
 def read_link(link: pathlib.Path) -> str:
--- a/tests/lib/fleet_case.py
+++ b/tests/lib/fleet_case.py
@@ -71,7 +71,7 @@
 
     @contextlib.asynccontextmanager
     async def load(
-        self, text: int = 3, booking: int = 1, deadline_seconds: float = 30.0
+        self, text: float = 3, booking: int = 1, deadline_seconds: float = 30.0
     ) -> collections.abc.AsyncIterator[load.LoadGenerator]:
         """Run load beside the body of the context and wait for the last call after its end.
 
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -334,3 +334,10 @@
     if process is not None and process.poll() is None:
         process.kill()
         process.wait(STOP_SECONDS)
+
+
+def peak_memory_bytes(pid: int) -> int:
+    """Return the largest resident size of a process so far."""
+    lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    fields = dict(line.split(":", 1) for line in lines if ":" in line)
+    return int(fields["VmHWM"].split()[0]) * 1024
