Offer slots ahead by the measured turnaround of a slot

Cause: a trace of plain calls of 50 ms (separate processes, 3 agents with 6 slots each, 16 teams with 4 calls each) shows where a slot idles. On agents that do not dispatch, 40 to 43% of the runs ended with nothing staged, because the staged depth was 1: the pong of the dispatcher took 1.5 to 2.3 ms each way, but a slot comes back through the queues of dispatcher and entry. Such slots were idle for 5% of the time. The rest of the idle time lies between the launch and the start at the endpoint (mean 5 to 7 ms) and between its end and the release (1.0 to 1.4 ms).

Change: the agent measures the time from the issue of a slot to the arrival of its attempt while the dispatcher says that tickets wait, and covers its mean plus 4 mean deviations, up to the mean service time. The admission limit is checked as before at each start; the depth only changes what waits.

Tried and rejected: 2 deviations left 19 to 21% of the runs with nothing staged; without the limit of one service time the depth rose to 10 to 21, because slots that queue behind each other take longer to return (runs with nothing staged 1 to 10%).

Most of what remains is the connection that each non-repeatable call opens after it has taken its slot.

--- a/src/masticward/coordination/endpoint_runner.py
+++ b/src/masticward/coordination/endpoint_runner.py
@@ -68,6 +68,8 @@
         self.endpoint_leaving = False
         self.opened = False
         self.report_missing = False
+        # Whether the dispatcher last told that tickets wait there.
+        self.work_waits = False
         self.tasks = tasks.TaskGroup()
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.metrics = agent_metrics.AgentMetrics(process_metrics or metrics.ProcessMetrics())
@@ -145,6 +147,9 @@
         if reason is None and self.attempts.is_known(request.attempt_id):
             reason = Reason.DUPLICATE_ATTEMPT
         if reason is None:
+            turnaround = self.slots.age(request.slot_id, now)
+            if turnaround is not None and self.work_waits:
+                self.capacity.depth.note_turnaround(turnaround)
             slot_reason = self.slots.take(request.slot_id, now)
             reason = self.checks.on_arrival(request) or slot_reason
         if reason is None:
@@ -349,6 +354,10 @@
         """Record a one-way time to the dispatcher in seconds."""
         self.capacity.depth.note_hop_time(seconds)
 
+    def note_waiting(self, count: int) -> None:
+        """Record how many tickets wait at the dispatcher."""
+        self.work_waits = count > 0
+
     # Metrics
 
     def note_state(self) -> None:
--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -88,6 +88,9 @@
     def note_hop_time(self, seconds: float) -> None:
         """Record a measured one-way time to the dispatcher, used for the staged depth."""
 
+    def note_waiting(self, count: int) -> None:  # noqa: B027
+        """Record how many tickets wait at the dispatcher that gets the offers."""
+
 
 class DispatcherSession(dispatch_client.AgentListener):
     """The session with one dispatcher and what it has been told."""
@@ -296,6 +299,8 @@
         primary, standby = self.primary, self.standby
         if session is primary:
             self.source.note_hop_time(round_trip_seconds / 2)
+        if session is self.choose_session():
+            self.source.note_waiting(session.waiting)
         if first:
             self.source.changed.set()
         if primary is not None and standby is not None and wants_standby(primary, standby):
--- a/src/masticward/state/slots.py
+++ b/src/masticward/state/slots.py
@@ -43,6 +43,12 @@
             del self.deadlines[slot_id]
         return refusal
 
+    def age(self, slot_id: int, now: float) -> float | None:
+        """Return the seconds since a valid slot was issued; None if it cannot be used."""
+        if self.check(slot_id, now) is not None:
+            return None
+        return now - (self.deadlines[slot_id] - SLOT_LIFETIME_SECONDS)
+
     def take_back(self, slot_id: int) -> None:
         """Withdraw a slot that its dispatcher has discarded; it cannot be used any more."""
         self.deadlines.pop(slot_id, None)
--- a/src/masticward/state/staged_depth.py
+++ b/src/masticward/state/staged_depth.py
@@ -6,21 +6,37 @@
 MAXIMUM_LIMITS_AHEAD = 4
 LONGEST_SHORT_CALL_SECONDS = 0.25
 SMOOTHING = 0.1
+# Slots that return later than the mean by this many mean deviations still find the endpoint busy.
+DEVIATIONS_AHEAD = 4.0
 
 
 class StagedDepth:
-    """Derives the staged depth from measured times, both smoothed and in seconds."""
+    """Derives the staged depth from measured times, all smoothed and in seconds.
 
-    __slots__ = ("hop_seconds", "service_seconds")
+    A turnaround is the time from the offer of a slot to the arrival of its attempt while work
+    waits. It counts beside the hops, because a pong does not show the time that a slot spends in
+    the queues of the dispatcher and the entry.
+    """
+
+    __slots__ = ("deviation_seconds", "hop_seconds", "service_seconds", "turnaround_seconds")
 
     def __init__(self) -> None:
         self.hop_seconds: float | None = None
+        self.turnaround_seconds: float | None = None
+        self.deviation_seconds = 0.0
         self.service_seconds: float | None = None
 
     def note_hop_time(self, seconds: float) -> None:
         """Record a one-way time to the dispatcher."""
         self.hop_seconds = smooth(self.hop_seconds, seconds)
 
+    def note_turnaround(self, seconds: float) -> None:
+        """Record the time that a slot took to come back as an attempt while work waited."""
+        if self.turnaround_seconds is not None:
+            deviation = abs(seconds - self.turnaround_seconds)
+            self.deviation_seconds = smooth(self.deviation_seconds, deviation)
+        self.turnaround_seconds = smooth(self.turnaround_seconds, seconds)
+
     def note_service_time(self, seconds: float) -> None:
         """Record the time that one call spent at the endpoint."""
         self.service_seconds = smooth(self.service_seconds, seconds)
@@ -31,7 +47,10 @@
             return 0
         if self.service_seconds > LONGEST_SHORT_CALL_SECONDS:
             return 0
-        ahead = math.ceil(limit * HOPS_AHEAD * self.hop_seconds / self.service_seconds)
+        turnaround = (self.turnaround_seconds or 0.0) + DEVIATIONS_AHEAD * self.deviation_seconds
+        # Without this limit more slots ahead lengthened their own turnaround, up to the maximum.
+        away = max(HOPS_AHEAD * self.hop_seconds, min(turnaround, self.service_seconds))
+        ahead = math.ceil(limit * (away / self.service_seconds))
         return min(ahead, MAXIMUM_LIMITS_AHEAD * limit)
 
 
