Test that a pong tells the agent whether work waits

Cause: no test failed if the offer loop did not pass the queue length on, so turnarounds could silently stop being measured. Change: a unit test of the offer loop. It fails without the call of note_waiting (tried on a scratch copy). Conclusion: each step of the measurement has a test.

--- a/tests/unit/test_staged_depth.py
+++ b/tests/unit/test_staged_depth.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from masticward.coordination import endpoint_runner
+from masticward.coordination import endpoint_runner, offers
 from masticward.models import membership
 from masticward.state import capacity, staged_depth
 
@@ -77,6 +77,16 @@
         runner.admit(mock.Mock(slot_id=slot_id, attempt_id="a1", ticket_id="t1"))
         return runner.capacity.depth.turnaround_seconds
 
+    async def test_pong_tells_whether_work_waits(self) -> None:
+        """Fails if an agent never learns that its slots are measured under a backlog."""
+        source = mock.Mock()
+        loop = offers.OfferLoop(mock.Mock(), mock.Mock(), source, mock.Mock(), 1)
+        session = mock.Mock(usable=True, waiting=3)
+        loop.ranked = [("agent-1", "address")]
+        loop.sessions = {("agent-1", "address"): session}
+        loop.note_pong(session, 0.002, first=False)
+        source.note_waiting.assert_called_once_with(3)
+
     async def test_slot_that_finds_work_waiting_is_measured(self) -> None:
         """Fails if the time in the queues of dispatcher and entry is not seen."""
         measured = self.turnaround(waiting=1)
