--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -10,7 +10,7 @@
 from masticward import errors, events, logs
 from masticward.coordination import fleet_view, rendezvous
 from masticward.models import membership
-from masticward.protocol import dispatch_client, dispatch_reports, dispatch_role
+from masticward.protocol import dispatch_client, dispatch_reports, dispatch_role, snapshots
 from masticward.transport import channels as channels_module
 from masticward.utils import tasks
 from masticward.wire import masticward_pb2
@@ -101,6 +101,9 @@
         self.finished: dict[str, float] = {}
         self.sent_load: tuple[int, int, int] | None = None
         self.writer = dispatch_reports.ReportWriter()
+        self.received = snapshots.SnapshotReceiver()
+        # What was passed on over this link last: whose snapshot and its sequence.
+        self.passed: tuple[snapshots.SnapshotReceiver, int] | None = None
         self.offered_until = 0.0
         # Whether this link was ever offered slots; if not, the dispatcher knows no ticket here.
         self.offered = False
@@ -139,6 +142,8 @@
         self.sent_progress.clear()
         self.sent_load = None
         self.writer = dispatch_reports.ReportWriter()
+        self.received = snapshots.SnapshotReceiver()
+        self.passed = None
         self.offered = False
         self.reported_at = 0.0
         self.answered = False
@@ -224,7 +229,7 @@
         self.incarnation = incarnation
         self.sessions: dict[tuple[str, str], DispatcherSession] = {}
         self.ranked: list[tuple[str, str]] = []
-        self.snapshot: masticward_pb2.Snapshot | None = None
+        self.snapshot: snapshots.SnapshotReceiver | None = None
         self.group = tasks.TaskGroup()
         self.reported_at = 0.0
         self.retracted = False
@@ -280,7 +285,7 @@
             service=self.instance.service,
             availability_zone=self.instance.availability_zone,
             peer_address=self.instance.peer_address,
-            stored_snapshot=self.snapshot,
+            stored_snapshot=self.write_snapshot(),
         )
         return dispatch_client.AgentLink(self.channels, session.target.peer_address, hello, session)
 
@@ -405,13 +410,27 @@
 
         The standby is an agent too, so it knows the primary's snapshots before it takes over.
         """
-        if not dispatch_client.is_newer(message, self.snapshot):
+        received = sender.received
+        if not received.apply(message):
             return
-        self.snapshot = message
+        if self.snapshot is not None and received.included_total < self.snapshot.included_total:
+            return
+        self.snapshot = received
         for session in self.sessions.values():
             own = session.target.id == self.instance.id
             if own and session is not sender and session.link is not None:
-                session.link.pass_snapshot(message)
+                usable = not message.base_sequence or session.passed == (
+                    received,
+                    message.base_sequence,
+                )
+                session.link.pass_snapshot(
+                    message if usable else received.write(self.instance.service)
+                )
+                session.passed = (received, message.sequence)
+
+    def write_snapshot(self) -> masticward_pb2.Snapshot | None:
+        """Return the stored snapshot in full, None if there is none."""
+        return None if self.snapshot is None else self.snapshot.write(self.instance.service)
 
 
 def wants_standby(primary: DispatcherSession, standby: DispatcherSession) -> bool:
--- a/src/masticward/protocol/dispatch_client.py
+++ b/src/masticward/protocol/dispatch_client.py
@@ -254,8 +254,3 @@
     def receive_pong(self, pong: masticward_pb2.AgentPong, round_trip_seconds: float) -> None:
         """Pass the dispatcher's queue length and the round-trip time on."""
         self.listener.on_pong(pong.waiting, round_trip_seconds)
-
-
-def is_newer(message: masticward_pb2.Snapshot, stored: masticward_pb2.Snapshot | None) -> bool:
-    """Tell whether a snapshot includes at least as much service as the stored one."""
-    return stored is None or message.included_total >= stored.included_total
--- a/src/masticward/protocol/dispatch_role.py
+++ b/src/masticward/protocol/dispatch_role.py
@@ -35,6 +35,8 @@
         "incarnation",
         "outbox",
         "snapshot_due",
+        "snapshot_full_due",
+        "snapshot_sequence",
     )
 
     def __init__(
@@ -47,6 +49,9 @@
         self.outbox: asyncio.Queue[masticward_pb2.DispatcherToAgent] = asyncio.Queue()
         # Monotonic seconds before which the agent gets no further snapshot.
         self.snapshot_due = 0.0
+        # The snapshot that the agent has, 0 if none, and when it gets the next full one.
+        self.snapshot_sequence = 0
+        self.snapshot_full_due = 0.0
 
     def return_slots(self, slot_ids: list[int]) -> None:
         """Tell the agent that slots were discarded without being assigned."""
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -18,6 +18,8 @@
 # Agents that are not next in line get a large snapshot less often, so that it stays within their
 # control traffic of 14 KB per second. An older one is as consistent: counters since then are added.
 SNAPSHOT_BYTES_PER_SECOND = 4000.0
+# An agent that lost the base of its partial snapshots waits at most this long for a full one.
+FULL_SNAPSHOT_SECONDS = 5.0
 # Peers ping every 500 ms; a peer silent for this long is frozen or cut off.
 SILENCE_SECONDS = 2.0
 SessionContext = typing.Any
@@ -163,10 +165,11 @@
     async def read_agent(self, peer: dispatch_role.AgentPeer, context: SessionContext) -> None:
         """Pass an agent's messages to the dispatcher."""
         reader = dispatch_reports.ReportReader()
+        passed = snapshots.SnapshotReceiver()
         async with asyncio.timeout(SILENCE_SECONDS) as silence:
             while (message := await context.read()) is not grpc.aio.EOF:
                 try:
-                    self.receive_from_agent(peer, message, reader)
+                    self.receive_from_agent(peer, message, reader, passed)
                 except errors.SessionMessageError as error:
                     await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
                 if message.HasField("ping"):
@@ -177,6 +180,7 @@
         peer: dispatch_role.AgentPeer,
         message: masticward_pb2.AgentMessage,
         reader: dispatch_reports.ReportReader,
+        passed: snapshots.SnapshotReceiver,
     ) -> None:
         """Apply one message of an agent. Raises SessionMessageError."""
         kind = message.WhichOneof("message")
@@ -188,7 +192,8 @@
         elif kind == "retract":
             self.dispatcher.retract(peer)
         elif kind == "snapshot":
-            self.dispatcher.offer_snapshot(snapshots.from_wire(message.snapshot))
+            if passed.apply(message.snapshot):
+                self.dispatcher.offer_snapshot(passed.snapshot())
         elif kind == "ping":
             pong = masticward_pb2.AgentPong(
                 sequence=message.ping.sequence, waiting=self.dispatcher.waiting
@@ -201,22 +206,33 @@
             await context.write(await peer.outbox.get())
 
     async def send_snapshots(self) -> None:
-        """Send a snapshot to every agent while something changes."""
+        """Send a snapshot to every agent while something changes, a full one now and then."""
+        writer = snapshots.SnapshotWriter(self.dispatcher.service)
         while True:
             await asyncio.sleep(SNAPSHOT_SECONDS)
             snapshot = self.dispatcher.take_snapshot()
             if snapshot is None:
                 continue
-            message = masticward_pb2.DispatcherToAgent(
-                snapshot=snapshots.to_wire(self.dispatcher.service, snapshot)
-            )
-            spacing = message.ByteSize() / SNAPSHOT_BYTES_PER_SECOND
+            writer.add(snapshot)
             now = time.monotonic()
             candidates = self.dispatcher.candidates()
             for peer in self.dispatcher.agent_peers():
                 if peer.agent_id in candidates or peer.snapshot_due <= now:
-                    peer.snapshot_due = now + spacing
-                    peer.outbox.put_nowait(message)
+                    send_snapshot(peer, writer, now)
+
+
+def send_snapshot(
+    peer: dispatch_role.AgentPeer, writer: snapshots.SnapshotWriter, now: float
+) -> None:
+    """Send the newest snapshot to an agent, in full if it is due."""
+    base = peer.snapshot_sequence if now < peer.snapshot_full_due else 0
+    message = writer.message_since(base)
+    spacing = message.snapshot.ByteSize() / SNAPSHOT_BYTES_PER_SECOND
+    peer.snapshot_due = now + spacing
+    if not message.snapshot.base_sequence:
+        peer.snapshot_full_due = now + max(FULL_SNAPSHOT_SECONDS, spacing)
+    peer.snapshot_sequence = message.snapshot.sequence
+    peer.outbox.put_nowait(message)
 
 
 def read_decline(message: masticward_pb2.DeclineSlot) -> dispatch_role.DeclinedSlot:
--- a/tests/unit/test_snapshots.py
+++ b/tests/unit/test_snapshots.py
@@ -1,16 +1,154 @@
 """Guards against snapshots that change on the wire or crowd out other control traffic."""
 
 import asyncio
+import random
+import types
 import unittest
+import unittest.mock
 
 from masticward import settings
-from masticward.coordination import dispatcher, rendezvous
+from masticward.coordination import dispatcher, offers, rendezvous
 from masticward.protocol import dispatch_role, dispatch_server, snapshots
 from masticward.state import ledger
 from masticward.wire import masticward_pb2
 from tests.lib import dispatch_fleet
 
 
+def received(
+    receiver: snapshots.SnapshotReceiver, message: masticward_pb2.DispatcherToAgent
+) -> bool:
+    wire = message.SerializeToString()
+    return receiver.apply(masticward_pb2.DispatcherToAgent.FromString(wire).snapshot)
+
+
+def content(snapshot: ledger.Snapshot) -> tuple[object, ...]:
+    """Return what a snapshot says, whatever the order of its entries."""
+    return (
+        snapshot.system_virtual_time,
+        snapshot.included_total,
+        set(snapshot.teams),
+        set(snapshot.included),
+    )
+
+
+def snapshot_of(chance: random.Random, serial: int) -> ledger.Snapshot:
+    """Return a snapshot in which teams come and go and agents restart."""
+    teams = sorted(chance.sample([f"team-{n}" for n in range(8)], chance.randint(0, 8)))
+    agents = [(f"agent-{n}", chance.choice((7, 8))) for n in range(4) if chance.random() < 0.8]
+    return ledger.Snapshot(
+        system_virtual_time=float(serial),
+        teams=tuple(
+            ledger.TeamTime(team, float(chance.randint(0, 3)), float(chance.randint(0, 2)))
+            for team in teams
+        ),
+        included=tuple(
+            ledger.CounterEntry(agent_id, incarnation, team, float(chance.randint(1, 3)))
+            for agent_id, incarnation in agents
+            for team in teams
+            if chance.random() < 0.6
+        ),
+        included_total=float(chance.randint(0, 9)),
+    )
+
+
+class PartialSnapshotTest(unittest.IsolatedAsyncioTestCase):
+    def test_changes_lead_to_the_same_snapshot(self) -> None:
+        """Fails if a change is lost, or if a removed team or agent comes back with old values."""
+        chance = random.Random(5)
+        with unittest.mock.patch.object(snapshots, "SPARE_NUMBERS", 6):
+            writer = snapshots.SnapshotWriter(dispatch_fleet.SERVICE)
+            receivers = {period: snapshots.SnapshotReceiver() for period in (1, 2, 5, 20)}
+            partial = 0
+            for serial in range(1, 600):
+                snapshot = snapshot_of(chance, serial)
+                writer.add(snapshot)
+                for period, receiver in receivers.items():
+                    if serial % period == 0:
+                        message = writer.message_since(receiver.sequence)
+                        partial += message.snapshot.base_sequence > 0
+                        self.assertTrue(received(receiver, message))
+                        self.assertEqual(content(snapshot), content(receiver.snapshot()))
+            self.assertGreater(partial, 300)
+
+    def test_receiver_without_the_base_waits_for_a_full_snapshot(self) -> None:
+        chance = random.Random(6)
+        writer = snapshots.SnapshotWriter(dispatch_fleet.SERVICE)
+        receiver = snapshots.SnapshotReceiver()
+        first, second, third = (snapshot_of(chance, serial) for serial in (1, 2, 3))
+        writer.add(first)
+        self.assertTrue(received(receiver, writer.message_since(0)))
+        writer.add(second)
+        writer.add(third)
+        self.assertFalse(received(receiver, writer.message_since(2)))
+        self.assertFalse(received(snapshots.SnapshotReceiver(), writer.message_since(1)))
+        self.assertEqual(content(first), content(receiver.snapshot()))
+        self.assertTrue(received(receiver, writer.message_since(0)))
+        self.assertEqual(content(third), content(receiver.snapshot()))
+
+    def test_an_agent_gets_changes_and_now_and_then_a_full_snapshot(self) -> None:
+        """Fails if an agent that has the base gets everything, or one that lacks it gets nothing.
+
+        Also fails if names or unchanged totals travel again.
+        """
+        writer = snapshots.SnapshotWriter(dispatch_fleet.SERVICE)
+        peer = dispatch_fleet.agent_peer("agent-1")
+        sizes, bases = [], []
+        for serial in range(1, 8):
+            writer.add(
+                ledger.Snapshot(
+                    system_virtual_time=float(serial),
+                    teams=tuple(ledger.TeamTime(f"team-{n}", 1.0, 2.0) for n in range(50)),
+                    included=tuple(
+                        ledger.CounterEntry("agent-1", 1, f"team-{n}", 3.0) for n in range(50)
+                    ),
+                    included_total=float(serial),
+                )
+            )
+            dispatch_server.send_snapshot(peer, writer, now=100.0 + serial)
+            message = peer.outbox.get_nowait().snapshot
+            sizes.append(message.ByteSize())
+            bases.append(message.base_sequence)
+        self.assertEqual([0, 1, 2, 3, 4, 0, 6], bases)
+        self.assertLess(max(sizes[1:5]), 50)
+
+    async def test_own_dispatcher_gets_a_full_snapshot_when_the_sender_changes(self) -> None:
+        """Fails if the standby misses what the primary sent before their session began."""
+        agents = [dispatch_fleet.agent(f"agent-{n}") for n in range(3)]
+        first, own, third = rendezvous.rank(dispatch_fleet.SERVICE, agents)
+        loop = offers.OfferLoop(
+            dispatch_fleet.FakeView(agents), None, dispatch_fleet.FakeSource(1), own, 1
+        )
+        passed: list[masticward_pb2.Snapshot] = []
+        session = offers.DispatcherSession(loop, own)
+        session.link = types.SimpleNamespace(pass_snapshot=passed.append)
+        loop.sessions = {("own", ""): session}
+        chance = random.Random(7)
+        at_standby = snapshots.SnapshotReceiver()
+        for sender in (
+            offers.DispatcherSession(loop, first),
+            offers.DispatcherSession(loop, third),
+        ):
+            writer = snapshots.SnapshotWriter(dispatch_fleet.SERVICE)
+            for serial in range(1, 6):
+                newest = snapshot_of(chance, serial)
+                newest = ledger.Snapshot(
+                    system_virtual_time=1.0,
+                    teams=newest.teams,
+                    included=newest.included,
+                    included_total=float(len(passed)),
+                )
+                writer.add(newest)
+                message = writer.message_since(sender.received.sequence)
+                if serial == 3:
+                    session.passed = None  # As after a new link.
+                    at_standby = snapshots.SnapshotReceiver()
+                sender.on_snapshot(message.snapshot)
+                self.assertTrue(at_standby.apply(passed[-1]))
+                self.assertEqual(content(newest), content(at_standby.snapshot()))
+        partial = [message.base_sequence > 0 for message in passed]
+        self.assertEqual([False, True, False, True, True] * 2, partial)
+
+
 class SnapshotTest(unittest.IsolatedAsyncioTestCase):
     def test_survives_the_wire(self) -> None:
         teams = tuple(ledger.TeamTime(f"team-{n}", 1.5 * n, 2.0 + n) for n in range(3))
