Send session messages that are ready together in one gRPC message

Cause: each gRPC message costs about 0.25 ms of processor time on each side, and every ticket, assignment, offer and report was one of its own.

Hello stays alone, as the server reads it first.

Conclusion: fewer messages under load; idle sessions are not affected.

--- a/src/masticward/protocol/dispatch_client.py
+++ b/src/masticward/protocol/dispatch_client.py
@@ -9,7 +9,7 @@
 
 from masticward import errors
 from masticward.models import work
-from masticward.protocol import dispatch_assignments
+from masticward.protocol import dispatch_assignments, dispatch_batches
 from masticward.transport import channels as channels_module
 from masticward.utils import clocks, tasks
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
@@ -92,24 +92,27 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(PONG_TIMEOUT_SECONDS) as silence:
             while (message := await call.read()) is not grpc.aio.EOF:
-                sequence = self.receive(message)
-                if sequence is None:
-                    continue
-                silence.reschedule(loop.time() + PONG_TIMEOUT_SECONDS)
-                sent_at = self.ping_sent_at.pop(sequence, None)
-                if sent_at is not None:
-                    self.established = True
-                    self.receive_pong(message.pong, time.monotonic() - sent_at)
+                for item in dispatch_batches.split(message):
+                    sequence = self.receive(item)
+                    if sequence is None:
+                        continue
+                    silence.reschedule(loop.time() + PONG_TIMEOUT_SECONDS)
+                    sent_at = self.ping_sent_at.pop(sequence, None)
+                    if sent_at is not None:
+                        self.established = True
+                        self.receive_pong(item.pong, time.monotonic() - sent_at)
         raise errors.PeerUnavailableError(f"{self.address} ended the session")
 
     async def write(self, call: typing.Any) -> None:
         """Write messages as soon as they are there; the reader reports a broken stream."""
+        # The server reads hello on its own, so it shares no message with others.
+        items = [await self.outbox.get()]
         while True:
-            message = await self.outbox.get()
             try:
-                await call.write(message)
+                await call.write(dispatch_batches.join(items))
             except (grpc.aio.AioRpcError, grpc.aio.UsageError, asyncio.InvalidStateError):
                 return
+            items = await dispatch_batches.take_ready(self.outbox)
 
     async def ping(self) -> None:
         """Ping at once and then every 500 ms."""
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -9,7 +9,13 @@
 
 from masticward import errors, events, logs
 from masticward.models import work
-from masticward.protocol import dispatch_assignments, dispatch_reports, dispatch_role, snapshots
+from masticward.protocol import (
+    dispatch_assignments,
+    dispatch_batches,
+    dispatch_reports,
+    dispatch_role,
+    snapshots,
+)
 from masticward.utils import clocks, tasks
 from masticward.wire import masticward_pb2, masticward_pb2_grpc
 
@@ -115,9 +121,10 @@
         """Pass an entry's messages to the dispatcher."""
         async with asyncio.timeout(SILENCE_SECONDS) as silence:
             while (message := await context.read()) is not grpc.aio.EOF:
-                self.receive_from_entry(peer, message)
-                if message.HasField("ping"):
-                    silence.reschedule(asyncio.get_running_loop().time() + SILENCE_SECONDS)
+                for item in dispatch_batches.split(message):
+                    self.receive_from_entry(peer, item)
+                    if item.HasField("ping"):
+                        silence.reschedule(asyncio.get_running_loop().time() + SILENCE_SECONDS)
 
     def receive_from_entry(
         self, peer: dispatch_role.EntryPeer, message: masticward_pb2.EntryMessage
@@ -157,10 +164,13 @@
         """Write assignments and pongs as soon as they are there."""
         assignments = dispatch_assignments.AssignmentWriter()
         while True:
-            item = await peer.outbox.get()
-            if isinstance(item, work.Assignment):
-                item = masticward_pb2.DispatcherToEntry(assign=assignments.write(item))
-            await context.write(item)
+            items = [
+                masticward_pb2.DispatcherToEntry(assign=assignments.write(item))
+                if isinstance(item, work.Assignment)
+                else item
+                for item in await dispatch_batches.take_ready(peer.outbox)
+            ]
+            await context.write(dispatch_batches.join(items))
 
     async def read_agent(self, peer: dispatch_role.AgentPeer, context: SessionContext) -> None:
         """Pass an agent's messages to the dispatcher."""
@@ -168,12 +178,13 @@
         passed = snapshots.SnapshotReceiver()
         async with asyncio.timeout(SILENCE_SECONDS) as silence:
             while (message := await context.read()) is not grpc.aio.EOF:
-                try:
-                    self.receive_from_agent(peer, message, reader, passed)
-                except errors.SessionMessageError as error:
-                    await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
-                if message.HasField("ping"):
-                    silence.reschedule(asyncio.get_running_loop().time() + SILENCE_SECONDS)
+                for item in dispatch_batches.split(message):
+                    try:
+                        self.receive_from_agent(peer, item, reader, passed)
+                    except errors.SessionMessageError as error:
+                        await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+                    if item.HasField("ping"):
+                        silence.reschedule(asyncio.get_running_loop().time() + SILENCE_SECONDS)
 
     def receive_from_agent(
         self,
@@ -203,7 +214,8 @@
     async def write_agent(self, peer: dispatch_role.AgentPeer, context: SessionContext) -> None:
         """Write pongs, returned slots and snapshots as soon as they are there."""
         while True:
-            await context.write(await peer.outbox.get())
+            items = await dispatch_batches.take_ready(peer.outbox)
+            await context.write(dispatch_batches.join(items))
 
     async def send_snapshots(self) -> None:
         """Send a snapshot to every agent while something changes, a full one now and then."""
