--- a/src/masticward/transport/admin_client.py
+++ b/src/masticward/transport/admin_client.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from masticward import errors
-from masticward.transport import object_api
+from masticward.transport import http_calls
 
 AnswerT = typing.TypeVar("AnswerT")
 
@@ -40,8 +40,8 @@
             return result.Failure(errors.AdminPortError("no admin address is listed"))
         try:
             async with self.session.get(
-                f"http://{admin_address}{path}", timeout=object_api.client_timeout(deadline)
+                f"http://{admin_address}{path}", timeout=http_calls.client_timeout(deadline)
             ) as response:
                 return result.Success(msgspec.json.decode(await response.read(), type=kind))
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
-            return result.Failure(errors.AdminPortError(object_api.describe(error)))
+            return result.Failure(errors.AdminPortError(http_calls.describe(error)))
--- a/src/masticward/transport/instance_list.py
+++ b/src/masticward/transport/instance_list.py
@@ -10,7 +10,7 @@
 
 from masticward import errors
 from masticward.models import membership
-from masticward.transport import object_api
+from masticward.transport import http_calls
 
 
 class ListedInstance(msgspec.Struct, kw_only=True, frozen=True):
@@ -71,7 +71,7 @@
             async with self.session.get(
                 f"{self.base_url}/v1/instances",
                 headers=headers,
-                timeout=object_api.client_timeout(deadline),
+                timeout=http_calls.client_timeout(deadline),
             ) as response:
                 body = await response.read()
                 if response.status == http.HTTPStatus.NOT_MODIFIED and self.tag:
@@ -80,7 +80,7 @@
                     return result.Failure(errors.InstanceListError(f"status {response.status}"))
             listed = msgspec.json.decode(body, type=ListReply).instances
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
-            return result.Failure(errors.InstanceListError(object_api.describe(error)))
+            return result.Failure(errors.InstanceListError(http_calls.describe(error)))
         self.latest = [as_instance(instance) for instance in listed]
         self.tag = response.headers.get("ETag", "")
         return result.Success(self.latest)
--- a/src/masticward/transport/object_api.py
+++ b/src/masticward/transport/object_api.py
@@ -2,7 +2,6 @@
 
 import abc
 import http
-import time
 import types
 import typing
 import urllib.parse
@@ -13,12 +12,11 @@
 from returns import result
 
 from masticward import errors
-from masticward.transport import single_send
+from masticward.transport import http_calls, single_send
 from masticward.utils import clocks
 
 # The store answers a watch this much before the client gives up on it.
 WATCH_ANSWER_MARGIN_MS = 200
-MINIMUM_TIMEOUT_SECONDS = 0.001
 WRITE_CONNECTIONS = 64
 MAXIMUM_VALUE_BYTES = 1024 * 1024
 
@@ -178,11 +176,11 @@
             self.read_session = aiohttp.ClientSession(trust_env=False)
         try:
             async with self.read_session.get(
-                url, params=query, timeout=client_timeout(deadline)
+                url, params=query, timeout=http_calls.client_timeout(deadline)
             ) as response:
                 reply = await Reply.from_response(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return result.Failure(errors.StoreUnavailableError(name, describe(error)))
+            return result.Failure(errors.StoreUnavailableError(name, http_calls.describe(error)))
         if reply.status == http.HTTPStatus.NOT_FOUND:
             return result.Failure(errors.ObjectNotFoundError(name))
         if reply.status not in (http.HTTPStatus.OK, http.HTTPStatus.NOT_MODIFIED):
@@ -204,14 +202,14 @@
                 self.object_url(name),
                 data=value,
                 headers=headers,
-                timeout=client_timeout(deadline),
+                timeout=http_calls.client_timeout(deadline),
                 trace_request_ctx=progress,
             ) as response:
                 reply = await Reply.from_response(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             if progress.connected:
-                return result.Failure(errors.StoreAnswerLostError(name, describe(error)))
-            return result.Failure(errors.StoreUnavailableError(name, describe(error)))
+                return result.Failure(errors.StoreAnswerLostError(name, http_calls.describe(error)))
+            return result.Failure(errors.StoreUnavailableError(name, http_calls.describe(error)))
         return classify_write(name, reply)
 
     async def close(self) -> None:
@@ -245,11 +243,6 @@
     )
 
 
-def client_timeout(deadline: float) -> aiohttp.ClientTimeout:
-    """Return the timeout that ends a call at the deadline."""
-    return aiohttp.ClientTimeout(total=max(MINIMUM_TIMEOUT_SECONDS, deadline - time.monotonic()))
-
-
 def classify_write(name: str, reply: Reply) -> result.Result[Reply, errors.StoreError]:
     """Return the reply of a write that succeeded, else what its status means for the write."""
     if reply.status in (http.HTTPStatus.OK, http.HTTPStatus.CREATED, http.HTTPStatus.NO_CONTENT):
@@ -294,8 +287,3 @@
     """Return the version in an entity tag, None if there is none."""
     text = (tag or "").strip('"')
     return int(text) if text.isdecimal() else None
-
-
-def describe(error: BaseException) -> str:
-    """Return an error as text, by its type if it has no message."""
-    return str(error) or type(error).__name__
