Split entry_http.py by job

Cause: the module held the server, the connection protocol with its timer and the response sink. Change: caller_connection.py and sanic_sink.py take the latter two.

--- a/src/masticward/transport/entry_http.py
+++ b/src/masticward/transport/entry_http.py
@@ -8,19 +8,22 @@
 import typing
 
 import sanic
-import sanic.compat
 import sanic.exceptions
 import sanic.response
-import sanic.server.protocols.http_protocol as http_protocol
 
 from masticward import errors, events, logs, settings
 from masticward.models import work
 from masticward.state import refusals
-from masticward.transport import caller_headers, channels, listeners, request_gate, response_sink
+from masticward.transport import (
+    caller_connection,
+    caller_headers,
+    channels,
+    listeners,
+    request_gate,
+    sanic_sink,
+)
 from masticward.utils import addresses, clocks, identifiers
 
-REQUEST_ID_HEADER = "masticward-request-id"
-OUTCOME_HEADER = "masticward-outcome"
 LISTEN_BACKLOG = 1024
 CONNECTIONS_PER_QUEUE_PLACE = 2  # one may wait, one runs or is idle
 IDLE_CONNECTION_SECONDS = 75.0
@@ -35,162 +38,12 @@
 DISCARD_BYTES = 8 * 1024 * 1024
 CLOSE_SECONDS = 5.0
 BAD_REQUEST = 400  # where a request that is not understood ends is not certain either
-# Sanic writes "None" if a response has no content type.
-DEFAULT_CONTENT_TYPE = "application/octet-stream"
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 logger = logs.get_logger(__name__)
 instance_numbers = itertools.count()
 
 
-class CallerConnection(http_protocol.HttpProtocol):
-    """A connection that bounds the time in which a request's head arrives.
-
-    sanic restarts its own time-out with each byte, so a slow sender could stay forever. A new
-    connection above the limit replaces an idle one, or is refused if none is idle.
-    """
-
-    __slots__ = ("head_seconds", "head_timer", "in_request")
-
-    def __init__(self, *, app: typing.Any, **options: typing.Any) -> None:
-        super().__init__(app=app, **options)
-        self.head_seconds = float(app.config.REQUEST_TIMEOUT)
-        self.head_timer: asyncio.TimerHandle | None = None
-        self.in_request = False
-
-    def connection_made(self, transport: typing.Any) -> None:
-        """Accept the connection if there is room."""
-        super().connection_made(transport)  # type: ignore[no-untyped-call]
-        if len(self.connections) > self.app.ctx.connection_limit and not self.replace_idle():
-            transport.abort()
-
-    def replace_idle(self) -> bool:
-        """Close another connection without a request; False if there is none."""
-        return any(
-            connection.close_if_idle()
-            for connection in list(self.connections)
-            if connection is not self and not connection.transport.is_closing()
-        )
-
-    def data_received(self, data: bytes) -> None:
-        """Pass data on and start the timer of a new head."""
-        if not self.in_request:
-            self.start_timer()
-        super().data_received(data)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timer; sanic then cancels the handler."""
-        self.stop_timer()
-        super().connection_lost(exc)  # type: ignore[no-untyped-call]
-
-    def begin_request(self) -> None:
-        """Note that a head has arrived."""
-        self.in_request = True
-        self.stop_timer()
-
-    def end_request(self) -> None:
-        """Note the end of a request; the next head may have arrived in part."""
-        self.in_request = False
-        if self.recv_buffer:
-            self.start_timer()
-
-    def start_timer(self) -> None:
-        """Start the timer unless it runs."""
-        if self.head_timer is None:
-            loop = asyncio.get_running_loop()
-            self.head_timer = loop.call_later(self.head_seconds, self.expire)
-
-    def stop_timer(self) -> None:
-        """Stop the timer if it runs."""
-        if self.head_timer is not None:
-            self.head_timer.cancel()
-            self.head_timer = None
-
-    def expire(self) -> None:
-        """Break a connection whose request head did not arrive in time."""
-        self.head_timer = None
-        if self.transport is not None:
-            self.transport.abort()
-
-
-class SanicSink(response_sink.ResponseSink):
-    """Writes the response of one request through sanic."""
-
-    __slots__ = ("abandoned", "aborted", "gate", "request", "request_id", "response", "started")
-
-    def __init__(
-        self, request: typing.Any, request_id: str, gate: request_gate.RequestGate
-    ) -> None:
-        self.request = request
-        self.gate = gate
-        self.request_id = request_id
-        self.response: typing.Any = None
-        self.started = False
-        self.abandoned = False
-        self.aborted = False
-
-    async def send_whole(
-        self, status: int, headers: response_sink.Headers, body: bytes, outcome: work.Outcome
-    ) -> None:
-        """Send a whole response with its length."""
-        await self.respond(status, headers, outcome)
-        await self.write(body, end=True)
-
-    async def start(self, status: int, headers: response_sink.Headers) -> None:
-        """Send the head with the first part of the stream."""
-        await self.respond(status, headers, work.Outcome.COMPLETE)
-
-    async def respond(
-        self, status: int, headers: response_sink.Headers, outcome: work.Outcome
-    ) -> None:
-        """Prepare the head of the response."""
-        self.check_connection()
-        self.started = True
-        if self.gate.draining:
-            self.request.stream.keep_alive = False
-        fields = sanic.compat.Header(caller_headers.forwarded(headers))
-        fields.setdefault("content-type", DEFAULT_CONTENT_TYPE)
-        fields[REQUEST_ID_HEADER] = self.request_id
-        fields[OUTCOME_HEADER] = outcome.value
-        self.response = await self.request.respond(status=status, headers=fields)
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the stream."""
-        await self.write(data, end=False)
-
-    async def finish(self) -> None:
-        """End the stream."""
-        await self.write(b"", end=True)
-
-    async def write(self, data: bytes, *, end: bool) -> None:
-        """Write to the connection, waiting while its buffer is full. Raises CallerGoneError."""
-        self.check_connection()
-        try:
-            await self.response.send(data, end_stream=end)
-        except asyncio.CancelledError:
-            # sanic raises CancelledError also when it writes to a lost connection.
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                raise
-            raise errors.CallerGoneError("the caller's connection is lost") from None
-        except (sanic.exceptions.SanicException, OSError, TypeError) as error:
-            self.abort()
-            raise errors.CallerGoneError(f"the caller's connection failed: {error}") from error
-
-    def check_connection(self) -> None:
-        """Raise CallerGoneError if nothing can be sent any more."""
-        transport = self.request.transport
-        if self.aborted or transport is None or transport.is_closing():
-            raise errors.CallerGoneError("the caller's connection is lost")
-
-    def abort(self) -> None:
-        """Reset the caller's connection."""
-        self.aborted = True
-        transport = self.request.transport
-        if transport is not None:
-            transport.abort()
-
-
 class EntryHttpServer:
     """Serves callers' requests with a router. ``address`` is ``host:port``."""
 
@@ -248,7 +101,7 @@
         listener = listeners.listen(self.address, LISTEN_BACKLOG)
         self.server = await self.app.create_server(
             sock=listener,
-            protocol=CallerConnection,
+            protocol=caller_connection.CallerConnection,
             return_asyncio_server=True,
             access_log=False,
         )
@@ -286,7 +139,7 @@
 
     async def handle(self, request: typing.Any) -> None:
         """Serve one request: admit its head, read its body, pass it to the router."""
-        sink = SanicSink(request, identifiers.new_identifier(), self.router)
+        sink = sanic_sink.SanicSink(request, identifiers.new_identifier(), self.router)
         try:
             admission = self.router.admit(read_head(request), sink.request_id)
         except errors.RequestRefusedError as error:
@@ -325,7 +178,7 @@
         return b"".join(parts)
 
     async def refuse(
-        self, request: typing.Any, sink: SanicSink, error: errors.RequestRefusedError
+        self, request: typing.Any, sink: sanic_sink.SanicSink, error: errors.RequestRefusedError
     ) -> None:
         """Count and send a refusal from before the queue; an unread body ends the connection."""
         self.router.count_refused(error)
@@ -349,8 +202,8 @@
         headers, body = refusals.encode(errors.RequestRefusedError(status, kind, message))
         outcome = work.Outcome.NOT_RUN if refused else work.Outcome.UNKNOWN
         fields = dict(headers)
-        fields[REQUEST_ID_HEADER] = identifiers.new_identifier()
-        fields[OUTCOME_HEADER] = outcome.value
+        fields[sanic_sink.REQUEST_ID_HEADER] = identifiers.new_identifier()
+        fields[sanic_sink.OUTCOME_HEADER] = outcome.value
         return sanic.response.raw(body, status=status, headers=fields)
 
 
