Give masticward explain a module of its own

Cause: cli/status.py held two commands and what both ask; the design has one module for each. Change: cli/explain.py holds the second command, cli/fleet_queries.py what both use. Conclusion: the commands are the same.

--- a/src/masticward/cli/status.py
+++ b/src/masticward/cli/status.py
@@ -1,14 +1,11 @@
-"""``masticward status`` and ``masticward explain``: ask the processes of the fleet."""
+"""``masticward status``: the state of every process of the fleet."""
 
-import asyncio
 import typing
 
 import typer
 
-from masticward.cli import base, exit_codes
+from masticward.cli import base, fleet_queries
 from masticward.models import membership
-from masticward.transport import admin_client
-from masticward.transport import instance_list as instance_list_module
 
 NEWEST_TEAMS = 16
 
@@ -19,8 +16,8 @@
     async def work(self, deadline: float) -> base.Report:
         """Ask all processes at once; one that does not answer is reported as silent."""
         self.stage = "asking every process for its state"
-        instances = await read_instances(self.instance_list, deadline)
-        answers = await ask_all(instances, "/status", deadline)
+        instances = await fleet_queries.read_instances(self.instance_list, deadline)
+        answers = await fleet_queries.ask_all(instances, "/status", deadline)
         data = {
             "instances": [
                 {
@@ -37,57 +34,6 @@
         return base.Report(lines=status_lines(instances, answers), data=data)
 
 
-class ExplainCommand(base.PlatformCommand):
-    """Asks every entry for the record of one request."""
-
-    def __init__(self, options: base.Options, request_id: str) -> None:
-        super().__init__(options)
-        self.request_id = request_id
-
-    async def work(self, deadline: float) -> base.Report:
-        """Return the record from the entry that has it."""
-        self.stage = "asking every entry for the request"
-        instances = [
-            instance
-            for instance in await read_instances(self.instance_list, deadline)
-            if instance.role is membership.Role.ENTRY
-        ]
-        answers = await ask_all(instances, f"/explain/{self.request_id}", deadline)
-        for instance, answer in zip(instances, answers, strict=True):
-            if answer is not None and "team" in answer:
-                return base.Report(
-                    lines=explain_lines(instance.id, answer), data={"entry": instance.id, **answer}
-                )
-        silent = sum(1 for answer in answers if answer is None)
-        message = (
-            f"no entry has a record of request {self.request_id!r}"
-            f" ({len(instances)} asked, {silent} did not answer); records are kept in memory only"
-        )
-        return base.Report(lines=[message], data={"error": message}, exit_code=exit_codes.FAILURE)
-
-
-async def read_instances(
-    instance_list: instance_list_module.InstanceList, deadline: float
-) -> list[membership.Instance]:
-    """Return the listed instances in a stable order. Raises InstanceListError."""
-    instances = base.value_or_raise(await instance_list.fetch(deadline))
-    return sorted(instances, key=lambda instance: (instance.role, instance.service, instance.id))
-
-
-async def ask_all(
-    instances: list[membership.Instance], path: str, deadline: float
-) -> list[dict[str, typing.Any] | None]:
-    """Return each process's answer, None for one that did not answer."""
-    async with admin_client.AdminClient() as client:
-        answers = await asyncio.gather(
-            *(
-                client.get(instance.admin_address, path, dict[str, typing.Any], deadline)
-                for instance in instances
-            )
-        )
-    return [answer.value_or(None) for answer in answers]
-
-
 def status_lines(
     instances: list[membership.Instance], answers: list[dict[str, typing.Any] | None]
 ) -> list[str]:
@@ -167,26 +113,6 @@
     )
 
 
-def explain_lines(entry_id: str, record: dict[str, typing.Any]) -> list[str]:
-    """Return the record of a request as text."""
-    lines = [
-        f"request {record['request_id']} at {entry_id}: team {record['team']},"
-        f" {record['service']}/{record['operation']}",
-        f"queued {record['queue_ms']:.1f} ms, {record['total_ms']:.1f} ms in all,"
-        f" outcome {record['outcome'] or 'still held'} ({record['detail'] or '-'})",
-    ]
-    for number, attempt in enumerate(record["attempts"], start=1):
-        lines.append(
-            f"attempt {number}: {attempt['agent_id']} in {attempt['availability_zone']},"
-            f" dispatched by {attempt['dispatcher_id'] or 'unknown'} at virtual time"
-            f" {attempt['virtual_time']:.1f} after {attempt['queue_ms']:.1f} ms,"
-            f" because {attempt['reason_chosen']}; {attempt['result'] or 'running'}"
-        )
-    if record["refusals"]:
-        lines.append(f"refusals: {', '.join(record['refusals'])}")
-    return lines
-
-
 @base.takes_options(*base.FLEET_OPTIONS)
 def status(options: base.Options) -> None:
     """Show every process: versions, admission states, queues and dispatchers.
@@ -196,19 +122,6 @@
     StatusCommand(options).run()
 
 
-@base.takes_options(*base.FLEET_OPTIONS)
-def explain(
-    options: base.Options,
-    request_id: typing.Annotated[str, typer.Argument(help="Value of Masticward-Request-Id.")],
-) -> None:
-    """Tell how one recent request fared: queue time, attempts, refusals, outcome.
-
-    Example: masticward explain 3fJ0k2 --instance-list http://10.0.0.5:7200
-    """
-    ExplainCommand(options, request_id).run()
-
-
 def register(app: typer.Typer) -> None:
-    """Add the commands."""
+    """Add the command to the program."""
     app.command()(status)
-    app.command()(explain)
