Name the flags of a zone or instance change where it is made

Cause: MoveCommand took three booleans by position, so a reader had to look up which is which. Change: out, force and wait are keyword parameters. Ran: tests.functional.test_commands (3 passed); make check. Conclusion: behaviour is the same.

--- a/src/masticward/cli/service_state.py
+++ b/src/masticward/cli/service_state.py
@@ -11,10 +11,17 @@
 
 
 class MoveCommand(base.PlatformCommand):
-    """Takes a zone or instance out of service or brings it back."""
+    """Takes a zone or instance out of service or brings it back; ``kind`` is zone or instance."""
 
     def __init__(
-        self, options: base.Options, kind: str, target: str, out: bool, force: bool, wait: bool
+        self,
+        options: base.Options,
+        kind: str,
+        target: str,
+        *,
+        out: bool,
+        force: bool,
+        wait: bool,
     ) -> None:
         super().__init__(options)
         self.kind = kind
@@ -62,7 +69,7 @@
         force: base.ForceOption = False,
         wait: base.WaitOption = False,
     ) -> None:
-        MoveCommand(options, kind, target, True, force, wait).run()
+        MoveCommand(options, kind, target, out=True, force=force, wait=wait).run()
 
     @group.command(
         "in",
@@ -73,6 +80,6 @@
     def bring_in(
         options: base.Options, target: TargetArgument, wait: base.WaitOption = False
     ) -> None:
-        MoveCommand(options, kind, target, False, False, wait).run()
+        MoveCommand(options, kind, target, out=False, force=False, wait=wait).run()
 
     return group
