Move exchanges with peers out of the view

Cause: view.py still held the exchanges beside the members.

Change: peer_exchange.py holds the rounds, the exchanges and the suspicion of silent peers; view.py holds members and subscribers and wires the parts. Tests reach the exchanges at their new place.

--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -1,20 +1,16 @@
-"""One process's view of the fleet: watches, instance list and exchanges with peers."""
+"""One process's view of the fleet: its members, and the parts that keep the view."""
 
-import asyncio
 import collections.abc
 import functools
 import time
 
-from returns import result
-
 from masticward import events, logs
 from masticward import settings as settings_module
 from masticward.coordination import (
     background,
     configuration_reader,
-    fleet_view,
     list_follower,
-    peer_rotation,
+    peer_exchange,
     store_follower,
     version_keeper,
     version_puller,
@@ -30,23 +26,12 @@
 from masticward.utils import tasks
 from masticward.wire import masticward_pb2
 
-EXCHANGE_PERIOD_SECONDS = 0.5
-EXCHANGE_TIMEOUT_SECONDS = 0.6
-# Extra rounds spread a new version at once. One was measured to leave some of 13 processes to the
-# next regular round, up to 0.47 s later.
-EXTRA_ROUNDS = 3
-MINIMUM_ROUND_GAP_SECONDS = 0.05
 FRESH_SECONDS = 2.0
-# Longer than a round. When several peers die at once, the one peer of each round may be among them
-# until the view is stale, so the rounds ask more peers before that.
-WIDEN_AFTER_SECONDS = 0.8
-# One lost exchange may be a pause of a busy machine.
-FAILURES_BEFORE_SUSPICION = 2
 
 logger = logs.get_logger(__name__)
 
 
-class PlatformFleetView(fleet_view.FleetView, peers.PeerHandler):
+class PlatformFleetView(peer_exchange.ExchangeOwner):
     """The view of one process, kept by background tasks between ``start`` and ``close``.
 
     A process with ``watches`` follows the object API; every other learns from peers and reads the
@@ -76,15 +61,8 @@
         self.store_follower = store_follower.StoreFollower(
             store, self.keeper, self, platform.call_timeout_seconds
         )
-        self.rotation = peer_rotation.PeerRotation(instance.id)
-        self.rotation_revision = -1
         self.agents_key = (-1, -1)
         self.agents_by_service: dict[str, list[membership_models.Instance]] = {}
-        self.latest_answered_send = float("-inf")
-        self.failures: dict[str, int] = {}
-        self.exchanging: set[str] = set()
-        self.round_wanted = asyncio.Event()
-        self.extra_rounds = 0
         self.callbacks: list[collections.abc.Callable[[], None]] = []
         self.notified_revision = -1
         self.list_follower = list_follower.ListFollower(instance_list, platform, self.apply_list)
@@ -92,6 +70,9 @@
         self.logged_leaving: set[str] = set()
         self.tasks = tasks.TaskGroup()
         self.puller = version_puller.VersionPuller(self.keeper, self.exchange_channels, self.tasks)
+        self.exchanges = peer_exchange.PeerExchange(
+            self, self.membership, self.exchange_channels, self.puller, self.tasks
+        )
 
     # FleetView
 
@@ -141,14 +122,14 @@
 
     def fresh_until(self) -> float:
         """Return the monotonic time until which the view counts as fresh."""
-        return self.latest_answered_send + FRESH_SECONDS
+        return self.exchanges.latest_answered_send + FRESH_SECONDS
 
     def suspect(self, instance_id: str) -> None:
         """Leave an instance out of ``agents_of`` until it answers an exchange again."""
         if self.membership.suspect(instance_id, time.monotonic()):
             logger.log(events.Event.MEMBER_SUSPECTED, instance=instance_id)
             self.notify()
-        self.round_wanted.set()
+        self.exchanges.round_wanted.set()
 
     def note_versions(
         self, config_version: int, operations_version: int, peer_address: str
@@ -160,8 +141,8 @@
         """Tell the peers from now on that this instance is leaving."""
         self.membership.announce_own_leaving()
         self.notify()
-        for peer in self.rotation.all_partners():
-            self.start_exchange(peer)
+        for peer in self.exchanges.rotation.all_partners():
+            self.exchanges.start(peer)
 
     def subscribe(self, callback: collections.abc.Callable[[], None]) -> None:
         """Call back after each change of configuration, operations state or members."""
@@ -196,8 +177,8 @@
             return
         self.note_versions(digest.config_version, digest.operations_version, digest.peer_address)
         unknown = not member.listed and member.contact_at is None
-        if unknown or instance.id in self.failures or member.suspected_at is not None:
-            self.start_exchange(instance)
+        if unknown or instance.id in self.exchanges.failures or member.suspected_at is not None:
+            self.exchanges.start(instance)
 
     def newest(self, kind: int) -> tuple[int, bytes]:
         """Return version and bytes of the newest value of a ``FetchRequest.Kind``; 0 if none."""
@@ -220,13 +201,13 @@
         Returns within a few call timeouts even if nothing answers.
         """
         await self.list_follower.read()
-        self.update_rotation()
-        first_peers = self.rotation.pick(frozenset(), peer_rotation.PEERS_PER_EXTRA_ROUND)
-        first = [self.exchange_with(peer) for peer in first_peers]
-        await asyncio.gather(*first)
+        await self.exchanges.ask_first_peers()
         if not self.versions.config_version:
             await self.store_follower.read()
-        loops = [(self.list_follower.poll, "poll-list"), (self.exchange_rounds, "exchange-rounds")]
+        loops = [
+            (self.list_follower.poll, "poll-list"),
+            (self.exchanges.run_rounds, "exchange-rounds"),
+        ]
         if self.watches:
             watch = self.store_follower.watch
             loops.append((functools.partial(watch, objects.MANIFEST), "watch-manifest"))
@@ -268,109 +249,11 @@
         self.logged_members = ids
         self.notify()
 
-    # Exchanges
-
-    async def exchange_rounds(self) -> None:
-        """Exchange with a few peers per period, and in extra rounds after a new version."""
-        while True:
-            self.update_rotation()
-            self.round_wanted.clear()
-            unanswered = self.membership.suspected_ids() | self.failures.keys()
-            for peer in self.rotation.pick(unanswered, self.peers_of_round()):
-                self.start_exchange(peer)
-            await asyncio.sleep(MINIMUM_ROUND_GAP_SECONDS)
-            if self.extra_rounds > 0:
-                self.extra_rounds -= 1
-                continue
-            rest = background.jittered(EXCHANGE_PERIOD_SECONDS) - MINIMUM_ROUND_GAP_SECONDS
-            try:
-                await asyncio.wait_for(self.round_wanted.wait(), rest)
-            except TimeoutError:
-                continue
-
-    def peers_of_round(self) -> int:
-        """Return how many peers the next round asks: more if a version is new or none answered."""
-        unanswered_seconds = time.monotonic() - self.latest_answered_send
-        if self.extra_rounds > 0 or unanswered_seconds > WIDEN_AFTER_SECONDS:
-            return peer_rotation.PEERS_PER_EXTRA_ROUND
-        return peer_rotation.PEERS_PER_ROUND
-
-    def update_rotation(self) -> None:
-        """Choose the partners again if the members have changed."""
-        if self.rotation_revision == self.membership.revision:
-            return
-        self.rotation_revision = self.membership.revision
-        members = self.members()
-        self.rotation.set_members(members)
-        present = {instance.id for instance in members}
-        for instance_id in [known for known in self.failures if known not in present]:
-            del self.failures[instance_id]
-
-    def start_exchange(self, peer: membership_models.Instance) -> None:
-        """Exchange with a peer in the background, unless an exchange with it is under way."""
-        if peer.id not in self.exchanging and peer.id != self.instance.id:
-            self.tasks.spawn(self.exchange_with(peer), f"exchange-{peer.id}")
-
-    async def exchange_with(self, peer: membership_models.Instance) -> None:
-        """Exchange digests with a peer and pull what it has newer."""
-        self.exchanging.add(peer.id)
-        try:
-            # The time of sending counts: an answer that waited in a buffer while this process was
-            # paused says nothing about the present.
-            sent_at = time.monotonic()
-            answer = await peers.exchange(
-                self.exchange_channels,
-                peer.peer_address,
-                self.digest(),
-                sent_at + EXCHANGE_TIMEOUT_SECONDS,
-                wait_for_connection=peer.id in self.failures,
-            )
-        finally:
-            self.exchanging.discard(peer.id)
-        if isinstance(answer, result.Failure):
-            await self.note_silence(peer)
-            return
-        digest = answer.unwrap()
-        if digest.instance_id == self.instance.id:
-            return
-        if digest.instance_id != peer.id:
-            # Another instance has taken over the address.
-            await self.note_silence(peer)
-        self.note_answer(digest, sent_at)
-        versions_of_peer = (digest.config_version, digest.operations_version)
-        if await self.puller.catch_up(peer.peer_address, *versions_of_peer):
-            self.latest_answered_send = max(self.latest_answered_send, sent_at)
-
-    def note_answer(self, digest: masticward_pb2.ViewDigest, sent_at: float) -> None:
-        """Record that a peer answered an exchange."""
-        try:
-            instance = peers.as_instance(digest)
-        except ValueError:
-            return
-        was_suspected = self.membership.is_suspected(instance.id)
-        self.failures.pop(instance.id, None)
-        self.membership.note_contact(instance, digest.incarnation, sent_at, time.monotonic())
-        if was_suspected and not self.membership.is_suspected(instance.id):
-            logger.log(events.Event.MEMBER_RESPONDS, instance=instance.id)
-        self.notify_members()
-
-    async def note_silence(self, peer: membership_models.Instance) -> None:
-        """Record that a peer did not answer, and suspect it if that repeats."""
-        self.failures[peer.id] = self.failures.get(peer.id, 0) + 1
-        if self.failures[peer.id] != FAILURES_BEFORE_SUSPICION:
-            return
-        self.suspect(peer.id)
-        # A connection that a partition has silenced would wait out TCP's back-off after healing.
-        channel = self.exchange_channels.channels.pop(peer.peer_address, None)
-        if channel is not None:
-            await channel.close()
-
     # Notification
 
     def spread(self) -> None:
         """Tell the subscribers and the peers of a newer value."""
-        self.extra_rounds = EXTRA_ROUNDS
-        self.round_wanted.set()
+        self.exchanges.spread()
         self.notify()
 
     def notify_members(self) -> None:
--- a/tests/functional/test_view.py
+++ b/tests/functional/test_view.py
@@ -139,7 +139,7 @@
             platforms.make_agent("a1"), object_api_url=platforms.UNREACHABLE_URL
         )
         await platforms.wait_until(lambda: other.view.membership.known.keys() >= {"e1"}, "known")
-        await other.view.exchange_with(entry.instance)
+        await other.view.exchanges.exchange_with(entry.instance)
         self.assertEqual((0, 0), other.versions)
 
     async def test_stale_peer_does_not_lower_versions(self) -> None:
@@ -265,13 +265,15 @@
         ]
         agent = await platform.add(platforms.make_agent("a5"))
         await platform.add(platforms.make_agent("a6"))
-        await platforms.wait_until(lambda: len(agent.view.rotation.all_partners()) == 6, "known")
+        await platforms.wait_until(
+            lambda: len(agent.view.exchanges.rotation.all_partners()) == 6, "known"
+        )
         stale: list[float] = []
         for process in silent:
             assert process.gate is not None
             process.gate.begin()
         # Starts the rotation with the silent ones, as can happen by chance.
-        agent.view.rotation.turn = 0
+        agent.view.exchanges.rotation.turn = 0
         ends_at = time.monotonic() + 3.5
         while time.monotonic() < ends_at:
             stale.append(max(0.0, time.monotonic() - agent.view.fresh_until()))
@@ -290,12 +292,12 @@
         for process in (self.entry, self.agent):
             while process.view.tasks.tasks:
                 await process.view.tasks.cancel()
-        self.agent.view.latest_answered_send = float("-inf")
+        self.agent.view.exchanges.latest_answered_send = float("-inf")
 
     async def test_answer_received_late_counts_from_its_sending(self) -> None:
         """Fails if an answer that waited out a pause makes the view fresh again (P4, P8)."""
         sent_before = time.monotonic()
-        exchange = asyncio.create_task(self.agent.view.exchange_with(self.entry.instance))
+        exchange = asyncio.create_task(self.agent.view.exchanges.exchange_with(self.entry.instance))
         await asyncio.sleep(0)
         # Blocks the loop, as a stopped process is blocked, while the answer arrives.
         time.sleep(0.4)
@@ -307,5 +309,5 @@
         self.entry.view.digest = lambda: masticward_pb2.ViewDigest(
             instance_id="e1", role="entry", incarnation=1, operations_version=5
         )
-        await self.agent.view.exchange_with(self.entry.instance)
-        self.assertEqual(float("-inf"), self.agent.view.latest_answered_send)
+        await self.agent.view.exchanges.exchange_with(self.entry.instance)
+        self.assertEqual(float("-inf"), self.agent.view.exchanges.latest_answered_send)
