Refuse unknown deployments, keep ids free of leading dashes, count failed subtests

Change: bench checks the deployment (exit code 2); identifiers never begin with a dash; defaults are printed as JSON; the outcome counter counts failed subtests. On the code before, the closing line of a run with 16 failed subtests said 1 failed.

--- a/src/masticward/bench/deployment_files.py
+++ b/src/masticward/bench/deployment_files.py
@@ -10,6 +10,7 @@
 DIRECTORY = pathlib.Path(__file__).parent / "deployments"
 # The teams of the two deployments have credentials for demonstration only.
 CREDENTIAL_PREFIX = "demo-"
+NAMES = ("mauritius", "bavaria")
 
 
 def load(name: str, entries: int) -> plans.FleetPlan:
--- a/src/masticward/cli/bench.py
+++ b/src/masticward/cli/bench.py
@@ -36,6 +36,9 @@
 
 def measure(name: str, deployment: str, seconds: float, seed: int, output: pathlib.Path) -> None:
     """Run one measurement, print it, write it to ``output`` and exit."""
+    if deployment not in deployment_files.NAMES:
+        known = ", ".join(deployment_files.NAMES)
+        raise typer.BadParameter(f"deployment {deployment!r} is not one of {known}")
     raise typer.Exit(programs.run(run(name, deployment, seconds, seed, output)))
 
 
--- a/src/masticward/cli/settings.py
+++ b/src/masticward/cli/settings.py
@@ -54,11 +54,16 @@
         if isinstance(nested, type) and issubclass(nested, msgspec.Struct):
             lines += describe_fields(nested, place)
             continue
-        default = "required" if field.required else f"default {field.default!r}"
+        default = "required" if field.required else f"default {shown_default(field.default)}"
         lines.append(f"{place}: {type_name(nested)}, {default}")
     return lines
 
 
+def shown_default(value: object) -> str:
+    """Return a default as it is written in a settings file."""
+    return msgspec.json.encode(value).decode()
+
+
 def type_name(kind: typing.Any) -> str:
     """Return a field type as a reader of JSON knows it."""
     schema = msgspec.json.schema(kind)
--- a/src/masticward/utils/identifiers.py
+++ b/src/masticward/utils/identifiers.py
@@ -10,7 +10,9 @@
 
 def new_identifier() -> str:
     """Return a random identifier that is unique in practice, as URL-safe text."""
-    return secrets.token_urlsafe(RANDOM_IDENTIFIER_BYTES)
+    identifier = secrets.token_urlsafe(RANDOM_IDENTIFIER_BYTES)
+    # An identifier with a leading dash is an option to the command line.
+    return identifier if identifier[0] != "-" else "_" + identifier[1:]
 
 
 def new_incarnation() -> int:
--- a/tests/lib/outcome_counter.py
+++ b/tests/lib/outcome_counter.py
@@ -13,4 +13,6 @@
     outcomes: collections.Counter[str] = collections.Counter()
 
     def testOutcome(self, event: nose2.events.TestOutcomeEvent) -> None:  # noqa: N802
-        self.outcomes[event.outcome] += 1
+        # nose2 tells of a subtest only that it ended; without this a failed one was not counted.
+        failed_subtest = event.outcome == "subtest" and event.exc_info is not None
+        self.outcomes["failed" if failed_subtest else event.outcome] += 1
