Store claims as MessagePack with digests as bytes

Cause: a claim is written twice for each keyed call, as JSON with two hex digests, the names of its fields and the outcome's body in base64. These values were the largest part of the claims' bytes.

Change: shards and outcome objects are MessagePack arrays; digests are bytes. JSON values of earlier versions are still read and are rewritten with the next change of their shard.

On scratch copies the new test fails if JSON is not read, if digests stay text, if a text that is no digest is packed, and if the sizes of headers are not counted. The fuzz of claims and the tests of keyed calls pass.

--- a/src/masticward/state/claims.py
+++ b/src/masticward/state/claims.py
@@ -1,7 +1,12 @@
-"""Records of idempotency keys in one object, and the changes that are made to them."""
+"""Records of idempotency keys in one object, and the changes that are made to them.
+
+Values are MessagePack with digests as bytes, half the size of the JSON that earlier versions wrote.
+JSON is still read, since a record outlives the version that wrote it.
+"""
 
 import enum
 import hashlib
+import typing
 
 import msgspec
 
@@ -10,9 +15,11 @@
 SHARD_COUNT = 4096  # at two writes a call, the object API's write rate is used up before the space
 SHARD_LIMIT_BYTES = 1_000_000  # the object API takes values up to 1 MB
 INLINE_OUTCOME_BYTES = 16 * 1024
-OUTCOME_LIMIT_BYTES = 700_000  # base64 in JSON adds a third, which must stay below 1 MB
+OUTCOME_LIMIT_BYTES = 700_000  # with its headers it must stay below 1 MB
 FINISH_RESERVE_BYTES = 320  # room that a claim keeps for the reference to its outcome
 RETENTION_SECONDS = 24 * 3600.0
+MAP_HEADER_BYTES = 5  # the largest one of MessagePack
+TEXT, DIGEST = b"\0", b"\1"  # the first byte of a packed digest
 
 
 class ClaimState(enum.StrEnum):
@@ -46,6 +53,26 @@
     outcome_lost: bool = False
 
 
+class StoredOutcome(msgspec.Struct, frozen=True, array_like=True):
+    """The stored form of RecordedOutcome."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class StoredRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The stored form of ClaimRecord: digests are bytes."""
+
+    request_digest: bytes
+    nonce: str
+    state: ClaimState
+    changed_at: float
+    outcome: StoredOutcome | None = None
+    outcome_object: str = ""
+    outcome_lost: bool = False
+
+
 class ClaimVerdict(enum.Enum):
     """What a claim found."""
 
@@ -73,30 +100,37 @@
 
     __slots__ = ("dirty", "pruned", "records", "size_bytes")
 
-    def __init__(self, records: dict[str, ClaimRecord], encoded_bytes: int) -> None:
+    def __init__(self, records: dict[str, ClaimRecord], entries_bytes: int) -> None:
         self.records = records
         self.dirty = False
         self.pruned: list[ClaimRecord] = []
         unfinished = sum(record.state is ClaimState.CLAIMED for record in records.values())
         # An upper bound of the encoded size once every claim is finished.
-        self.size_bytes = encoded_bytes + bool(records) + unfinished * FINISH_RESERVE_BYTES
+        self.size_bytes = MAP_HEADER_BYTES + entries_bytes + unfinished * FINISH_RESERVE_BYTES
 
     @classmethod
     def empty(cls) -> "ClaimShard":
         """Return a shard without records."""
-        return cls({}, len(b"{}"))
+        return cls({}, 0)
 
     @classmethod
     def decode(cls, value: bytes) -> "ClaimShard":
         """Return the shard in an object's value. Raises ClaimShardError."""
         try:
-            return cls(msgspec.json.decode(value, type=dict[str, ClaimRecord]), len(value))
-        except msgspec.DecodeError as error:
+            if is_json(value):
+                records = msgspec.json.decode(value, type=dict[str, ClaimRecord])
+                return cls(records, sum(encoded_bytes(*item) for item in records.items()))
+            stored = msgspec.msgpack.decode(value, type=dict[bytes, StoredRecord])
+            records = {unpack_digest(key): unpack_record(record) for key, record in stored.items()}
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise errors.ClaimShardError(str(error)) from error
+        return cls(records, len(value) - len(msgspec.msgpack.encode({})) - header_growth(stored))
 
     def encode(self) -> bytes:
         """Return the object's value."""
-        return msgspec.json.encode(self.records)
+        return msgspec.msgpack.encode(
+            {pack_digest(key): pack_record(record) for key, record in self.records.items()}
+        )
 
     def claim(self, claim: Claim, now: float) -> ClaimVerdict:
         """Give the key to the claim if no other holds it. ``now`` is wall clock seconds."""
@@ -179,8 +213,78 @@
 
 def entry_bytes(key: str, record: ClaimRecord) -> int:
     """Return the encoded size of a record with its key, plus what finishing it may add."""
-    size = len(msgspec.json.encode(record)) + len(key) + 4
-    return size + (FINISH_RESERVE_BYTES if record.state is ClaimState.CLAIMED else 0)
+    reserve = FINISH_RESERVE_BYTES if record.state is ClaimState.CLAIMED else 0
+    return encoded_bytes(key, record) + reserve
+
+
+def encoded_bytes(key: str, record: ClaimRecord) -> int:
+    """Return the encoded size of a record with its key."""
+    return len(msgspec.msgpack.encode(pack_digest(key))) + len(
+        msgspec.msgpack.encode(pack_record(record))
+    )
+
+
+def header_growth(stored: dict[typing.Any, typing.Any]) -> int:
+    """Return by how much the header of a map is longer than that of an empty one."""
+    if len(stored) < 16:
+        return 0
+    return 2 if len(stored) < 65536 else 4
+
+
+def is_json(value: bytes) -> bool:
+    """Tell whether a value was written as JSON; no MessagePack map or array begins like that."""
+    return value[:1] == b"{"
+
+
+def pack_digest(digest: str) -> bytes:
+    """Return a hex digest as bytes, and any other text as UTF-8; the first byte tells which."""
+    try:
+        packed = bytes.fromhex(digest)
+    except ValueError:
+        return TEXT + digest.encode()
+    return DIGEST + packed if packed.hex() == digest else TEXT + digest.encode()
+
+
+def unpack_digest(packed: bytes) -> str:
+    """Return the text of a packed digest."""
+    content = packed[1:]
+    return content.hex() if packed.startswith(DIGEST) else content.decode()
+
+
+def pack_outcome(outcome: RecordedOutcome) -> StoredOutcome:
+    """Return the stored form of an outcome."""
+    return StoredOutcome(outcome.status, outcome.headers, outcome.body)
+
+
+def unpack_outcome(stored: StoredOutcome) -> RecordedOutcome:
+    """Return the outcome of a stored form."""
+    return RecordedOutcome(status=stored.status, headers=stored.headers, body=stored.body)
+
+
+def pack_record(record: ClaimRecord) -> StoredRecord:
+    """Return the stored form of a record."""
+    return StoredRecord(
+        request_digest=pack_digest(record.request_digest),
+        nonce=record.nonce,
+        state=record.state,
+        changed_at=record.changed_at,
+        outcome=None if record.outcome is None else pack_outcome(record.outcome),
+        outcome_object=record.outcome_object,
+        outcome_lost=record.outcome_lost,
+    )
+
+
+def unpack_record(stored: StoredRecord) -> ClaimRecord:
+    """Return the record of a stored form."""
+    return ClaimRecord(
+        request_digest=unpack_digest(stored.request_digest),
+        nonce=stored.nonce,
+        state=stored.state,
+        changed_at=stored.changed_at,
+        outcome=None if stored.outcome is None else unpack_outcome(stored.outcome),
+        outcome_object=stored.outcome_object,
+        outcome_lost=stored.outcome_lost,
+    )
 
 
 def digest_of(*parts: bytes) -> str:
@@ -214,12 +318,14 @@
 
 def encode_outcome(outcome: RecordedOutcome) -> bytes:
     """Return the value of an outcome object."""
-    return msgspec.json.encode(outcome)
+    return msgspec.msgpack.encode(pack_outcome(outcome))
 
 
 def decode_outcome(value: bytes) -> RecordedOutcome:
     """Return the outcome in an object's value. Raises ClaimShardError."""
     try:
-        return msgspec.json.decode(value, type=RecordedOutcome)
+        if is_json(value):
+            return msgspec.json.decode(value, type=RecordedOutcome)
+        return unpack_outcome(msgspec.msgpack.decode(value, type=StoredOutcome))
     except msgspec.DecodeError as error:
         raise errors.ClaimShardError(str(error)) from error
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -5,8 +5,10 @@
 import unittest
 import unittest.mock
 
+import msgspec
 from returns import result
 
+from masticward import errors
 from masticward.coordination import claims
 from masticward.state import claims as claims_state
 from masticward.transport import object_api
@@ -67,6 +69,41 @@
             again = claims_state.ClaimShard.decode(shard.encode())
             self.assertEqual(shard.size_bytes, again.size_bytes)
 
+    def test_every_record_survives_and_takes_half_the_bytes_of_json(self) -> None:
+        outcome = claims_state.RecordedOutcome(
+            status=201, headers=(("a", "b"),), body=b"\xff\x00" * 200
+        )
+        fields = {"nonce": "entry-1/0123456789abcdef", "changed_at": 1796365622.123456}
+        digests = [claims_state.digest_of(b"%d" % n) for n in range(20)]
+        records = {
+            digests[0]: {"state": claims_state.ClaimState.CLAIMED},
+            digests[1]: {"state": claims_state.ClaimState.FINISHED, "outcome": outcome},
+            digests[2]: {"state": claims_state.ClaimState.FINISHED, "outcome_object": "outcomes/x"},
+            digests[3]: {"state": claims_state.ClaimState.FINISHED, "outcome_lost": True},
+            "FF" * 32: {"state": claims_state.ClaimState.CLAIMED},
+            **{digest: {"state": claims_state.ClaimState.CLAIMED} for digest in digests[4:]},
+        }
+        shard = claims_state.ClaimShard.empty()
+        for key, changes in records.items():
+            shard.put(
+                key,
+                claims_state.ClaimRecord(request_digest=digests[0], **fields, **changes),
+            )
+        again = claims_state.ClaimShard.decode(shard.encode())
+        self.assertEqual(shard.records, again.records)
+        self.assertEqual(shard.size_bytes, again.size_bytes)
+        json = msgspec.json.encode(shard.records)
+        self.assertLess(len(shard.encode()), 0.6 * len(json))
+        # Fails if an upgrade forgets the keys that an earlier version recorded.
+        earlier = claims_state.ClaimShard.decode(json)
+        self.assertEqual(shard.records, earlier.records)
+        self.assertEqual(shard.size_bytes, earlier.size_bytes)
+        for value in (claims_state.encode_outcome(outcome), msgspec.json.encode(outcome)):
+            self.assertEqual(outcome, claims_state.decode_outcome(value))
+        for value in (b"", b"{", b"\xc1", b"\x81\x01\x02"):
+            with self.assertRaises(errors.ClaimShardError):
+                claims_state.ClaimShard.decode(value)
+
 
 class ClaimServiceTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
