Keep the log set-up of the test process in the tests of the command line

Cause: a command run in the test process directed the logs to the output that the test runner of typer closes afterwards; test_full_shard_refuses_and_still_takes_outcomes then failed with 'I/O operation on closed file'. Change: the set-up of logs is replaced during these tests.

--- a/tests/unit/test_command_line.py
+++ b/tests/unit/test_command_line.py
@@ -8,14 +8,16 @@
 
 import typer.testing
 
+from masticward import logs
 from masticward.cli import exit_codes, main
 from masticward.utils import identifiers
 from tests.lib import outcome_counter
 
 
 def run(*arguments: str) -> typing.Any:
-    """Run the program with arguments in this process."""
-    return typer.testing.CliRunner().invoke(main.app, arguments)
+    """Run the program with arguments in this process, whose logs stay as they are."""
+    with mock.patch.object(logs, "configure"):
+        return typer.testing.CliRunner().invoke(main.app, arguments)
 
 
 class CommandLineTest(unittest.TestCase):
