--- a/tests/functional/test_partitions.py
+++ b/tests/functional/test_partitions.py
@@ -39,6 +39,7 @@
             await asyncio.sleep(PARTITION_SECONDS)
             # The page lets the entries move on within 1.5 s.
             self.assertNotEqual(dispatcher, await self.fleet.dispatcher_of(fleets.WRITER))
+            await self.wait_for_dispatcher(fleets.WRITER, lambda found: found != dispatcher)
             self.fleet.relays[dispatcher].set_mode(forwarder.ForwarderMode.PASS)
             healed_at, healed_clock = time.monotonic(), time.time()
             await self.wait_for_dispatcher(fleets.WRITER, lambda found: found == dispatcher)
