Name the request lifecycle and the ticket submitter by their usual terms

Cause: a newcomer has to guess what a life, a life context and a ticket desk are. No behaviour changes.

--- a/src/masticward/coordination/life_context.py
+++ b/src/masticward/coordination/request_context.py
@@ -1,15 +1,23 @@
-"""What the lives of all requests of one entry share."""
+"""What all requests of one entry share."""
 
-from masticward.coordination import claims, entry_meters, fleet_view, ticket_desk
+from masticward.coordination import claims, entry_meters, fleet_view, ticket_submitter
 from masticward.protocol import attempt_client
 from masticward.state import retry_budget
 
 
-class LifeContext:
+class RequestContext:
     """Clients, bounds and metrics of one entry; ``refusal_limit`` holds for each request."""
 
-    __slots__ = ("attempts", "budget", "claims", "desk", "entry_id", "meters", "refusal_limit",
-                 "view")  # fmt: skip
+    __slots__ = (
+        "attempts",
+        "budget",
+        "claims",
+        "entry_id",
+        "meters",
+        "refusal_limit",
+        "submitter",
+        "view",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -18,7 +26,7 @@
         view: fleet_view.FleetView,
         attempts: attempt_client.AttemptClient,
         claim_service: claims.ClaimService | None,
-        desk: ticket_desk.TicketDesk,
+        submitter: ticket_submitter.TicketSubmitter,
         budget: retry_budget.RetryBudget,
         meters: entry_meters.EntryMeters,
         refusal_limit: int,
@@ -27,7 +35,7 @@
         self.view = view
         self.attempts = attempts
         self.claims = claim_service
-        self.desk = desk
+        self.submitter = submitter
         self.budget = budget
         self.meters = meters
         self.refusal_limit = refusal_limit
--- a/src/masticward/coordination/request_life.py
+++ b/src/masticward/coordination/request_lifecycle.py
@@ -1,11 +1,11 @@
-"""The life of one request, from its admission to its outcome, as sequential code."""
+"""The lifecycle of one request, from its admission to its outcome, as sequential code."""
 
 import asyncio
 import contextlib
 import time
 
 from masticward import errors, events, logs
-from masticward.coordination import call_claim, life_context, request_trace, response_writer
+from masticward.coordination import call_claim, request_context, request_trace, response_writer
 from masticward.models import configuration as configuration_models
 from masticward.models import work
 from masticward.protocol import attempt_client
@@ -31,11 +31,11 @@
 logger = logs.get_logger(__name__)
 
 
-class RequestLife:
+class RequestLifecycle:
     """One admitted request with its body.
 
-    ``run`` is the whole life. The caller's connection acts on it through ``on_caller_gone`` and
-    ``on_deadline``, the queue through ``on_evicted``.
+    ``run`` is the whole lifecycle. The caller's connection acts on it through ``on_caller_gone``
+    and ``on_deadline``, the queue through ``on_evicted``.
     """
 
     __slots__ = (
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        context: life_context.LifeContext,
+        context: request_context.RequestContext,
         *,
         call: work.CallRequest,
         route: route_table.Route,
@@ -160,7 +160,7 @@
             if not unusable:
                 self.holding.stop_waiting()
                 return assignment
-            self.context.desk.decline(assignment, slot_valid=False)
+            self.context.submitter.decline(assignment, slot_valid=False)
             await self.pause(0.0, "no usable slot was free before the deadline")
 
     async def wait_for_assignment(self) -> work.Assignment:
@@ -179,7 +179,7 @@
         )
         try:
             async with asyncio.timeout(clocks.remaining_seconds(self.call.deadline)):
-                return await self.context.desk.wait(ticket)
+                return await self.context.submitter.wait(ticket)
         except TimeoutError:
             raise self.no_capacity("no slot was free before the deadline") from None
 
@@ -189,7 +189,7 @@
         Raises AttemptRefusedError, AttemptFailedError, OutcomeUnknownError or CallerGoneError.
         """
         attempt = self.new_attempt(assignment)
-        dispatcher_id = self.context.desk.dispatcher_of(self.call.service)
+        dispatcher_id = self.context.submitter.dispatcher_of(self.call.service)
         self.trace.dispatched(assignment, attempt.attempt_id, dispatcher_id)
         self.attempt = attempt
         writer = response_writer.ResponseWriter(
@@ -283,7 +283,7 @@
         self, assignment: work.Assignment, refusal: errors.AttemptRefusedError
     ) -> None:
         """Give the slot back and tell the view what the refusal says about the agent."""
-        self.context.desk.decline(assignment, slot_valid=False)
+        self.context.submitter.decline(assignment, slot_valid=False)
         self.trace.refused(str(refusal.reason))
         logger.log(
             events.Event.ATTEMPT_REFUSED,
@@ -401,4 +401,4 @@
         """Refuse the request in favour of a team that holds less."""
         self.eviction = refusals.evicted()
         logger.log(events.Event.REQUEST_EVICTED, request_id=self.call.request_id)
-        self.context.desk.fail(self.ticket_id, self.eviction)
+        self.context.submitter.fail(self.ticket_id, self.eviction)
--- a/src/masticward/coordination/router.py
+++ b/src/masticward/coordination/router.py
@@ -1,4 +1,4 @@
-"""The entry's router: admission of requests, their lives, drain."""
+"""The entry's router: admission of requests, their lifecycles, drain."""
 
 import asyncio
 
@@ -7,9 +7,9 @@
 from masticward.coordination import (
     entry_meters,
     fleet_view,
-    life_context,
-    request_life,
-    ticket_desk,
+    request_context,
+    request_lifecycle,
+    ticket_submitter,
 )
 from masticward.coordination import tickets as tickets_module
 from masticward.models import work
@@ -55,7 +55,7 @@
         await self.router.serve(self, body, sink)
 
     def close(self) -> None:
-        """Forget the admission; a life that still runs keeps its part of the bounds."""
+        """Forget the admission; a request that still runs keeps its part of the bounds."""
         self.router.close_admission(self)
 
 
@@ -69,16 +69,16 @@
         "admissions",
         "claims",
         "context",
-        "desk",
         "draining",
         "entry_id",
         "explain_log",
         "group",
         "idle",
+        "lifecycles",
         "limits",
-        "lives",
         "meters",
         "queue",
+        "submitter",
         "table",
         "view",
     )
@@ -97,24 +97,24 @@
         self.entry_id = entry_id
         self.claims = claims
         self.queue = entry_queue.EntryQueue(limits, self.on_evict)
-        self.desk = ticket_desk.TicketDesk(limits.tickets_per_team)
+        self.submitter = ticket_submitter.TicketSubmitter(limits.tickets_per_team)
         self.explain_log = explain.ExplainLog(limits.explain_records)
         self.meters = entry_meters.EntryMeters(process_metrics or metrics.ProcessMetrics())
         self.meters.queue_length.set_function(lambda: self.queue.waiting)
         self.meters.bytes_held.set_function(lambda: self.queue.body_bytes)
         self.meters.held.set_function(lambda: len(self.admissions))
-        self.context = life_context.LifeContext(
+        self.context = request_context.RequestContext(
             entry_id=entry_id,
             view=view,
             attempts=attempts,
             claim_service=claims,
-            desk=self.desk,
+            submitter=self.submitter,
             budget=retry_budget.RetryBudget(limits.retry_budget_ratio),
             meters=self.meters,
             refusal_limit=limits.refusals_per_request,
         )
         self.group = tasks.TaskGroup()
-        self.lives: dict[str, request_life.RequestLife] = {}
+        self.lifecycles: dict[str, request_lifecycle.RequestLifecycle] = {}
         self.admissions: set[str] = set()
         self.idle = asyncio.Event()
         self.idle.set()
@@ -124,15 +124,15 @@
     @property
     def tickets(self) -> tickets_module.TicketExchange | None:
         """The exchange that queues tickets at the dispatchers."""
-        return self.desk.exchange
+        return self.submitter.exchange
 
     @tickets.setter
     def tickets(self, exchange: tickets_module.TicketExchange) -> None:
-        self.desk.exchange = exchange
+        self.submitter.exchange = exchange
 
     def on_assign(self, assignment: work.Assignment) -> bool:
         """Hand a slot to its request; returns False if the ticket no longer waits."""
-        return self.desk.on_assign(assignment)
+        return self.submitter.on_assign(assignment)
 
     def admit(self, head: request_gate.RequestHead, request_id: str = "") -> Admission:
         """Authenticate the team and find the operation. Raises RequestRefusedError."""
@@ -154,8 +154,8 @@
         return admission
 
     def close_admission(self, admission: Admission) -> None:
-        """Forget an admission unless its life still runs."""
-        if admission.request_id not in self.lives:
+        """Forget an admission unless its request still runs."""
+        if admission.request_id not in self.lifecycles:
             admission.holding.close()
             self.forget(admission.request_id)
 
@@ -173,34 +173,38 @@
         If the calling task is cancelled, the caller counts as gone. A plain call in flight then
         runs to its end without it, as it does after the deadline.
         """
-        life = self.new_life(admission, body, sink)
+        lifecycle = self.new_lifecycle(admission, body, sink)
         try:
             admission.holding.wait()
         except errors.QueueFullError as error:
-            await life.end_refused(refusals.queue_full(error))
+            await lifecycle.end_refused(refusals.queue_full(error))
             return
         self.context.budget.note_request()
-        self.lives[admission.request_id] = life
-        life.task = self.group.spawn(life.run(), f"request {admission.request_id}")
-        life.task.add_done_callback(lambda task: self.on_life_ended(admission.request_id, task))
-        await self.attend(life, life.task)
+        self.lifecycles[admission.request_id] = lifecycle
+        lifecycle.task = self.group.spawn(lifecycle.run(), f"request {admission.request_id}")
+        lifecycle.task.add_done_callback(
+            lambda task: self.on_lifecycle_ended(admission.request_id, task)
+        )
+        await self.attend(lifecycle, lifecycle.task)
 
-    async def attend(self, life: request_life.RequestLife, task: asyncio.Task[None]) -> None:
-        """Wait for the end of a life, for the caller's deadline or for the loss of the caller."""
+    async def attend(
+        self, lifecycle: request_lifecycle.RequestLifecycle, task: asyncio.Task[None]
+    ) -> None:
+        """Wait for the end of a request, the caller's deadline or the loss of the caller."""
         try:
             done, _ = await asyncio.wait(
-                {task}, timeout=clocks.remaining_seconds(life.call.deadline)
+                {task}, timeout=clocks.remaining_seconds(lifecycle.call.deadline)
             )
-            if not done and not await life.on_deadline():
+            if not done and not await lifecycle.on_deadline():
                 await asyncio.wait({task})
         except asyncio.CancelledError:
-            life.on_caller_gone()
+            lifecycle.on_caller_gone()
             raise
 
-    def new_life(
+    def new_lifecycle(
         self, admission: Admission, body: bytes, sink: response_sink.ResponseSink
-    ) -> request_life.RequestLife:
-        """Return the life of an admitted request and start its record."""
+    ) -> request_lifecycle.RequestLifecycle:
+        """Return the lifecycle of an admitted request and start its record."""
         head = admission.head
         operation = admission.route.operation
         record = explain.RequestRecord(
@@ -222,7 +226,7 @@
             deadline=admission.deadline,
             cost_hint=head.cost_hint,
         )
-        return request_life.RequestLife(
+        return request_lifecycle.RequestLifecycle(
             self.context,
             call=call,
             route=admission.route,
@@ -232,24 +236,24 @@
             idempotency_key=head.idempotency_key,
         )
 
-    def on_life_ended(self, request_id: str, task: asyncio.Task[None]) -> None:
-        """Forget a life; a failure that is not an outcome is logged and cuts the response."""
-        life = self.lives.pop(request_id)
+    def on_lifecycle_ended(self, request_id: str, task: asyncio.Task[None]) -> None:
+        """Forget a request; a failure that is not an outcome is logged and cuts the response."""
+        lifecycle = self.lifecycles.pop(request_id)
         # A task that is cancelled before its first step never reaches its own clean-up.
-        life.holding.close()
+        lifecycle.holding.close()
         self.forget(request_id)
         if not task.cancelled() and task.exception() is not None:
             logger.log(
                 events.Event.REQUEST_BROKEN, request_id=request_id, detail=repr(task.exception())
             )
-            if not life.sink.abandoned:
-                life.sink.abort()
+            if not lifecycle.sink.abandoned:
+                lifecycle.sink.abort()
 
     def on_evict(self, request_id: str) -> None:
         """Refuse a waiting request that the queue replaced."""
-        life = self.lives.get(request_id)
-        if life is not None:
-            life.on_evicted()
+        lifecycle = self.lifecycles.get(request_id)
+        if lifecycle is not None:
+            lifecycle.on_evicted()
 
     def current_table(self) -> route_table.RouteTable:
         """Return the indexes of the newest configuration. Raises RequestRefusedError."""
--- a/src/masticward/coordination/ticket_desk.py
+++ b/src/masticward/coordination/ticket_submitter.py
@@ -18,7 +18,7 @@
         self.future: asyncio.Future[work.Assignment] = asyncio.get_running_loop().create_future()
 
 
-class TicketDesk:
+class TicketSubmitter:
     """Submits tickets in order, a bounded number per team and service, and hands out slots."""
 
     __slots__ = ("exchange", "limit", "waiters", "windows")
--- a/tests/functional/test_entry_http.py
+++ b/tests/functional/test_entry_http.py
@@ -141,7 +141,7 @@
                 await entry_fakes.until(lambda known=runs: len(server.entry.attempts.runs) > known)
                 writer.close()
             await entry_fakes.until(lambda: server.entry.attempts.closed == 1)
-            self.assertEqual(1, len(server.entry.router.lives))
+            self.assertEqual(1, len(server.entry.router.lifecycles))
             gate.set()
             await server.entry.router.drained()
             outcomes = [r.outcome for r in server.entry.router.explain_log.newest(2)]
--- a/tests/functional/test_router_fuzz.py
+++ b/tests/functional/test_router_fuzz.py
@@ -130,7 +130,12 @@
     def check_nothing_held(self, fixture: entry_fakes.EntryFixture) -> None:
         router = fixture.router
         self.assertEqual((0, 0), (router.queue.waiting, router.queue.body_bytes))
-        for kept in (router.queue.teams, router.lives, router.desk.waiters, router.desk.windows):
+        for kept in (
+            router.queue.teams,
+            router.lifecycles,
+            router.submitter.waiters,
+            router.submitter.windows,
+        ):
             self.assertEqual({}, kept)
         self.assertEqual({}, fixture.exchange.queued)
         for record in router.explain_log.newest(CALLS):
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -134,7 +134,7 @@
         self.assertEqual(504, sink.status)
 
     async def test_failure_after_the_deadline_does_not_cut_the_next_request(self) -> None:
-        """Fails if the life of a plain call resets a connection that was answered before."""
+        """Fails if a plain call resets a connection that was answered before."""
         gate = asyncio.Event()
         fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"x", gate=gate, cut=True))
         sink = await fixture.call("/v1/book", seconds=0.05)
@@ -194,9 +194,9 @@
         fixture.exchange.automatic = False
         task = fixture.start("/v1/book")
         await entry_fakes.until(lambda: fixture.exchange.submitted)
-        life = next(iter(fixture.router.lives.values()))
+        lifecycle = next(iter(fixture.router.lifecycles.values()))
         fixture.exchange.assign(fixture.exchange.submitted[0].id)
-        life.on_caller_gone()
+        lifecycle.on_caller_gone()
         await asyncio.gather(task, return_exceptions=True)
         self.assertEqual([True], [valid for _, valid in fixture.exchange.declined])
         self.assertEqual([], fixture.attempts.runs)
@@ -244,13 +244,13 @@
         fixture = entry_fakes.EntryFixture(limits=settings.EntryLimits(tickets_per_team=2))
         fixture.exchange.automatic = False
         calls = [fixture.start(body=bytes([index])) for index in range(4)]
-        await entry_fakes.until(lambda: len(fixture.router.desk.waiters) == 4)
+        await entry_fakes.until(lambda: len(fixture.router.submitter.waiters) == 4)
         self.assertEqual(2, len(fixture.exchange.submitted))
         for index in range(4):
             fixture.exchange.assign(fixture.exchange.submitted[index].id)
             await calls[index]
         self.assertEqual([b"\0", b"\1", b"\2", b"\3"], [r.call.body for r in fixture.attempts.runs])
-        self.assertEqual({}, fixture.router.desk.windows)
+        self.assertEqual({}, fixture.router.submitter.windows)
         self.assertEqual([], fixture.exchange.withdrawn)
 
 
