Decline slots of agents that the entry suspects

Cause: the dispatcher goes on giving out slots of an agent that can send but not be reached, and an entry tried each for up to the 2 s of the slot, because it did not look at its own suspicion. Seen in the history of test_attempts_cut_off_silently and in the code. Change: an entry declines a slot of an agent that it suspects, as it does one of an agent that is out; the slot expires. Suspicion ends with the agent's next answer to an exchange. On a scratch copy without the check the new case of test_slot_of_an_agent_that_must_not_be_used_is_declined fails.

--- a/src/masticward/bench/queue_costs.py
+++ b/src/masticward/bench/queue_costs.py
@@ -66,6 +66,10 @@
         """Return that nothing is leaving."""
         return False
 
+    def is_suspected(self, instance_id: str) -> bool:
+        """Suspect no instance."""
+        return False
+
     def fresh_until(self) -> float:
         """Return a time far ahead."""
         return time.monotonic() + FAR_SECONDS
--- a/src/masticward/coordination/fleet_view.py
+++ b/src/masticward/coordination/fleet_view.py
@@ -39,6 +39,10 @@
     def is_leaving(self, instance_id: str) -> bool:
         """Tell whether the instance is listed or has announced itself as leaving."""
 
+    @abc.abstractmethod
+    def is_suspected(self, instance_id: str) -> bool:
+        """Tell whether the instance did not respond to this process and has not since."""
+
     @abc.abstractmethod
     def fresh_until(self) -> float:
         """Return the monotonic time until which the view counts as fresh.
--- a/src/masticward/coordination/request_lifecycle.py
+++ b/src/masticward/coordination/request_lifecycle.py
@@ -156,6 +156,9 @@
                 slot.deadline <= time.monotonic()
                 or self.context.view.is_out(slot.agent_id, slot.availability_zone)
                 or self.context.view.is_leaving(slot.agent_id)
+                # The dispatcher may hear from an agent that this entry cannot reach. To try it
+                # costs up to the 2 s of the slot.
+                or self.context.view.is_suspected(slot.agent_id)
             )
             if not unusable:
                 self.holding.stop_waiting()
--- a/src/masticward/coordination/view.py
+++ b/src/masticward/coordination/view.py
@@ -120,6 +120,10 @@
         """Tell whether the instance is listed or has announced itself as leaving."""
         return self.membership.is_leaving(instance_id)
 
+    def is_suspected(self, instance_id: str) -> bool:
+        """Tell whether the instance did not respond to this process and has not since."""
+        return self.membership.is_suspected(instance_id)
+
     def fresh_until(self) -> float:
         """Return the monotonic time until which the view counts as fresh."""
         return self.exchanges.latest_answered_send + FRESH_SECONDS
--- a/tests/lib/dispatch_fleet.py
+++ b/tests/lib/dispatch_fleet.py
@@ -102,6 +102,9 @@
     def is_leaving(self, instance_id: str) -> bool:
         return instance_id in self.leaving
 
+    def is_suspected(self, instance_id: str) -> bool:
+        return False
+
     def fresh_until(self) -> float:
         return time.monotonic() + 2.0
 
--- a/tests/lib/entry_fakes.py
+++ b/tests/lib/entry_fakes.py
@@ -70,6 +70,8 @@
     view.out = set()
     view.is_out.side_effect = lambda instance_id, zone: instance_id in view.out
     view.is_leaving.return_value = False
+    view.suspected = set()
+    view.is_suspected.side_effect = lambda instance_id: instance_id in view.suspected
     return view
 
 
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -47,13 +47,18 @@
         sink = await fixture.call("/v1/look/a")
         self.assertEqual("unknown", sink.outcome)
 
-    async def test_slot_of_an_instance_that_is_out_is_not_used(self) -> None:
-        fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"ok"))
-        fixture.view.out.add("agent-2")
-        fixture.exchange.agents = ["agent-2", "agent-1"]
-        sink = await fixture.call("/v1/book")
-        self.assertEqual("complete", sink.outcome)
-        self.assertEqual(["agent-1"], [run.slot.agent_id for run in fixture.attempts.runs])
+    async def test_slot_of_an_agent_that_must_not_be_used_is_declined(self) -> None:
+        """Fails if work goes to an agent that is out, or if one that only the dispatcher reaches
+        costs 2 s for each of its slots."""
+        for reason in ("out", "suspected"):
+            with self.subTest(reason):
+                fixture = entry_fakes.EntryFixture(entry_fakes.answer(b"ok"))
+                getattr(fixture.view, reason).add("agent-2")
+                fixture.exchange.agents = ["agent-2", "agent-1"]
+                sink = await fixture.call("/v1/book")
+                self.assertEqual("complete", sink.outcome)
+                self.assertEqual(["agent-1"], [run.slot.agent_id for run in fixture.attempts.runs])
+                self.assertEqual([False], [valid for _, valid in fixture.exchange.declined])
 
     async def test_zone_out_refusal_fetches_the_agents_operations_state(self) -> None:
         """Fails if an entry that missed a change keeps sending to agents that are out."""
