--- a/src/masticward/protocol/snapshots.py
+++ b/src/masticward/protocol/snapshots.py
@@ -3,6 +3,7 @@
 A full snapshot gives each team and agent incarnation a number, by which later changes name it.
 """
 
+from masticward import errors
 from masticward.state import ledger
 from masticward.wire import masticward_pb2
 
@@ -151,13 +152,21 @@
         self.totals: dict[int, dict[int, float]] = {}
 
     def apply(self, message: masticward_pb2.Snapshot) -> bool:
-        """Take a message over; False, without any effect, if its base is not here."""
-        if not message.base_sequence:
-            self.load(message)
-        elif message.base_sequence != self.sequence:
+        """Take a message over; False, without any effect, if its base is not here.
+
+        Raises SessionMessageError if the message names what its session never numbered; only a
+        full snapshot is taken over after that.
+        """
+        if message.base_sequence and message.base_sequence != self.sequence:
             return False
-        else:
-            self.change(message.changes)
+        self.sequence = 0
+        try:
+            if message.base_sequence:
+                self.change(message.changes)
+            else:
+                self.load(message)
+        except (LookupError, ValueError) as error:
+            raise errors.SessionMessageError(f"snapshot: {error!r}") from error
         self.sequence = message.sequence
         self.system_virtual_time = message.system_virtual_time
         self.included_total = message.included_total
--- a/tests/unit/test_snapshots.py
+++ b/tests/unit/test_snapshots.py
@@ -6,7 +6,7 @@
 import unittest
 import unittest.mock
 
-from masticward import settings
+from masticward import errors, settings
 from masticward.coordination import dispatcher, offers, rendezvous
 from masticward.protocol import dispatch_role, dispatch_server, snapshots
 from masticward.state import ledger
@@ -85,6 +85,19 @@
         self.assertTrue(received(receiver, writer.message_since(0)))
         self.assertEqual(content(third), content(receiver.snapshot()))
 
+    def test_unknown_number_ends_the_session_and_is_not_built_upon(self) -> None:
+        """Fails if a damaged change ends the agent's session task for ever, or leaves a mixture."""
+        writer = snapshots.SnapshotWriter(dispatch_fleet.SERVICE)
+        writer.add(snapshot_of(random.Random(1), 1))
+        receiver = snapshots.SnapshotReceiver()
+        receiver.apply(writer.message_since(0).snapshot)
+        damaged = masticward_pb2.Snapshot(sequence=2, base_sequence=1)
+        damaged.changes.removed_teams.append(10_000)
+        with self.assertRaises(errors.SessionMessageError):
+            receiver.apply(damaged)
+        self.assertFalse(receiver.apply(masticward_pb2.Snapshot(sequence=3, base_sequence=1)))
+        self.assertTrue(receiver.apply(writer.message_since(0).snapshot))
+
     def test_an_agent_gets_changes_and_now_and_then_a_full_snapshot(self) -> None:
         """Fails if an agent that has the base gets everything, or one that lacks it gets nothing.
 
