--- a/src/masticward/cli/explain.py
+++ b/src/masticward/cli/explain.py
@@ -62,7 +62,7 @@
     options: base.Options,
     request_id: typing.Annotated[str, typer.Argument(help="Value of Masticward-Request-Id.")],
 ) -> None:
-    """Tell how one recent request fared: queue time, attempts, refusals, outcome.
+    """Show what happened to one recent request: queue time, attempts, refusals, outcome.
 
     Example: masticward explain 3fJ0k2 --instance-list http://10.0.0.5:7200
     """
--- a/src/masticward/coordination/peer_exchange.py
+++ b/src/masticward/coordination/peer_exchange.py
@@ -18,8 +18,8 @@
 
 EXCHANGE_PERIOD_SECONDS = 0.5
 EXCHANGE_TIMEOUT_SECONDS = 0.6
-# Extra rounds spread a new version at once. One was measured to leave some of 13 processes to the
-# next regular round, up to 0.47 s later.
+# Extra rounds spread a new version at once. With one, some of 13 processes learned of it only in
+# the next regular round, up to 0.47 s later.
 EXTRA_ROUNDS = 3
 MINIMUM_ROUND_GAP_SECONDS = 0.05
 # Longer than a round. When several peers die at once, the one peer of each round may be among them
@@ -164,7 +164,7 @@
         if self.failures[peer.id] != FAILURES_BEFORE_SUSPICION:
             return
         self.owner.suspect(peer.id)
-        # A connection that a partition has silenced would wait out TCP's back-off after healing.
+        # After a silent partition the old connection would wait for TCP's back-off.
         channel = self.channels.channels.pop(peer.peer_address, None)
         if channel is not None:
             await channel.close()
--- a/src/masticward/coordination/version_keeper.py
+++ b/src/masticward/coordination/version_keeper.py
@@ -85,7 +85,7 @@
             self.note_taken(CONFIGURATION, source)
 
     def note_taken(self, kind: masticward_pb2.FetchRequest.Kind, source: str) -> None:
-        """Log a newer value and pass the news on."""
+        """Log a newer value and call ``on_taken``."""
         event = events.Event.OPERATIONS_TAKEN
         if kind == CONFIGURATION:
             event = events.Event.CONFIGURATION_TAKEN
--- a/src/masticward/coordination/version_puller.py
+++ b/src/masticward/coordination/version_puller.py
@@ -31,7 +31,7 @@
         self.pulling: set[tuple[str, int, int]] = set()
 
     def pull_soon(self, address: str, config_version: int, operations_version: int) -> None:
-        """Pull in the background if the versions are newer, once for the same news of a peer."""
+        """Pull in the background if the versions are newer, once for each peer and versions."""
         if not self.keeper.is_behind(config_version, operations_version) or not address:
             return
         key = (address, config_version, operations_version)
--- a/src/masticward/state/explain.py
+++ b/src/masticward/state/explain.py
@@ -1,4 +1,4 @@
-"""A bounded record of recent requests, for operators who ask why a request fared as it did."""
+"""A bounded record of recent requests, for operators who ask what happened to a request."""
 
 import collections
 import itertools
