--- a/src/masticward/bench/platform.py
+++ b/src/masticward/bench/platform.py
@@ -186,13 +186,6 @@
             },
         )
 
-    async def unlist(self, instance_id: str) -> None:
-        """Remove an instance from the instance list."""
-        assert self.session is not None
-        url = f"{self.instance_list_url}/control/instances/{instance_id}"
-        async with self.session.delete(url) as response:
-            response.raise_for_status()
-
     async def set_object_api(self, mode: str, delay_ms: int = 0, lose_answers: int = 0) -> None:
         """Make the object API ``up``, ``down`` or ``slow``, or lose the next answers to writes."""
         fault = {"mode": mode, "delay_ms": delay_ms, "lose_answers": lose_answers}
