Test that a second signal ends a program at once

Change: a functional test sends an agent with a call under way one SIGTERM, waits until it reports that it stops, sends the second and expects exit code 1. On a scratch copy whose handler ignores the second signal it fails: exit code 0.

--- a/tests/functional/test_process_faults.py
+++ b/tests/functional/test_process_faults.py
@@ -16,6 +16,9 @@
 FREEZE_SECONDS = 4.0
 # Long enough that a call seen under way is still so when its agent is killed.
 LONG_CALL_MS = 500.0
+# Longer than a program needs to report that it stops.
+DRAINED_CALL_MS = 3_000.0
+SECOND_SIGNAL_EXIT_CODE = 1
 # Calls that must be answered, or started, after a fault before the load ends.
 LATER_CALLS = 50
 
@@ -95,6 +98,21 @@
         await self.assert_safe()
         self.assertEqual({work.Outcome.COMPLETE}, set(self.outcomes()))
 
+    async def test_second_signal_ends_the_program_at_once(self) -> None:
+        """Fails if an operator cannot stop a program that still has work at hand."""
+        victim = "booking-1"
+        for endpoint in self.endpoints_of(fleets.BOOKING):
+            await self.fleet.platform.control_endpoint(endpoint, service_ms=DRAINED_CALL_MS)
+        async with self.load(text=0, booking=1):
+            await self.wait_until_running(victim)
+            self.fleet.signal(victim, signal.SIGTERM)
+            while await self.fleet.is_ready(victim):
+                await asyncio.sleep(fleet_case.POLL_SECONDS)
+            # The call under way would hold the program for seconds, and the exit code would be 0.
+            self.assertEqual(SECOND_SIGNAL_EXIT_CODE, await self.fleet.terminate(victim))
+        await self.assert_safe()
+        self.assertGreater(self.outcomes()[work.Outcome.UNKNOWN], 0)
+
     async def wait_until_balanced(self, name: str, balancer: load.Balancer) -> None:
         """Wait until the balancer uses a restarted entry; else it may have no entry left."""
         await self.wait_for(lambda: balancer.targets[name].ready, f"{name} in the balancer")
