Tell a reset from the end of an answer; reread settings on SIGHUP

Ruled out: h11's framing (a trace shows the end reported before the head was read), a stray answer on a kept connection (the connection was new).

Change: the socket's pending error is read when an end is reported; settings are read again on SIGHUP and every 2 s.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -5,7 +5,7 @@
 import signal
 import typing
 
-from masticward import events, logs, metrics
+from masticward import errors, events, logs, metrics
 from masticward.gateway import calls, followers, front, gateway_metrics, peering, placer, sources
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
@@ -18,6 +18,8 @@
 STOP_MARGIN_SECONDS = 0.6
 STOP_POLL_SECONDS = 0.05
 TICK_SECONDS = 0.25
+# The settings file may change without a signal.
+RELOAD_SECONDS = 2.0
 # A task that fails at once each time must not take the processor.
 TASK_RESTART_SECONDS = 0.2
 LOGGER = logs.get_logger(__name__)
@@ -52,8 +54,10 @@
         settings: gateway.GatewaySettings,
         source: sources.FleetSource,
         codec: sources.RequestCodec,
+        read_settings: collections.abc.Callable[[], gateway.GatewaySettings],
     ) -> None:
         self.settings = settings
+        self.read_settings = read_settings
         self.metrics = metrics.ProcessMetrics()
         self.fleet = fleet_module.Fleet(settings)
         self.peering = peering.Peering(self.fleet, source)
@@ -76,6 +80,7 @@
         self.background = tasks.TaskGroup()
         self.stopping = False
         self.was_ready = False
+        self.settings_problems: list[str] = []
 
     def ready(self) -> bool:
         """Whether the balancer should send new connections here."""
@@ -113,6 +118,7 @@
             self.supervise(follower.run, f"follower of {follower.kind.value}")
         self.supervise(self.placer.run, "placer")
         self.supervise(self.run_ticks, "ticks")
+        self.supervise(self.run_reloads, "reloads")
         LOGGER.log(
             events.Event.GATEWAY_STARTED,
             instance=self.settings.instance_id,
@@ -144,6 +150,34 @@
             self.fleet.tick()
             self.caller.pool.expire(set(self.fleet.table.endpoints))
 
+    async def run_reloads(self) -> None:
+        """Read the settings again from time to time, until cancelled."""
+        while True:
+            await asyncio.sleep(RELOAD_SECONDS)
+            self.reload()
+
+    def reload(self) -> None:
+        """Take over changed settings; unreadable ones leave those in force as they are."""
+        try:
+            found = self.read_settings()
+        except errors.SettingsError as error:
+            if error.problems != self.settings_problems:
+                LOGGER.log(events.Event.SETTINGS_UNREADABLE, problems=error.problems)
+            self.settings_problems = error.problems
+            return
+        self.settings_problems = []
+        if found == self.settings:
+            return
+        needs_restart = (found.client_address, found.ready_address, found.peer_port) != (
+            self.settings.client_address,
+            self.settings.ready_address,
+            self.settings.peer_port,
+        )
+        self.settings = found
+        self.fleet.take_settings(found)
+        self.peering.take_settings(found)
+        LOGGER.log(events.Event.SETTINGS_RELOADED, needs_restart=needs_restart)
+
     async def stop(self) -> None:
         """Leave the balancer's rotation, finish requests at hand, then end."""
         started = clocks.boot_time()
@@ -168,6 +202,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # Without a handler this signal ends the process.
+    loop.add_signal_handler(signal.SIGHUP, program.reload)
     await program.start()
     await stop.wait()
     await program.stop()
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -43,6 +43,14 @@
         self.known_gateways = 1
         self.routes_by_host: dict[str, list[gateway.Route]] = {}
 
+    def take_settings(self, settings: gateway.GatewaySettings) -> None:
+        """Take over changed settings."""
+        self.settings = settings
+        for budget in self.budgets.values():
+            budget.ratio = settings.bounds.repeat_ratio
+            budget.slack = settings.bounds.repeat_slack
+            budget.window = settings.bounds.repeat_window_seconds
+
     def take_configuration(
         self, configuration: gateway.FleetConfiguration, proven_at: float, source: str
     ) -> bool:
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -8,6 +8,7 @@
 from masticward import errors, events, logs
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import sources
+from masticward.models import gateway
 from masticward.protocol import gateway_peers
 from masticward.state import load_board, team_usage
 from masticward.utils import clocks, identifiers
@@ -51,13 +52,18 @@
         self.source = source
         self.incarnation = identifiers.new_incarnation()
         self.peers: dict[str, Peer] = {}
-        self.seeds = [ip for ip in fleet.settings.seed_ips if ip != fleet.settings.ip]
+        self.seeds: list[str] = []
+        self.take_settings(fleet.settings)
         self.transport: asyncio.DatagramTransport | None = None
         self.rounds = 0
         self.stopping = False
         self.new_prompts: list[tuple[str, list[tuple[int, int]]]] = []
         self.told_prompts: list[list[tuple[str, list[tuple[int, int]]]]] = []
 
+    def take_settings(self, settings: gateway.GatewaySettings) -> None:
+        """Take over the addresses at which other gateways may be found."""
+        self.seeds = [ip for ip in settings.seed_ips if ip != settings.ip]
+
     async def start(self) -> None:
         """Open the port."""
         loop = asyncio.get_running_loop()
--- a/src/masticward/platform/program.py
+++ b/src/masticward/platform/program.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 
 from masticward import errors, events, logs
@@ -16,6 +17,8 @@
 
 def main() -> int:
     """Run the gateway with the platform's settings; returns the exit code."""
+    # The signal may come before the loop has its handler; its default action ends the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "/etc/masticward/node.yaml"))
     logs.configure_gateway()
     try:
@@ -27,7 +30,9 @@
 
     async def run() -> int:
         source = store.Store(found.store_address)
-        program = gateway_daemon.GatewayProgram(found, source, headers.HeaderCodec())
+        program = gateway_daemon.GatewayProgram(
+            found, source, headers.HeaderCodec(), lambda: settings.load(path)
+        )
         return await gateway_daemon.run_until_signal(program)
 
     return programs.run(run())
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import os
 import socket
 import typing
 
@@ -30,11 +31,27 @@
 
     def __init__(self, reader: asyncio.StreamReader, client_connected_cb: typing.Any) -> None:
         super().__init__(reader, client_connected_cb)
+        self.stream_reader = reader
+        self.socket: socket.socket | None = None
         self.peer_gone = False
         self.on_peer_gone: collections.abc.Callable[[], None] | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket, whose error tells a reset from an end."""
+        super().connection_made(transport)
+        self.socket = transport.get_extra_info("socket")
+
     def eof_received(self) -> bool | None:
-        """Note that the peer sends nothing more."""
+        """Note that the peer sends nothing more, or has reset the connection.
+
+        When data and a reset are polled at once, libuv reads the data and reports an end of the
+        stream in place of the reset. The socket still holds the error.
+        """
+        error = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if self.socket else 0
+        if error:
+            self.stream_reader.set_exception(ConnectionResetError(error, os.strerror(error)))
+            self.note_gone()
+            return False
         result = super().eof_received()
         self.note_gone()
         return result
