Weigh shared prompt parts double that an engine would have to read again

Ruled out: too small a model of the engines' caches (the shared parts of all classes take half of it).

--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -14,6 +14,8 @@
 REQUEST_SECONDS = 0.0008
 # Seconds by which a failing endpoint looks further away, at a failure ratio of 1.
 FAILURE_SECONDS = 3.0
+# Reading a shared part once more takes capacity from other requests, not only time from this one.
+REREAD_WEIGHT = 1.0
 # The owner of a shared prefix is preferred by this part of the time to read that prefix.
 OWNER_PREFERENCE = 0.35
 # An engine with more unread tokens than it reads in this time gets nothing more, so that the order
@@ -68,8 +70,10 @@
         speed = READ_TOKENS_PER_SECOND / slowness
         cost = (total.unread_tokens + unread) / speed + total.requests * REQUEST_SECONDS
         cost += FAILURE_SECONDS * view.health.failure_ratio(endpoint.id, now)
-        if shared is not None and endpoint.id == owner_id:
-            cost -= OWNER_PREFERENCE * shared[1] / READ_TOKENS_PER_SECOND
+        if shared is not None:
+            cost += REREAD_WEIGHT * max(0, shared[1] - cached) / READ_TOKENS_PER_SECOND
+            if endpoint.id == owner_id:
+                cost -= OWNER_PREFERENCE * shared[1] / READ_TOKENS_PER_SECOND
         memory = total.memory_tokens + terms.prompt_tokens + terms.output_tokens
         allowed = total.requests == 0 or (
             total.requests < engine.slots
