Take an engine's measured slowness against the expectation without it

Cause: the expected time already held the slowness learned so far, so that the estimate settled at the square root of the true factor.

--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -267,7 +267,7 @@
             endpoint=endpoint.id,
             team=self.team,
             waited_ms=round((now - self.terms.arrived_at) * 1000),
-            expected_ms=round(placed.cost_seconds * 1000),
+            expected_ms=round(placed.expected_seconds * 1000),
             unread_tokens=placed.unread_tokens,
             attempt=self.progress.sends,
             config=self.fleet.configuration.version if self.fleet.configuration else None,
@@ -338,7 +338,7 @@
             if not held.read:
                 held.note_first_event()
                 now = clocks.boot_time()
-                expected = held.choice.cost_seconds
+                expected = held.choice.expected_seconds 
                 self.fleet.health.note_speed(call.endpoint.id, now - sent_at, expected, now)
                 self.front.meters.first_event.observe(now - self.terms.arrived_at)
             if data is None:
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -31,6 +31,8 @@
 
     endpoint: gateway.Endpoint
     cost_seconds: float
+    # Expected time to the first event at an endpoint of ordinary speed, without preferences.
+    expected_seconds: float
     unread_tokens: int
     allowed: bool
 
@@ -68,8 +70,9 @@
         unread = max(1, terms.prompt_tokens - min(cached, terms.prompt_tokens))
         slowness = view.health.record(endpoint.id, now).slowness
         speed = READ_TOKENS_PER_SECOND / slowness
-        cost = (total.unread_tokens + unread) / speed + total.requests * REQUEST_SECONDS
-        cost += FAILURE_SECONDS * view.health.failure_ratio(endpoint.id, now)
+        expected = (total.unread_tokens + unread) / READ_TOKENS_PER_SECOND
+        expected += total.requests * REQUEST_SECONDS
+        cost = expected * slowness + FAILURE_SECONDS * view.health.failure_ratio(endpoint.id, now)
         if shared is not None:
             cost += REREAD_WEIGHT * max(0, shared[1] - cached) / READ_TOKENS_PER_SECOND
             if endpoint.id == owner_id:
@@ -84,7 +87,7 @@
             )
         )
         if best is None or cost < best.cost_seconds:
-            best = Choice(endpoint, cost, unread, allowed)
+            best = Choice(endpoint, cost, expected, unread, allowed)
     return best
 
 
@@ -99,10 +102,10 @@
     for endpoint in candidates:
         requests = view.loads.total(endpoint.id, now).requests
         slowness = view.health.record(endpoint.id, now).slowness
-        cost = PLAIN_CALL_SECONDS * slowness * (requests + 1) / endpoint.slots
-        cost += FAILURE_SECONDS * view.health.failure_ratio(endpoint.id, now)
+        expected = PLAIN_CALL_SECONDS * (requests + 1) / endpoint.slots
+        cost = expected * slowness + FAILURE_SECONDS * view.health.failure_ratio(endpoint.id, now)
         # Among equals the own zone, then a fixed order that spreads gateways.
         cost += 0.0 if endpoint.availability_zone == zone else 0.002
         if best is None or cost < best.cost_seconds:
-            best = Choice(endpoint, cost, 0, requests < endpoint.slots)
+            best = Choice(endpoint, cost, expected, 0, requests < endpoint.slots)
     return best
