Test the gateway without the kit: path, order, peers, names; its metrics and events

Guards: at most once, stray and doubled answers, torn and smuggled requests, streams cut and resumed, keys that cannot be proven, older and unreadable configurations, lapsed endpoints, fair order, early refusal, cold engines.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -5,7 +5,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "src"))
 
-from masticward.platform import program  # noqa: E402
+from masticward.platform import program
 
 if __name__ == "__main__":
     sys.exit(program.main())
--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -63,13 +63,9 @@
         self.peering = peering.Peering(self.fleet, source)
         self.placer = placer.Placer(self.fleet, self.peering.note_prompt)
         self.caller = calls.Caller(self.fleet, codec)
-        self.front = front.Front(
-            self.fleet,
-            codec,
-            self.placer,
-            self.caller,
-            gateway_metrics.GatewayMeters(self.metrics),
-        )
+        self.source = source
+        self.meters = gateway_metrics.GatewayMeters(self.metrics)
+        self.front = front.Front(self.fleet, codec, self.placer, self.caller, self.meters)
         self.followers = followers.create_followers(source, self.fleet)
         self.client_server = http1_server.Server(
             addresses.split(settings.client_address), self.front
@@ -81,6 +77,69 @@
         self.stopping = False
         self.was_ready = False
         self.settings_problems: list[str] = []
+        self.register_gauges()
+
+    def register_gauges(self) -> None:
+        """Add the figures that are read when the metrics are collected."""
+        fleet = self.fleet
+        add = self.meters.add_gauge
+        add(
+            "masticward_gateway_waiting_requests",
+            "requests that wait for an endpoint",
+            lambda: sum(len(queue) for queue in self.placer.waiting.values()),
+        )
+        add(
+            "masticward_gateway_unfinished_requests",
+            "requests that are being read or answered",
+            lambda: self.client_server.busy,
+        )
+        add(
+            "masticward_gateway_configuration_version",
+            "configuration in force",
+            lambda: fleet.configuration.version if fleet.configuration else 0,
+        )
+        add(
+            "masticward_gateway_proof_age_seconds",
+            "time since the last proof of the configuration, in seconds",
+            lambda: clocks.boot_time() - fleet.configuration_proven_at,
+        )
+        add(
+            "masticward_gateway_live_gateways",
+            "gateways heard lately",
+            lambda: len(fleet.live_gateways),
+        )
+        add(
+            "masticward_gateway_opened_connections",
+            "connections opened to endpoints",
+            lambda: self.caller.pool.opened,
+        )
+        add(
+            "masticward_gateway_repeats",
+            "repeated sends within the window",
+            lambda: sum(len(budget.repeats) for budget in fleet.budgets.values()),
+        )
+        self.meters.add_labelled_gauge(
+            "masticward_gateway_endpoints",
+            "endpoints by state",
+            "state",
+            {
+                "usable": lambda: sum(
+                    not item.draining and item.id not in fleet.table.missing
+                    for item in fleet.table.endpoints.values()
+                ),
+                "leaving": lambda: sum(item.draining for item in fleet.table.endpoints.values()),
+                "missing": lambda: len(fleet.table.missing),
+            },
+        )
+        self.meters.add_labelled_gauge(
+            "masticward_gateway_store_calls",
+            "calls to the store",
+            "outcome",
+            {
+                "answered": lambda: self.source.calls - self.source.failed_calls,
+                "failed": lambda: self.source.failed_calls,
+            },
+        )
 
     def ready(self) -> bool:
         """Whether the balancer should send new connections here."""
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -14,7 +14,7 @@
 )
 from masticward.utils import clocks
 
-# Margin for the time between a check here and the run at an endpoint, and for timers that fire late.
+# Time between a check here and the run at an endpoint, and for timers that fire late.
 REVOKE_MARGIN_SECONDS = 0.5
 LOGGER = logs.get_logger(__name__)
 
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -338,7 +338,7 @@
             if not held.read:
                 held.note_first_event()
                 now = clocks.boot_time()
-                expected = held.choice.expected_seconds 
+                expected = held.choice.expected_seconds
                 self.fleet.health.note_speed(call.endpoint.id, now - sent_at, expected, now)
                 self.front.meters.first_event.observe(now - self.terms.arrived_at)
             if data is None:
--- a/src/masticward/gateway/gateway_metrics.py
+++ b/src/masticward/gateway/gateway_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the gateway."""
 
+import collections.abc
+
 import prometheus_client
 
 from masticward import metrics
@@ -33,6 +35,28 @@
             registry=process.registry,
         )
 
+    def add_gauge(
+        self,
+        name: str,
+        description: str,
+        read: collections.abc.Callable[[], float],
+    ) -> None:
+        """Add a figure that is read when the metrics are collected."""
+        gauge = prometheus_client.Gauge(name, description, registry=self.process.registry)
+        gauge.set_function(read)
+
+    def add_labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        read: collections.abc.Mapping[str, collections.abc.Callable[[], float]],
+    ) -> None:
+        """Add one figure for each value of a label."""
+        gauge = prometheus_client.Gauge(name, description, [label], registry=self.process.registry)
+        for value, function in read.items():
+            gauge.labels(value).set_function(function)
+
     def note_outcome(self, outcome: str, status: int) -> None:
         """Count a finished request."""
         self.requests.labels(outcome, str(status)).inc()
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -193,9 +193,7 @@
             cache = fleet.caches.engine(endpoint.id, service.engine.cache_tokens)
             cache.note_read(request.keys)
             self.on_prompt(endpoint.id, request.keys)
-            fleet.usage.note_begun(
-                request.team, terms.prompt_tokens + 2 * terms.output_tokens, now
-            )
+            fleet.usage.note_begun(request.team, terms.prompt_tokens + 2 * terms.output_tokens, now)
         if fleet.table.cold_until(endpoint) > now and service.cold_requests_per_second > 0:
             fleet.pace.note_sent(
                 endpoint.id, service.cold_requests_per_second, len(fleet.live_gateways), now
--- a/src/masticward/gateway/sources.py
+++ b/src/masticward/gateway/sources.py
@@ -45,9 +45,14 @@
     """Reads and writes objects of the platform's store.
 
     Every call raises StoreUnavailableError if there is no usable answer, HistoryLostError if the
-    store no longer has the changes since a revision.
+    store no longer has the changes since a revision. ``calls`` and ``failed_calls`` count from
+    the start of the process.
     """
 
+    def __init__(self) -> None:
+        self.calls = 0
+        self.failed_calls = 0
+
     @abc.abstractmethod
     async def list_objects(self, kind: ObjectKind) -> Listing:
         """Return all objects of a kind as they are now."""
--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -60,11 +60,10 @@
     """Calls the store, each kind of object on a kept connection of its own."""
 
     def __init__(self, address: str) -> None:
+        super().__init__()
         self.address = addresses.split(address)
         self.host = address.encode()
         self.connections: dict[str, http1.Channel] = {}
-        self.calls = 0
-        self.failed_calls = 0
 
     async def call(
         self,
--- a/src/masticward/state/endpoint_health.py
+++ b/src/masticward/state/endpoint_health.py
@@ -68,7 +68,7 @@
         record = self.record(endpoint_id, now)
         record.failures += 1
         record.unreachable += 1
-        pause = FIRST_PAUSE_SECONDS * 2 ** min(4, record.unreachable - 1)
+        pause = FIRST_PAUSE_SECONDS * 2.0 ** min(4, record.unreachable - 1)
         record.paused_until = now + min(LONGEST_PAUSE_SECONDS, pause)
         return min(LONGEST_PAUSE_SECONDS, pause)
 
--- a/src/masticward/state/team_usage.py
+++ b/src/masticward/state/team_usage.py
@@ -40,7 +40,9 @@
 
     def recent(self, team: str, now: float) -> float:
         """Return the tokens of a team in the whole fleet, decayed."""
-        total = self.own.get(team, 0.0) * math.exp(-max(0.0, now - self.updated_at) / MEMORY_SECONDS)
+        total = self.own.get(team, 0.0) * math.exp(
+            -max(0.0, now - self.updated_at) / MEMORY_SECONDS
+        )
         for heard_at, figures in self.peers.values():
             age = now - heard_at
             if age <= PEER_FIGURES_SECONDS:
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -34,7 +34,7 @@
         self.stream_reader = reader
         self.socket: socket.socket | None = None
         self.peer_gone = False
-        self.on_peer_gone: collections.abc.Callable[[], None] | None = None
+        self.on_peer_gone: collections.abc.Callable[[], object] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket, whose error tells a reset from an end."""
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -193,9 +193,7 @@
             # The client is gone, or the process ends: nobody is left to be answered.
             self.channel.abort()
         except Exception as error:
-            LOGGER.log(
-                events.Event.TASK_FAILED, task="client connection", error=f"{error!r}"
-            )
+            LOGGER.log(events.Event.TASK_FAILED, task="client connection", error=f"{error!r}")
             self.channel.abort()
         finally:
             self.channel.protocol.on_peer_gone = None
@@ -310,5 +308,3 @@
                     pass
         except TimeoutError:
             return
-
-
--- /dev/null
+++ b/tests/functional/test_gateway.py
@@ -0,0 +1,463 @@
+"""Guards the path of a client's request through the gateway, over real sockets without the kit."""
+
+import asyncio
+import typing
+
+from masticward.daemons import gateway as gateway_daemon
+from masticward.platform import headers, settings, store
+from masticward.utils import clocks
+from tests.lib import loops, platform_standins
+
+READ_SECONDS = 10.0
+
+
+class Answer:
+    """What a client read: status, headers, body, and whether the answer was whole."""
+
+    def __init__(self, status: int, fields: dict[str, str], body: bytes, whole: bool) -> None:
+        self.status = status
+        self.headers = fields
+        self.body = body
+        self.whole = whole
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    """Read a chunked body; the second value tells whether its end came."""
+    body = b""
+    while True:
+        line = await reader.readline()
+        if not line:
+            return body, False
+        size = int(line, 16)
+        data = await reader.readexactly(size + 2)
+        if size == 0:
+            return body, True
+        body += data[:-2]
+
+
+class GatewayCase(loops.UvloopTestCase):
+    """Runs a gateway between a client and stand-ins of the platform."""
+
+    revoke_ms = 5000
+    grace_s = 8
+
+    async def asyncSetUp(self) -> None:
+        self.store = platform_standins.StoreStandin()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.endpoints: list[platform_standins.EndpointStandin] = []
+        self.settings_text = platform_standins.SETTINGS.format(
+            ip="127.0.0.1",
+            store=self.store.address,
+            revoke_ms=self.revoke_ms,
+            grace_s=self.grace_s,
+        )
+        loaded = settings.decode(self.settings_text)
+        self.program = gateway_daemon.GatewayProgram(
+            loaded,
+            store.Store(loaded.store_address),
+            headers.HeaderCodec(),
+            lambda: settings.decode(self.settings_text),
+        )
+        self.fleet = self.program.fleet
+
+    async def asyncTearDown(self) -> None:
+        self.program.client_server.abort()
+        await self.program.background.cancel()
+
+    async def add_endpoint(
+        self, name: str, behaviour: platform_standins.Behaviour | None = None
+    ) -> platform_standins.EndpointStandin:
+        endpoint = platform_standins.EndpointStandin(behaviour)
+        await endpoint.start()
+        self.addAsyncCleanup(endpoint.stop)
+        self.store.put_endpoint(name, endpoint.address)
+        self.endpoints.append(endpoint)
+        return endpoint
+
+    async def start(self, **changes: typing.Any) -> None:
+        self.store.put("config", "main", platform_standins.configuration(**changes))
+        await self.program.start()
+        listener = self.program.client_server.listener
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+        await self.wait_until(lambda: self.fleet.configuration is not None)
+        await self.wait_until(lambda: len(self.fleet.table.endpoints) == len(self.endpoints))
+
+    async def wait_until(self, condition: typing.Callable[[], bool]) -> None:
+        async with asyncio.timeout(READ_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def send(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data)
+        return reader, writer
+
+    async def read(self, reader: asyncio.StreamReader) -> Answer:
+        async with asyncio.timeout(READ_SECONDS):
+            lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+            fields = {
+                name.lower(): value.strip()
+                for name, _, value in (line.partition(":") for line in lines[1:] if line)
+            }
+            status = int(lines[0].split(" ")[1])
+            try:
+                if "content-length" in fields:
+                    body = await reader.readexactly(int(fields["content-length"]))
+                    return Answer(status, fields, body, True)
+                body, whole = await read_chunks(reader)
+                return Answer(status, fields, body, whole)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return Answer(status, fields, b"", False)
+
+    def request(
+        self, route: str, method: str = "POST", body: bytes = b"hello", extra: str = ""
+    ) -> bytes:
+        head = (
+            f"{method} /{route}/x?y=1 HTTP/1.1\r\nHost: api.example\r\n"
+            f"X-Masticward-Request-Id: q1\r\nX-Masticward-Deadline-Ms: 3000\r\n{extra}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+    async def ask(self, route: str, **arguments: typing.Any) -> Answer:
+        reader, writer = await self.send(self.request(route, **arguments))
+        try:
+            return await self.read(reader)
+        finally:
+            writer.close()
+
+    def arrivals(self) -> int:
+        return sum(len(endpoint.received) for endpoint in self.endpoints)
+
+
+class AnswersTest(GatewayCase):
+    async def test_a_request_reaches_its_endpoint_unchanged_and_its_answer_the_client(self) -> None:
+        endpoint = await self.add_endpoint("e1")
+        await self.start()
+        answer = await self.ask("book", extra="X-Other: kept\r\n")
+        self.assertEqual((200, b"answer"), (answer.status, answer.body))
+        self.assertEqual("proof", answer.headers["x-masticward-response-seal"])
+        received = endpoint.received[0]
+        self.assertEqual(("POST", "/book/x?y=1"), (received.method, received.target))
+        self.assertEqual(b"hello", received.body)
+        self.assertEqual("kept", received.headers["x-other"])
+        self.assertEqual("e1", received.headers["x-masticward-expect-instance"])
+        self.assertLessEqual(int(received.headers["x-masticward-deadline-ms"]), 3000)
+
+    async def test_a_client_cannot_set_what_the_system_sets(self) -> None:
+        endpoint = await self.add_endpoint("e1")
+        await self.start()
+        forged = (
+            "X-Masticward-Tenant: other\r\nX-Masticward-Hold: h\r\nX-Masticward-Pin-Ms: 4000\r\n"
+            "X-Masticward-Kv-Backup: 127.0.0.1:1\r\nKv-From: 127.0.0.1:1/h\r\n"
+            "Authorization: Bearer key-a\r\n"
+        )
+        answer = await self.ask("keyed", extra=forged)
+        self.assertEqual(200, answer.status)
+        received = endpoint.received[0].headers
+        self.assertEqual("team-a", received["x-masticward-tenant"])
+        for name in ("x-masticward-hold", "x-masticward-pin-ms", "kv-from", "authorization"):
+            self.assertNotIn(name, received)
+        self.assertNotIn("x-masticward-kv-backup", received)
+
+    async def test_unknown_keys_and_routes_are_refused_without_a_send(self) -> None:
+        await self.add_endpoint("e1")
+        await self.start()
+        self.assertEqual(401, (await self.ask("keyed")).status)
+        wrong = "Authorization: Bearer nobody\r\n"
+        self.assertEqual(401, (await self.ask("keyed", extra=wrong)).status)
+        self.assertEqual(404, (await self.ask("nowhere")).status)
+        self.assertEqual(0, self.arrivals())
+
+    async def test_a_request_within_another_ones_framing_is_refused(self) -> None:
+        await self.add_endpoint("e1")
+        await self.start()
+        smuggled = self.request("book", extra="X-Masticward-Smuggled: 1\r\n")
+        for framing in ("Transfer-Encoding: chunked\r\n", "Content-Length: 3\r\n"):
+            data = self.request("book", body=b"0\r\n\r\n" + smuggled, extra=framing)
+            reader, writer = await self.send(data)
+            self.assertEqual(400, (await self.read(reader)).status)
+            writer.close()
+        self.assertEqual(0, self.arrivals())
+
+    async def test_a_torn_request_is_not_passed_on(self) -> None:
+        await self.add_endpoint("e1")
+        await self.start()
+        _, writer = await self.send(self.request("book", body=bytes(1000))[:-10])
+        writer.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(0, self.arrivals())
+
+    async def test_a_body_in_chunks_arrives_whole(self) -> None:
+        endpoint = await self.add_endpoint("e1")
+        await self.start()
+        head = self.request("book", body=b"").replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked"
+        )
+        reader, _ = await self.send(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        self.assertEqual(200, (await self.read(reader)).status)
+        self.assertEqual(b"abcde", endpoint.received[0].body)
+
+    async def test_a_body_above_the_limit_gets_413(self) -> None:
+        await self.add_endpoint("e1")
+        await self.start()
+        self.assertEqual(413, (await self.ask("book", body=bytes(100001))).status)
+        self.assertEqual(0, self.arrivals())
+
+    async def test_kept_connections_serve_request_after_request(self) -> None:
+        endpoint = await self.add_endpoint("e1")
+        await self.start()
+        reader, writer = await self.send(self.request("book") + self.request("book"))
+        for _ in range(2):
+            self.assertEqual(200, (await self.read(reader)).status)
+        writer.write(self.request("book"))
+        self.assertEqual(200, (await self.read(reader)).status)
+        self.assertEqual(1, endpoint.open_connections)
+
+
+class AtMostOnceTest(GatewayCase):
+    async def test_a_broken_call_that_must_not_be_repeated_gets_502_and_no_second_send(
+        self,
+    ) -> None:
+        for name in ("e1", "e2"):
+            await self.add_endpoint(name, platform_standins.break_off)
+        await self.start()
+        answer = await self.ask("book")
+        self.assertEqual(502, answer.status)
+        self.assertNotIn("retry-after", answer.headers)
+        self.assertEqual(1, self.arrivals())
+
+    async def test_an_idempotent_call_is_repeated_at_another_endpoint(self) -> None:
+        await self.add_endpoint("e1", platform_standins.break_off)
+        await self.add_endpoint("e2", platform_standins.break_off)
+        await self.start()
+        answer = await self.ask("status", method="GET", body=b"")
+        self.assertEqual(502, answer.status)
+        self.assertEqual([1, 1], [len(endpoint.received) for endpoint in self.endpoints])
+
+    async def test_a_call_that_did_not_run_goes_to_another_endpoint(self) -> None:
+        shedding = await self.add_endpoint("e1", platform_standins.shed)
+        await self.add_endpoint("e2", platform_standins.shed)
+        await self.start()
+        answer = await self.ask("book")
+        self.assertEqual(503, answer.status)
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(2, self.arrivals())
+        shedding.behaviour = platform_standins.answer_whole
+        await asyncio.sleep(0.5)
+        self.assertEqual(200, (await self.ask("book")).status)
+
+    async def test_an_answer_to_another_request_is_dropped(self) -> None:
+        async def stray_first(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            other = platform_standins.ReceivedRequest(b"POST / HTTP/1.1\r\n", b"")
+            other.headers["x-masticward-request-id"] = "other"
+            writer.write(platform_standins.whole_answer(other, b"wrong"))
+            writer.write(platform_standins.whole_answer(request, b"right"))
+            return True
+
+        await self.add_endpoint("e1", stray_first)
+        await self.start()
+        answer = await self.ask("book")
+        self.assertEqual((200, b"right"), (answer.status, answer.body))
+
+    async def test_bytes_after_an_answer_do_not_reach_the_next_client(self) -> None:
+        async def doubled(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(platform_standins.whole_answer(request, b"first") * 2)
+            return True
+
+        endpoint = await self.add_endpoint("e1", doubled)
+        await self.start()
+        self.assertEqual(b"first", (await self.ask("book")).body)
+        endpoint.behaviour = platform_standins.answer_whole
+        self.assertEqual(b"answer", (await self.ask("book")).body)
+
+    async def test_an_unproven_success_is_not_passed_on(self) -> None:
+        async def unproven(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            return True
+
+        await self.add_endpoint("e1", unproven)
+        await self.start()
+        self.assertEqual(502, (await self.ask("book")).status)
+
+    async def test_an_early_answer_to_a_long_body_is_passed_on(self) -> None:
+        class Early(platform_standins.EndpointStandin):
+            async def early_answer(
+                self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> bool:
+                answer = platform_standins.whole_answer(request).replace(b"200 OK", b"413 Large")
+                writer.write(answer)
+                await writer.drain()
+                await asyncio.sleep(0.2)
+                return True
+
+        endpoint = Early()
+        await endpoint.start()
+        self.addAsyncCleanup(endpoint.stop)
+        self.store.put_endpoint("e1", endpoint.address)
+        self.endpoints.append(endpoint)
+        await self.start()
+        self.assertEqual(413, (await self.ask("book", body=bytes(90000))).status)
+
+
+class StreamTest(GatewayCase):
+    async def stream(self, first: bytes, whole: bool) -> platform_standins.Behaviour:
+        async def behaviour(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            after = int(request.headers.get("last-event-id", "0"))
+            head = (
+                f"HTTP/1.1 200 OK\r\nX-Masticward-Request-Id: {request.request_id}\r\n"
+                f"{platform_standins.PROOF}Transfer-Encoding: chunked\r\n\r\n"
+            )
+            writer.write(head.encode())
+            events = first if not after else b"id: 3\ndata: c\n\n"
+            writer.write(f"{len(events):x}\r\n".encode() + events + b"\r\n")
+            if whole or after:
+                writer.write(b"0\r\n\r\n")
+                return True
+            await writer.drain()
+            return False
+
+        return behaviour
+
+    async def test_a_stream_that_breaks_off_does_not_look_complete(self) -> None:
+        await self.add_endpoint("e1", await self.stream(b"id: 1\ndata: a\n\n", False))
+        await self.start()
+        answer = await self.ask("stream")
+        self.assertEqual(200, answer.status)
+        self.assertFalse(answer.whole)
+        self.assertEqual(1, self.arrivals())
+
+    async def test_a_resumable_stream_goes_on_at_another_endpoint(self) -> None:
+        torn = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+        for name in ("e1", "e2"):
+            await self.add_endpoint(name, await self.stream(torn, False))
+        await self.start()
+        answer = await self.ask("resume")
+        self.assertTrue(answer.whole)
+        expected = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+        self.assertEqual(expected, answer.body)
+        second = next(
+            e.received[0] for e in self.endpoints if "last-event-id" in e.received[0].headers
+        )
+        self.assertEqual("2", second.headers["last-event-id"])
+
+
+class TimeTest(GatewayCase):
+    async def test_a_client_that_leaves_frees_its_endpoint(self) -> None:
+        endpoint = await self.add_endpoint("e1", platform_standins.never_answer)
+        await self.start()
+        _, writer = await self.send(self.request("book"))
+        await self.wait_until(lambda: endpoint.open_connections == 1)
+        writer.close()
+        await self.wait_until(lambda: endpoint.open_connections == 0)
+        self.assertEqual({}, dict(self.fleet.loads.own))
+
+    async def test_the_timeout_of_a_route_gets_a_final_answer(self) -> None:
+        await self.add_endpoint("e1", platform_standins.never_answer)
+        await self.start()
+        started = clocks.boot_time()
+        self.assertEqual(504, (await self.ask("short")).status)
+        self.assertLess(clocks.boot_time() - started, 0.3 + 0.5)
+
+    async def test_without_an_endpoint_a_request_is_refused_as_not_run(self) -> None:
+        await self.start()
+        answer = await self.ask("book")
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["retry-after"]), 0.0)
+
+    async def test_a_stopping_gateway_cuts_no_request(self) -> None:
+        async def slow(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            await asyncio.sleep(1.0)
+            return await platform_standins.answer_whole(request, writer)
+
+        endpoint = await self.add_endpoint("e1", slow)
+        await self.start()
+        reader, _ = await self.send(self.request("book"))
+        await self.wait_until(lambda: len(endpoint.received) == 1)
+        stopping = asyncio.ensure_future(self.program.stop())
+        answer = await self.read(reader)
+        self.assertEqual(200, answer.status)
+        self.assertEqual("close", answer.headers["connection"])
+        self.assertFalse(self.program.ready())
+        await stopping
+
+
+class ConfigurationTest(GatewayCase):
+    revoke_ms = 1200
+
+    async def test_without_a_configuration_the_answer_is_503(self) -> None:
+        await self.program.start()
+        listener = self.program.client_server.listener
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+        self.assertEqual(503, (await self.ask("keyed")).status)
+        self.assertFalse(self.program.ready())
+
+    async def test_keys_that_cannot_be_proven_are_not_used(self) -> None:
+        await self.add_endpoint("e1")
+        await self.start()
+        key = "Authorization: Bearer key-a\r\n"
+        await self.wait_until(lambda: self.fleet.keys_provable(clocks.boot_time()))
+        self.assertEqual(200, (await self.ask("keyed", extra=key)).status)
+        self.store.down = True
+        await self.wait_until(lambda: not self.fleet.keys_provable(clocks.boot_time()))
+        self.assertEqual(503, (await self.ask("keyed", extra=key)).status)
+        self.assertEqual(200, (await self.ask("book")).status)
+
+    async def test_a_key_that_is_taken_away_stops_working(self) -> None:
+        await self.add_endpoint("e1")
+        await self.start()
+        changed = platform_standins.configuration(2, tenants=[{"name": "team-a", "api_keys": []}])
+        self.store.put("config", "main", changed)
+        await self.wait_until(lambda: self.fleet.configuration.version == 2)  # type: ignore[union-attr]
+        answer = await self.ask("keyed", extra="Authorization: Bearer key-a\r\n")
+        self.assertEqual(401, answer.status)
+
+    async def test_an_older_configuration_is_ignored(self) -> None:
+        await self.start(version=5)
+        self.store.put("config", "main", platform_standins.configuration(4))
+        self.store.put("config", "main", platform_standins.configuration(6))
+        await self.wait_until(lambda: self.fleet.configuration.version == 6)  # type: ignore[union-attr]
+        older = platform_standins.configuration(5)
+        self.store.put("config", "main", older)
+        self.store.put_endpoint("marker", "127.0.0.1:1")
+        await self.wait_until(lambda: "marker" in self.fleet.table.endpoints)
+        self.assertEqual(6, self.fleet.configuration.version)  # type: ignore[union-attr]
+
+    async def test_a_configuration_that_cannot_be_read_leaves_the_last_one_in_force(self) -> None:
+        await self.add_endpoint("e1")
+        await self.start()
+        self.store.put("config", "main", {"version": "two", "routes": 7})
+        self.store.put("servers", "odd", {"address": 5})
+        self.store.put_endpoint("marker", "127.0.0.1:1")
+        await self.wait_until(lambda: "marker" in self.fleet.table.endpoints)
+        self.assertNotIn("odd", self.fleet.table.endpoints)
+        self.assertEqual(1, self.fleet.configuration.version)  # type: ignore[union-attr]
+
+    async def test_a_forgotten_history_is_read_again_as_a_whole(self) -> None:
+        await self.start()
+        self.store.forgotten_before = 10**9
+        self.store.put("config", "main", platform_standins.configuration(2))
+        await self.wait_until(lambda: self.fleet.configuration.version == 2)  # type: ignore[union-attr]
+
+    async def test_settings_that_cannot_be_read_leave_those_in_force(self) -> None:
+        await self.start()
+        good = self.settings_text
+        self.settings_text = "node: 7\n"
+        self.program.reload()
+        self.assertEqual(1.2, self.fleet.settings.bounds.revoke_seconds)
+        self.settings_text = good.replace("revoke_ms: 1200", "revoke_ms: 3000")
+        self.program.reload()
+        self.assertEqual(3.0, self.fleet.settings.bounds.revoke_seconds)
--- /dev/null
+++ b/tests/unit/test_gateway_state.py
@@ -0,0 +1,254 @@
+"""Guards the gateway's decisions that need no network."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticward.state import (
+    cold_pace,
+    endpoint_health,
+    endpoint_table,
+    load_board,
+    placement,
+    prompt_cache,
+    repeats,
+    team_usage,
+)
+from tests.lib import gateway_builders as builders
+
+
+def make_view() -> placement.PlacementView:
+    return placement.PlacementView(
+        load_board.LoadBoard(), prompt_cache.CacheMap(), endpoint_health.HealthBook()
+    )
+
+
+class PlacementTest(unittest.TestCase):
+    """Guards against prompts that are read again, and against engines that are overloaded."""
+
+    def setUp(self) -> None:
+        self.view = make_view()
+        self.engines = [builders.make_endpoint(f"e{number}") for number in range(5)]
+        self.engine = builders.make_configuration().services["llm"].engine
+
+    def choose(self, shared: str, request_id: str = "q") -> placement.Choice:
+        terms = builders.make_terms(request_id, shared)
+        keys = prompt_cache.chain_keys(terms.parts)
+        assert self.engine is not None
+        choice = placement.choose_engine(self.engines, self.engine, keys, terms, self.view, 0.0)
+        assert choice is not None
+        return choice
+
+    def test_gateways_that_know_nothing_agree_on_the_engine_of_a_shared_part(self) -> None:
+        first = [self.choose(f"doc-{number}").endpoint.id for number in range(50)]
+        self.view = make_view()
+        self.engines.reverse()
+        self.assertEqual(first, [self.choose(f"doc-{number}").endpoint.id for number in range(50)])
+        self.assertEqual(5, len(set(first)))
+
+    def test_a_request_goes_where_its_shared_part_was_read(self) -> None:
+        owner = self.choose("doc").endpoint.id
+        other = next(item.id for item in self.engines if item.id != owner)
+        terms = builders.make_terms("before")
+        cache = self.view.caches.engine(other, builders.CACHE_TOKENS)
+        cache.note_read(prompt_cache.chain_keys(terms.parts))
+        choice = self.choose("doc")
+        self.assertEqual(other, choice.endpoint.id)
+        self.assertEqual(3_700, choice.unread_tokens)
+
+    def test_a_hot_shared_part_spills_when_its_engine_has_much_unread(self) -> None:
+        owner = self.choose("doc").endpoint.id
+        self.view.loads.begin(owner, 200_000, 200_000)
+        self.assertNotEqual(owner, self.choose("doc").endpoint.id)
+
+    def test_an_engine_with_a_full_window_gets_nothing_more(self) -> None:
+        for engine in self.engines:
+            self.view.loads.begin(engine.id, 100_000, 100_000)
+        self.assertFalse(self.choose("doc").allowed)
+
+    def test_an_idle_engine_takes_any_request(self) -> None:
+        self.engines = self.engines[:1]
+        self.assertTrue(self.choose("doc").allowed)
+
+    def test_a_failing_engine_is_avoided(self) -> None:
+        owner = self.choose("doc").endpoint.id
+        for _ in range(10):
+            self.view.health.note_failure(owner, 0.0)
+        self.assertNotEqual(owner, self.choose("doc").endpoint.id)
+
+    def test_peers_loads_count_until_they_are_old(self) -> None:
+        owner = self.choose("doc").endpoint.id
+        loads = {owner: load_board.EndpointLoad(200_000, 10, 200_000)}
+        self.view.loads.note_peer("g2", loads, 0.0)
+        self.assertNotEqual(owner, self.choose("doc").endpoint.id)
+        late = load_board.PEER_FIGURES_SECONDS + 0.1
+        self.assertEqual(0, self.view.loads.total(owner, late).requests)
+
+
+class SlownessTest(unittest.TestCase):
+    """Guards against a slowness that settles beside the true factor."""
+
+    def test_slowness_settles_at_the_measured_factor(self) -> None:
+        book = endpoint_health.HealthBook()
+        for _ in range(100):
+            book.note_speed("e", 0.4, 0.1, 0.0)
+        self.assertAlmostEqual(4.0, book.record("e", 0.0).slowness, places=2)
+
+    def test_a_sound_endpoint_is_used_again_after_failures(self) -> None:
+        book = endpoint_health.HealthBook()
+        for _ in range(5):
+            book.note_failure("e", 0.0)
+        self.assertGreater(book.failure_ratio("e", 0.0), 0.5)
+        self.assertLess(book.failure_ratio("e", 20.0), 0.05)
+
+
+class EndpointTableTest(unittest.TestCase):
+    """Guards against work for endpoints that leave, and against losing sound ones."""
+
+    def setUp(self) -> None:
+        self.table = endpoint_table.EndpointTable()
+        self.endpoint = builders.make_endpoint("e1")
+        self.table.apply([("e1", self.endpoint)], True, 10.0)
+
+    def usable(self, now: float) -> list[str]:
+        return [item.id for item in self.table.usable("llm", now)]
+
+    def test_a_draining_endpoint_gets_nothing(self) -> None:
+        self.table.apply([("e1", builders.make_endpoint("e1", draining=True))], False, 10.0)
+        self.assertEqual([], self.usable(10.0))
+
+    def test_a_removed_endpoint_gets_nothing(self) -> None:
+        self.table.apply([("e1", None)], False, 10.0)
+        self.assertEqual([], self.usable(10.0))
+
+    def test_an_endpoint_missing_after_an_outage_stays_for_the_grace(self) -> None:
+        self.table.note_store_return(10.0)
+        self.table.apply([], True, 10.1)
+        self.assertEqual(["e1"], self.usable(11.9))
+        changes: list[endpoint_table.Change] = []
+        self.table.drop_missing(12.1, changes)
+        self.assertEqual([], self.usable(12.1))
+        self.assertEqual(["gone"], [change.state for change in changes])
+
+    def test_an_endpoint_listed_again_within_the_grace_stays(self) -> None:
+        self.table.note_store_return(10.0)
+        self.table.apply([], True, 10.1)
+        self.table.apply([("e1", self.endpoint)], False, 11.0)
+        self.table.drop_missing(20.0, [])
+        self.assertEqual(["e1"], self.usable(20.0))
+
+    def test_a_zone_that_is_out_gets_nothing_and_is_cold_when_back(self) -> None:
+        services = builders.make_configuration().services
+        self.table.set_out_zones({"z1"}, 10.0, services)
+        self.assertEqual([], self.usable(10.0))
+        self.table.set_out_zones(set(), 20.0, services)
+        self.assertEqual(["e1"], self.usable(20.0))
+        self.assertEqual(23.0, self.table.cold_until(self.endpoint))
+
+    def test_an_unreadable_object_names_no_endpoint(self) -> None:
+        self.table.apply([("e1", None), ("x", None)], False, 10.0)
+        self.assertEqual({}, self.table.endpoints)
+
+
+class RepeatBudgetTest(unittest.TestCase):
+    """Guards the fleet's bound on repeated sends, whatever each gateway knows of the others."""
+
+    @given(
+        gateways=st.integers(1, 12),
+        steps=st.lists(
+            st.tuples(st.integers(0, 11), st.booleans(), st.floats(0.0, 0.5)), max_size=300
+        ),
+    )
+    def test_all_gateways_together_stay_below_the_bound(
+        self, gateways: int, steps: list[tuple[int, bool, float]]
+    ) -> None:
+        bounds = builders.make_bounds()
+        budgets = [
+            repeats.RepeatBudget(
+                bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_seconds
+            )
+            for _ in range(gateways)
+        ]
+        now = 0.0
+        requests: list[float] = []
+        taken: list[float] = []
+        for index, is_request, pause in steps:
+            now += pause
+            budget = budgets[index % gateways]
+            if is_request:
+                budget.note_request(now)
+                requests.append(now)
+            elif budget.take(now, gateways):
+                taken.append(now)
+            window = now - bounds.repeat_window_seconds
+            in_window = sum(1 for time in taken if time > window)
+            allowed = bounds.repeat_slack + bounds.repeat_ratio * sum(
+                1 for time in requests if time > window
+            )
+            self.assertLessEqual(in_window, allowed)
+
+
+class ColdPaceTest(unittest.TestCase):
+    """Guards the fleet's bound on requests to a cold endpoint."""
+
+    @given(gateways=st.integers(1, 30), offsets=st.lists(st.floats(0.0, 2.0), max_size=200))
+    def test_all_gateways_together_stay_below_the_bound(
+        self, gateways: int, offsets: list[float]
+    ) -> None:
+        bounds = builders.make_bounds()
+        names = [f"g{number}" for number in range(gateways)]
+        paces = {name: cold_pace.ColdPace() for name in names}
+        rate = 8.0
+        sent: list[float] = []
+        for now in sorted(offsets):
+            for name, pace in paces.items():
+                if pace.may_send("e", rate, name, names, now):
+                    pace.note_sent("e", rate, gateways, now)
+                    sent.append(now)
+        most = rate * bounds.cold_overage + bounds.cold_slack
+        for start in sent:
+            self.assertLessEqual(sum(1 for time in sent if start <= time < start + 1.0), most)
+
+    def test_a_minority_of_gateways_sends_to_a_cold_endpoint(self) -> None:
+        names = [f"g{number}" for number in range(25)]
+        self.assertEqual(cold_pace.COLD_SENDERS, len(cold_pace.senders("e", names)))
+
+
+class TeamUsageTest(unittest.TestCase):
+    """Guards against a team that is served twice its share because peers are not counted."""
+
+    def test_peers_tokens_count_and_decay(self) -> None:
+        usage = team_usage.TeamUsage()
+        usage.note_begun("a", 1000, 10.0)
+        usage.note_peer("g2", {"a": 500.0}, 10.0)
+        self.assertAlmostEqual(1500.0, usage.recent("a", 10.0))
+        self.assertLess(usage.recent("a", 14.0), 600.0)
+
+    @given(st.lists(st.floats(0.0, 1e6), min_size=1, max_size=30), st.floats(1.0, 1e6))
+    def test_fair_share_is_max_min(self, demands: list[float], capacity: float) -> None:
+        share = team_usage.fair_share(demands, capacity)
+        served = sum(min(demand, share) for demand in demands)
+        self.assertLessEqual(served, capacity * 1.001 + 1e-6)
+        if share != float("inf"):
+            self.assertAlmostEqual(served, capacity, delta=capacity * 0.001)
+
+
+class PromptCacheTest(unittest.TestCase):
+    """Guards against a cache model that believes in parts whose predecessors are gone."""
+
+    def test_a_part_counts_only_behind_its_predecessors(self) -> None:
+        cache = prompt_cache.EngineCache(100_000)
+        first = builders.make_terms("q1", "doc-a").parts
+        cache.note_read(prompt_cache.chain_keys(first))
+        other = (*builders.make_terms("q2", "doc-b").parts[:1], first[1])
+        self.assertEqual(0, cache.cached_tokens(prompt_cache.chain_keys(other)))
+
+    def test_the_least_recently_used_part_yields(self) -> None:
+        cache = prompt_cache.EngineCache(40_000)
+        for name in ("doc-a", "doc-b"):
+            cache.note_read(prompt_cache.chain_keys(builders.make_terms(name, name).parts))
+        first = prompt_cache.chain_keys(builders.make_terms("again", "doc-a").parts)
+        second = prompt_cache.chain_keys(builders.make_terms("again", "doc-b").parts)
+        self.assertEqual(0, cache.cached_tokens(first))
+        self.assertEqual(13_000, cache.cached_tokens(second))
--- /dev/null
+++ b/tests/unit/test_gateway_waiting.py
@@ -0,0 +1,172 @@
+"""Plays load patterns on the waiting requests without a network: who waits, who is refused."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from masticward.gateway import front, placer
+from masticward.models import gateway
+from masticward.state import placement
+from masticward.utils import clocks
+from tests.lib import gateway_builders as builders
+
+
+class WaitingCase(unittest.IsolatedAsyncioTestCase):
+    """One engine, a clock that the test moves, and requests that hold the engine until told."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        patcher = unittest.mock.patch.object(clocks, "boot_time", lambda: self.now)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.fleet = builders.make_fleet(builders.make_endpoint("e1"), now=self.now)
+        self.placer = placer.Placer(self.fleet, lambda *_: None)
+        self.tasks: list[asyncio.Task[placement.Choice | placer.Refused]] = []
+        self.count = 0
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def ask(
+        self, team: str, patience: float = 5.0
+    ) -> asyncio.Task[placement.Choice | placer.Refused]:
+        """Start waiting with a request that shares nothing with others."""
+        self.count += 1
+        terms = builders.make_terms(f"q{self.count}", f"doc{self.count}", arrived_at=self.now)
+        request = placer.Waiting(
+            terms, builders.make_route(), "llm", team, refuse_at=self.now + patience
+        )
+        task = asyncio.get_running_loop().create_task(self.placer.place(request))
+        self.tasks.append(task)
+        await asyncio.sleep(0)
+        return task
+
+    async def free_engine(self) -> None:
+        """End all work at the engine and let the next request begin."""
+        self.fleet.loads.own.clear()
+        self.placer.pump("llm")
+        await asyncio.sleep(0)
+
+    def served(self, tasks: list[asyncio.Task[placement.Choice | placer.Refused]]) -> int:
+        return sum(
+            1 for task in tasks if task.done() and isinstance(task.result(), placement.Choice)
+        )
+
+    def refused(self, tasks: list[asyncio.Task[placement.Choice | placer.Refused]]) -> int:
+        return sum(1 for task in tasks if task.done() and isinstance(task.result(), placer.Refused))
+
+
+class FairOrderTest(WaitingCase):
+    async def test_one_team_at_ten_times_its_share_does_not_delay_a_small_one(self) -> None:
+        flood = [await self.ask("flood") for _ in range(10)]
+        small = await self.ask("small")
+        self.assertEqual(1, self.served(flood))
+        await self.free_engine()
+        self.assertTrue(small.done())
+        self.assertEqual(1, self.served(flood))
+
+    async def test_what_peers_served_counts(self) -> None:
+        await self.ask("other")
+        first = await self.ask("a")
+        second = await self.ask("b")
+        self.fleet.usage.note_peer("g2", {"a": 1_000_000.0}, self.now)
+        await self.free_engine()
+        self.assertEqual([False, True], [first.done(), second.done()])
+
+    async def test_an_idle_engine_serves_any_team_at_once(self) -> None:
+        self.fleet.usage.note_peer("g2", {"a": 1_000_000.0}, self.now)
+        self.assertTrue((await self.ask("a")).done())
+
+    async def test_a_team_is_served_in_the_order_of_arrival(self) -> None:
+        await self.ask("other")
+        first = await self.ask("a")
+        self.now += 0.01
+        second = await self.ask("a")
+        await self.free_engine()
+        self.assertEqual([True, False], [first.done(), second.done()])
+
+
+class RefusalTest(WaitingCase):
+    async def test_everyone_at_twice_capacity_is_refused_early_not_at_the_deadline(self) -> None:
+        tasks = [await self.ask("a", patience=0.6) for _ in range(20)]
+        self.assertEqual(1, self.served(tasks))
+        self.assertGreater(self.refused(tasks), 15)
+
+    async def test_returns_are_spread(self) -> None:
+        tasks = [await self.ask("a", patience=0.0) for _ in range(20)]
+        times = {
+            task.result().retry_after_seconds
+            for task in tasks
+            if task.done() and isinstance(task.result(), placer.Refused)
+        }
+        self.assertGreater(len(times), 10)
+        self.assertLessEqual(max(times), placer.LONGEST_RETURN_SECONDS)
+
+    async def test_a_request_is_refused_when_its_patience_ends(self) -> None:
+        await self.ask("a")
+        waiting = await self.ask("a", patience=0.5)
+        self.assertFalse(waiting.done())
+        self.now += 0.6
+        self.placer.pump("llm")
+        await asyncio.sleep(0)
+        self.assertIsInstance(waiting.result(), placer.Refused)
+
+    async def test_a_caller_that_leaves_while_waiting_is_forgotten(self) -> None:
+        await self.ask("a")
+        waiting = await self.ask("a")
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual([], self.placer.waiting["llm"])
+
+
+class ColdEnginesTest(WaitingCase):
+    async def test_cold_engines_that_come_back_together_are_not_flooded(self) -> None:
+        cold = [
+            builders.make_endpoint(f"c{number}", cold_until=self.now + 3.0) for number in range(3)
+        ]
+        self.fleet.apply_endpoints([(item.id, item) for item in cold], True)
+        tasks = [await self.ask("a") for _ in range(60)]
+        for _ in range(20):
+            self.now += 0.05
+            self.fleet.loads.own.clear()
+            self.placer.pump("llm")
+            await asyncio.sleep(0)
+        bounds = builders.make_bounds()
+        most = 3 * (8.0 * bounds.cold_overage + bounds.cold_slack)
+        self.assertLessEqual(self.served(tasks), most)
+        self.assertGreater(self.served(tasks), 10)
+
+    async def test_a_third_of_the_engines_gone_leaves_the_others_in_use(self) -> None:
+        engines = [builders.make_endpoint(f"e{number}") for number in range(3)]
+        self.fleet.apply_endpoints([(item.id, item) for item in engines], True)
+        self.fleet.health.note_unreachable("e2", self.now)
+        tasks = [await self.ask("a") for _ in range(6)]
+        used = {
+            task.result().endpoint.id
+            for task in tasks
+            if task.done() and isinstance(task.result(), placement.Choice)
+        }
+        self.assertEqual({"e0", "e1"}, used)
+
+
+class KeysTest(unittest.TestCase):
+    """Guards against requests with keys that were taken away."""
+
+    def test_a_proof_lasts_less_than_the_bound(self) -> None:
+        fleet = builders.make_fleet(now=100.0)
+        self.assertTrue(fleet.keys_provable(104.0))
+        self.assertFalse(fleet.keys_provable(100.0 + builders.make_bounds().revoke_seconds))
+
+    def test_an_older_configuration_proves_nothing(self) -> None:
+        fleet = builders.make_fleet(now=100.0)
+        fleet.take_configuration(builders.make_configuration(3), 101.0, "test")
+        self.assertFalse(fleet.take_configuration(builders.make_configuration(2), 109.0, "peer"))
+        self.assertEqual(101.0, fleet.configuration_proven_at)
+
+    def test_split_routes_follow_their_weights(self) -> None:
+        shares = (gateway.ServiceShare("a", 90.0), gateway.ServiceShare("b", 10.0))
+        route = builders.make_route(shares=shares)
+        chosen = [front.choose_service(route, f"q{number}") for number in range(2000)]
+        self.assertAlmostEqual(0.1, chosen.count("b") / 2000, delta=0.03)
--- a/tests/unit/test_layers.py
+++ b/tests/unit/test_layers.py
@@ -22,6 +22,8 @@
         "utils",
         "wire",
     },
+    "gateway": {"gateway", "protocol", "transport", "state", "models", "utils", "wire"},
+    "platform": {"platform", "gateway", "daemons", "transport", "models", "utils"},
     "publishing": {
         "publishing",
         "coordination",
--- a/tests/unit/test_metrics_page.py
+++ b/tests/unit/test_metrics_page.py
@@ -6,9 +6,11 @@
 
 from masticward import metrics, settings
 from masticward.coordination import agent_metrics, dispatcher, entry_meters, view
+from masticward.daemons import gateway as gateway_daemon
 from masticward.daemons import meters
+from masticward.platform import headers
 from masticward.transport import channels, instance_list, object_api
-from tests.lib import platforms
+from tests.lib import gateway_builders, platforms
 
 PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "metrics.md"
 FORBIDDEN_LABELS = {"team", "request_id", "instance"}
@@ -39,7 +41,15 @@
             process_metrics,
             dispatcher.Dispatcher(fleet_view, "s", settings.QueuePolicyName.FAIR_SHARE),
         )
-        collected = list(process_metrics.registry.collect())
+        gateway_program = gateway_daemon.GatewayProgram(
+            gateway_builders.make_settings(),
+            gateway_builders.NoStore(),
+            headers.HeaderCodec(),
+            gateway_builders.make_settings,
+        )
+        collected = list(gateway_program.metrics.registry.collect()) + list(
+            process_metrics.registry.collect()
+        )
         registered = {
             metric.name + ("_total" if metric.type == "counter" else "") for metric in collected
         }
