Leave part of a busy engine's window to teams below their max-min share

Change: gateways tell what each team asked and what began; a team above its max-min share of all that began sends to an engine only while little is unread there.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -32,7 +32,9 @@
         self.loads = load_board.LoadBoard()
         self.caches = prompt_cache.CacheMap()
         self.health = endpoint_health.HealthBook()
+        # Tokens of the requests that began, and of all that arrived.
         self.usage = team_usage.TeamUsage()
+        self.asked = team_usage.TeamUsage()
         self.pace = cold_pace.ColdPace()
         self.budgets: dict[str, repeats.RepeatBudget] = {}
         self.view = placement.PlacementView(self.loads, self.caches, self.health)
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -10,7 +10,7 @@
 from masticward.gateway import sources
 from masticward.models import gateway
 from masticward.protocol import gateway_peers
-from masticward.state import load_board, team_usage
+from masticward.state import load_board
 from masticward.utils import clocks, identifiers
 
 # Figures are this old at most with few gateways; with more, a process sends as many datagrams.
@@ -169,6 +169,7 @@
         fleet = self.fleet
         now = clocks.boot_time()
         fleet.usage.decay(now)
+        fleet.asked.decay(now)
         self.told_prompts.append(self.new_prompts)
         self.new_prompts = []
         del self.told_prompts[:-PROMPT_REPEATS]
@@ -187,11 +188,8 @@
                 endpoint_id: (load.unread_tokens, load.requests, load.memory_tokens)
                 for endpoint_id, load in fleet.loads.own.items()
             },
-            usage={
-                team: tokens
-                for team, tokens in fleet.usage.own.items()
-                if tokens > team_usage.NEGLIGIBLE_TOKENS
-            },
+            usage=fleet.usage.told(),
+            asked=fleet.asked.told(),
             prompts=[item for told in self.told_prompts for item in told],
             members=members,
         )
@@ -220,6 +218,7 @@
             now,
         )
         fleet.usage.note_peer(peer.instance_id, figures.usage, now)
+        fleet.asked.note_peer(peer.instance_id, figures.asked, now)
         self.note_prompts(figures)
         self.note_proof(message, figures, now)
         for instance_id, ip in figures.members:
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -8,7 +8,7 @@
 
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
-from masticward.state import placement, prompt_cache
+from masticward.state import placement, prompt_cache, team_usage
 from masticward.utils import clocks
 
 # Waiting requests are looked at this often, because peers' loads change without an event here.
@@ -89,6 +89,9 @@
         """Wait until the request has an endpoint or is refused."""
         queue = self.waiting.setdefault(request.service, [])
         request.future = asyncio.get_running_loop().create_future()
+        self.fleet.asked.note(
+            request.team, team_usage.charged_tokens(request.terms), clocks.boot_time()
+        )
         queue.append(request)
         # With others waiting, the next regular look finds the request in its order.
         if len(queue) == 1 or clocks.boot_time() - self.pumped_at > PUMP_SECONDS:
@@ -106,8 +109,9 @@
             self.waiting.pop(service, None)
             return
         now = self.pumped_at = clocks.boot_time()
-        usage = self.fleet.usage.totals(now) if len(queue) > 1 else {}
-        queue.sort(key=lambda item: (usage.get(item.team, 0.0), item.arrived_at))
+        usage = self.fleet.usage.totals(now)
+        over = team_usage.over_share(self.fleet.asked.totals(now), usage)
+        queue.sort(key=lambda item: (item.team in over, usage.get(item.team, 0.0), item.arrived_at))
         candidates = self.candidates(service, now)
         ahead = 0
         blocked = 0
@@ -117,7 +121,7 @@
             # When several in a row get nothing, all engines are full.
             choice = None
             if blocked < MOST_BLOCKED:
-                choice = self.choose(request, candidates, now)
+                choice = self.choose(request, candidates, request.team in over, now)
             if choice is not None and choice.allowed:
                 self.reserve(request, choice, now)
                 queue.remove(request)
@@ -165,7 +169,7 @@
         ]
 
     def choose(
-        self, request: Waiting, candidates: list[gateway.Endpoint], now: float
+        self, request: Waiting, candidates: list[gateway.Endpoint], over_share: bool, now: float
     ) -> placement.Choice | None:
         """Return the best endpoint for a request."""
         fleet = self.fleet
@@ -180,8 +184,11 @@
         weight = placement.reread_weight(
             now - request.arrived_at, max(0.01, request.route.target_latency_seconds)
         )
+        window = placement.UNREAD_WINDOW_SECONDS
+        if over_share:
+            window = placement.OVER_SHARE_WINDOW_SECONDS
         return placement.choose_engine(
-            candidates, engine, request.keys, request.terms, fleet.view, weight, now
+            candidates, engine, request.keys, request.terms, fleet.view, weight, window, now
         )
 
     def warm_or_paced(
@@ -212,7 +219,7 @@
             cache = fleet.caches.engine(endpoint.id, service.engine.cache_tokens)
             cache.note_read(request.keys)
             self.on_prompt(endpoint.id, request.keys)
-            fleet.usage.note_begun(request.team, terms.prompt_tokens + 2 * terms.output_tokens, now)
+            fleet.usage.note(request.team, terms.prompt_tokens + 2 * terms.output_tokens, now)
         if fleet.table.cold_until(endpoint) > now and service.cold_requests_per_second > 0:
             fleet.pace.note_sent(
                 endpoint.id, service.cold_requests_per_second, len(fleet.live_gateways), now
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -24,6 +24,8 @@
     loads: dict[str, tuple[int, int, int]]
     # Team to tokens begun recently.
     usage: dict[str, float]
+    # Team to tokens asked for recently, served or not.
+    asked: dict[str, float]
     # Prompts that were sent to engines since the last messages: endpoint id, prefix keys.
     prompts: list[tuple[str, list[tuple[int, int]]]]
     # Some of the gateways that the sender knows: instance id and IP.
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -24,6 +24,8 @@
 # An engine with more unread tokens than it reads in this time gets nothing more, so that the order
 # of the waiting requests stays with the gateways.
 UNREAD_WINDOW_SECONDS = 0.35
+# A team above its share leaves the rest of the window to the others. Engines stay busy with this.
+OVER_SHARE_WINDOW_SECONDS = 0.12
 MEMORY_SHARE = 0.9
 # Hashing over all endpoints is repeated for each look at a waiting request.
 OWNERS_REMEMBERED = 4096
@@ -76,6 +78,7 @@
     terms: gateway.RequestTerms,
     view: PlacementView,
     reread_weight: float,
+    window_seconds: float,
     now: float,
 ) -> Choice | None:
     """Return the engine on which the request's first event is expected first."""
@@ -102,8 +105,7 @@
             total.requests < engine.slots
             and memory <= MEMORY_SHARE * engine.cache_tokens
             and (
-                total.unread_tokens <= 0
-                or (total.unread_tokens + unread) / speed <= UNREAD_WINDOW_SECONDS
+                total.unread_tokens <= 0 or (total.unread_tokens + unread) / speed <= window_seconds
             )
         )
         if best is None or cost < best.cost_seconds:
--- a/src/masticward/state/team_usage.py
+++ b/src/masticward/state/team_usage.py
@@ -2,13 +2,22 @@
 
 import math
 
+from masticward.models import gateway
+
 # Fairness is judged over windows of 4 to 6 s (pages of the platform).
 MEMORY_SECONDS = 4.0
 PEER_FIGURES_SECONDS = 4.0
+# Requests that arrived just now have not begun; less than this is no shortage.
+UNSERVED_FACTOR = 1.1
 # Teams below this are left out of messages.
 NEGLIGIBLE_TOKENS = 50.0
 
 
+def charged_tokens(terms: gateway.RequestTerms) -> int:
+    """Return the tokens that a request counts for: each read once, each generated twice."""
+    return terms.prompt_tokens + 2 * terms.output_tokens
+
+
 class TeamUsage:
     """Exponentially decayed tokens by team. Times are seconds of ``clocks.boot_time``."""
 
@@ -29,11 +38,15 @@
             if tokens * factor > NEGLIGIBLE_TOKENS / 10
         }
 
-    def note_begun(self, team: str, tokens: int, now: float) -> None:
+    def note(self, team: str, tokens: int, now: float) -> None:
         """Add a request that was sent to an endpoint."""
         self.decay(now)
         self.own[team] = self.own.get(team, 0.0) + tokens
 
+    def told(self) -> dict[str, float]:
+        """Return the own figures that are worth telling peers."""
+        return {team: tokens for team, tokens in self.own.items() if tokens > NEGLIGIBLE_TOKENS}
+
     def note_peer(self, peer: str, figures: dict[str, float], now: float) -> None:
         """Take over a peer's figures."""
         self.peers[peer] = (now, figures)
@@ -56,6 +69,19 @@
         return totals
 
 
+def over_share(asked: dict[str, float], begun: dict[str, float]) -> frozenset[str]:
+    """Return the teams that were served more than their max-min share of all that was served.
+
+    What was served is taken as the capacity: while nothing waits, all that was asked has begun and
+    no team is above its share.
+    """
+    served = sum(begun.values())
+    if sum(asked.values()) <= served * UNSERVED_FACTOR:
+        return frozenset()
+    share = fair_share(list(asked.values()), served)
+    return frozenset(team for team, tokens in begun.items() if tokens > share)
+
+
 def fair_share(demands: list[float], capacity: float) -> float:
     """Return the max-min share: no demand above it gets more than it."""
     left = capacity
--- a/tests/unit/test_gateway_peering.py
+++ b/tests/unit/test_gateway_peering.py
@@ -38,6 +38,7 @@
             stopping=False,
             loads=loads or {},
             usage={},
+            asked={},
             prompts=[],
             members=[("g3", "127.0.0.3")],
         )
--- a/tests/unit/test_gateway_state.py
+++ b/tests/unit/test_gateway_state.py
@@ -38,7 +38,14 @@
         assert self.engine is not None
         weight = placement.reread_weight(waited, 0.8)
         choice = placement.choose_engine(
-            self.engines, self.engine, keys, terms, self.view, weight, 0.0
+            self.engines,
+            self.engine,
+            keys,
+            terms,
+            self.view,
+            weight,
+            placement.UNREAD_WINDOW_SECONDS,
+            0.0,
         )
         assert choice is not None
         return choice
@@ -239,11 +246,20 @@
 
     def test_peers_tokens_count_and_decay(self) -> None:
         usage = team_usage.TeamUsage()
-        usage.note_begun("a", 1000, 10.0)
+        usage.note("a", 1000, 10.0)
         usage.note_peer("g2", {"a": 500.0}, 10.0)
         self.assertAlmostEqual(1500.0, usage.recent("a", 10.0))
         self.assertLess(usage.recent("a", 14.0), 600.0)
 
+    def test_nobody_is_above_the_share_while_all_that_was_asked_is_served(self) -> None:
+        figures = {"flood": 1_000_000.0, "small": 1_000.0}
+        self.assertEqual(frozenset(), team_usage.over_share(figures, figures))
+
+    def test_a_flood_is_above_its_share_while_others_go_short(self) -> None:
+        asked = {"flood": 1_000_000.0, "middle": 300_000.0, "small": 1_000.0}
+        begun = {"flood": 400_000.0, "middle": 100_000.0, "small": 1_000.0}
+        self.assertEqual({"flood"}, team_usage.over_share(asked, begun))
+
     @given(st.lists(st.floats(0.0, 1e6), min_size=1, max_size=30), st.floats(1.0, 1e6))
     def test_fair_share_is_max_min(self, demands: list[float], capacity: float) -> None:
         share = team_usage.fair_share(demands, capacity)
--- a/tests/unit/test_gateway_waiting.py
+++ b/tests/unit/test_gateway_waiting.py
@@ -6,7 +6,7 @@
 
 from masticward.gateway import front, placer
 from masticward.models import gateway
-from masticward.state import placement
+from masticward.state import load_board, placement
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
 
@@ -79,6 +79,19 @@
         self.fleet.usage.note_peer("g2", {"a": 1_000_000.0}, self.now)
         self.assertTrue((await self.ask("a")).done())
 
+    async def test_a_flood_leaves_part_of_a_busy_engine_to_others(self) -> None:
+        # The others' requests may wait at other gateways, whose queues this one does not see.
+        self.fleet.usage.note_peer("g2", {"flood": 500_000.0, "small": 1_000.0}, self.now)
+        self.fleet.asked.note_peer("g2", {"flood": 900_000.0, "small": 90_000.0}, self.now)
+        self.fleet.loads.note_peer("g2", {"e1": load_board.EndpointLoad(200, 1, 200)}, self.now)
+        flood = await self.ask("flood")
+        self.assertFalse(flood.done())
+        small = await self.ask("small")
+        self.now += placer.PUMP_SECONDS
+        self.placer.pump("llm")
+        await asyncio.sleep(0)
+        self.assertEqual([False, True], [flood.done(), small.done()])
+
     async def test_a_team_is_served_in_the_order_of_arrival(self) -> None:
         await self.ask("other")
         first = await self.ask("a")
