--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -25,7 +25,7 @@
 # of the waiting requests stays with the gateways.
 UNREAD_WINDOW_SECONDS = 0.35
 # A team above its share leaves the rest of the window to the others. Engines stay busy with this.
-OVER_SHARE_WINDOW_SECONDS = 0.12
+OVER_SHARE_WINDOW_SECONDS = 0.22
 MEMORY_SHARE = 0.9
 # Hashing over all endpoints is repeated for each look at a waiting request.
 OWNERS_REMEMBERED = 4096
