--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -1,7 +1,9 @@
 """The path of a client's request: checks, endpoint, answer."""
 
 import asyncio
+import collections.abc
 import re
+import typing
 
 from masticward import errors, events, logs
 from masticward.gateway import calls, gateway_metrics, placer, sources
@@ -17,9 +19,17 @@
 SHORTEST_ATTEMPT_SECONDS = 0.02
 NO_CONFIGURATION_RETURN_SECONDS = 0.5
 STALE_KEYS_RETURN_SECONDS = 0.5
+# A sound endpoint begins to answer within its expected time, this factor and this much more.
+# Replicas that lose an answer stay silent; callers give a stream up after a gap of 2 s or more.
+SILENCE_FACTOR = 3.0
+SILENCE_SECONDS = 1.2
+PLAIN_SILENCE_SECONDS = 0.35
+# Longest pause within a stream before it is resumed elsewhere; sheets allow 0.3 to 0.4 s.
+PAUSE_SECONDS = 1.2
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 LOGGER = logs.get_logger(__name__)
+StepT = typing.TypeVar("StepT")
 
 
 class Refusal(errors.MasticwardError):
@@ -280,14 +290,17 @@
             config=self.fleet.configuration.version if self.fleet.configuration else None,
         )
         try:
-            call = await self.front.caller.call(
-                endpoint,
-                self.terms,
-                self.team,
-                self.body,
-                int(remaining * 1000),
-                self.progress.last_event_id,
-                channel,
+            call = await self.until_silent(
+                self.front.caller.call(
+                    endpoint,
+                    self.terms,
+                    self.team,
+                    self.body,
+                    int(remaining * 1000),
+                    self.progress.last_event_id,
+                    channel,
+                ),
+                self.patience_seconds(placed),
             )
         except errors.EndpointNotStartedError:
             self.progress.runs -= 1
@@ -297,6 +310,30 @@
         finally:
             call.finish()
 
+    def patience_seconds(self, placed: placement.Choice) -> float:
+        """Return the time that a sound endpoint needs at most to begin its answer."""
+        expected = placed.expected_seconds * placed.slowness * SILENCE_FACTOR
+        if self.route.kind is gateway.RequestKind.STREAM:
+            return expected + SILENCE_SECONDS
+        return expected + PLAIN_SILENCE_SECONDS
+
+    async def until_silent(
+        self, step: collections.abc.Awaitable[StepT], patience_seconds: float
+    ) -> StepT:
+        """Wait for a step of an endpoint's answer.
+
+        Raises EndpointBrokenError if it takes too long and the request may run again elsewhere.
+        """
+        if not self.may_repeat():
+            return await step
+        try:
+            async with asyncio.timeout(patience_seconds) as limit:
+                return await step
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            raise errors.EndpointBrokenError(f"silent for {patience_seconds:.2f} s") from None
+
     async def relay(self, call: calls.Call, held: "HeldLoad", sent_at: float) -> bool:
         """Pass an answer on to the client; returns False if another attempt should follow."""
         answer, marks = call.answer, call.marks
@@ -307,7 +344,7 @@
             await self.relay_stream(call, held, sent_at)
             self.note_success(call, sent_at)
             return True
-        body = await call.exchange.read_body()
+        body = await self.until_silent(call.exchange.read_body(), PAUSE_SECONDS)
         if answer.status >= 500:
             self.fleet.health.note_failure(call.endpoint.id, clocks.boot_time())
             if self.may_repeat() and not self.progress.started_client:
@@ -341,7 +378,7 @@
         """Pass events on as they arrive; whole events only where the stream may be resumed."""
         buffered = b""
         while True:
-            data = await call.exchange.read_data()
+            data = await self.until_silent(call.exchange.read_data(), PAUSE_SECONDS)
             if not held.read:
                 held.note_first_event()
                 now = clocks.boot_time()
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -371,6 +371,28 @@
         await self.wait_until(lambda: endpoint.open_connections == 0)
         self.assertEqual({}, dict(self.fleet.loads.own))
 
+    async def test_a_silent_endpoint_does_not_hold_what_may_run_again(self) -> None:
+        # Endpoints that run a request and lose its answer stay silent on an open connection.
+        for name in ("e1", "e2"):
+            await self.add_endpoint(name, platform_standins.never_answer)
+        await self.start()
+        started = clocks.boot_time()
+        reading = asyncio.ensure_future(self.ask("status", method="GET", body=b""))
+        await self.wait_until(lambda: self.arrivals() == 1)
+        silent = next(endpoint for endpoint in self.endpoints if endpoint.received)
+        other = next(endpoint for endpoint in self.endpoints if not endpoint.received)
+        other.behaviour = platform_standins.answer_whole
+        self.assertEqual(200, (await reading).status)
+        self.assertLess(clocks.boot_time() - started, 2.0)
+        await self.wait_until(lambda: silent.open_connections == 0)
+
+    async def test_a_silent_endpoint_keeps_what_must_not_run_again(self) -> None:
+        for name in ("e1", "e2"):
+            await self.add_endpoint(name, platform_standins.never_answer)
+        await self.start()
+        self.assertEqual(504, (await self.ask("book")).status)
+        self.assertEqual(1, self.arrivals())
+
     async def test_the_timeout_of_a_route_gets_a_final_answer(self) -> None:
         await self.add_endpoint("e1", platform_standins.never_answer)
         await self.start()
