Send nothing for clients that have left; try small requests behind large ones

After 8 large requests that waited for their engines the rest of the queue was not tried although engines had room. A gateway to which the balancer gives many clients counted on an even part of the engines.

Change: one turn of the loop before a send; up to 60 requests are tried in one look, and looks at a long queue are spaced to a fifth of the processor; a gateway counts on the engines' part that its part of all arrivals needs.

Both new tests failed before.

--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -255,6 +255,9 @@
         self, endpoint: gateway.Endpoint, placed: placement.Choice, held: "HeldLoad"
     ) -> bool:
         """Call one endpoint and pass its answer on."""
+        # A client's close that has already arrived is handled first, and cancels this request: in
+        # a busy process it may lie behind the request's own bytes.
+        await asyncio.sleep(0)
         channel = await self.front.caller.connect(endpoint, self.route.repeatable)
         now = clocks.boot_time()
         try:
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -13,8 +13,11 @@
 
 # Waiting requests are looked at this often, because peers' loads change without an event here.
 PUMP_SECONDS = 0.02
-# Choices that fail in a row before the rest of the queue is only checked for refusal.
-MOST_BLOCKED = 8
+# Choices that fail before the rest of the queue is only checked for refusal. Small requests must
+# still be tried behind large ones that wait for the engines of their shared parts.
+MOST_BLOCKED = 60
+# The looks at a long queue take at most this part of the processor.
+LOOKING_SHARE = 0.2
 # A request is refused when it has waited for this part of its objective: what is left is needed
 # to read its prompt, and a later answer is worth little to the caller.
 WAIT_SHARE = 0.8
@@ -76,14 +79,18 @@
         self.fleet = fleet
         self.waiting: dict[str, list[Waiting]] = {}
         self.pumped_at = 0.0
+        self.pause_seconds = PUMP_SECONDS
         self.on_prompt = on_prompt
 
     async def run(self) -> None:
         """Look at the waiting requests from time to time, until cancelled."""
         while True:
-            await asyncio.sleep(PUMP_SECONDS)
+            started = clocks.boot_time()
             for service in list(self.waiting):
                 self.pump(service)
+            spent = clocks.boot_time() - started
+            self.pause_seconds = max(PUMP_SECONDS, spent / LOOKING_SHARE)
+            await asyncio.sleep(self.pause_seconds)
 
     async def place(self, request: Waiting) -> placement.Choice | Refused:
         """Wait until the request has an endpoint or is refused."""
@@ -94,7 +101,7 @@
         )
         queue.append(request)
         # With others waiting, the next regular look finds the request in its order.
-        if len(queue) == 1 or clocks.boot_time() - self.pumped_at > PUMP_SECONDS:
+        if len(queue) == 1 or clocks.boot_time() - self.pumped_at > self.pause_seconds:
             self.pump(request.service)
         try:
             return await request.future
@@ -110,7 +117,9 @@
             return
         now = self.pumped_at = clocks.boot_time()
         usage = self.fleet.usage.totals(now)
-        over = team_usage.over_share(self.fleet.asked.totals(now), usage)
+        asked = self.fleet.asked.totals(now)
+        over = team_usage.over_share(asked, usage)
+        speed = self.read_speed(service, asked, now)
         queue.sort(key=lambda item: (item.team in over, usage.get(item.team, 0.0), item.arrived_at))
         candidates = self.candidates(service, now)
         ahead = 0
@@ -130,28 +139,31 @@
                 continue
             blocked += 1
             unread = choice.unread_tokens if choice else request.terms.prompt_tokens
-            waits_in_vain = bool(candidates) and (
-                now + self.wait_seconds(service, ahead) > request.refuse_at
-            )
+            waits_in_vain = bool(candidates) and (now + ahead / speed > request.refuse_at)
             if now >= request.refuse_at or waits_in_vain:
                 queue.remove(request)
-                request.future.set_result(self.refuse(request, bool(candidates), ahead))
+                request.future.set_result(self.refuse(bool(candidates), ahead / speed))
                 continue
             ahead += unread
 
-    def wait_seconds(self, service: str, ahead: int) -> float:
-        """Return the expected wait behind the unread tokens of requests ahead."""
-        engines = max(1, len(self.fleet.table.usable(service, clocks.boot_time())))
-        speed = placement.READ_TOKENS_PER_SECOND * engines / len(self.fleet.live_gateways)
-        return ahead / speed
+    def read_speed(self, service: str, asked: dict[str, float], now: float) -> float:
+        """Return the tokens a second that this gateway may count on.
+
+        The balancer spreads clients unevenly; a gateway counts on the part of the engines that its
+        part of all arrivals needs.
+        """
+        engines = max(1, len(self.fleet.table.usable(service, now)))
+        total = sum(asked.values())
+        part = sum(self.fleet.asked.own.values()) / total if total > 0 else 1.0
+        part = min(1.0, max(part, 1.0 / len(self.fleet.live_gateways)))
+        return placement.READ_TOKENS_PER_SECOND * engines * part
 
-    def refuse(self, request: Waiting, has_candidates: bool, ahead: int) -> Refused:
+    def refuse(self, has_candidates: bool, wait_seconds: float) -> Refused:
         """Return a refusal with a time to come back."""
-        wait = self.wait_seconds(request.service, ahead) + SHORTEST_RETURN_SECONDS
         spread = 1.0 + RETURN_SPREAD * random.random()
         return Refused(
             "no capacity in time" if has_candidates else "no endpoint",
-            min(LONGEST_RETURN_SECONDS, wait * spread),
+            min(LONGEST_RETURN_SECONDS, (wait_seconds + SHORTEST_RETURN_SECONDS) * spread),
         )
 
     def candidates(self, service_name: str, now: float) -> list[gateway.Endpoint]:
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -1,6 +1,8 @@
 """Guards the path of a client's request through the gateway, over real sockets without the kit."""
 
 import asyncio
+import socket
+import time
 import typing
 
 from masticward.daemons import gateway as gateway_daemon
@@ -393,6 +395,20 @@
         self.assertEqual(504, (await self.ask("book")).status)
         self.assertEqual(1, self.arrivals())
 
+    async def test_a_request_whose_client_left_before_it_was_read_is_not_sent(self) -> None:
+        # A busy process finds the request and the client's close at the same moment.
+        await self.add_endpoint("e1")
+        await self.start()
+        reader, writer = await self.send(self.request("book"))
+        await self.read(reader)
+        client = socket.create_connection(("127.0.0.1", self.port))
+        client.sendall(self.request("book"))
+        client.close()
+        time.sleep(0.05)
+        await asyncio.sleep(0.3)
+        self.assertEqual(1, self.arrivals())
+        writer.close()
+
     async def test_the_timeout_of_a_route_gets_a_final_answer(self) -> None:
         await self.add_endpoint("e1", platform_standins.never_answer)
         await self.start()
--- a/tests/unit/test_gateway_waiting.py
+++ b/tests/unit/test_gateway_waiting.py
@@ -6,7 +6,7 @@
 
 from masticward.gateway import front, placer
 from masticward.models import gateway
-from masticward.state import load_board, placement
+from masticward.state import load_board, placement, prompt_cache
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
 
@@ -101,6 +101,34 @@
         self.assertEqual([True, False], [first.done(), second.done()])
 
 
+class QueueOrderTest(WaitingCase):
+    async def test_small_requests_pass_large_ones_that_wait_for_a_busy_engine(self) -> None:
+        # All large ones share a part that e1 has read; e2 is idle.
+        engines = [builders.make_endpoint(name) for name in ("e1", "e2")]
+        self.fleet.apply_endpoints([(item.id, item) for item in engines], True)
+        shared = prompt_cache.chain_keys(builders.make_terms("before", "doc", 39_000).parts)
+        self.fleet.caches.engine("e1", builders.CACHE_TOKENS).note_read(shared)
+        self.fleet.loads.begin("e1", 17_000, 17_000)
+        self.fleet.loads.begin("e2", 1, 1)
+        large = []
+        for number in range(20):
+            terms = builders.make_terms(f"l{number}", "doc", 39_000, arrived_at=self.now)
+            request = placer.Waiting(terms, builders.make_route(), "llm", "a", self.now + 5.0)
+            large.append(asyncio.get_running_loop().create_task(self.placer.place(request)))
+            await asyncio.sleep(0)
+        self.tasks += large
+        self.assertEqual(0, self.served(large))
+        terms = builders.make_terms("small", "tiny", 300, 1_000, arrived_at=self.now)
+        request = placer.Waiting(terms, builders.make_route(), "llm", "a", self.now + 5.0)
+        small = asyncio.get_running_loop().create_task(self.placer.place(request))
+        self.tasks.append(small)
+        await asyncio.sleep(0)
+        self.now += placer.PUMP_SECONDS
+        self.placer.pump("llm")
+        await asyncio.sleep(0)
+        self.assertEqual(1, self.served([small]))
+
+
 class RefusalTest(WaitingCase):
     async def test_everyone_at_twice_capacity_is_refused_early_not_at_the_deadline(self) -> None:
         tasks = [await self.ask("a", patience=0.6) for _ in range(20)]
@@ -110,6 +138,16 @@
         self.assertEqual(1, self.served(tasks))
         self.assertGreater(self.refused(tasks), 15)
 
+    async def test_a_gateway_with_most_of_the_clients_uses_most_of_the_engines(self) -> None:
+        # The balancer's hash gave one gateway of 25 a large part of the clients.
+        self.fleet.live_gateways = [f"g{number}" for number in range(25)]
+        await self.ask("a")
+        waiting = [await self.ask("a", patience=0.8) for _ in range(2)]
+        self.now += placer.PUMP_SECONDS
+        self.placer.pump("llm")
+        await asyncio.sleep(0)
+        self.assertEqual(0, self.refused(waiting))
+
     async def test_returns_are_spread(self) -> None:
         tasks = [await self.ask("a", patience=0.0) for _ in range(20)]
         times = {
