--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -83,6 +83,7 @@
     CLIENT_LEFT = (8106, "client_left", logging.INFO)
     REQUEST_UNREADABLE = (8107, "request_unreadable", logging.WARNING)
     STRAY_ANSWER_DROPPED = (8108, "stray_answer_dropped", logging.WARNING)
+    NO_ENDPOINT_IN_TIME = (8109, "no_endpoint_in_time", logging.WARNING)
     GATEWAY_ENDPOINT_CHANGED = (8201, "gateway_endpoint_changed", logging.INFO)
     GATEWAY_ENDPOINT_UNREACHABLE = (8202, "gateway_endpoint_unreachable", logging.WARNING)
     ZONES_OUT_CHANGED = (8203, "zones_out_changed", logging.INFO)
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -200,6 +200,19 @@
         """Make one attempt; returns False if another should follow."""
         placed = await self.front.placer.place(self.waiting)
         if isinstance(placed, placer.Refused):
+            LOGGER.log(
+                events.Event.NO_ENDPOINT_IN_TIME,
+                request_id=self.terms.request_id,
+                reason=placed.reason,
+                service=self.service,
+                team=self.team,
+                over_share=placed.over_share,
+                waited_ms=round((clocks.boot_time() - self.terms.arrived_at) * 1000),
+                expected_wait_ms=round(placed.wait_seconds * 1000),
+                tokens_ahead=placed.tokens_ahead,
+                candidates=placed.candidates,
+                live_gateways=len(self.fleet.live_gateways),
+            )
             raise self.give_up(placed.reason, placed.retry_after_seconds)
         endpoint = placed.endpoint
         held = HeldLoad(self.fleet, endpoint.id, placed, self.terms)
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -32,6 +32,12 @@
 
     reason: str
     retry_after_seconds: float
+    # What decided: expected wait, tokens of this gateway's requests ahead, endpoints that were not
+    # paused, and whether the team was above its share.
+    wait_seconds: float
+    tokens_ahead: int
+    candidates: int
+    over_share: bool
 
 
 class Waiting:
@@ -142,7 +148,7 @@
             waits_in_vain = bool(candidates) and (now + ahead / speed > request.refuse_at)
             if now >= request.refuse_at or waits_in_vain:
                 queue.remove(request)
-                request.future.set_result(self.refuse(bool(candidates), ahead / speed))
+                request.future.set_result(self.refuse(request, candidates, ahead, speed, over))
                 continue
             ahead += unread
 
@@ -158,12 +164,26 @@
         part = min(1.0, max(part, 1.0 / len(self.fleet.live_gateways)))
         return placement.READ_TOKENS_PER_SECOND * engines * part
 
-    def refuse(self, has_candidates: bool, wait_seconds: float) -> Refused:
+    def refuse(
+        self,
+        request: Waiting,
+        candidates: list[gateway.Endpoint],
+        ahead: int,
+        speed: float,
+        over: frozenset[str],
+    ) -> Refused:
         """Return a refusal with a time to come back."""
+        wait = ahead / speed
         spread = 1.0 + RETURN_SPREAD * random.random()
         return Refused(
-            "no capacity in time" if has_candidates else "no endpoint",
-            min(LONGEST_RETURN_SECONDS, (wait_seconds + SHORTEST_RETURN_SECONDS) * spread),
+            reason="no capacity in time" if candidates else "no endpoint",
+            retry_after_seconds=min(
+                LONGEST_RETURN_SECONDS, (wait + SHORTEST_RETURN_SECONDS) * spread
+            ),
+            wait_seconds=wait,
+            tokens_ahead=ahead,
+            candidates=len(candidates),
+            over_share=request.team in over,
         )
 
     def candidates(self, service_name: str, now: float) -> list[gateway.Endpoint]:
