--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -111,6 +111,11 @@
             self.pump(request.service)
         try:
             return await request.future
+        except asyncio.CancelledError:
+            # The client may leave after the endpoint was reserved and before this task goes on.
+            if request.future.done() and not request.future.cancelled():
+                self.release(request, request.future.result())
+            raise
         finally:
             if request in queue:
                 queue.remove(request)
@@ -236,6 +241,13 @@
         own_id = self.fleet.settings.instance_id
         return self.fleet.pace.may_send(endpoint.id, rate, own_id, gateways, now)
 
+    def release(self, request: Waiting, placed: placement.Choice | Refused) -> None:
+        """Take back the reservation of a request that will not be sent."""
+        if isinstance(placed, placement.Choice):
+            loads = self.fleet.loads
+            loads.note_read(placed.endpoint.id, placed.unread_tokens)
+            loads.end(placed.endpoint.id, request.terms.prompt_tokens + request.terms.output_tokens)
+
     def reserve(self, request: Waiting, choice: placement.Choice, now: float) -> None:
         """Count a request at its endpoint before it is sent."""
         fleet = self.fleet
--- a/src/masticward/platform/documents.py
+++ b/src/masticward/platform/documents.py
@@ -10,7 +10,6 @@
 from masticward.platform import names
 from masticward.utils import clocks
 
-MILLISECONDS = 1000.0
 
 KINDS = {
     "idempotent": gateway.RequestKind.IDEMPOTENT,
@@ -118,7 +117,7 @@
         slots=max(1, entry.slots),
         born=entry.born,
         draining=entry.state == names.STATE_DRAINING,
-        cold_until=clocks.boot_time() + entry.cold_remaining_ms / MILLISECONDS,
+        cold_until=clocks.boot_time() + entry.cold_remaining_ms / clocks.MILLISECONDS_PER_SECOND,
     )
 
 
@@ -135,8 +134,8 @@
         host=entry.host.lower(),
         path_prefix=entry.path_prefix,
         kind=kind,
-        timeout_seconds=entry.timeout_ms / MILLISECONDS,
-        target_latency_seconds=entry.target_latency_ms / MILLISECONDS,
+        timeout_seconds=entry.timeout_ms / clocks.MILLISECONDS_PER_SECOND,
+        target_latency_seconds=entry.target_latency_ms / clocks.MILLISECONDS_PER_SECOND,
         max_attempts=max(1, entry.max_attempts),
         shares=tuple(gateway.ServiceShare(part.service, part.weight) for part in split),
         public=entry.public,
@@ -172,8 +171,8 @@
         limits=gateway.ClientLimits(
             head_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
-            head_timeout_seconds=limits.header_timeout_ms / MILLISECONDS,
-            idle_timeout_seconds=limits.idle_timeout_ms / MILLISECONDS,
+            head_timeout_seconds=limits.header_timeout_ms / clocks.MILLISECONDS_PER_SECOND,
+            idle_timeout_seconds=limits.idle_timeout_ms / clocks.MILLISECONDS_PER_SECOND,
             tokens_per_second=limits.tokens_per_s,
         ),
         team_of_key=team_of_key,
--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -7,12 +7,12 @@
 from masticward.gateway import sources
 from masticward.models import gateway
 from masticward.platform import names
+from masticward.utils import clocks
 
 REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,200}\Z")
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"(?:^|[ ,;])timeout=(\d+)", re.IGNORECASE)
 # A request without a deadline waits as long as the longest one on the users' sheets.
 DEFAULT_DEADLINE_SECONDS = 10.0
-MILLISECONDS = 1000.0
 
 
 def first(headers: dict[bytes, bytes], name: bytes) -> str | None:
@@ -76,7 +76,7 @@
         remaining = DEFAULT_DEADLINE_SECONDS
         if deadline_text is not None:
             try:
-                remaining = int(deadline_text) / MILLISECONDS
+                remaining = int(deadline_text) / clocks.MILLISECONDS_PER_SECOND
             except ValueError as error:
                 raise errors.BadRequestError("the deadline is not a whole number") from error
         prompt_tokens, output_tokens = parse_counts(first(by_name, names.TOKEN_COUNTS))
--- a/src/masticward/platform/settings.py
+++ b/src/masticward/platform/settings.py
@@ -8,9 +8,7 @@
 
 from masticward import errors
 from masticward.models import gateway
-from masticward.utils import addresses
-
-MILLISECONDS = 1000.0
+from masticward.utils import addresses, clocks
 
 
 class Listen(msgspec.Struct):
@@ -71,15 +69,15 @@
         seed_ips=tuple(addresses.split(seed)[0] for seed in found.seeds),
         store_address=found.platform.address,
         bounds=gateway.Bounds(
-            revoke_seconds=bounds.revoke_ms / MILLISECONDS,
-            drain_seconds=bounds.drain_ms / MILLISECONDS,
+            revoke_seconds=bounds.revoke_ms / clocks.MILLISECONDS_PER_SECOND,
+            drain_seconds=bounds.drain_ms / clocks.MILLISECONDS_PER_SECOND,
             stop_seconds=bounds.grace_s,
             repeat_ratio=bounds.retry_budget_ratio,
             repeat_window_seconds=bounds.budget_window_s,
             repeat_slack=bounds.budget_slack,
             cold_overage=bounds.cold_overage,
             cold_slack=bounds.cold_slack,
-            contact_seconds=bounds.contact_ms / MILLISECONDS,
+            contact_seconds=bounds.contact_ms / clocks.MILLISECONDS_PER_SECOND,
         ),
     )
 
--- a/tests/unit/test_gateway_waiting.py
+++ b/tests/unit/test_gateway_waiting.py
@@ -174,6 +174,16 @@
         await asyncio.gather(waiting, return_exceptions=True)
         self.assertEqual([], self.placer.waiting["llm"])
 
+    async def test_a_caller_that_leaves_as_it_gets_an_endpoint_leaves_no_load_behind(self) -> None:
+        await self.ask("a")
+        waiting = await self.ask("a")
+        self.fleet.loads.own.clear()
+        self.placer.pump("llm")
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertTrue(waiting.cancelled())
+        self.assertEqual({}, dict(self.fleet.loads.own))
+
 
 class ColdEnginesTest(WaitingCase):
     async def test_cold_engines_that_come_back_together_are_not_flooded(self) -> None:
