--- a/src/masticward/platform/documents.py
+++ b/src/masticward/platform/documents.py
@@ -10,7 +10,6 @@
 from masticward.platform import names
 from masticward.utils import clocks
 
-
 KINDS = {
     "idempotent": gateway.RequestKind.IDEMPOTENT,
     "non_idempotent": gateway.RequestKind.NON_IDEMPOTENT,
