--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -138,7 +138,7 @@
         for request in list(queue):
             if request.future is None or request.future.done():
                 continue
-            # When several in a row get nothing, all engines are full.
+            # When many get nothing, the rest is only checked for refusal.
             choice = None
             if blocked < MOST_BLOCKED:
                 choice = self.choose(request, candidates, request.team in over, now)
@@ -263,7 +263,7 @@
             cache = fleet.caches.engine(endpoint.id, service.engine.cache_tokens)
             cache.note_read(request.keys)
             self.on_prompt(endpoint.id, request.keys)
-            fleet.usage.note(request.team, terms.prompt_tokens + 2 * terms.output_tokens, now)
+            fleet.usage.note(request.team, team_usage.charged_tokens(terms), now)
         if fleet.table.cold_until(endpoint) > now and service.cold_requests_per_second > 0:
             fleet.pace.note_sent(
                 endpoint.id, service.cold_requests_per_second, len(fleet.live_gateways), now
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -2,7 +2,7 @@
 
 Sanic and aiohttp do not fit here: the gateway must see where an answer ends, what bytes follow it
 and whether a request was written, and neither library shows that. docs/platform.md has the
-measurement.
+reasons.
 """
 
 import asyncio
