Serve requests that arrive while their connection is closed by a late process

Cause: read_request waited for the first bytes with a timeout of its own, and a stop closed each connection that was not busy. The listener's backlog was reset at a stop.

Ruled out: a loss in the handler; the gateway logs nothing for such a request.

Change: before a timeout or a stop decides that a connection is idle, the stream and the socket are looked at once more. A stop takes the connections that wait in the backlog, and waits up to 0.5 s for the first request of connections that have had none. Closed connections are logged with cause (event 8008), and unread bytes are dropped before a close, so that it causes no reset.

--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -77,6 +77,7 @@
     LOG_LINES_DROPPED = (8005, "log_lines_dropped", logging.WARNING)
     CONNECTION_NOT_ACCEPTED = (8006, "connection_not_accepted", logging.WARNING)
     OVERLOAD_CHANGED = (8007, "overload_changed", logging.WARNING)
+    CLIENT_CONNECTION_CLOSED = (8008, "client_connection_closed", logging.INFO)
     ATTEMPT_SENT = (8101, "attempt_sent", logging.INFO)
     GATEWAY_REQUEST_ANSWERED = (8102, "gateway_request_answered", logging.INFO)
     GATEWAY_REQUEST_REFUSED = (8103, "gateway_request_refused", logging.WARNING)
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -8,12 +8,14 @@
 import asyncio
 import collections.abc
 import os
+import select
 import socket
 import typing
 
 import h11
 
 from masticward import errors, events, logs
+from masticward.utils import clocks
 
 READ_BYTES = 65536
 # A peer that answers no packet for this long is gone; pages of the platform grant 3 s of contact.
@@ -38,6 +40,8 @@
         super().__init__(reader, client_connected_cb)
         self.stream_reader = reader
         self.socket: socket.socket | None = None
+        # Bytes that were received and not yet read from the stream.
+        self.unread_bytes = 0
         self.peer_gone = False
         self.on_peer_gone: collections.abc.Callable[[], object] | None = None
 
@@ -46,6 +50,11 @@
         super().connection_made(transport)
         self.socket = transport.get_extra_info("socket")
 
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes and pass them to the stream."""
+        self.unread_bytes += len(data)
+        super().data_received(data)
+
     def eof_received(self) -> bool | None:
         """Note that the peer sends nothing more, or has reset the connection.
 
@@ -109,10 +118,55 @@
         """Whether the peer has closed or reset its side."""
         return self.protocol.peer_gone
 
+    async def read(self) -> bytes:
+        """Return the next bytes, none at the end of the stream; raise OSError after a reset."""
+        data = await self.reader.read(READ_BYTES)
+        self.protocol.unread_bytes -= len(data)
+        return data
+
+    async def read_until(self, deadline: float) -> bytes:
+        """Return the next bytes; raise TimeoutError at the deadline unless any have arrived.
+
+        The deadline is in seconds of ``clocks.boot_time``. In a late event loop, the timer and
+        bytes that arrived before it are handled in the same pass, so the bytes are looked for
+        once more.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, deadline - clocks.boot_time())):
+                    return await self.read()
+            except TimeoutError:
+                if not self.has_unread_bytes():
+                    raise
+
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read, also by the kernel alone."""
+        if self.protocol.unread_bytes > 0:
+            return True
+        if self.peer_gone or self.transport.is_closing() or self.protocol.socket is None:
+            return False
+        poll = select.poll()
+        poll.register(self.protocol.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         """Reset the connection without sending what is buffered."""
         self.transport.abort()
 
+    async def close_after_peer(self) -> None:
+        """End this side and drop what the peer still sends, for ``LINGER_SECONDS`` at most.
+
+        A connection that is closed with unread bytes is reset, and the peer may lose what was
+        written last.
+        """
+        self.writer.write_eof()
+        try:
+            async with asyncio.timeout(LINGER_SECONDS):
+                while await self.read():
+                    pass
+        except TimeoutError:
+            return
+
 
 async def connect(address: tuple[str, int], timeout_seconds: float) -> Channel:
     """Open a connection; raises EndpointNotStartedError if there is none in time."""
@@ -191,8 +245,10 @@
             accepted.close()
 
     def close(self) -> None:
-        """Take no new connection."""
+        """Take the connections that wait, then no further one."""
         if not self.closed:
+            # The kernel resets connections that wait when their listener closes.
+            self.accept_waiting()
             self.closed = True
             self.loop.remove_reader(self.socket.fileno())
             self.socket.close()
@@ -277,7 +333,7 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self.channel.reader.read(READ_BYTES)
+                data = await self.channel.read()
             except OSError as error:
                 raise errors.EndpointBrokenError(f"reset: {error}") from error
             if not data and self.machine.their_state is h11.SEND_RESPONSE:
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -10,6 +10,8 @@
 from masticward.transport import http1
 from masticward.utils import clocks
 
+# After a stop, connections that were just opened may send their first request for this long.
+FIRST_REQUEST_SECONDS = 0.5
 LOGGER = logs.get_logger(__name__)
 REASONS = {
     200: b"OK",
@@ -116,6 +118,8 @@
         self.address = address
         self.handler = handler
         self.stopping = False
+        # After a stop: the time until which new connections may send a request.
+        self.first_requests_until = 0.0
         self.connections: set[ServerConnection] = set()
         self.listener: http1.Listener | None = None
 
@@ -134,8 +138,13 @@
             self.connections.discard(connection)
 
     def stop_listening(self) -> None:
-        """Take no new connection and close those that serve no request."""
+        """Take no new connection and close those that serve no request.
+
+        A request that has arrived and is not read yet is served. So is one on a connection that
+        has had none so far, if it comes within ``FIRST_REQUEST_SECONDS``.
+        """
         self.stopping = True
+        self.first_requests_until = clocks.boot_time() + FIRST_REQUEST_SECONDS
         if self.listener is not None:
             self.listener.close()
         for connection in list(self.connections):
@@ -143,8 +152,13 @@
 
     @property
     def busy(self) -> int:
-        """Number of requests that are being read or answered."""
-        return sum(1 for connection in self.connections if connection.busy)
+        """Number of requests that are being read or answered, or may still arrive after a stop."""
+        busy = sum(1 for connection in self.connections if connection.busy)
+        if self.stopping and clocks.boot_time() < self.first_requests_until:
+            busy += sum(1 for connection in self.connections if connection.awaits_first_request)
+            if self.listener is not None:
+                busy += len(self.listener.opening)
+        return busy
 
     def abort(self) -> None:
         """Reset all connections."""
@@ -155,7 +169,7 @@
 class ServerConnection:
     """One client connection."""
 
-    __slots__ = ("busy", "channel", "machine", "method", "server")
+    __slots__ = ("busy", "channel", "machine", "method", "served", "server")
 
     def __init__(self, server: Server, channel: http1.Channel) -> None:
         self.server = server
@@ -164,8 +178,15 @@
             h11.SERVER, max_incomplete_event_size=server.handler.limits().head_bytes
         )
         self.busy = False
+        # Number of requests that were read.
+        self.served = 0
         self.method = b""
 
+    @property
+    def awaits_first_request(self) -> bool:
+        """Whether the connection has had no request so far."""
+        return not self.busy and not self.served
+
     def write(self, event: h11.Event) -> None:
         """Write one event."""
         data = self.machine.send(event)
@@ -176,10 +197,23 @@
         """Wait while the client does not read; raises OSError if it is gone."""
         await self.channel.writer.drain()
 
+    def has_unread_request(self) -> bool:
+        """Return whether bytes of a request have arrived that no request consumed."""
+        return bool(self.machine.trailing_data[0]) or self.channel.has_unread_bytes()
+
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being read or answered."""
-        if not self.busy:
-            self.channel.writer.close()
+        """Close the connection unless a request is served, has arrived or is due to arrive."""
+        if self.busy or self.awaits_first_request:
+            return
+        if self.has_unread_request():
+            self.busy = True
+            return
+        self.close("stopping")
+
+    def close(self, cause: str) -> None:
+        """Close the connection and log the cause."""
+        LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
+        self.channel.writer.close()
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -187,8 +221,13 @@
             while await self.serve_request():
                 self.machine.start_next_cycle()
                 self.busy = False
-                if self.server.listener is not None and self.server.listener.closed:
-                    break
+                listener = self.server.listener
+                if listener is not None and listener.closed and not self.has_unread_request():
+                    self.close("stopping")
+                    return
+            closing = self.channel.peer_gone or self.channel.transport.is_closing()
+            if not closing and self.has_unread_request():
+                await self.channel.close_after_peer()
         except (OSError, asyncio.CancelledError):
             # The client is gone, or the process ends: nobody is left to be answered.
             self.channel.abort()
@@ -210,6 +249,8 @@
         except TimeoutError:
             if self.busy:
                 await self.refuse(408, "the request did not arrive in time")
+            else:
+                self.close("idle timeout")
             return False
         except errors.BadRequestError as error:
             await self.refuse(413, str(error))
@@ -242,20 +283,18 @@
             event = self.machine.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            async with asyncio.timeout(max(0.0, deadline - clocks.boot_time())):
-                data = await self.channel.reader.read(http1.READ_BYTES)
-            self.machine.receive_data(data)
+            self.machine.receive_data(await self.channel.read_until(deadline))
 
     async def read_request(self, limits: gateway.ClientLimits) -> Request | None:
         """Return a whole request, None if the client leaves instead."""
         if not self.machine.trailing_data[0]:
-            async with asyncio.timeout(limits.idle_timeout_seconds):
-                data = await self.channel.reader.read(http1.READ_BYTES)
+            data = await self.channel.read_until(clocks.boot_time() + limits.idle_timeout_seconds)
             if not data:
                 return None
             self.busy = True
             self.machine.receive_data(data)
         self.busy = True
+        self.served += 1
         event = await self.next_event(clocks.boot_time() + limits.head_timeout_seconds)
         if not isinstance(event, h11.Request):
             return None
@@ -300,11 +339,4 @@
             )
         )
         self.write(h11.EndOfMessage())
-        # A connection closed with unread bytes is reset, and the refusal could be lost.
-        self.channel.writer.write_eof()
-        try:
-            async with asyncio.timeout(http1.LINGER_SECONDS):
-                while await self.channel.reader.read(http1.READ_BYTES):
-                    pass
-        except TimeoutError:
-            return
+        await self.channel.close_after_peer()
