Keep late copies, bytes without end and stalled streams from clients

Ruled out: heads, chunk sizes and trailers without end; h11 bounds them, the tests held before.

Change: a connection with unread bytes is closed (event 8205), as is one that carried a stray; on a reused connection a response needs its request's ID; bodies are limited to 16 MiB and events to 1 MiB; only complete events with a field count as progress.

--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -83,6 +83,15 @@
             ):
                 connection.channel.abort()
                 continue
+            if connection.channel.has_unread_bytes():
+                # They belong to no request; the next answer on this connection may not either.
+                LOGGER.log(
+                    events.Event.UNEXPECTED_BYTES,
+                    endpoint=endpoint.id,
+                    idle_seconds=round(idle_seconds, 3),
+                )
+                connection.channel.abort()
+                continue
             return Connection(connection.channel, idle_seconds)
         return None
 
@@ -232,7 +241,7 @@
         try:
             await exchange.send(metadata.method, metadata.target, headers, body)
             response, response_metadata = await self.read_matching_head(
-                exchange, metadata.request_id
+                exchange, metadata.request_id, connection.idle_seconds is not None
             )
             if response_metadata.not_run:
                 await exchange.read_body()
@@ -251,16 +260,23 @@
         return call
 
     async def read_matching_head(
-        self, exchange: http1.Exchange, request_id: str
+        self, exchange: http1.Exchange, request_id: str, reused: bool
     ) -> tuple[http1.Answer, gateway.ResponseMetadata]:
         """Return the head of the response to this request, skipping responses to others.
 
-        Raise EndpointBrokenError after ``MAX_STRAY_RESPONSES`` of those.
+        Raise EndpointBrokenError after ``MAX_STRAY_RESPONSES`` of those. On a reused connection,
+        a response without a request ID may be a late copy of an earlier one, so it is an error.
         """
         for _ in range(MAX_STRAY_RESPONSES + 1):
             response = await exchange.read_head()
             response_metadata = self.codec.decode_response_head(response.status, response.headers)
-            if response_metadata.request_id in (None, request_id):
+            if response_metadata.request_id == request_id:
+                return response, response_metadata
+            if response_metadata.request_id is None:
+                if reused or exchange.had_stray:
+                    raise errors.EndpointBrokenError(
+                        "response without a request ID on a reused connection"
+                    )
                 return response, response_metadata
             LOGGER.log(
                 events.Event.STRAY_ANSWER_DROPPED,
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -28,6 +28,10 @@
 # endpoint; the services' specifications allow gaps of 0.3 to 0.4 s.
 READ_TIMEOUT_SECONDS = 1.2
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+# A line that is not a comment, in a block of event lines.
+EVENT_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
+# Longest incomplete event of a resumable stream that is held in memory.
+MAX_EVENT_BYTES = 1024 * 1024
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 LOGGER = logs.get_logger(__name__)
 StepT = typing.TypeVar("StepT")
@@ -344,10 +348,16 @@
     async def relay_stream(
         self, call: calls.EndpointCall, reservation: "LoadReservation", sent_at: float
     ) -> None:
-        """Relay events as they arrive; only complete events if the stream may be resumed."""
+        """Relay events as they arrive; only complete events if the stream may be resumed.
+
+        Only a complete event counts as progress, not a byte or a comment.
+        """
         buffered = b""
+        next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
         while True:
-            data = await self.wait_with_timeout(call.exchange.read_data(), READ_TIMEOUT_SECONDS)
+            data = await self.wait_with_timeout(
+                call.exchange.read_data(), max(0.0, next_event_until - clocks.boot_time())
+            )
             if not reservation.prefilled:
                 reservation.record_first_event()
                 now = clocks.boot_time()
@@ -361,8 +371,12 @@
             if self.route.resumable:
                 buffered += data
                 data, buffered = split_events(buffered)
+                if len(buffered) > MAX_EVENT_BYTES:
+                    raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
                 self.record_event_id(data)
             await self.write_to_client(call, data)
+            if EVENT_FIELD.search(data):
+                next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
         await self.write_to_client(call, buffered)
         await self.responder.end()
 
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -18,6 +18,8 @@
 from masticward.utils import clocks
 
 READ_BYTES = 65536
+# Longest body that is held in memory; a faulty peer may send bytes without end.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 # A peer that answers no packet for this long is gone; pages of the platform grant 3 s of contact.
 SILENCE_MILLISECONDS = 1500
 KEEP_ALIVE_IDLE_SECONDS = 1
@@ -278,10 +280,10 @@
     """One request and its answer on a client connection.
 
     ``sent`` tells whether a byte of the request may have reached the peer, ``received`` whether
-    one of the answer came.
+    one of the answer came, ``had_stray`` whether an answer to another request came.
     """
 
-    __slots__ = ("channel", "ended", "machine", "received", "request", "sent")
+    __slots__ = ("channel", "ended", "had_stray", "machine", "received", "request", "sent")
 
     def __init__(self, channel: Channel) -> None:
         self.channel = channel
@@ -290,6 +292,7 @@
         self.sent = False
         self.received = False
         self.ended = False
+        self.had_stray = False
 
     async def send(
         self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
@@ -322,6 +325,7 @@
         machine.receive_data(rest)
         self.machine = machine
         self.ended = False
+        self.had_stray = True
 
     async def next_event(self) -> typing.Any:
         """Return the next h11 event; raises EndpointBrokenError if the answer breaks off."""
@@ -361,18 +365,27 @@
             return None
         raise errors.EndpointBrokenError("closed within an answer")
 
-    async def read_body(self) -> bytes:
-        """Return the whole body."""
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole body; raise EndpointBrokenError if it exceeds ``max_bytes``."""
         parts = []
+        size = 0
         while (data := await self.read_data()) is not None:
+            size += len(data)
+            if size > max_bytes:
+                raise errors.EndpointBrokenError(f"the body exceeds {max_bytes} bytes")
             parts.append(data)
         return b"".join(parts)
 
     @property
     def reusable(self) -> bool:
-        """Whether another request may be sent on the connection."""
+        """Whether another request may be sent on the connection.
+
+        A peer that sent more than the one answer may send more later.
+        """
         return (
             self.ended
+            and not self.had_stray
+            and self.channel.protocol.unread_bytes == 0
             and self.machine.our_state is h11.DONE
             and self.machine.their_state is h11.DONE
             and not self.machine.trailing_data[0]
