--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -331,17 +331,25 @@
     def candidates(self, service_name: str, now: float) -> list[gateway.Endpoint]:
         """Return the endpoints of a service that may receive a request now."""
         usable = self.fleet.table.usable(service_name, now)
-        return [endpoint for endpoint in usable if self.is_candidate(endpoint, now)]
+        configuration = self.fleet.configuration
+        service = configuration.services.get(service_name) if configuration else None
+        if service is None:
+            return []
+        return [item for item in usable if self.accepts_requests(item, service, now)]
 
     def is_candidate(self, endpoint: gateway.Endpoint, now: float) -> bool:
         """Return whether an endpoint is out of backoff, and warm or within its cold-start rate."""
         configuration = self.fleet.configuration
         service = configuration.services.get(endpoint.service) if configuration else None
-        return (
-            service is not None
-            and not self.fleet.health.in_backoff(endpoint.id, now)
-            and self.is_warm_or_within_cold_rate(endpoint, service, now)
-        )
+        return service is not None and self.accepts_requests(endpoint, service, now)
+
+    def accepts_requests(
+        self, endpoint: gateway.Endpoint, service: gateway.Service, now: float
+    ) -> bool:
+        """Return whether an endpoint of a known service may receive a request now."""
+        return not self.fleet.health.in_backoff(
+            endpoint.id, now
+        ) and self.is_warm_or_within_cold_rate(endpoint, service, now)
 
     def is_warm_or_within_cold_rate(
         self, endpoint: gateway.Endpoint, service: gateway.Service, now: float
--- a/src/masticward/state/endpoint_health.py
+++ b/src/masticward/state/endpoint_health.py
@@ -90,14 +90,23 @@
         ratio = min(MAX_SLOWNESS, max(1.0, ratio))
         health.slowness += SLOWNESS_EWMA_WEIGHT * (ratio - health.slowness)
 
+    def slowness(self, endpoint_id: str) -> float:
+        """Return the smoothed ratio of the measured to the expected time to the first event."""
+        health = self.endpoints.get(endpoint_id)
+        return 1.0 if health is None else health.slowness
+
     def failure_ratio(self, endpoint_id: str, now: float) -> float:
         """Return the fraction of failed requests, from 0 to 1."""
+        health = self.endpoints.get(endpoint_id)
+        if health is None or health.failures == 0.0:
+            return 0.0
         health = self.get(endpoint_id, now)
         return health.failures / (health.failures + health.successes + PRIOR_SUCCESSES)
 
     def in_backoff(self, endpoint_id: str, now: float) -> bool:
         """Return whether the endpoint must not be sent requests now."""
-        return now < self.get(endpoint_id, now).backoff_until
+        health = self.endpoints.get(endpoint_id)
+        return health is not None and now < health.backoff_until
 
     def remove(self, endpoint_id: str) -> None:
         """Remove the state of an endpoint that is gone."""
--- a/src/masticward/state/load_table.py
+++ b/src/masticward/state/load_table.py
@@ -95,12 +95,16 @@
 
     def total(self, endpoint_id: str) -> EndpointLoad:
         """Return the load of all processes at an endpoint."""
-        total = EndpointLoad()
-        for loads in (self.own, self.peer_totals):
-            load = loads.get(endpoint_id)
-            if load is not None:
-                add(total, load, 1)
-        return total
+        own, peers = self.own.get(endpoint_id), self.peer_totals.get(endpoint_id)
+        if own is None:
+            own = EndpointLoad()
+        if peers is None:
+            peers = EndpointLoad()
+        return EndpointLoad(
+            own.unread_tokens + peers.unread_tokens,
+            own.requests + peers.requests,
+            own.memory_tokens + peers.memory_tokens,
+        )
 
 
 def add(total: EndpointLoad, load: EndpointLoad, sign: int) -> None:
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -110,7 +110,7 @@
         self.endpoint = endpoint
         self.load = view.loads.total(endpoint.id)
         self.cache = view.caches.get(endpoint.id, engine.cache_tokens)
-        self.slowness = view.health.get(endpoint.id, now).slowness
+        self.slowness = view.health.slowness(endpoint.id)
         self.failure_penalty_seconds = FAILURE_PENALTY_SECONDS * view.health.failure_ratio(
             endpoint.id, now
         )
@@ -229,7 +229,7 @@
     best: Choice | None = None
     for endpoint in candidates:
         requests = view.loads.total(endpoint.id).requests
-        slowness = view.health.get(endpoint.id, now).slowness
+        slowness = view.health.slowness(endpoint.id)
         expected = PLAIN_REQUEST_SECONDS * (requests + 1) / endpoint.slots
         cost = expected * slowness + FAILURE_PENALTY_SECONDS * view.health.failure_ratio(
             endpoint.id, now
--- a/tests/unit/test_gateway_waiting.py
+++ b/tests/unit/test_gateway_waiting.py
@@ -9,7 +9,7 @@
 
 from masticward.gateway import placer, request_path
 from masticward.models import gateway
-from masticward.state import cold_start, load_table, placement, prompt_cache
+from masticward.state import cold_start, endpoint_health, load_table, placement, prompt_cache
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
 
@@ -247,6 +247,32 @@
         self.assertEqual({}, dict(self.fleet.loads.own))
 
 
+class ScanCostTest(WaitingCase):
+    """The load: a hot team's callers all reach one weak gateway, whose queue is scanned often."""
+
+    async def test_a_scan_decays_only_the_health_of_engines_with_failures(self) -> None:
+        engines = [builders.make_endpoint(f"e{number}") for number in range(60)]
+        self.fleet.apply_endpoints([(item.id, item) for item in engines], True)
+        for item in engines:
+            self.fleet.health.record_success(item.id, self.now)
+        self.fleet.health.record_failure("e7", self.now)
+        await self.submit("a")
+        await self.submit("a")
+        with unittest.mock.patch.object(
+            endpoint_health.HealthTracker,
+            "get",
+            autospec=True,
+            side_effect=endpoint_health.HealthTracker.get,
+        ) as decay:
+            placement.engine_states(
+                self.placer.candidates("llm", self.now),
+                gateway.Engine(8, builders.CACHE_TOKENS),
+                self.fleet.view,
+                self.now,
+            )
+        self.assertEqual([("e7", self.now)], [call.args[1:] for call in decay.call_args_list])
+
+
 class ColdEnginesTest(WaitingCase):
     """Guards against cold engines that receive more requests than their cold-start rate."""
 
