Let three gateways of a large fleet read the store and relay its changes

Cause: each of 68 gateways kept three watches, which end with the first change, and renewed the proof of the configuration because its peers' proofs came with reports 1.1 s apart.

Ruled out: longer pauses between watches alone (calls still grow with the gateways), the store's cheaper reads (seconds old, the bounds on draining are 2 to 4 s).

Change: above 8 gateways, three readers, chosen by rendezvous hashing in different zones among those that reach the store, watch with a timeout of 1.5 s and relay each batch of changes with the revisions that it spans. Version, proof and digest go with each message, one every 0.5 s at least, so that liveness does not depend on the rate of reports.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -72,8 +72,8 @@
         self.read_settings = read_settings
         self.metrics = metrics.ProcessMetrics()
         self.fleet = fleet_module.FleetState(settings)
-        self.followers = followers.create_followers(source, self.fleet)
-        self.peering = peering.Peering(self.fleet, source, self.relist)
+        self.followers = followers.create_followers(source, self.fleet, self.relay_changes)
+        self.peering = peering.Peering(self.fleet, source, self.relist, self.set_reads_store)
         self.prover = prover.Prover(
             source, self.fleet, self.followers[sources.ObjectKind.CONFIGURATION], self.send_proof
         )
@@ -195,19 +195,33 @@
             peer.live
             and peer.last_report is not None
             and not peer.last_report.stopping
-            and 0 <= peer.last_report.configuration_proof_age < limit
+            and 0 <= peer.configuration_proof_age < limit
             for peer in self.peering.peers.values()
         )
 
     def relist(self) -> None:
-        """List endpoints and evacuations again, without waiting for their watches."""
-        for kind in (sources.ObjectKind.ENDPOINTS, sources.ObjectKind.EVACUATIONS):
-            self.followers[kind].relist_requested.set()
+        """List endpoints and evacuations again: from the store, or from a peer that reads it."""
+        if self.fleet.reads_store:
+            self.snapshots.request_listings()
         self.snapshots.listing_differs = True
 
+    def set_reads_store(self, reads_store: bool) -> None:
+        """Start or stop to read the store."""
+        for follower in self.followers.values():
+            follower.set_active(reads_store)
+
+    def relay_changes(
+        self, kind: sources.ObjectKind, from_revision: int, listing: sources.Listing
+    ) -> None:
+        """Send changes read from the store to the peers."""
+        self.peering.relay_changes(kind, from_revision, listing)
+
     def send_proof(self) -> None:
         """Send a new proof to the peers at once, so that they need not fetch their own."""
-        self.peering.send_reports()
+        if self.fleet.relays_changes:
+            self.peering.send_changes()
+        else:
+            self.peering.send_reports()
 
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -1,6 +1,9 @@
 """State of the fleet in one gateway process: configuration, endpoints, loads and peers."""
 
+import collections.abc
+
 from masticward import events, logs
+from masticward.gateway import sources
 from masticward.models import gateway
 from masticward.state import (
     cold_start,
@@ -10,6 +13,7 @@
     placement,
     prompt_cache,
     retry_window,
+    store_readers,
     team_usage,
 )
 from masticward.utils import clocks
@@ -50,6 +54,12 @@
         self.live_gateways: list[str] = [settings.instance_id]
         # All gateways discovered so far, live or not; fleet-wide budgets are divided among them.
         self.known_gateway_count = 1
+        # IDs of the gateways that read the store; the others receive its changes from them.
+        self.reader_ids: frozenset[str] = frozenset({settings.instance_id})
+        # Revisions of the store up to which all changes of a kind are applied.
+        self.revisions: dict[sources.ObjectKind, int] = {}
+        # When a call to the store failed; None once one succeeded.
+        self.store_failed_at: float | None = None
         self.routes_by_host: dict[str, list[gateway.Route]] = {}
 
     def apply_settings(self, settings: gateway.GatewaySettings) -> None:
@@ -90,6 +100,54 @@
         )
         return True
 
+    @property
+    def relays_changes(self) -> bool:
+        """Whether the fleet is so large that few gateways read the store for all."""
+        return self.known_gateway_count > store_readers.MAX_INDEPENDENT_GATEWAYS
+
+    @property
+    def reads_store(self) -> bool:
+        """Whether this process reads the store itself."""
+        return not self.relays_changes or self.settings.instance_id in self.reader_ids
+
+    def reaches_store(self, now: float) -> bool:
+        """Return whether this process may be chosen to read the store."""
+        failed_at = self.store_failed_at
+        return failed_at is None or now - failed_at > store_readers.FAILED_READER_SECONDS
+
+    def apply_objects(
+        self,
+        kind: sources.ObjectKind,
+        items: collections.abc.Iterable[sources.StoredObject],
+        complete: bool,
+    ) -> None:
+        """Apply a listing (``complete``) or changes of the endpoints or the evacuations."""
+        if kind is sources.ObjectKind.ENDPOINTS:
+            self.apply_endpoints(
+                [(item.name, None if item.removed else item.value) for item in items], complete
+            )
+        else:
+            self.apply_evacuations([(item.name, not item.removed) for item in items], complete)
+
+    def apply_changes(
+        self,
+        kind: sources.ObjectKind,
+        from_revision: int,
+        to_revision: int,
+        items: list[sources.StoredObject],
+    ) -> bool:
+        """Apply all changes of a kind after one revision of the store and up to another one.
+
+        Return False if this process lacks changes before ``from_revision``.
+        """
+        revision = self.revisions.get(kind)
+        if revision is None or from_revision > revision:
+            return False
+        if to_revision > revision:
+            self.apply_objects(kind, items, False)
+            self.revisions[kind] = to_revision
+        return True
+
     def find_route(self, host: str, path: str) -> gateway.Route | None:
         """Return the host's route with the longest prefix of a path, None without one."""
         routes = self.routes_by_host.get(host)
--- a/src/masticward/gateway/followers.py
+++ b/src/masticward/gateway/followers.py
@@ -1,6 +1,11 @@
-"""Keeps the fleet state up to date with the platform's store by listings and watches."""
+"""Keeps the fleet state up to date with the platform's store by listings and watches.
+
+In a large fleet only a few gateways watch; ``state/store_readers.py`` chooses them, and they relay
+the changes to the others.
+"""
 
 import asyncio
+import collections.abc
 import random
 
 from masticward import errors, events, logs
@@ -12,6 +17,10 @@
 # Long, because each call counts against the store's rate limits. A hanging watch is detected sooner
 # by the peers' reports (endpoints, zones) and by the prover (configuration).
 WATCH_TIMEOUT_SECONDS = 15.0
+# In a large fleet few gateways watch, so that a hanging watch has to be detected by its timeout.
+READER_WATCH_TIMEOUT_SECONDS = 1.5
+# Pause after the changes of a watch, so that the next ones come several a call.
+WATCH_PAUSE_SECONDS = 0.1
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.6
 # The store entry of an endpoint expires after three missed heartbeats, at the earliest 2.4 s after
@@ -20,6 +29,9 @@
 LOGGER = logs.get_logger(__name__)
 
 
+ChangeListener = collections.abc.Callable[[sources.ObjectKind, int, sources.Listing], None]
+
+
 class Follower:
     """Follows one kind of stored object by a listing and subsequent watches."""
 
@@ -28,53 +40,90 @@
         source: sources.FleetSource,
         fleet: fleet_module.FleetState,
         kind: sources.ObjectKind,
+        on_changes: ChangeListener = lambda kind, from_revision, listing: None,
     ) -> None:
         self.source = source
         self.fleet = fleet
         self.kind = kind
+        # Called after changes of a watch were applied, with the revision that they follow.
+        self.on_changes = on_changes
         self.store_unavailable = False
         # During an outage: the latest time at which the store responded to any gateway.
         self.unavailable_since = 0.0
         self.last_response_at = clocks.boot_time()
+        # The store's revision from which to watch; at least that of the last applied change.
+        self.watched_revision = 0
         # Set when peers have changes that this process lacks, because its watch may hang.
         self.relist_requested = asyncio.Event()
+        # Set while this process reads the store itself.
+        self.active = asyncio.Event()
+        self.active.set()
+
+    def set_active(self, active: bool) -> None:
+        """Start or stop to watch; a watch in progress is completed."""
+        if active:
+            self.active.set()
+        elif self.active.is_set():
+            self.active.clear()
+            self.store_unavailable = False
 
     async def run(self) -> None:
         """List and watch the objects until cancelled."""
-        revision: int | None = None
         retry_seconds = MIN_RETRY_SECONDS
         while True:
+            await self.wait_for_turn()
             requested_at = clocks.boot_time()
+            revision = self.fleet.revisions.get(self.kind)
+            if self.relist_requested.is_set():
+                revision = None
             try:
                 if revision is None:
                     self.relist_requested.clear()
                     listing = await self.source.list_objects(self.kind)
                 else:
-                    changes = await self.watch(revision)
+                    changes = await self.watch(max(revision, self.watched_revision))
                     if changes is None:
-                        revision = None
                         continue
                     listing = changes
             except errors.HistoryLostError:
                 LOGGER.log(events.Event.STORE_HISTORY_LOST, kind=self.kind.value, revision=revision)
-                revision = None
+                self.relist_requested.set()
                 continue
             except errors.StoreUnavailableError as error:
                 self.record_failure(error)
                 await asyncio.sleep(retry_seconds * random.uniform(0.6, 1.0))
                 retry_seconds = min(MAX_RETRY_SECONDS, retry_seconds * 2)
                 # After an outage a listing covers every change; the history of a watch may be lost.
-                if requested_at - self.unavailable_since > MIN_OUTAGE_SECONDS:
-                    revision = None
+                if revision is None or requested_at - self.unavailable_since > MIN_OUTAGE_SECONDS:
+                    self.relist_requested.set()
                 continue
             retry_seconds = MIN_RETRY_SECONDS
             self.record_response()
             self.apply_listing(listing, requested_at)
-            revision = listing.revision
+            if self.fleet.relays_changes and listing.items and not listing.complete:
+                await asyncio.sleep(WATCH_PAUSE_SECONDS)
+
+    async def wait_for_turn(self) -> None:
+        """Wait until this process has to read the store."""
+        while not self.active.is_set() and self.kind in self.fleet.revisions:
+            if self.relist_requested.is_set():
+                return
+            waits = [
+                asyncio.ensure_future(self.active.wait()),
+                asyncio.ensure_future(self.relist_requested.wait()),
+            ]
+            try:
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for wait in waits:
+                    wait.cancel()
 
     async def watch(self, revision: int) -> sources.Listing | None:
         """Return the changes after a revision; None if a new listing is needed."""
-        watch = asyncio.ensure_future(self.source.watch(self.kind, revision, WATCH_TIMEOUT_SECONDS))
+        timeout_seconds = WATCH_TIMEOUT_SECONDS
+        if self.fleet.relays_changes:
+            timeout_seconds = READER_WATCH_TIMEOUT_SECONDS
+        watch = asyncio.ensure_future(self.source.watch(self.kind, revision, timeout_seconds))
         relist = asyncio.ensure_future(self.relist_requested.wait())
         try:
             await asyncio.wait((watch, relist), return_when=asyncio.FIRST_COMPLETED)
@@ -88,6 +137,7 @@
 
     def record_failure(self, error: errors.StoreError) -> None:
         """Record a failed call and log the start of an outage once."""
+        self.fleet.store_failed_at = clocks.boot_time()
         if not self.store_unavailable:
             self.store_unavailable = True
             self.unavailable_since = max(self.last_response_at, self.fleet.configuration_proven_at)
@@ -98,6 +148,7 @@
     def record_response(self) -> None:
         """Record a successful call; after an outage, log its end and start the grace period."""
         now = clocks.boot_time()
+        self.fleet.store_failed_at = None
         if self.store_unavailable:
             outage_seconds = now - self.unavailable_since
             LOGGER.log(
@@ -112,18 +163,22 @@
 
     def apply_listing(self, listing: sources.Listing, requested_at: float) -> None:
         """Apply a listing or the changes of a watch to the fleet state."""
+        self.watched_revision = listing.revision
+        fleet = self.fleet
+        from_revision = fleet.revisions.get(self.kind, listing.revision)
+        previous_digest = fleet.table.digest()
         if self.kind is sources.ObjectKind.CONFIGURATION:
             self.apply_configuration_listing(listing, requested_at)
-        elif self.kind is sources.ObjectKind.ENDPOINTS:
-            if listing.complete or listing.items:
-                self.fleet.apply_endpoints(
-                    [(item.name, None if item.removed else item.value) for item in listing.items],
-                    listing.complete,
-                )
         elif listing.complete or listing.items:
-            self.fleet.apply_evacuations(
-                [(item.name, not item.removed) for item in listing.items], listing.complete
-            )
+            fleet.apply_objects(self.kind, listing.items, listing.complete)
+        # The revision stays that of the last change, so that other gateways, which have the same
+        # objects, can apply the next one.
+        listed_anew = listing.complete and fleet.table.digest() != previous_digest
+        changed = listed_anew or (listing.items and not listing.complete)
+        if changed or self.kind not in fleet.revisions:
+            fleet.revisions[self.kind] = listing.revision
+        if listing.items and not listing.complete:
+            self.on_changes(self.kind, from_revision, listing)
 
     def apply_configuration_listing(self, listing: sources.Listing, requested_at: float) -> None:
         """Apply a configuration; a watch without changes proves that the current one is newest."""
@@ -141,11 +196,13 @@
 
 
 def create_followers(
-    source: sources.FleetSource, fleet: fleet_module.FleetState
+    source: sources.FleetSource,
+    fleet: fleet_module.FleetState,
+    on_changes: ChangeListener = lambda kind, from_revision, listing: None,
 ) -> dict[sources.ObjectKind, Follower]:
     """Return one follower for each kind of object that has to be followed."""
     return {
-        kind: Follower(source, fleet, kind)
+        kind: Follower(source, fleet, kind, on_changes)
         for kind in (
             sources.ObjectKind.CONFIGURATION,
             sources.ObjectKind.ENDPOINTS,
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -11,7 +11,7 @@
 from masticward.gateway import sources
 from masticward.models import gateway
 from masticward.protocol import gateway_peers
-from masticward.state import load_table
+from masticward.state import load_table, store_readers
 from masticward.utils import clocks, identifiers
 
 # Reports are sent at this interval while there are few gateways. With more of them, the interval
@@ -29,13 +29,20 @@
 LISTING_MISMATCH_SECONDS = 0.8
 # Shortest time between two listings that are requested because of a mismatch.
 MIN_RELIST_INTERVAL_SECONDS = 2.0
+# Shortest time between two snapshots that are requested because of a mismatch.
+MIN_SNAPSHOT_INTERVAL_SECONDS = 0.5
 REGISTRATION_RETRY_SECONDS = 1.0
 MEMBER_LIST_POLL_SECONDS = 15.0
+# Live gateways report their members, so that the list in the store is read rarely.
+MEMBER_LIST_POLL_WITH_PEERS_SECONDS = 60.0
 # Load changes are sent at this short interval so that gateways which place requests at the same
 # time do not all choose the same engine. With many gateways, the interval grows so that a process
 # stays within the rate of datagrams.
 MIN_CHANGES_INTERVAL_SECONDS = 0.02
 CHANGES_DATAGRAMS_PER_SECOND = 600.0
+# A message is sent at least this often, also without changes, so that liveness and the age of the
+# configuration's proof do not depend on the rate of reports.
+MAX_CHANGES_INTERVAL_SECONDS = 0.5
 LOGGER = logs.get_logger(__name__)
 
 
@@ -43,10 +50,15 @@
     """Another gateway. Times are in seconds of this process's ``clocks.boot_time``."""
 
     __slots__ = (
+        "availability_zone",
+        "can_relay",
+        "configuration_proof_age",
+        "configuration_version",
         "incarnation",
         "instance_id",
         "ip",
         "last_report",
+        "listing_digest",
         "listing_digest_since",
         "live",
         "newest_sent_at",
@@ -61,7 +73,13 @@
         # Newest send time received from the peer, on the peer's clock.
         self.newest_sent_at = 0.0
         self.live = False
-        # When the peer's current listing digest was first received.
+        self.availability_zone = ""
+        self.can_relay = False
+        # Version and age of its proof as last received; 0 and negative while unknown.
+        self.configuration_version = 0
+        self.configuration_proof_age = -1.0
+        # The peer's latest listing digest, 0 while unknown, and when it was first received.
+        self.listing_digest = 0
         self.listing_digest_since = 0.0
         self.last_report: gateway_peers.PeerReport | None = None
 
@@ -77,11 +95,16 @@
         fleet: fleet_module.FleetState,
         source: sources.FleetSource,
         on_listing_mismatch: collections.abc.Callable[[], None] = lambda: None,
+        on_reader_change: collections.abc.Callable[[bool], None] = lambda reads_store: None,
     ) -> None:
         self.fleet = fleet
         self.source = source
         # Called when at least half of the live gateways list other endpoints or zones.
         self.on_listing_mismatch = on_listing_mismatch
+        # Called with whether this process reads the store, each time that changes.
+        self.on_reader_change = on_reader_change
+        self.reads_store = True
+        self.changes_sent_at = 0.0
         self.relist_requested_at = 0.0
         self.incarnation = identifiers.new_incarnation()
         self.peers: dict[str, Peer] = {}
@@ -142,13 +165,17 @@
                 max(MIN_CHANGES_INTERVAL_SECONDS, live_peer_count / CHANGES_DATAGRAMS_PER_SECOND)
             )
             # Finished requests alone cause no message; the next report or placed request has them.
-            if self.unsent_prompts or self.has_unsent_request:
+            due_at = self.changes_sent_at + MAX_CHANGES_INTERVAL_SECONDS
+            if self.unsent_prompts or self.has_unsent_request or clocks.boot_time() >= due_at:
                 self.send_changes()
 
     def send_changes(self) -> None:
         """Send the changes since the last message to each live gateway."""
         self.has_unsent_request = False
-        loads = self.fleet.loads.pop_changed()
+        fleet = self.fleet
+        now = self.changes_sent_at = clocks.boot_time()
+        loads = fleet.loads.pop_changed()
+        configuration = fleet.configuration
         changes = gateway_peers.PeerChanges(
             instance_id=self.fleet.settings.instance_id,
             incarnation=self.incarnation,
@@ -157,20 +184,56 @@
                 for endpoint_id, load in loads.items()
             },
             prompts=self.unsent_prompts,
+            configuration_version=configuration.version if configuration else 0,
+            configuration_proof_age=now - fleet.configuration_proven_at if configuration else -1.0,
+            listing_digest=fleet.table.digest() if fleet.endpoints_known else 0,
         )
         self.prompts_to_repeat += self.unsent_prompts
         self.unsent_prompts = []
-        content = gateway_peers.encode_content(changes)
+        self.send_to_live_peers(changes)
+
+    def send_to_live_peers(self, content: gateway_peers.Content) -> None:
+        """Send one content to each live gateway."""
+        encoded = gateway_peers.encode_content(content)
         for peer in self.peers.values():
             if peer.live:
-                self.send_message(peer, content)
+                self.send_message(peer, encoded)
+
+    def relay_changes(
+        self, kind: sources.ObjectKind, from_revision: int, listing: sources.Listing
+    ) -> None:
+        """Send changes that this process has read from the store to the other gateways."""
+        if not self.fleet.relays_changes:
+            return
+        if kind is sources.ObjectKind.CONFIGURATION:
+            # The peers read the configuration itself from a snapshot.
+            self.send_changes()
+            return
+        now = clocks.boot_time()
+        items = []
+        for item in listing.items:
+            endpoint = item.value if isinstance(item.value, gateway.Endpoint) else None
+            if endpoint is not None:
+                cold_seconds = max(0.0, endpoint.cold_until - now)
+                endpoint = msgspec.structs.replace(endpoint, cold_until=cold_seconds)
+            items.append((item.name, item.removed, endpoint))
+        self.send_to_live_peers(
+            gateway_peers.StoreChanges(
+                instance_id=self.fleet.settings.instance_id,
+                incarnation=self.incarnation,
+                kind=kind.value,
+                from_revision=from_revision,
+                to_revision=listing.revision,
+                items=items,
+            )
+        )
 
     async def run_registration(self) -> None:
         """Register this process once and read the member list periodically, until cancelled."""
         settings = self.fleet.settings
         registered = False
         while True:
-            wait_seconds = MEMBER_LIST_POLL_SECONDS if registered else REGISTRATION_RETRY_SECONDS
+            wait_seconds = REGISTRATION_RETRY_SECONDS
             try:
                 if not registered:
                     await self.source.register(sources.Member(settings.instance_id, settings.ip))
@@ -179,6 +242,9 @@
                 for item in listing.items:
                     if isinstance(item.value, sources.Member):
                         self.add_peer(item.value.instance_id, item.value.ip)
+                wait_seconds = MEMBER_LIST_POLL_SECONDS
+                if len(self.fleet.live_gateways) > 1:
+                    wait_seconds = MEMBER_LIST_POLL_WITH_PEERS_SECONDS
             except errors.StoreError as error:
                 LOGGER.log(
                     events.Event.MEMBER_LIST_UNAVAILABLE, registered=registered, error=str(error)
@@ -212,33 +278,69 @@
             if recently_seen and not stopping:
                 live_ids.append(peer.instance_id)
         self.fleet.live_gateways = live_ids
+        self.update_readers(now)
+
+    def update_readers(self, now: float) -> None:
+        """Choose the gateways that read the store, and report if this process's role changes."""
+        fleet = self.fleet
+        own = fleet.settings
+        live_ids = set(fleet.live_gateways)
+        candidates = [
+            store_readers.Candidate(peer.instance_id, peer.availability_zone, peer.can_relay)
+            for peer in self.peers.values()
+            if peer.instance_id in live_ids
+        ]
+        candidates.append(
+            store_readers.Candidate(
+                own.instance_id, own.availability_zone, fleet.reaches_store(now)
+            )
+        )
+        fleet.reader_ids = store_readers.choose_readers(candidates)
+        if fleet.reads_store != self.reads_store:
+            self.reads_store = fleet.reads_store
+            LOGGER.log(
+                events.Event.STORE_READER_CHANGED,
+                reads_store=self.reads_store,
+                readers=sorted(fleet.reader_ids),
+                live_gateways=len(live_ids),
+            )
+            self.on_reader_change(self.reads_store)
 
     def compare_listings(self) -> None:
-        """Request a new listing if this process's watch seems to hang.
+        """Request a new listing if this process seems to lack changes of the store.
 
-        That is when the listings of at least half of the live peers have differed from this
-        process's for ``LISTING_MISMATCH_SECONDS``. Fewer peers may themselves be behind.
+        For a gateway that reads the store, that is when the listings of at least half of the live
+        peers have differed from its own for ``LISTING_MISMATCH_SECONDS``; fewer may themselves be
+        behind. For another gateway, one peer that reads the store is enough.
         """
         now = clocks.boot_time()
-        if (
-            not self.fleet.endpoints_known
-            or now - self.relist_requested_at < MIN_RELIST_INTERVAL_SECONDS
-        ):
+        reads_store = self.fleet.reads_store
+        interval_seconds = (
+            MIN_RELIST_INTERVAL_SECONDS if reads_store else MIN_SNAPSHOT_INTERVAL_SECONDS
+        )
+        if not self.fleet.endpoints_known or now - self.relist_requested_at < interval_seconds:
             return
+        differing = self.differing_peers()
+        if not reads_store:
+            differs = any(peer.instance_id in self.fleet.reader_ids for peer in differing)
+        else:
+            live_count = sum(peer.live for peer in self.peers.values())
+            differs = bool(differing) and 2 * len(differing) >= live_count
+        if differs:
+            self.relist_requested_at = now
+            self.on_listing_mismatch()
+
+    def differing_peers(self) -> list[Peer]:
+        """Return the live peers whose listing has differed for ``LISTING_MISMATCH_SECONDS``."""
+        now = clocks.boot_time()
         own_digest = self.fleet.table.digest()
-        live_peers = [
-            peer for peer in self.peers.values() if peer.live and peer.last_report is not None
-        ]
-        differing = [
+        return [
             peer
-            for peer in live_peers
-            if peer.last_report is not None
-            and peer.last_report.listing_digest not in (0, own_digest)
+            for peer in self.peers.values()
+            if peer.live
+            and peer.listing_digest not in (0, own_digest)
             and now - peer.listing_digest_since > LISTING_MISMATCH_SECONDS
         ]
-        if differing and 2 * len(differing) >= len(live_peers):
-            self.relist_requested_at = now
-            self.on_listing_mismatch()
 
     def send_reports(self) -> None:
         """Send a report to each live gateway, and periodically to the others and the seeds."""
@@ -300,6 +402,8 @@
             demand=fleet.demand.reportable_totals(),
             prompts=prompts,
             members=members,
+            availability_zone=fleet.settings.availability_zone,
+            can_relay=fleet.reaches_store(now) and fleet.endpoints_known,
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
@@ -312,6 +416,8 @@
         now = clocks.boot_time()
         if isinstance(content, gateway_peers.PeerChanges):
             self.apply_changes(message, content, now)
+        elif isinstance(content, gateway_peers.StoreChanges):
+            self.apply_store_changes(content, now)
         else:
             self.apply_report(message, content, now)
 
@@ -329,6 +435,63 @@
         loads = {key: load_table.EndpointLoad(*value) for key, value in changes.loads.items()}
         self.fleet.loads.update_peer_loads(peer.instance_id, loads, now)
         self.apply_prompts(changes.prompts)
+        if changes.configuration_version > 0:
+            self.apply_status(
+                peer,
+                message,
+                changes.configuration_version,
+                changes.configuration_proof_age,
+                changes.listing_digest,
+                now,
+            )
+
+    def apply_store_changes(self, changes: gateway_peers.StoreChanges, now: float) -> None:
+        """Apply changes of the store that a peer relays, unless this process reads it itself."""
+        peer = self.peers.get(changes.instance_id)
+        if peer is None or changes.incarnation != peer.incarnation or self.fleet.reads_store:
+            return
+        try:
+            kind = sources.ObjectKind(changes.kind)
+        except ValueError:
+            LOGGER.log(
+                events.Event.PEER_MESSAGE_UNREADABLE,
+                sender=peer.ip,
+                error=f"unknown kind of object {changes.kind!r}",
+            )
+            return
+        items = []
+        for name, removed, relayed in changes.items:
+            endpoint = relayed
+            if endpoint is not None:
+                endpoint = msgspec.structs.replace(endpoint, cold_until=now + endpoint.cold_until)
+            items.append(sources.StoredObject(name, endpoint, removed))
+        if not self.fleet.apply_changes(kind, changes.from_revision, changes.to_revision, items):
+            LOGGER.log(
+                events.Event.STORE_CHANGES_MISSED,
+                kind=kind.value,
+                peer=peer.instance_id,
+                revision=self.fleet.revisions.get(kind),
+                from_revision=changes.from_revision,
+            )
+
+    def apply_status(
+        self,
+        peer: Peer,
+        message: gateway_peers.PeerMessage,
+        version: int,
+        proof_age: float,
+        listing_digest: int,
+        now: float,
+    ) -> None:
+        """Apply what a peer says of its configuration and its listing."""
+        peer.configuration_version = version
+        peer.configuration_proof_age = proof_age
+        if peer.listing_digest != listing_digest:
+            peer.listing_digest = listing_digest
+            peer.listing_digest_since = now
+        fleet = self.fleet
+        fleet.newest_peer_version = max(fleet.newest_peer_version, version)
+        self.apply_proof(message, version, proof_age, now)
 
     def apply_report(
         self, message: gateway_peers.PeerMessage, report: gateway_peers.PeerReport, now: float
@@ -347,12 +510,10 @@
         peer.incarnation = report.incarnation
         peer.newest_sent_at = message.sent_at
         peer.received_at = now
-        previous = peer.last_report
-        if previous is None or previous.listing_digest != report.listing_digest:
-            peer.listing_digest_since = now
+        peer.availability_zone = report.availability_zone
+        peer.can_relay = report.can_relay
         peer.last_report = report
         fleet = self.fleet
-        fleet.newest_peer_version = max(fleet.newest_peer_version, report.configuration_version)
         fleet.loads.set_peer_loads(
             peer.instance_id,
             {key: load_table.EndpointLoad(*value) for key, value in report.loads.items()},
@@ -361,7 +522,14 @@
         fleet.usage.set_peer_usage(peer.instance_id, report.usage, now)
         fleet.demand.set_peer_usage(peer.instance_id, report.demand, now)
         self.apply_prompts(report.prompts)
-        self.apply_proof(message, report, now)
+        self.apply_status(
+            peer,
+            message,
+            report.configuration_version,
+            report.configuration_proof_age,
+            report.listing_digest,
+            now,
+        )
         for instance_id, ip in report.members:
             self.add_peer(instance_id, ip)
 
@@ -380,7 +548,7 @@
                 )
 
     def apply_proof(
-        self, message: gateway_peers.PeerMessage, report: gateway_peers.PeerReport, now: float
+        self, message: gateway_peers.PeerMessage, version: int, proof_age: float, now: float
     ) -> None:
         """Apply a peer's proof that the configuration in force is the newest one.
 
@@ -392,10 +560,10 @@
         if (
             configuration is None
             or message.echo_incarnation != self.incarnation
-            or report.configuration_proof_age < 0
-            or report.configuration_version != configuration.version
+            or proof_age < 0
+            or version != configuration.version
             or not 0 < message.echo <= now
         ):
             return
-        proven_at = message.echo - report.configuration_proof_age
+        proven_at = message.echo - proof_age
         self.fleet.configuration_proven_at = max(self.fleet.configuration_proven_at, proven_at)
--- a/src/masticward/gateway/prover.py
+++ b/src/masticward/gateway/prover.py
@@ -18,6 +18,10 @@
 # Random delay added to that age, so that the first gateway to renew its proof can share it with the
 # others, which then need no call.
 RENEWAL_JITTER_SECONDS = 1.0
+# In a large fleet, gateways that do not read the store themselves do so at this age only.
+FALLBACK_RENEWAL_AGE_SECONDS = 2.5
+# How long such a gateway waits for a peer's newer configuration before it reads the store.
+FALLBACK_VERSION_SECONDS = 1.0
 POLL_SECONDS = 0.1
 # Shortest time between two reads while the store does not respond or a peer has a newer version.
 MIN_READ_INTERVAL_SECONDS = 0.4
@@ -40,6 +44,8 @@
         self.on_proof = on_proof
         self.renewal_age_seconds = RENEWAL_AGE_SECONDS
         self.requested_at = 0.0
+        # Since when a peer has had a newer version; None while none has.
+        self.behind_since: float | None = None
 
     async def run(self) -> None:
         """Renew the proof whenever it is due, until cancelled."""
@@ -53,9 +59,18 @@
         fleet = self.fleet
         if fleet.configuration is None or now - self.requested_at < MIN_READ_INTERVAL_SECONDS:
             return False
-        if fleet.newest_peer_version > fleet.configuration.version:
-            return True
-        return now - fleet.configuration_proven_at > self.renewal_age_seconds
+        extra_seconds = 0.0
+        if not fleet.reads_store:
+            extra_seconds = FALLBACK_RENEWAL_AGE_SECONDS - RENEWAL_AGE_SECONDS
+        if fleet.newest_peer_version <= fleet.configuration.version:
+            self.behind_since = None
+        else:
+            if self.behind_since is None:
+                self.behind_since = now
+            if fleet.reads_store or now - self.behind_since > FALLBACK_VERSION_SECONDS:
+                return True
+        age_seconds = now - fleet.configuration_proven_at
+        return age_seconds > self.renewal_age_seconds + extra_seconds
 
     async def renew_proof(self) -> None:
         """Read the configuration and notify the peers of the new proof."""
@@ -64,6 +79,7 @@
         try:
             listing = await self.source.list_objects(sources.ObjectKind.PROOFS)
         except errors.StoreError as error:
+            self.fleet.store_failed_at = clocks.boot_time()
             LOGGER.log(
                 events.Event.PROOF_UNAVAILABLE,
                 age=round(requested_at - self.fleet.configuration_proven_at, 2),
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -1,6 +1,7 @@
 """Snapshots of configuration and listings, for gateways that cannot read the store."""
 
 import asyncio
+import random
 
 import msgspec
 
@@ -17,6 +18,8 @@
 PEER_FALLBACK_SECONDS = 0.7
 CONNECT_TIMEOUT_SECONDS = 0.5
 FETCH_TIMEOUT_SECONDS = 1.0
+# The kinds of which a snapshot holds the listing.
+LISTED_KINDS = (sources.ObjectKind.ENDPOINTS, sources.ObjectKind.EVACUATIONS)
 LOGGER = logs.get_logger(__name__)
 
 
@@ -54,9 +57,12 @@
         endpoints=[
             msgspec.structs.replace(endpoint, cold_until=max(0.0, endpoint.cold_until - now))
             for endpoint in fleet.table.endpoints.values()
-            if endpoint.id not in fleet.table.missing
         ],
         out_zones=sorted(fleet.table.evacuated_zones),
+        revisions={
+            kind.value: fleet.revisions[kind] for kind in LISTED_KINDS if kind in fleet.revisions
+        },
+        missing={name: max(0.0, until - now) for name, until in fleet.table.missing.items()},
     )
 
 
@@ -85,9 +91,15 @@
                 self.behind_since = None
             elif self.behind_since is None:
                 self.behind_since = now
-            elif now - self.behind_since > PEER_FALLBACK_SECONDS:
+            if self.behind_since is not None and now >= self.behind_since + self.wait_seconds():
                 await self.catch_up()
 
+    def wait_seconds(self) -> float:
+        """Return how long the store's own changes are waited for before a peer is asked."""
+        fleet = self.fleet
+        listed = fleet.configuration is not None and fleet.endpoints_known
+        return 0.0 if listed and not fleet.reads_store else PEER_FALLBACK_SECONDS
+
     def is_behind(self) -> bool:
         """Return whether peers have newer data from the store than this process."""
         fleet = self.fleet
@@ -95,10 +107,11 @@
             return True
         if fleet.newest_peer_version > fleet.configuration.version:
             return True
-        # While the store responds, the follower's own listing resolves the difference.
-        self.listing_differs &= self.followers_by_kind[
-            sources.ObjectKind.ENDPOINTS
-        ].store_unavailable
+        if fleet.reads_store:
+            # While the store responds, the follower's own listing resolves the difference.
+            self.listing_differs &= self.followers_by_kind[
+                sources.ObjectKind.ENDPOINTS
+            ].store_unavailable
         return self.listing_differs
 
     async def catch_up(self) -> None:
@@ -111,27 +124,49 @@
             snapshot = await fetch_snapshot((peer.ip, self.fleet.settings.peer_port))
         except errors.PeerSnapshotError as error:
             LOGGER.log(events.Event.PEER_SNAPSHOT_FAILED, peer=peer.instance_id, error=str(error))
+            if self.listing_differs and not self.fleet.reads_store:
+                self.request_listings()
             return
         self.listing_differs = False
         apply_snapshot(self.fleet, snapshot, requested_at, peer.instance_id)
-        for kind in (sources.ObjectKind.ENDPOINTS, sources.ObjectKind.EVACUATIONS):
+        if self.fleet.reads_store:
             # The store's listing replaces the peer's as soon as the store responds.
+            self.request_listings()
+
+    def request_listings(self) -> None:
+        """List endpoints and evacuations from the store."""
+        for kind in LISTED_KINDS:
             self.followers_by_kind[kind].relist_requested.set()
 
     def best_peer(self) -> peering.Peer | None:
-        """Return the live peer with the newest configuration and, among those, the newest proof."""
+        """Return the live peer to read from.
+
+        If the listing of a peer that reads the store differs, that is one of those. Otherwise it
+        is one with the newest configuration, in the own availability zone if possible, and among
+        those the one with the newest proof.
+        """
+        fleet = self.fleet
+        if self.listing_differs and not fleet.reads_store:
+            readers = [
+                peer
+                for peer in self.peering.differing_peers()
+                if peer.instance_id in fleet.reader_ids
+            ]
+            if readers:
+                return random.choice(readers)
         candidates = [
             (
-                peer.last_report.configuration_version,
-                -peer.last_report.configuration_proof_age,
+                (
+                    peer.configuration_version,
+                    peer.availability_zone == fleet.settings.availability_zone,
+                    -peer.configuration_proof_age,
+                ),
                 peer,
             )
             for peer in self.peering.peers.values()
-            if peer.live
-            and peer.last_report is not None
-            and peer.last_report.configuration_version > 0
+            if peer.live and peer.configuration_version > 0
         ]
-        return max(candidates, key=lambda item: item[:2])[2] if candidates else None
+        return max(candidates, key=lambda item: item[0])[1] if candidates else None
 
 
 async def fetch_snapshot(address: tuple[str, int]) -> gateway_snapshots.Snapshot:
@@ -167,11 +202,29 @@
     """
     fleet.apply_configuration(snapshot.configuration, requested_at - snapshot.proof_age, peer)
     now = clocks.boot_time()
-    fleet.apply_endpoints(
-        [
-            (item.id, msgspec.structs.replace(item, cold_until=now + item.cold_until))
-            for item in snapshot.endpoints
-        ],
-        True,
-    )
-    fleet.apply_evacuations([(zone, True) for zone in snapshot.out_zones], True)
+    if apply_revision(fleet, snapshot, sources.ObjectKind.ENDPOINTS):
+        fleet.apply_endpoints(
+            [
+                (item.id, msgspec.structs.replace(item, cold_until=now + item.cold_until))
+                for item in snapshot.endpoints
+            ],
+            True,
+        )
+        fleet.table.mark_missing({name: now + left for name, left in snapshot.missing.items()})
+    if apply_revision(fleet, snapshot, sources.ObjectKind.EVACUATIONS):
+        fleet.apply_evacuations([(zone, True) for zone in snapshot.out_zones], True)
+
+
+def apply_revision(
+    fleet: fleet_module.FleetState,
+    snapshot: gateway_snapshots.Snapshot,
+    kind: sources.ObjectKind,
+) -> bool:
+    """Set the revision of a kind to the snapshot's; return False if that one is older."""
+    revision = snapshot.revisions.get(kind.value)
+    if revision is None:
+        return True
+    if revision < fleet.revisions.get(kind, 0):
+        return False
+    fleet.revisions[kind] = revision
+    return True
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from masticward.models import gateway
+
 MAXIMUM_DATAGRAM_BYTES = 60_000
 
 
@@ -33,6 +35,9 @@
     prompts: list[tuple[str, list[tuple[int, int]]]]
     # A subset of the sender's list of gateways, as (instance id, IP address).
     members: list[tuple[str, str]]
+    availability_zone: str = ""
+    # Whether the sender may be chosen to read the store and relay its changes.
+    can_relay: bool = False
 
 
 class PeerChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
@@ -46,6 +51,30 @@
     # By endpoint id, as in PeerReport; 0 requests mean that the sender has no load left there.
     loads: dict[str, tuple[int, int, int]]
     prompts: list[tuple[str, list[tuple[int, int]]]]
+    # As in PeerReport; the version is 0 in messages that do not hold the following fields.
+    configuration_version: int = 0
+    configuration_proof_age: float = -1.0
+    listing_digest: int = 0
+
+
+class StoreChanges(msgspec.Struct, array_like=True, frozen=True, tag="store"):
+    """Changes of stored objects of one kind, relayed by a gateway that reads the store.
+
+    They are all changes after ``from_revision`` and up to ``to_revision``, in their order. An item
+    is (name, whether it was removed, endpoint); there is no endpoint if it was removed, is
+    unusable, or if the object is an evacuation.
+    """
+
+    instance_id: str
+    incarnation: int
+    kind: str
+    from_revision: int
+    to_revision: int
+    # ``cold_until`` holds remaining seconds here, because clocks differ between processes.
+    items: list[tuple[str, bool, gateway.Endpoint | None]]
+
+
+Content = PeerReport | PeerChanges | StoreChanges
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -62,10 +91,10 @@
 
 ENCODER = msgspec.msgpack.Encoder()
 MESSAGE_DECODER = msgspec.msgpack.Decoder(PeerMessage)
-CONTENT_DECODER = msgspec.msgpack.Decoder(PeerReport | PeerChanges)
+CONTENT_DECODER: msgspec.msgpack.Decoder[Content] = msgspec.msgpack.Decoder(Content)
 
 
-def encode_content(content: PeerReport | PeerChanges) -> msgspec.Raw:
+def encode_content(content: Content) -> msgspec.Raw:
     """Encode the content that the messages to all receivers share."""
     return msgspec.Raw(ENCODER.encode(content))
 
@@ -75,7 +104,7 @@
     return ENCODER.encode(message)
 
 
-def decode(data: bytes) -> tuple[PeerMessage, PeerReport | PeerChanges]:
+def decode(data: bytes) -> tuple[PeerMessage, Content]:
     """Decode one datagram into its message and content. Raises msgspec.DecodeError."""
     message = MESSAGE_DECODER.decode(data)
     return message, CONTENT_DECODER.decode(message.content)
--- a/src/masticward/protocol/gateway_snapshots.py
+++ b/src/masticward/protocol/gateway_snapshots.py
@@ -14,6 +14,10 @@
     # ``cold_until`` holds remaining seconds here, because clocks differ between processes.
     endpoints: list[gateway.Endpoint]
     out_zones: list[str]
+    # Revisions of the store of endpoints and evacuations, by kind.
+    revisions: dict[str, int] = {}
+    # Endpoints missing after an outage of the store: remaining seconds until they are removed.
+    missing: dict[str, float] = {}
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/masticward/state/endpoint_table.py
+++ b/src/masticward/state/endpoint_table.py
@@ -101,6 +101,13 @@
         self.missing.pop(endpoint_id, None)
         changes.append(Change(endpoint_id, "gone"))
 
+    def mark_missing(self, expires_at: dict[str, float]) -> None:
+        """Mark listed endpoints as missing after an outage, with the times of their removal."""
+        self.cached_digest = None
+        self.missing.update(
+            {name: until for name, until in expires_at.items() if name in self.endpoints}
+        )
+
     def remove_expired(self, now: float, changes: list[Change]) -> None:
         """Remove missing endpoints whose grace period is over."""
         for endpoint_id in [item for item, until in self.missing.items() if until <= now]:
