End kept connections of a late gateway, so that its clients reach others

Cause: a gateway whose timers are late leaves the balancer's rotation, but clients with kept connections stay: a hot team's callers, all hashed to one gateway of 0.387 of a core, come back to it on the same connections.

Ruled out: refusing early with a short delay; the clients' one retry is spent on it.

Change: from an average lag of 0.1 s on, answers carry Connection: close while other gateways live.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -276,6 +276,9 @@
                     late_seconds=round(self.lag.lag_seconds, 3),
                     unfinished=self.client_server.busy,
                 )
+            # Without a peer there is no other instance that could serve the clients.
+            has_peers = len(self.fleet.live_gateways) > 1
+            self.client_server.overloaded = has_peers and self.lag.moves_clients
             self.fleet.drop_expired_endpoints()
             self.endpoint_client.pool.expire(set(self.fleet.table.endpoints))
 
--- a/src/masticward/state/loop_lag.py
+++ b/src/masticward/state/loop_lag.py
@@ -3,6 +3,9 @@
 # Clients abandon a connection that is not read within 1 s, and other delays take half of that time.
 OVERLOAD_LAG_SECONDS = 0.2
 RECOVERY_LAG_SECONDS = 0.05
+# Clients with kept connections are sent to other instances from this lag on, because those that
+# keep theirs do not notice that the instance has left the load balancer's rotation.
+MOVE_CLIENTS_LAG_SECONDS = 0.1
 # The load balancer moves clients after two failed readiness checks, 1 s apart; a shorter overload
 # state would not move any.
 MIN_OVERLOAD_SECONDS = 3.0
@@ -22,6 +25,11 @@
         self.overloaded = False
         self.recovery_allowed_at = 0.0
 
+    @property
+    def moves_clients(self) -> bool:
+        """Whether clients should open their next connection to another instance."""
+        return self.overloaded or self.lag_seconds > MOVE_CLIENTS_LAG_SECONDS
+
     def record(self, late_seconds: float, now: float) -> bool:
         """Record how late a timer fired; return whether the overload state changed."""
         sample = min(MAX_SAMPLE_SECONDS, max(0.0, late_seconds))
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -57,7 +57,7 @@
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Write the head; a head without a length is sent in chunks."""
-        if self.connection.server.stopping:
+        if self.connection.server.closes_connections:
             headers = [*headers, (b"Connection", b"close")]
         self.started = True
         self.connection.write(
@@ -80,7 +80,7 @@
     async def send(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Write a whole answer with its length."""
         with_length = [*headers, (b"Content-Length", str(len(body)).encode())]
-        if self.connection.server.stopping:
+        if self.connection.server.closes_connections:
             with_length.append((b"Connection", b"close"))
         self.started = True
         self.ended = True
@@ -118,6 +118,8 @@
         self.address = address
         self.handler = handler
         self.stopping = False
+        # Whether clients should open their next connection elsewhere, because this process is busy.
+        self.overloaded = False
         # After a stop: the time until which new connections may send a request.
         self.first_requests_until = 0.0
         self.connections: set[ServerConnection] = set()
@@ -150,6 +152,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    @property
+    def closes_connections(self) -> bool:
+        """Whether each answer is the last one on its connection."""
+        return self.stopping or self.overloaded
+
     @property
     def busy(self) -> int:
         """Number of requests that are being read or answered, or may still arrive after a stop."""
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -477,6 +477,16 @@
         self.assertFalse(self.program.ready())
         await stopping
 
+    async def test_an_overloaded_gateway_asks_clients_to_reconnect(self) -> None:
+        # A client that keeps its connection does not notice that the instance left the rotation.
+        await self.add_endpoint("e1")
+        await self.start()
+        self.program.client_server.overloaded = True
+        reader, _ = await self.send(self.request("book"))
+        response = await self.read(reader)
+        self.assertEqual((200, "close"), (response.status, response.headers["connection"]))
+        self.assertEqual(b"", await reader.read())
+
 
 class ConfigurationTest(GatewayCase):
     """Guards against the use of revoked API keys, and of old or invalid configurations."""
--- a/tests/unit/test_loop_lag.py
+++ b/tests/unit/test_loop_lag.py
@@ -37,3 +37,14 @@
         recovered_at = next(self.now for _ in range(100) if not self.fire_timer(0.0, 1)[0])
         self.assertGreater(recovered_at, overloaded_at + 1.0)
         self.assertFalse(self.lag.overloaded)
+
+    def test_clients_are_moved_before_the_gateway_is_overloaded(self) -> None:
+        self.fire_timer(0.15, 20)
+        self.assertEqual((True, False), (self.lag.moves_clients, self.lag.overloaded))
+
+    def test_clients_are_not_moved_after_a_single_freeze_or_a_short_lag(self) -> None:
+        self.fire_timer(0.05, 20)
+        self.assertFalse(self.lag.moves_clients)
+        self.fire_timer(0.4, 1)
+        self.fire_timer(0.0, 2)
+        self.assertFalse(self.lag.moves_clients)
