--- a/tests/unit/test_peer_fuzz.py
+++ b/tests/unit/test_peer_fuzz.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import msgspec
 
 from masticward.gateway import peering, placer, snapshots
 from masticward.protocol import gateway_peers, gateway_snapshots
@@ -111,7 +112,7 @@
         data[position % len(data)] = value
         try:
             decoded = gateway_snapshots.decode(bytes(data))
-        except snapshots.msgspec.DecodeError:
+        except msgspec.DecodeError:
             return
         snapshots.apply_snapshot(self.fleet, decoded, 0.0, "g2")
         self.peering.update_liveness()
