Share the conversions of endpoints and the status of a gateway; drop dead state

Found in a last reading; behaviour stays as it is. Endpoint.to_relative and to_absolute replace four copies of the conversion of cold_until. A peer keeps whether it stops, not its whole last report. The followers call the peering themselves, and read_body has no unused parameter.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -72,8 +72,8 @@
         self.read_settings = read_settings
         self.metrics = metrics.ProcessMetrics()
         self.fleet = fleet_module.FleetState(settings)
-        self.followers = followers.create_followers(source, self.fleet, self.relay_changes)
         self.peering = peering.Peering(self.fleet, source, self.relist, self.set_reads_store)
+        self.followers = followers.create_followers(source, self.fleet, self.peering.relay_changes)
         self.prover = prover.Prover(
             source, self.fleet, self.followers[sources.ObjectKind.CONFIGURATION], self.send_proof
         )
@@ -119,7 +119,7 @@
         add(
             "masticward_gateway_configuration_version",
             "configuration in force",
-            lambda: fleet.configuration.version if fleet.configuration else 0,
+            lambda: fleet.configuration_version,
         )
         add(
             "masticward_gateway_proof_age_seconds",
@@ -192,10 +192,7 @@
         """Return whether another live gateway has a recent proof of its configuration."""
         limit = self.settings.bounds.revoke_seconds - fleet_module.REVOKE_MARGIN_SECONDS
         return any(
-            peer.live
-            and peer.last_report is not None
-            and not peer.last_report.stopping
-            and 0 <= peer.configuration_proof_age < limit
+            peer.live and not peer.stopping and 0 <= peer.configuration_proof_age < limit
             for peer in self.peering.peers.values()
         )
 
@@ -210,12 +207,6 @@
         for follower in self.followers.values():
             follower.set_active(reads_store)
 
-    def relay_changes(
-        self, kind: sources.ObjectKind, from_revision: int, listing: sources.Listing
-    ) -> None:
-        """Send changes read from the store to the peers."""
-        self.peering.relay_changes(kind, from_revision, listing)
-
     def send_proof(self) -> None:
         """Send a new proof to the peers at once, so that they need not fetch their own."""
         if self.fleet.relays_changes:
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -155,6 +155,20 @@
             routes = self.routes_by_host.get(host.partition(":")[0], [])
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def listing_digest(self) -> int:
+        """Digest of the listed endpoints and the evacuated zones; 0 while unknown."""
+        return self.table.digest() if self.endpoints_known else 0
+
+    def proof_age(self, now: float) -> float:
+        """Return the seconds since the latest proof; negative without a configuration."""
+        return now - self.configuration_proven_at if self.configuration else -1.0
+
     def proof_is_fresh(self, now: float) -> bool:
         """Return whether the configuration was proven recently enough to accept its API keys."""
         allowed_age = self.settings.bounds.revoke_seconds - REVOKE_MARGIN_SECONDS
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -57,12 +57,12 @@
         "incarnation",
         "instance_id",
         "ip",
-        "last_report",
         "listing_digest",
         "listing_digest_since",
         "live",
         "newest_sent_at",
         "received_at",
+        "stopping",
     )
 
     def __init__(self, instance_id: str, ip: str) -> None:
@@ -81,7 +81,7 @@
         # The peer's latest listing digest, 0 while unknown, and when it was first received.
         self.listing_digest = 0
         self.listing_digest_since = 0.0
-        self.last_report: gateway_peers.PeerReport | None = None
+        self.stopping = False
 
 
 class Peering(asyncio.DatagramProtocol):
@@ -175,7 +175,6 @@
         fleet = self.fleet
         now = self.changes_sent_at = clocks.boot_time()
         loads = fleet.loads.pop_changed()
-        configuration = fleet.configuration
         changes = gateway_peers.PeerChanges(
             instance_id=self.fleet.settings.instance_id,
             incarnation=self.incarnation,
@@ -184,9 +183,9 @@
                 for endpoint_id, load in loads.items()
             },
             prompts=self.unsent_prompts,
-            configuration_version=configuration.version if configuration else 0,
-            configuration_proof_age=now - fleet.configuration_proven_at if configuration else -1.0,
-            listing_digest=fleet.table.digest() if fleet.endpoints_known else 0,
+            configuration_version=fleet.configuration_version,
+            configuration_proof_age=fleet.proof_age(now),
+            listing_digest=fleet.listing_digest,
         )
         self.prompts_to_repeat += self.unsent_prompts
         self.unsent_prompts = []
@@ -212,11 +211,10 @@
         now = clocks.boot_time()
         items = []
         for item in listing.items:
-            endpoint = item.value if isinstance(item.value, gateway.Endpoint) else None
-            if endpoint is not None:
-                cold_seconds = max(0.0, endpoint.cold_until - now)
-                endpoint = msgspec.structs.replace(endpoint, cold_until=cold_seconds)
-            items.append((item.name, item.removed, endpoint))
+            is_endpoint = isinstance(item.value, gateway.Endpoint)
+            items.append(
+                (item.name, item.removed, item.value.to_relative(now) if is_endpoint else None)
+            )
         self.send_to_live_peers(
             gateway_peers.StoreChanges(
                 instance_id=self.fleet.settings.instance_id,
@@ -274,8 +272,7 @@
                 LOGGER.log(
                     event, peer=peer.instance_id, silent_seconds=round(now - peer.received_at, 2)
                 )
-            stopping = peer.last_report is not None and peer.last_report.stopping
-            if recently_seen and not stopping:
+            if recently_seen and not peer.stopping:
                 live_ids.append(peer.instance_id)
         self.fleet.live_gateways = live_ids
         self.update_readers(now)
@@ -385,15 +382,14 @@
         members: list[tuple[str, str]] = []
         if self.report_rounds % ROUNDS_PER_MEMBER_LIST == 0:
             members = [(peer.instance_id, peer.ip) for peer in self.peers.values()]
-        configuration = fleet.configuration
         return gateway_peers.PeerReport(
             instance_id=fleet.settings.instance_id,
             ip=fleet.settings.ip,
             incarnation=self.incarnation,
-            configuration_version=configuration.version if configuration else 0,
-            configuration_proof_age=now - fleet.configuration_proven_at if configuration else -1.0,
+            configuration_version=fleet.configuration_version,
+            configuration_proof_age=fleet.proof_age(now),
             stopping=self.stopping,
-            listing_digest=fleet.table.digest() if fleet.endpoints_known else 0,
+            listing_digest=fleet.listing_digest,
             loads={
                 endpoint_id: (load.unread_tokens, load.requests, load.memory_tokens)
                 for endpoint_id, load in fleet.loads.own.items()
@@ -459,12 +455,10 @@
                 error=f"unknown kind of object {changes.kind!r}",
             )
             return
-        items = []
-        for name, removed, relayed in changes.items:
-            endpoint = relayed
-            if endpoint is not None:
-                endpoint = msgspec.structs.replace(endpoint, cold_until=now + endpoint.cold_until)
-            items.append(sources.StoredObject(name, endpoint, removed))
+        items = [
+            sources.StoredObject(name, endpoint.to_absolute(now) if endpoint else None, removed)
+            for name, removed, endpoint in changes.items
+        ]
         if not self.fleet.apply_changes(kind, changes.from_revision, changes.to_revision, items):
             LOGGER.log(
                 events.Event.STORE_CHANGES_MISSED,
@@ -512,7 +506,7 @@
         peer.received_at = now
         peer.availability_zone = report.availability_zone
         peer.can_relay = report.can_relay
-        peer.last_report = report
+        peer.stopping = report.stopping
         fleet = self.fleet
         fleet.loads.set_peer_loads(
             peer.instance_id,
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -53,11 +53,8 @@
     now = clocks.boot_time()
     return gateway_snapshots.Snapshot(
         configuration=configuration,
-        proof_age=now - fleet.configuration_proven_at,
-        endpoints=[
-            msgspec.structs.replace(endpoint, cold_until=max(0.0, endpoint.cold_until - now))
-            for endpoint in fleet.table.endpoints.values()
-        ],
+        proof_age=fleet.proof_age(now),
+        endpoints=[endpoint.to_relative(now) for endpoint in fleet.table.endpoints.values()],
         out_zones=sorted(fleet.table.evacuated_zones),
         revisions={
             kind.value: fleet.revisions[kind] for kind in LISTED_KINDS if kind in fleet.revisions
@@ -204,11 +201,7 @@
     now = clocks.boot_time()
     if apply_revision(fleet, snapshot, sources.ObjectKind.ENDPOINTS):
         fleet.apply_endpoints(
-            [
-                (item.id, msgspec.structs.replace(item, cold_until=now + item.cold_until))
-                for item in snapshot.endpoints
-            ],
-            True,
+            [(item.id, item.to_absolute(now)) for item in snapshot.endpoints], True
         )
         fleet.table.mark_missing({name: now + left for name, left in snapshot.missing.items()})
     if apply_revision(fleet, snapshot, sources.ObjectKind.EVACUATIONS):
--- a/src/masticward/models/gateway.py
+++ b/src/masticward/models/gateway.py
@@ -95,6 +95,14 @@
     draining: bool = False
     cold_until: float = 0.0
 
+    def to_relative(self, now: float) -> "Endpoint":
+        """Return a copy for another process: ``cold_until`` holds the remaining seconds."""
+        return msgspec.structs.replace(self, cold_until=max(0.0, self.cold_until - now))
+
+    def to_absolute(self, now: float) -> "Endpoint":
+        """Return a copy with the deadline of an endpoint that ``to_relative`` returned."""
+        return msgspec.structs.replace(self, cold_until=now + self.cold_until)
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt. Requests with the same leading parts share a prefix."""
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -365,14 +365,14 @@
             return None
         raise errors.EndpointBrokenError("closed within an answer")
 
-    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
-        """Return the whole body; raise EndpointBrokenError if it exceeds ``max_bytes``."""
+    async def read_body(self) -> bytes:
+        """Return the whole body; raise EndpointBrokenError above ``MAX_BODY_BYTES``."""
         parts = []
         size = 0
         while (data := await self.read_data()) is not None:
             size += len(data)
-            if size > max_bytes:
-                raise errors.EndpointBrokenError(f"the body exceeds {max_bytes} bytes")
+            if size > MAX_BODY_BYTES:
+                raise errors.EndpointBrokenError(f"the body exceeds {MAX_BODY_BYTES} bytes")
             parts.append(data)
         return b"".join(parts)
 
