Ignore relayed changes of a kind that gateways do not relay

The two kinds are listed once, in gateway/sources.py.

Measured: the new test of test_store_readers failed before (zone z1 evacuated) and passes now.

--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -446,9 +446,8 @@
         peer = self.peers.get(changes.instance_id)
         if peer is None or changes.incarnation != peer.incarnation or self.fleet.reads_store:
             return
-        try:
-            kind = sources.ObjectKind(changes.kind)
-        except ValueError:
+        kind = next((item for item in sources.LISTED_KINDS if item.value == changes.kind), None)
+        if kind is None:
             LOGGER.log(
                 events.Event.PEER_MESSAGE_UNREADABLE,
                 sender=peer.ip,
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -18,8 +18,6 @@
 PEER_FALLBACK_SECONDS = 0.7
 CONNECT_TIMEOUT_SECONDS = 0.5
 FETCH_TIMEOUT_SECONDS = 1.0
-# The kinds of which a snapshot holds the listing.
-LISTED_KINDS = (sources.ObjectKind.ENDPOINTS, sources.ObjectKind.EVACUATIONS)
 LOGGER = logs.get_logger(__name__)
 
 
@@ -57,7 +55,9 @@
         endpoints=[endpoint.to_relative(now) for endpoint in fleet.table.endpoints.values()],
         out_zones=sorted(fleet.table.evacuated_zones),
         revisions={
-            kind.value: fleet.revisions[kind] for kind in LISTED_KINDS if kind in fleet.revisions
+            kind.value: fleet.revisions[kind]
+            for kind in sources.LISTED_KINDS
+            if kind in fleet.revisions
         },
         missing={name: max(0.0, until - now) for name, until in fleet.table.missing.items()},
     )
@@ -132,7 +132,7 @@
 
     def request_listings(self) -> None:
         """List endpoints and evacuations from the store."""
-        for kind in LISTED_KINDS:
+        for kind in sources.LISTED_KINDS:
             self.followers_by_kind[kind].relist_requested.set()
 
     def best_peer(self) -> peering.Peer | None:
--- a/src/masticward/gateway/sources.py
+++ b/src/masticward/gateway/sources.py
@@ -20,6 +20,10 @@
     MEMBERS = "members"
 
 
+# The kinds that gateways relay and hand over to each other object by object.
+LISTED_KINDS = (ObjectKind.ENDPOINTS, ObjectKind.EVACUATIONS)
+
+
 class Member(msgspec.Struct, frozen=True):
     """A gateway process as it is registered in the store."""
 
--- a/tests/unit/test_store_readers.py
+++ b/tests/unit/test_store_readers.py
@@ -13,6 +13,7 @@
 
 from masticward.gateway import followers, peering, snapshots, sources
 from masticward.models import gateway
+from masticward.protocol import gateway_peers
 from masticward.state import store_readers
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
@@ -297,3 +298,20 @@
         await self.settle()
         await self.change("n1", builders.make_endpoint("n1"))
         self.assertTrue(all("n1" in item.endpoint_ids for item in self.gateways))
+
+    async def test_changes_of_a_kind_that_is_not_listed_are_ignored(self) -> None:
+        # Malformed: nobody relays the configuration itself.
+        other = next(item for item in self.gateways if not item.fleet.reads_store)
+        reader = self.readers()[0].peering
+        other.fleet.revisions[sources.ObjectKind.CONFIGURATION] = 1
+        reader.send_to_live_peers(
+            gateway_peers.StoreChanges(
+                instance_id=reader.fleet.settings.instance_id,
+                incarnation=reader.incarnation,
+                kind=sources.ObjectKind.CONFIGURATION.value,
+                from_revision=1,
+                to_revision=2,
+                items=[("z1", False, None)],
+            )
+        )
+        self.assertEqual(set(), other.fleet.table.evacuated_zones)
