Keep the cost of a finished run when a duplicate of its attempt is refused

Traced: the call of 200 ms had ended within the test's pauses, so its cost was rightly reported. The same test then hid a real fault: a duplicate that arrives after the run has ended and before its cost is reported replaced that cost by 0.0, and the team was not charged.

Ruled out: a charge of the refused duplicate itself (its record says 0.0), and the AT_LIMIT refusal.

Change: a refusal no longer lowers a stored cost, in the runner and in the session's unsent report. The test holds the run with an event instead of by time, and asserts both: 0.0 while the run goes on, its cost of 3.0 once it has ended, 0.0 after that was reported.

--- a/src/masticward/coordination/endpoint_runner.py
+++ b/src/masticward/coordination/endpoint_runner.py
@@ -272,8 +272,11 @@
         self.reconcile()
 
     def add_finished(self, ticket_id: str, cost: float) -> None:
-        """Store the final cost of a ticket for the next report."""
-        self.finished[ticket_id] = cost
+        """Store the final cost of a ticket for the next report.
+
+        A refused duplicate, which costs nothing, does not replace the cost of the run.
+        """
+        self.finished[ticket_id] = max(cost, self.finished.get(ticket_id, 0.0))
         while len(self.finished) > MAXIMUM_FINISHED_TICKETS:
             del self.finished[next(iter(self.finished))]
 
--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -202,11 +202,15 @@
         self.offer_loop.source.changed.set()
 
     def add_finished(self, finished: dict[str, float]) -> None:
-        """Store final costs for the next report, unless no slots were offered on this link."""
+        """Store final costs for the next report, unless no slots were offered on this link.
+
+        A refused duplicate, which costs nothing, does not replace the cost of the run.
+        """
         if self.link is None or not self.offered:
             self.finished.clear()
-        else:
-            self.finished.update(finished)
+            return
+        for ticket_id, cost in finished.items():
+            self.finished[ticket_id] = max(cost, self.finished.get(ticket_id, 0.0))
 
     def is_report_due(self, now: float) -> bool:
         """Return whether a report is due on a session that receives no offers."""
--- a/tests/functional/test_agent_refusals.py
+++ b/tests/functional/test_agent_refusals.py
@@ -7,13 +7,17 @@
 from unittest import mock
 
 import msgspec
+from aiohttp import web
 
 from masticward.coordination import admission_checks
 from masticward.models import attempts, work
 from masticward.models import configuration as configuration_models
+from masticward.standins import endpoint_server
 from tests.lib import agent_harness
 
 Reason = work.RefusalReason
+# Cost of each operation of the harness's service.
+COST = 3.0
 Tasks = list[asyncio.Task[agent_harness.Events]]
 
 
@@ -24,14 +28,17 @@
         self.view = self.harness.view
         self.attempt = self.harness.attempt
 
-    async def assert_refused(self, reason: Reason, request: attempts.AttemptRequest) -> None:
+    async def assert_refused(
+        self, reason: Reason, request: attempts.AttemptRequest, cost: float = 0.0
+    ) -> None:
+        """Check that a request is refused, does not run, and that its ticket is charged ``cost``."""
         records = len(self.harness.server.recorder.records)
         events = await self.harness.run(request)
         self.assertEqual([attempts.Refused], [type(event) for event in events])
         self.assertEqual(reason, events[0].reason)
         await asyncio.sleep(0.05)
         self.assertEqual(records, len(self.harness.server.recorder.records))
-        self.assertEqual(0.0, self.runner.report().finished.get(request.ticket_id, 0.0))
+        self.assertEqual(cost, self.runner.report().finished.get(request.ticket_id, 0.0))
 
     async def test_invalid_attempts_are_refused(self) -> None:
         (expired,), _ = self.runner.slots.issue(1, time.monotonic() - 2.5)
@@ -135,14 +142,28 @@
         self.assertIsInstance((await running)[-1], attempts.Finished)
 
     async def test_full_agent_duplicate_attempt_and_used_slot_are_refused(self) -> None:
+        """Guards against refused duplicates that end the charge of a run or replace its cost."""
         first = self.attempt()
-        running = self.harness.spawn(first)
-        await asyncio.sleep(0.02)
-        await self.assert_refused(Reason.AT_LIMIT, self.attempt())
-        for _ in range(2):
-            duplicate = self.attempt(attempt_id=first.attempt_id, ticket_id=first.ticket_id)
-            await self.assert_refused(Reason.DUPLICATE_ATTEMPT, duplicate)
-            await running
+
+        def duplicate() -> attempts.AttemptRequest:
+            return self.attempt(attempt_id=first.attempt_id, ticket_id=first.ticket_id)
+
+        release = asyncio.Event()
+        serve = self.harness.server.serve
+
+        async def serve_when_released(call: endpoint_server.Call) -> web.StreamResponse:
+            await release.wait()
+            return await serve(call)
+
+        with mock.patch.object(self.harness.server, "serve", serve_when_released):
+            running = self.harness.spawn(first)
+            await agent_harness.until(lambda: self.harness.server.recorder.running == 1)
+            await self.assert_refused(Reason.AT_LIMIT, self.attempt())
+            await self.assert_refused(Reason.DUPLICATE_ATTEMPT, duplicate())
+            release.set()
+            self.assertIsInstance((await running)[-1], attempts.Finished)
+        await self.assert_refused(Reason.DUPLICATE_ATTEMPT, duplicate(), cost=COST)
+        await self.assert_refused(Reason.DUPLICATE_ATTEMPT, duplicate())
         await self.assert_refused(Reason.SLOT_UNKNOWN, self.attempt(slot=first.slot_id))
 
     async def test_endpoint_that_refuses_or_is_stopped(self) -> None:
