--- a/tests/functional/test_agent_refusals.py
+++ b/tests/functional/test_agent_refusals.py
@@ -31,7 +31,7 @@
     async def assert_refused(
         self, reason: Reason, request: attempts.AttemptRequest, cost: float = 0.0
     ) -> None:
-        """Check that a request is refused, does not run, and that its ticket is charged ``cost``."""
+        """Check that a request is refused without a run and its ticket is charged ``cost``."""
         records = len(self.harness.server.recorder.records)
         events = await self.harness.run(request)
         self.assertEqual([attempts.Refused], [type(event) for event in events])
