Place shared prompts among few owners and others in a sample of engines

Loads are up to 0.11 s old, so all 68 gateways take the same least loaded engine, overfill it, and scatter the prefixes; 1 to 11 engines held a copy of each. The caches then hold too little, engines read all the time, and streams that they decode meanwhile run into deadlines.

Change: a prompt with a shared prefix of 1,000 tokens or more is compared among its three owners by rendezvous hashing, in their order, and among three other engines once it has waited. Other prompts are compared at three random engines. Choice and scan cost less, too: 3 to 6 engines instead of 60.

--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -108,7 +108,7 @@
         configuration = self.fleet.configuration
         service = configuration.services.get(service_name) if configuration else None
         self.engine = service.engine if service else None
-        self.engine_states: list[placement.EngineState] = []
+        self.engine_states: dict[str, placement.EngineState] = {}
         self.prefill_utilization = 0.0
         # Widest prefill window for which no engine has capacity; valid for the whole scan, because
         # a scan only adds load to engines.
@@ -117,7 +117,7 @@
             self.engine_states = placement.engine_states(
                 self.candidates, self.engine, self.fleet.view, now
             )
-            self.prefill_utilization = placement.prefill_utilization(self.engine_states)
+            self.prefill_utilization = placement.prefill_utilization(self.engine_states.values())
 
     def choose(
         self, request: WaitingRequest, excess_by_team: dict[str, float]
@@ -136,22 +136,25 @@
             return placement.choose_plain_endpoint(candidates, zone, self.fleet.view, self.now)
         states = self.engine_states
         if request.excluded_endpoint_ids:
-            states = [
-                item for item in states if item.endpoint.id not in request.excluded_endpoint_ids
-            ]
+            states = {
+                endpoint_id: state
+                for endpoint_id, state in states.items()
+                if endpoint_id not in request.excluded_endpoint_ids
+            }
         target_seconds = max(0.01, request.route.target_latency_seconds)
         # A team within its share while others are above theirs soon gets any engine, instead of
         # waiting for the one that caches its prefix while all of them are busy.
         others_in_excess = bool(excess_by_team) and request.team not in excess_by_team
         prefill_utilization = 0.0 if others_in_excess else self.prefill_utilization
+        waited_seconds = self.now - request.arrived_at
         return placement.choose_engine(
-            states,
+            placement.engines_to_compare(
+                states, request.prefix_keys, waited_seconds / target_seconds
+            ),
             self.engine,
             request.prefix_keys,
             request.metadata,
-            placement.recompute_weight(
-                self.now - request.arrived_at, target_seconds, prefill_utilization
-            ),
+            placement.recompute_weight(waited_seconds, target_seconds, prefill_utilization),
             placement.prefill_window_seconds(excess_by_team.get(request.team)),
         )
 
@@ -166,7 +169,7 @@
         window_seconds = placement.prefill_window_seconds(excess)
         if window_seconds <= self.full_window_seconds:
             return False
-        if placement.any_has_capacity(self.engine_states, self.engine, window_seconds):
+        if placement.any_has_capacity(self.engine_states.values(), self.engine, window_seconds):
             return True
         self.full_window_seconds = window_seconds
         return False
@@ -175,15 +178,11 @@
         """Refresh the state of an endpoint that a request was assigned to."""
         if not self.placer.is_candidate(endpoint, self.now):
             self.candidates = [item for item in self.candidates if item.id != endpoint.id]
-            self.engine_states = [
-                item for item in self.engine_states if item.endpoint.id != endpoint.id
-            ]
-        for index, state in enumerate(self.engine_states):
-            if state.endpoint.id == endpoint.id and self.engine is not None:
-                view = self.fleet.view
-                self.engine_states[index] = placement.EngineState(
-                    endpoint, self.engine, view, self.now
-                )
+            self.engine_states.pop(endpoint.id, None)
+        if endpoint.id in self.engine_states and self.engine is not None:
+            self.engine_states[endpoint.id] = placement.EngineState(
+                endpoint, self.engine, self.fleet.view, self.now
+            )
 
 
 class Placer:
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -6,7 +6,9 @@
 
 import collections.abc
 import functools
+import heapq
 import math
+import random
 
 import msgspec
 
@@ -26,8 +28,16 @@
 # Fraction of the latency target after which a waiting request takes any idle engine, also one
 # without its shared prefix.
 AFFINITY_WAIT_FRACTION = 0.4
-# Cost reduction for the owner of a shared prefix, as a fraction of the prefix's prefill time.
-OWNER_PREFERENCE_FRACTION = 0.35
+# A shared prefix has this many owners. Its requests go to others only after a wait, because each
+# further copy displaces prefixes that would otherwise stay cached.
+PREFIX_OWNERS = 3
+# Cost of an engine for each owner that ranks before it, as a fraction of the prefix's prefill time.
+OWNER_RANK_FRACTION = 1.5
+# Shared prefixes below this size are recomputed faster than they are waited for.
+MIN_OWNED_TOKENS = 1000
+# Number of engines that a request without an owner is compared at. Loads are known with a delay, so
+# that gateways which compare all engines choose the same one.
+SAMPLE_SIZE = 3
 # Prefill window: the longest prefill backlog up to which an engine is sent requests. Other requests
 # wait in the gateways, which decide their order.
 PREFILL_WINDOW_SECONDS = 0.35
@@ -56,7 +66,7 @@
     unread_tokens: int
     has_capacity: bool
     slowness: float
-    # Owner of the shared prefix by rendezvous hashing; None without a shared prefix.
+    # First owner of the shared prefix; None without a shared prefix that has owners.
     owner_id: str | None
 
 
@@ -69,9 +79,13 @@
 
 
 @functools.lru_cache(maxsize=OWNER_CACHE_ENTRIES)
-def prefix_owner(prefix_key: int, endpoint_ids: tuple[str, ...]) -> str:
-    """Return the ID of the endpoint that owns a shared prefix, by rendezvous hashing."""
-    return max(endpoint_ids, key=lambda item: rendezvous_weight(prefix_key, item))
+def prefix_owners(prefix_key: int, endpoint_ids: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the IDs of the endpoints that own a shared prefix, by rendezvous hashing."""
+    return tuple(
+        heapq.nlargest(
+            PREFIX_OWNERS, endpoint_ids, key=lambda item: rendezvous_weight(prefix_key, item)
+        )
+    )
 
 
 def rendezvous_weight(prefix_key: int, endpoint_id: str) -> int:
@@ -121,12 +135,12 @@
     engine: gateway.Engine,
     view: PlacementView,
     now: float,
-) -> list[EngineState]:
-    """Return snapshots of engines at the time ``now``."""
-    return [EngineState(endpoint, engine, view, now) for endpoint in candidates]
+) -> dict[str, EngineState]:
+    """Return snapshots of engines at the time ``now``, by endpoint ID."""
+    return {endpoint.id: EngineState(endpoint, engine, view, now) for endpoint in candidates}
 
 
-def prefill_utilization(states: collections.abc.Sequence[EngineState]) -> float:
+def prefill_utilization(states: collections.abc.Collection[EngineState]) -> float:
     """Return the average prefill utilization of the engines, from 0 (idle) to 1."""
     if not states:
         return 0.0
@@ -135,6 +149,37 @@
     return max(0.0, total / len(states))
 
 
+def owned_prefix(keys: list[tuple[int, int]]) -> tuple[int, int] | None:
+    """Return key and tokens of the shared prefix of a prompt if it has owners.
+
+    ``keys`` has key and cumulative tokens of each prompt prefix. The last one covers the whole
+    prompt, the last but one is the shared prefix.
+    """
+    if len(keys) < 2 or keys[-2][1] < MIN_OWNED_TOKENS:
+        return None
+    return keys[-2]
+
+
+def engines_to_compare(
+    states: collections.abc.Mapping[str, EngineState],
+    keys: list[tuple[int, int]],
+    waited_fraction: float,
+) -> list[EngineState]:
+    """Return the engines among which a request is placed; the owners of its prefix come first.
+
+    ``waited_fraction`` is the time that the request has waited, as a fraction of its latency
+    target. From ``AFFINITY_WAIT_FRACTION`` on, some engines that are not owners are added.
+    """
+    prefix = owned_prefix(keys)
+    owners = prefix_owners(prefix[0], tuple(states)) if prefix is not None else ()
+    compared = [states[endpoint_id] for endpoint_id in owners]
+    if not compared or waited_fraction >= AFFINITY_WAIT_FRACTION:
+        others = [endpoint_id for endpoint_id in states if endpoint_id not in owners]
+        sample = random.sample(others, min(SAMPLE_SIZE, len(others)))
+        compared += [states[endpoint_id] for endpoint_id in sample]
+    return compared
+
+
 def choose_engine(
     states: collections.abc.Sequence[EngineState],
     engine: gateway.Engine,
@@ -145,32 +190,29 @@
 ) -> Choice | None:
     """Return the engine with the lowest expected cost; None if there are no engines.
 
-    ``keys`` has key and cumulative tokens of each prompt prefix. The last one covers the whole
-    prompt, the last but one is the shared prefix. The cost is the expected time to the first event
-    in seconds, plus penalties for failures and for recomputing the shared prefix, less the
-    preference for its owner.
+    ``states`` and ``keys`` are as returned by ``engines_to_compare`` and taken by it. The cost is
+    the expected time to the first event in seconds, plus penalties for failures, for recomputing
+    the shared prefix, and for each owner that ranks before the engine.
     """
     if not states:
         return None
-    owner_id = None
-    shared_key, shared_tokens = keys[-2] if len(keys) > 1 else (None, 0)
-    if shared_key is not None:
-        owner_id = prefix_owner(shared_key, tuple(state.endpoint.id for state in states))
+    prefix = owned_prefix(keys)
+    shared_tokens = prefix[1] if prefix is not None else 0
+    rank_cost = OWNER_RANK_FRACTION * shared_tokens / PREFILL_TOKENS_PER_SECOND
     best = states[0]
     best_cost = math.inf
     best_expected = 0.0
     best_unread = 0
-    for state in states:
+    for rank, state in enumerate(states):
         load = state.load
         cached = state.cache.cached_tokens(keys)
         unread = max(1, metadata.prompt_tokens - cached)
         expected = (load.unread_tokens + unread) / PREFILL_TOKENS_PER_SECOND
         expected += load.requests * REQUEST_OVERHEAD_SECONDS
         cost = expected * state.slowness + state.failure_penalty_seconds
-        if shared_key is not None:
+        if shared_tokens:
             cost += recompute_weight * max(0, shared_tokens - cached) / PREFILL_TOKENS_PER_SECOND
-            if state.endpoint.id == owner_id:
-                cost -= OWNER_PREFERENCE_FRACTION * shared_tokens / PREFILL_TOKENS_PER_SECOND
+            cost += min(rank, PREFIX_OWNERS) * rank_cost
         if cost < best_cost:
             best, best_cost, best_expected, best_unread = state, cost, expected, unread
     return Choice(
@@ -180,7 +222,7 @@
         unread_tokens=best_unread,
         has_capacity=has_capacity(best, engine, metadata, best_unread, window_seconds),
         slowness=best.slowness,
-        owner_id=owner_id,
+        owner_id=states[0].endpoint.id if shared_tokens else None,
     )
 
 
--- /dev/null
+++ b/tests/lib/fleet_model.py
@@ -0,0 +1,180 @@
+"""A model of many gateways and engines in memory, with a clock of its own.
+
+The gateways' placement code is the product's. Only the clock, the messages between the gateways
+and the engines belong to the model.
+"""
+
+import asyncio
+import collections
+import heapq
+import itertools
+import random
+
+from masticward.gateway import placer
+from masticward.models import gateway
+from masticward.state import load_table, placement, prompt_cache
+from tests.lib import gateway_builders as builders
+
+PREFILL_TOKENS_PER_SECOND = 64_000.0
+STEP_SECONDS = 0.01
+OUTPUT_SECONDS = 0.5
+
+
+class ModelEngine:
+    """An engine that prefills one prompt after another and caches all prompts, by last use."""
+
+    def __init__(self, cache_tokens: int) -> None:
+        self.cache = prompt_cache.EngineCache(cache_tokens)
+        self.cache.capacity = cache_tokens
+        self.busy_until = 0.0
+
+    def begin(self, keys: list[tuple[int, int]], now: float) -> tuple[float, int]:
+        """Take a prompt; return when its prefill ends and the tokens of its shared part read."""
+        cached = self.cache.cached_tokens(keys)
+        self.cache.record_prompt(keys)
+        self.busy_until = max(now, self.busy_until) + (
+            (keys[-1][1] - cached) / PREFILL_TOKENS_PER_SECOND
+        )
+        return self.busy_until, max(0, keys[-2][1] - cached)
+
+
+class ModelGateway:
+    """A gateway's state and queue, and its messages that the peers have not received yet."""
+
+    def __init__(self, instance_id: str, endpoints: list[gateway.Endpoint], cache: int) -> None:
+        self.instance_id = instance_id
+        self.fleet = builders.make_fleet(*endpoints, now=0.0)
+        configuration = self.fleet.configuration
+        assert configuration is not None
+        llm = configuration.services["llm"]
+        self.fleet.configuration = builders.make_configuration(
+            services={
+                "llm": gateway.Service(
+                    name="llm",
+                    max_connections=llm.max_connections,
+                    cold_start_seconds=0.0,
+                    cold_requests_per_second=0.0,
+                    engine=gateway.Engine(48, cache),
+                )
+            }
+        )
+        self.prompts: list[tuple[str, list[tuple[int, int]]]] = []
+        self.placer = placer.Placer(
+            self.fleet, lambda endpoint, keys: self.prompts.append((endpoint, keys[:-1]))
+        )
+
+    def receive(self, sender: "ModelGateway", cache: int, now: float) -> None:
+        """Apply a peer's loads and prompts."""
+        loads = {
+            endpoint_id: load_table.EndpointLoad(
+                load.unread_tokens, load.requests, load.memory_tokens
+            )
+            for endpoint_id, load in sender.fleet.loads.own.items()
+        }
+        self.fleet.loads.set_peer_loads(sender.instance_id, loads, now)
+        for endpoint_id, keys in sender.prompts:
+            self.fleet.caches.get(endpoint_id, cache).record_prompt(keys)
+
+
+class FleetModel:
+    """Gateways that receive requests with shared prefixes and place them at engines.
+
+    The clock ``now`` is in seconds and starts at 100. ``waits`` has the time from the arrival of
+    each request to its first event, in seconds.
+    """
+
+    def __init__(self, gateways: int, engines: int, cache_tokens: int, seed: int = 1) -> None:
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.cache_tokens = cache_tokens
+        endpoints = [builders.make_endpoint(f"e{number}", slots=48) for number in range(engines)]
+        self.endpoints = endpoints
+        self.engines = {item.id: ModelEngine(cache_tokens) for item in endpoints}
+        self.gateways = [self.make_gateway(number) for number in range(gateways)]
+        self.events: list[tuple[float, int, collections.abc.Callable[[], None]]] = []
+        self.serials = itertools.count()
+        self.waits: list[float] = []
+        self.refused = 0
+        self.read_before: set[int] = set()
+        self.shared_tokens = 0
+        self.shared_tokens_read_again = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def make_gateway(self, number: int) -> ModelGateway:
+        """Return a gateway that has just started."""
+        return ModelGateway(f"g{number}", self.endpoints, self.cache_tokens)
+
+    def restart(self, number: int) -> None:
+        """Replace a gateway by one with empty state."""
+        self.gateways[number] = self.make_gateway(number)
+
+    def at(self, when: float, action: collections.abc.Callable[[], None]) -> None:
+        """Call an action at a time of the model's clock."""
+        heapq.heappush(self.events, (when, next(self.serials), action))
+
+    async def serve(self, owner: ModelGateway, metadata: gateway.RequestMetadata) -> None:
+        """Place one request and let its engine serve it."""
+        keys = prompt_cache.prefix_keys(metadata.parts)
+        request = placer.WaitingRequest(
+            metadata, builders.make_route(), "llm", "a", metadata.arrived_at + 0.64
+        )
+        placed = await owner.placer.place(request)
+        if not isinstance(placed, placement.Choice):
+            self.refused += 1
+            return
+        engine_id, memory = placed.endpoint.id, metadata.prompt_tokens + metadata.output_tokens
+        prefilled_at, shared_read = self.engines[engine_id].begin(keys, self.now)
+        self.shared_tokens += keys[-2][1]
+        if keys[-2][0] in self.read_before:
+            self.shared_tokens_read_again += shared_read
+        self.read_before.add(keys[-2][0])
+        loads = owner.fleet.loads
+
+        def finish_prefill() -> None:
+            self.waits.append(self.now - metadata.arrived_at)
+            loads.finish_prefill(engine_id, placed.unread_tokens)
+
+        self.at(prefilled_at, finish_prefill)
+        self.at(prefilled_at + OUTPUT_SECONDS, lambda: loads.finish_request(engine_id, memory, 0))
+
+    def arrive(self, prefix: str, shared_tokens: int, own_tokens: int) -> None:
+        """Let a request arrive at a random gateway."""
+        metadata = builders.make_metadata(
+            f"q{next(self.serials)}", prefix, shared_tokens, own_tokens, self.now
+        )
+        owner = self.random.choice(self.gateways)
+        task = asyncio.get_running_loop().create_task(self.serve(owner, metadata))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def exchange(self) -> None:
+        """Deliver each gateway's loads and prompts to all others."""
+        for sender in self.gateways:
+            for receiver in self.gateways:
+                if receiver is not sender:
+                    receiver.receive(sender, self.cache_tokens, self.now)
+            sender.prompts.clear()
+
+    async def run(
+        self, seconds: float, step: collections.abc.Callable[[], None], interval_seconds: float
+    ) -> None:
+        """Run for a time; ``step`` is called each 10 ms, messages pass at an interval."""
+        end = self.now + seconds
+        exchange_at = self.now
+        while self.now < end:
+            self.now += STEP_SECONDS
+            while self.events and self.events[0][0] <= self.now:
+                heapq.heappop(self.events)[2]()
+            if self.now >= exchange_at:
+                self.exchange()
+                exchange_at = self.now + interval_seconds
+            step()
+            await asyncio.sleep(0)
+            for item in self.gateways:
+                item.placer.process_queue("llm")
+            for _ in range(3):
+                await asyncio.sleep(0)
+
+    def clock(self) -> float:
+        """Return the time of the model, in place of ``clocks.boot_time``."""
+        return self.now
--- a/tests/unit/test_gateway_state.py
+++ b/tests/unit/test_gateway_state.py
@@ -38,9 +38,10 @@
         keys = prompt_cache.prefix_keys(metadata.parts)
         assert self.engine is not None
         states = placement.engine_states(self.engines, self.engine, self.view, 0.0)
-        weight = placement.recompute_weight(waited, 0.8, placement.prefill_utilization(states))
+        utilization = placement.prefill_utilization(states.values())
+        weight = placement.recompute_weight(waited, 0.8, utilization)
         choice = placement.choose_engine(
-            states,
+            placement.engines_to_compare(states, keys, waited / 0.8),
             self.engine,
             keys,
             metadata,
@@ -103,7 +104,7 @@
                 self.view.loads.start_request(engine.id, unread, unread)
             states = placement.engine_states(self.engines, self.engine, self.view, 0.0)
             available = placement.any_has_capacity(
-                states, self.engine, placement.PREFILL_WINDOW_SECONDS
+                states.values(), self.engine, placement.PREFILL_WINDOW_SECONDS
             )
             self.assertEqual(unread < 17_500, available)
             if not available:
