Use a shared prefix that only a former owner caches

Cause: after the change of owners, test_a_request_goes_to_the_engine_that_caches_its_shared_prefix failed: engines that are added or come back change the owners, and the copies at the former ones were not compared, so the prefix was read again.

Change: while no owner caches a prefix, engines that do are compared as if they were the second owner.

--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -33,6 +33,8 @@
 PREFIX_OWNERS = 3
 # Cost of an engine for each owner that ranks before it, as a fraction of the prefix's prefill time.
 OWNER_RANK_FRACTION = 1.5
+# Rank of an engine that owned a prefix before engines were added or came back.
+FORMER_OWNER_RANK = 1
 # Shared prefixes below this size are recomputed faster than they are waited for.
 MIN_OWNED_TOKENS = 1000
 # Number of engines that a request without an owner is compared at. Loads are known with a delay, so
@@ -164,24 +166,33 @@
     states: collections.abc.Mapping[str, EngineState],
     keys: list[tuple[int, int]],
     waited_fraction: float,
-) -> list[EngineState]:
-    """Return the engines among which a request is placed; the owners of its prefix come first.
+) -> list[tuple[int, EngineState]]:
+    """Return the engines among which a request is placed, each with its rank for the prefix.
 
-    ``waited_fraction`` is the time that the request has waited, as a fraction of its latency
-    target. From ``AFFINITY_WAIT_FRACTION`` on, some engines that are not owners are added.
+    The owners come first. Engines that still cache the prefix of former owners are compared while
+    no owner does. ``waited_fraction`` is the time that the request has waited, as a fraction of its
+    latency target. From ``AFFINITY_WAIT_FRACTION`` on, a sample of all engines is added.
     """
     prefix = owned_prefix(keys)
-    owners = prefix_owners(prefix[0], tuple(states)) if prefix is not None else ()
-    compared = [states[endpoint_id] for endpoint_id in owners]
-    if not compared or waited_fraction >= AFFINITY_WAIT_FRACTION:
+    if prefix is None:
+        any_engines = random.sample(list(states.values()), min(SAMPLE_SIZE, len(states)))
+        return [(0, state) for state in any_engines]
+    key = prefix[0]
+    owners = prefix_owners(key, tuple(states))
+    compared = [(rank, states[endpoint_id]) for rank, endpoint_id in enumerate(owners)]
+    if not any(key in state.cache.prefixes for _, state in compared):
+        compared += [
+            (FORMER_OWNER_RANK, state) for state in states.values() if key in state.cache.prefixes
+        ]
+    if waited_fraction >= AFFINITY_WAIT_FRACTION:
         others = [endpoint_id for endpoint_id in states if endpoint_id not in owners]
         sample = random.sample(others, min(SAMPLE_SIZE, len(others)))
-        compared += [states[endpoint_id] for endpoint_id in sample]
+        compared += [(PREFIX_OWNERS, states[endpoint_id]) for endpoint_id in sample]
     return compared
 
 
 def choose_engine(
-    states: collections.abc.Sequence[EngineState],
+    compared: collections.abc.Sequence[tuple[int, EngineState]],
     engine: gateway.Engine,
     keys: list[tuple[int, int]],
     metadata: gateway.RequestMetadata,
@@ -190,20 +201,20 @@
 ) -> Choice | None:
     """Return the engine with the lowest expected cost; None if there are no engines.
 
-    ``states`` and ``keys`` are as returned by ``engines_to_compare`` and taken by it. The cost is
-    the expected time to the first event in seconds, plus penalties for failures, for recomputing
-    the shared prefix, and for each owner that ranks before the engine.
+    ``compared`` has the engines that ``engines_to_compare`` returned for ``keys``. The cost is the
+    expected time to the first event in seconds, plus penalties for failures, for recomputing the
+    shared prefix, and for each owner that ranks before the engine.
     """
-    if not states:
+    if not compared:
         return None
     prefix = owned_prefix(keys)
     shared_tokens = prefix[1] if prefix is not None else 0
     rank_cost = OWNER_RANK_FRACTION * shared_tokens / PREFILL_TOKENS_PER_SECOND
-    best = states[0]
+    best = compared[0][1]
     best_cost = math.inf
     best_expected = 0.0
     best_unread = 0
-    for rank, state in enumerate(states):
+    for rank, state in compared:
         load = state.load
         cached = state.cache.cached_tokens(keys)
         unread = max(1, metadata.prompt_tokens - cached)
@@ -212,7 +223,7 @@
         cost = expected * state.slowness + state.failure_penalty_seconds
         if shared_tokens:
             cost += recompute_weight * max(0, shared_tokens - cached) / PREFILL_TOKENS_PER_SECOND
-            cost += min(rank, PREFIX_OWNERS) * rank_cost
+            cost += rank * rank_cost
         if cost < best_cost:
             best, best_cost, best_expected, best_unread = state, cost, expected, unread
     return Choice(
@@ -222,7 +233,7 @@
         unread_tokens=best_unread,
         has_capacity=has_capacity(best, engine, metadata, best_unread, window_seconds),
         slowness=best.slowness,
-        owner_id=states[0].endpoint.id if shared_tokens else None,
+        owner_id=compared[0][1].endpoint.id if shared_tokens else None,
     )
 
 
