Refuse streams and leave the rotation early while a gateway is late

Ruled out: refusing alone.

Change: a timer of 20 ms shows how late the loop is. From 30 ms on, a growing part of the new streams is refused at once, with a Retry-After of 2.8 to 3.2 s, by which time the balancer has moved its clients, and the connection ends. Only while others of the zone are not late, which reports and changes now tell. From 90 ms over 0.5 s on, the gateway is not ready for 4 s, twice as long each time that its clients make it late again within 10 s, 32 s at most, and only while half of the zone's others are not late.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -30,6 +30,11 @@
 STOP_MARGIN_SECONDS = 0.6
 STOP_POLL_INTERVAL_SECONDS = 0.05
 TICK_INTERVAL_SECONDS = 0.25
+# Interval of the timer whose lateness decides on the refusal of requests.
+LAG_PROBE_INTERVAL_SECONDS = 0.02
+# A late gateway leaves the rotation only while at least this fraction of the zone's others is not
+# late: the load balancer uses all gateways of a zone when fewer than half are ready.
+MIN_AVAILABLE_PEERS = 0.5
 # The settings file is polled because it may change without a signal.
 RELOAD_INTERVAL_SECONDS = 2.0
 # Keeps a task that fails immediately on each start from using all CPU time.
@@ -88,7 +93,7 @@
         dependencies = request_path.RequestDependencies(
             self.fleet, codec, self.placer, self.endpoint_client, self.gateway_metrics
         )
-        self.front = front.ClientRequestHandler(dependencies)
+        self.front = front.ClientRequestHandler(dependencies, self.peering.available_peers)
         self.client_server = http1_server.Server(
             addresses.split(settings.client_address), self.front
         )
@@ -179,6 +184,7 @@
         ready = (
             not self.stopping
             and not self.lag.overloaded
+            and not self.is_paused()
             and fleet.configuration is not None
             and fleet.endpoints_known
             and (fleet.proof_is_fresh(clocks.boot_time()) or not self.peer_has_recent_proof())
@@ -188,6 +194,13 @@
             LOGGER.log(events.Event.READINESS_CHANGED, ready=ready, stopping=self.stopping)
         return ready
 
+    def is_paused(self) -> bool:
+        """Return whether other gateways of the zone should take this one's clients."""
+        return (
+            self.fleet.shedder.is_paused(clocks.boot_time())
+            and self.peering.available_peers() >= MIN_AVAILABLE_PEERS
+        )
+
     def peer_has_recent_proof(self) -> bool:
         """Return whether another live gateway has a recent proof of its configuration."""
         limit = self.settings.bounds.revoke_seconds - fleet_module.REVOKE_MARGIN_SECONDS
@@ -229,6 +242,7 @@
         self.supervise(self.snapshots.run, "snapshots of peers")
         self.supervise(self.placer.run, "placer")
         self.supervise(self.run_ticks, "ticks")
+        self.supervise(self.run_lag_probe, "lag probe")
         self.supervise(self.run_reloads, "reloads")
         LOGGER.log(
             events.Event.GATEWAY_STARTED,
@@ -273,6 +287,20 @@
             self.fleet.drop_expired_endpoints()
             self.endpoint_client.pool.expire(set(self.fleet.table.endpoints))
 
+    async def run_lag_probe(self) -> None:
+        """Record how late a frequent timer fires, until cancelled."""
+        while True:
+            due = clocks.boot_time() + LAG_PROBE_INTERVAL_SECONDS
+            await asyncio.sleep(LAG_PROBE_INTERVAL_SECONDS)
+            now = clocks.boot_time()
+            if self.fleet.shedder.record(now - due, now):
+                LOGGER.log(
+                    events.Event.ROTATION_PAUSED,
+                    late_seconds=round(self.fleet.shedder.long_lag_seconds, 3),
+                    pause_seconds=self.fleet.shedder.pause_seconds,
+                    available_peers=round(self.peering.available_peers(), 2),
+                )
+
     async def run_reloads(self) -> None:
         """Reload the settings periodically, until cancelled."""
         while True:
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -78,6 +78,7 @@
     CONNECTION_NOT_ACCEPTED = (8006, "connection_not_accepted", logging.WARNING)
     OVERLOAD_CHANGED = (8007, "overload_changed", logging.WARNING)
     CLIENT_CONNECTION_CLOSED = (8008, "client_connection_closed", logging.INFO)
+    ROTATION_PAUSED = (8009, "rotation_paused", logging.WARNING)
     ATTEMPT_SENT = (8101, "attempt_sent", logging.INFO)
     GATEWAY_REQUEST_ANSWERED = (8102, "gateway_request_answered", logging.INFO)
     GATEWAY_REQUEST_REFUSED = (8103, "gateway_request_refused", logging.WARNING)
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -9,6 +9,7 @@
     cold_start,
     endpoint_health,
     endpoint_table,
+    load_shedding,
     load_table,
     placement,
     prompt_cache,
@@ -61,6 +62,7 @@
         # When a call to the store failed; None once one succeeded.
         self.store_failed_at: float | None = None
         self.routes_by_host: dict[str, list[gateway.Route]] = {}
+        self.shedder = load_shedding.LoadShedder(self.started_at)
 
     def apply_settings(self, settings: gateway.GatewaySettings) -> None:
         """Apply changed settings."""
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -1,6 +1,8 @@
 """Handles clients' requests: determines route and team, then forwards or refuses them."""
 
 import asyncio
+import collections.abc
+import random
 
 from masticward import errors, events, logs
 from masticward.gateway import request_path
@@ -9,15 +11,24 @@
 from masticward.utils import clocks
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
+# Until a late gateway has left the load balancer's rotation, clients that return reach it again.
+SHED_RETRY_AFTER_SECONDS = 2.8
+SHED_RETRY_JITTER_SECONDS = 0.4
 LOGGER = logs.get_logger(__name__)
 
 
 class ClientRequestHandler(http1_server.RequestHandler):
     """Handles the requests of clients."""
 
-    def __init__(self, dependencies: request_path.RequestDependencies) -> None:
+    def __init__(
+        self,
+        dependencies: request_path.RequestDependencies,
+        available_peers: collections.abc.Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self.dependencies = dependencies
         self.fleet = dependencies.fleet
+        # Returns the fraction of the zone's other gateways that accept all requests.
+        self.available_peers = available_peers
 
     def limits(self) -> gateway.ClientLimits:
         """Return the limits on requests in the configuration in force."""
@@ -40,6 +51,7 @@
             )
             request_id = metadata.request_id
             route, team = self.authorize(metadata)
+            self.shed_load(route)
             await request_path.ProxiedRequest(
                 self.dependencies, metadata, route, team, request.body, responder
             ).run()
@@ -52,6 +64,20 @@
             LOGGER.log(events.Event.CLIENT_LEFT, request_id=request_id)
             raise
 
+    def shed_load(self, route: gateway.Route) -> None:
+        """Raise RefusalError if another gateway should serve the request because this one is late.
+
+        Only streams are refused: other requests take little processor time.
+        """
+        shedder = self.fleet.shedder
+        if (
+            shedder.is_shedding
+            and route.kind is gateway.RequestKind.STREAM
+            and shedder.refuses(self.available_peers())
+        ):
+            delay = SHED_RETRY_AFTER_SECONDS + SHED_RETRY_JITTER_SECONDS * random.random()
+            raise request_path.RefusalError(503, "gateway is late", delay, closes_connection=True)
+
     async def refuse(
         self,
         responder: http1_server.Responder,
@@ -67,6 +93,8 @@
             reason=refusal.reason,
             retry_after=refusal.retry_after_seconds,
         )
+        if refusal.closes_connection:
+            responder.ends_connection = True
         headers = self.dependencies.codec.refusal_headers(request_id, refusal.retry_after_seconds)
         await responder.send(refusal.status, headers, b"")
 
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -57,6 +57,7 @@
         "incarnation",
         "instance_id",
         "ip",
+        "is_shedding",
         "listing_digest",
         "listing_digest_since",
         "live",
@@ -82,6 +83,7 @@
         self.listing_digest = 0
         self.listing_digest_since = 0.0
         self.stopping = False
+        self.is_shedding = False
 
 
 class Peering(asyncio.DatagramProtocol):
@@ -186,6 +188,7 @@
             configuration_version=fleet.configuration_version,
             configuration_proof_age=fleet.proof_age(now),
             listing_digest=fleet.listing_digest,
+            is_shedding=fleet.shedder.is_shedding,
         )
         self.prompts_to_repeat += self.unsent_prompts
         self.unsent_prompts = []
@@ -303,6 +306,18 @@
             )
             self.on_reader_change(self.reads_store)
 
+    def available_peers(self) -> float:
+        """Return the fraction of the zone's other gateways that accept all requests.
+
+        Live gateways that stop count as not available, those that are not live are left out.
+        """
+        zone = self.fleet.settings.availability_zone
+        peers = [
+            peer for peer in self.peers.values() if peer.live and peer.availability_zone == zone
+        ]
+        available = sum(not peer.is_shedding and not peer.stopping for peer in peers)
+        return available / len(peers) if peers else 0.0
+
     def compare_listings(self) -> None:
         """Request a new listing if this process seems to lack changes of the store.
 
@@ -400,6 +415,7 @@
             members=members,
             availability_zone=fleet.settings.availability_zone,
             can_relay=fleet.reaches_store(now) and fleet.endpoints_known,
+            is_shedding=fleet.shedder.is_shedding,
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
@@ -428,6 +444,7 @@
             return  # reordered: a newer datagram was already applied
         peer.newest_sent_at = message.sent_at
         peer.received_at = now
+        peer.is_shedding = changes.is_shedding
         loads = {key: load_table.EndpointLoad(*value) for key, value in changes.loads.items()}
         self.fleet.loads.update_peer_loads(peer.instance_id, loads, now)
         self.apply_prompts(changes.prompts)
@@ -506,6 +523,7 @@
         peer.availability_zone = report.availability_zone
         peer.can_relay = report.can_relay
         peer.stopping = report.stopping
+        peer.is_shedding = report.is_shedding
         fleet = self.fleet
         fleet.loads.set_peer_loads(
             peer.instance_id,
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -38,13 +38,24 @@
 
 
 class RefusalError(errors.MasticwardError):
-    """Raised when the gateway refuses a request itself; ``status`` is the HTTP status."""
+    """Raised when the gateway refuses a request itself; ``status`` is the HTTP status.
 
-    def __init__(self, status: int, reason: str, retry_after_seconds: float | None = None) -> None:
+    ``closes_connection`` tells the client to open another connection, which may lead to another
+    gateway.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        retry_after_seconds: float | None = None,
+        closes_connection: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
         self.retry_after_seconds = retry_after_seconds
+        self.closes_connection = closes_connection
 
 
 class RequestProgress:
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -38,6 +38,8 @@
     availability_zone: str = ""
     # Whether the sender may be chosen to read the store and relay its changes.
     can_relay: bool = False
+    # Whether the sender refuses requests because it is late.
+    is_shedding: bool = False
 
 
 class PeerChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
@@ -55,6 +57,8 @@
     configuration_version: int = 0
     configuration_proof_age: float = -1.0
     listing_digest: int = 0
+    # As in PeerReport.
+    is_shedding: bool = False
 
 
 class StoreChanges(msgspec.Struct, array_like=True, frozen=True, tag="store"):
