End kept connections once a paused gateway has left the rotation

Ruled out: ending them as soon as the pause begins: until the balancer has seen two failed checks, new connections come back here and cost more than the kept ones.

Change: from 2.8 s after a pause has begun, answers end their connections.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -283,7 +283,9 @@
                 )
             # Without a peer there is no other instance that could serve the clients.
             has_peers = len(self.fleet.live_gateways) > 1
-            self.client_server.overloaded = has_peers and self.lag.moves_clients
+            self.client_server.overloaded = has_peers and (
+                self.lag.moves_clients or self.fleet.shedder.has_left_rotation(now)
+            )
             self.fleet.drop_expired_endpoints()
             self.endpoint_client.pool.expire(set(self.fleet.table.endpoints))
 
--- a/src/masticward/state/load_shedding.py
+++ b/src/masticward/state/load_shedding.py
@@ -22,6 +22,7 @@
 MAX_PAUSE_SAMPLE_WEIGHT = 0.15
 # The load balancer needs up to 3 s to move clients. The same clients return with the gateway, so it
 # stays away longer each time that it is late again soon after a pause.
+ROTATION_EXIT_SECONDS = 2.8
 MIN_PAUSE_SECONDS = 4.0
 MAX_PAUSE_SECONDS = 32.0
 RELAPSE_SECONDS = 10.0
@@ -75,6 +76,11 @@
         """Return whether new clients should be sent to other gateways."""
         return now < self.paused_until
 
+    def has_left_rotation(self, now: float) -> bool:
+        """Return whether clients that open another connection reach other gateways by now."""
+        paused_since = self.paused_until - self.pause_seconds
+        return paused_since + ROTATION_EXIT_SECONDS <= now < self.paused_until
+
     def refused_fraction(self, available_peers: float) -> float:
         """Return the fraction of new requests to refuse, from 0 to 1.
 
--- a/tests/unit/test_hot_gateway.py
+++ b/tests/unit/test_hot_gateway.py
@@ -85,6 +85,11 @@
             self.fire_timer(0.0, self.shedder.paused_until - self.now + 1.0)
         self.assertEqual([4.0, 8.0, 16.0, 32.0, 32.0, 32.0], [round(item, 6) for item in lengths])
 
+    def test_kept_connections_end_once_new_ones_reach_other_gateways(self) -> None:
+        started = self.fire_timer(0.3, 1.0)[-1]
+        states = [self.shedder.has_left_rotation(started + after) for after in (0.0, 2.0, 3.0, 5.0)]
+        self.assertEqual([False, False, True, False], states)
+
     def test_the_pause_is_short_again_after_a_quiet_time(self) -> None:
         self.fire_timer(0.3, 1.0)
         self.fire_timer(0.0, load_shedding.MIN_PAUSE_SECONDS + load_shedding.RELAPSE_SECONDS)
