Place requests without owners at engines with an idle connection

Change: the sample of engines for a prompt without owners is taken from those to which this gateway has an idle connection, if there are six or more; otherwise from all. Prompts with owners are placed as before.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -86,8 +86,10 @@
         self.snapshot_server = http1_server.Server(
             (settings.ip, settings.peer_port), snapshots.SnapshotHandler(self.fleet)
         )
-        self.placer = placer.Placer(self.fleet, self.peering.announce_prompt)
         self.endpoint_client = calls.EndpointClient(self.fleet, codec)
+        self.placer = placer.Placer(
+            self.fleet, self.peering.announce_prompt, self.endpoint_client.pool.connected_ids
+        )
         self.source = source
         self.gateway_metrics = gateway_metrics.GatewayMetrics(self.metrics)
         dependencies = request_path.RequestDependencies(
--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -95,6 +95,15 @@
             return Connection(connection.channel, idle_seconds)
         return None
 
+    def connected_ids(self) -> list[str]:
+        """Return the IDs of the endpoints to which an idle connection may be reused."""
+        now = clocks.boot_time()
+        return [
+            endpoint_id
+            for endpoint_id, idle in self.idle.items()
+            if idle and idle[-1].expires_at > now
+        ]
+
     def reuse_limit_seconds(self, service: str, now: float) -> float:
         """Return how long a service's connections may have been idle and still be reused."""
         reuse_limit = self.reuse_limits.get(service)
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -91,6 +91,7 @@
 
     __slots__ = (
         "candidates",
+        "connected_ids",
         "engine",
         "engine_states",
         "fleet",
@@ -109,6 +110,7 @@
         service = configuration.services.get(service_name) if configuration else None
         self.engine = service.engine if service else None
         self.engine_states: dict[str, placement.EngineState] = {}
+        self.connected_ids = request_placer.connected_ids()
         self.prefill_utilization = 0.0
         # Widest prefill window for which no engine has capacity; valid for the whole scan, because
         # a scan only adds load to engines.
@@ -149,7 +151,10 @@
         waited_seconds = self.now - request.arrived_at
         return placement.choose_engine(
             placement.engines_to_compare(
-                states, request.prefix_keys, waited_seconds / target_seconds
+                states,
+                request.prefix_keys,
+                waited_seconds / target_seconds,
+                self.connected_ids,
             ),
             self.engine,
             request.prefix_keys,
@@ -196,8 +201,11 @@
         self,
         fleet: fleet_module.FleetState,
         on_prompt: collections.abc.Callable[[str, list[tuple[int, int]]], None],
+        connected_ids: collections.abc.Callable[[], list[str]] = list,
     ) -> None:
         self.fleet = fleet
+        # Returns the IDs of the endpoints to which this process has an idle connection.
+        self.connected_ids = connected_ids
         self.queues: dict[str, list[WaitingRequest]] = {}
         self.scanned_at = 0.0
         self.scan_interval_seconds = QUEUE_SCAN_SECONDS
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -33,6 +33,8 @@
 PREFIX_OWNERS = 3
 # Cost of an engine for each owner that ranks before it, as a fraction of the prefix's prefill time.
 OWNER_RANK_FRACTION = 1.5
+# With idle connections to fewer engines than this, too few would share the load.
+MIN_CONNECTED_ENGINES = 6
 # Rank of an engine that owned a prefix before engines were added or came back.
 FORMER_OWNER_RANK = 1
 # Shared prefixes below this size are recomputed faster than they are waited for.
@@ -166,17 +168,24 @@
     states: collections.abc.Mapping[str, EngineState],
     keys: list[tuple[int, int]],
     waited_fraction: float,
+    connected_ids: collections.abc.Collection[str] = (),
 ) -> list[tuple[int, EngineState]]:
     """Return the engines among which a request is placed, each with its rank for the prefix.
 
     The owners come first. Engines that still cache the prefix of former owners are compared while
     no owner does. ``waited_fraction`` is the time that the request has waited, as a fraction of its
     latency target. From ``AFFINITY_WAIT_FRACTION`` on, a sample of all engines is added.
+
+    Without owners, the engines are a sample of those in ``connected_ids``, to which this process
+    has an idle connection, or of all engines if these are few.
     """
     prefix = owned_prefix(keys)
     if prefix is None:
-        any_engines = random.sample(list(states.values()), min(SAMPLE_SIZE, len(states)))
-        return [(0, state) for state in any_engines]
+        sampled = [endpoint_id for endpoint_id in connected_ids if endpoint_id in states]
+        if len(sampled) < MIN_CONNECTED_ENGINES:
+            sampled = list(states)
+        sampled = random.sample(sampled, min(SAMPLE_SIZE, len(sampled)))
+        return [(0, states[endpoint_id]) for endpoint_id in sampled]
     key = prefix[0]
     owners = prefix_owners(key, tuple(states))
     compared = [(rank, states[endpoint_id]) for rank, endpoint_id in enumerate(owners)]
--- a/tests/unit/test_scattered_prefixes.py
+++ b/tests/unit/test_scattered_prefixes.py
@@ -34,7 +34,12 @@
         self.random = random.Random(1)
 
     def choose(
-        self, loads: dict[str, int], shared: str, shared_tokens: int, request_id: str
+        self,
+        loads: dict[str, int],
+        shared: str,
+        shared_tokens: int,
+        request_id: str,
+        connected_ids: tuple[str, ...] = (),
     ) -> str:
         """Return the engine that a gateway without cache models chooses."""
         fleet = builders.make_fleet(*self.engines)
@@ -48,7 +53,7 @@
         keys = prompt_cache.prefix_keys(metadata.parts)
         states = placement.engine_states(self.engines, engine, fleet.view, 0.0)
         choice = placement.choose_engine(
-            placement.engines_to_compare(states, keys, 0.0),
+            placement.engines_to_compare(states, keys, 0.0, connected_ids),
             engine,
             keys,
             metadata,
@@ -74,6 +79,17 @@
         chosen = [self.choose(loads, "small", 300, f"q{number}") for number in range(60)]
         self.assertLess(chosen.count("e0"), 15)
 
+    def test_requests_without_owners_use_idle_connections(self) -> None:
+        # Each of 68 gateways would otherwise open a connection for every other request.
+        connected = tuple(f"e{number}" for number in range(20, 30))
+        chosen = {self.choose({}, "small", 300, f"q{number}", connected) for number in range(100)}
+        self.assertLessEqual(chosen, set(connected))
+        self.assertGreaterEqual(len(chosen), 8)
+
+    def test_few_idle_connections_do_not_draw_all_requests(self) -> None:
+        chosen = [self.choose({}, "small", 300, f"q{number}", ("e1", "e2")) for number in range(60)]
+        self.assertLess(chosen.count("e1") + chosen.count("e2"), 20)
+
 
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Guards against shared parts that are read again, and the late answers that follow."""
