Tell clients of a late gateway to return while their request can still be served

Cause: found by reading.

Change: the Retry-After of such a refusal is at most half of the time that the client still waits.

Measured: the new test of test_hot_gateway fails on the code before.

--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -14,6 +14,8 @@
 # Until a late gateway has left the load balancer's rotation, clients that return reach it again.
 SHED_RETRY_AFTER_SECONDS = 2.8
 SHED_RETRY_JITTER_SECONDS = 0.4
+# A client with little time left should return while its request can still be served.
+SHED_RETRY_DEADLINE_FRACTION = 0.5
 LOGGER = logs.get_logger(__name__)
 
 
@@ -51,7 +53,7 @@
             )
             request_id = metadata.request_id
             route, team = self.authorize(metadata)
-            self.shed_load(route)
+            self.shed_load(metadata, route)
             await request_path.ProxiedRequest(
                 self.dependencies, metadata, route, team, request.body, responder
             ).run()
@@ -64,7 +66,7 @@
             LOGGER.log(events.Event.CLIENT_LEFT, request_id=request_id)
             raise
 
-    def shed_load(self, route: gateway.Route) -> None:
+    def shed_load(self, metadata: gateway.RequestMetadata, route: gateway.Route) -> None:
         """Raise RefusalError if another gateway should serve the request because this one is late.
 
         Only streams are refused: other requests take little processor time.
@@ -75,7 +77,11 @@
             and route.kind is gateway.RequestKind.STREAM
             and shedder.refuses(self.available_peers())
         ):
-            delay = SHED_RETRY_AFTER_SECONDS + SHED_RETRY_JITTER_SECONDS * random.random()
+            remaining_seconds = metadata.deadline - clocks.boot_time()
+            delay = min(
+                SHED_RETRY_AFTER_SECONDS + SHED_RETRY_JITTER_SECONDS * random.random(),
+                SHED_RETRY_DEADLINE_FRACTION * max(0.0, remaining_seconds),
+            )
             raise request_path.RefusalError(503, "gateway is late", delay, closes_connection=True)
 
     async def refuse(
--- a/tests/unit/test_hot_gateway.py
+++ b/tests/unit/test_hot_gateway.py
@@ -175,11 +175,15 @@
         self.handler = front.ClientRequestHandler(dependencies, lambda: 1.0)
         self.fleet.shedder.lag_seconds = 10 * load_shedding.MAX_LAG_SECONDS
 
-    def shed(self, kind: gateway.RequestKind) -> list[request_path.RefusalError]:
+    def shed(
+        self, kind: gateway.RequestKind, seconds: float = 8.0
+    ) -> list[request_path.RefusalError]:
+        """Return the refusals of 100 requests that their clients await for ``seconds``."""
         refusals = []
         for _ in range(100):
+            metadata = builders.make_metadata(arrived_at=clocks.boot_time(), seconds=seconds)
             try:
-                self.handler.shed_load(builders.make_route(kind=kind))
+                self.handler.shed_load(metadata, builders.make_route(kind=kind))
             except request_path.RefusalError as refusal:
                 refusals.append(refusal)
         return refusals
@@ -192,6 +196,10 @@
             # The load balancer's two probes, which take the gateway out, are 1 s apart.
             self.assertGreater(typing.cast(float, refusal.retry_after_seconds), 2.0)
 
+    def test_clients_with_little_time_are_told_to_return_within_it(self) -> None:
+        for refusal in self.shed(gateway.RequestKind.STREAM, seconds=3.0):
+            self.assertLess(typing.cast(float, refusal.retry_after_seconds), 2.0)
+
     def test_cheap_requests_are_not_refused(self) -> None:
         for kind in (gateway.RequestKind.IDEMPOTENT, gateway.RequestKind.NON_IDEMPOTENT):
             self.assertEqual([], self.shed(kind))
