--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,14 @@
 export PYTHONPATH := $(CURDIR)/src
 export UV_USE_IO_URING := 0
 
-.PHONY: demo test check format wire environment
+# The users' bench and the folder of their site files; DEVELOPERS.md has the paths.
+BENCH ?=
+SITES ?=
+WHY ?= regression run
+REGRESSION_SITES := further/tendencia-unida further-grown/tendencia-unida-grown \
+	large/alcfm-route-large
+
+.PHONY: demo test check format wire environment regression
 
 environment: $(VENV)/.installed
 
@@ -29,5 +36,11 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+regression:
+	@test -n "$(BENCH)" -a -n "$(SITES)" || { echo "usage: make regression BENCH=FILE SITES=DIR"; exit 2; }
+	for site in $(REGRESSION_SITES); do \
+		"$(BENCH)" score "$(SITES)/$$site.toml" --jobs 3 --why "$(WHY)" || exit 1; \
+	done
+
 wire: environment
 	PYTHON=$(BIN)/python bash tools/generate_wire.sh
--- a/tests/functional/test_http1_exchange.py
+++ b/tests/functional/test_http1_exchange.py
@@ -27,6 +27,56 @@
     done.set()
 
 
+CHUNKED_BODY = b"5\r\nhello\r\n0\r\n\r\n"
+
+
+class ReuseTest(unittest.TestCase):
+    """Guards against a request on a connection that its peer ends or has sent other bytes on."""
+
+    def is_reusable(self, head_lines: bytes, body: bytes) -> bool:
+        """Return whether a connection may be used again after an answer; the peer keeps it."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        finished = threading.Event()
+        self.addCleanup(finished.set)
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\n" + head_lines + b"\r\n" + body)
+            finished.wait(5.0)
+            connection.close()
+
+        threading.Thread(target=serve, daemon=True).start()
+
+        async def exchange() -> bool:
+            channel = await http1.connect(listener.getsockname(), 1.0)
+            call = http1.Exchange(channel)
+            try:
+                await call.send(b"GET", b"/", [(b"host", b"test")], b"")
+                await call.read_head()
+                self.assertEqual(b"hello", await call.read_body())
+                return call.reusable
+            finally:
+                channel.abort()
+
+        return uvloop.run(exchange())
+
+    def test_a_connection_is_used_again_after_a_whole_answer(self) -> None:
+        self.assertTrue(self.is_reusable(b"Content-Length: 5\r\n", b"hello"))
+        self.assertTrue(self.is_reusable(b"Transfer-Encoding: chunked\r\n", CHUNKED_BODY))
+
+    def test_a_connection_that_the_peer_ends_is_not_used_again(self) -> None:
+        close = b"Connection: close\r\n"
+        self.assertFalse(self.is_reusable(close + b"Content-Length: 5\r\n", b"hello"))
+        self.assertFalse(self.is_reusable(close + b"Transfer-Encoding: chunked\r\n", CHUNKED_BODY))
+
+    def test_a_connection_with_bytes_after_the_answer_is_not_used_again(self) -> None:
+        extra = b"HTTP/1.1 200 OK\r\n"
+        self.assertFalse(self.is_reusable(b"Content-Length: 5\r\n", b"hello" + extra))
+        self.assertFalse(self.is_reusable(b"Transfer-Encoding: chunked\r\n", CHUNKED_BODY + extra))
+
+
 class UnframedAnswerTest(unittest.TestCase):
     def read_answer(self, reset: bool) -> bytes:
         listener = socket.create_server(("127.0.0.1", 0))
