Log and count unexpected errors in callbacks of a gateway's event loop

An exception outside of a task, such as one while a peer's datagram is applied, went to asyncio's own logger: lines without a number, on another stream, and no counter. The process went on.

Ruled out: that uvloop closes the datagram transport after it (tried on uvloop and asyncio: the next datagram arrives).

Change: the event loop's exception handler logs 8010 with the error and counts masticward_gateway_failed_callbacks_total.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -229,8 +229,20 @@
         else:
             self.peering.send_reports()
 
+    def record_callback_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
+    ) -> None:
+        """Count and log an unexpected error in a callback; the event loop goes on."""
+        self.gateway_metrics.failed_callbacks.inc()
+        LOGGER.log(
+            events.Event.CALLBACK_FAILED,
+            error=repr(context.get("exception")),
+            detail=context.get("message"),
+        )
+
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
+        asyncio.get_running_loop().set_exception_handler(self.record_callback_error)
         await self.ready_server.start()
         await self.client_server.start()
         await self.snapshot_server.start()
--- a/src/masticward/gateway/gateway_metrics.py
+++ b/src/masticward/gateway/gateway_metrics.py
@@ -12,7 +12,13 @@
 class GatewayMetrics:
     """Counters, histograms and gauges of one gateway process."""
 
-    __slots__ = ("failed_attempts", "first_event", "process_metrics", "requests")
+    __slots__ = (
+        "failed_attempts",
+        "failed_callbacks",
+        "first_event",
+        "process_metrics",
+        "requests",
+    )
 
     def __init__(self, process_metrics: metrics.ProcessMetrics) -> None:
         self.process_metrics = process_metrics
@@ -28,6 +34,11 @@
             ["outcome"],
             registry=process_metrics.registry,
         )
+        self.failed_callbacks = prometheus_client.Counter(
+            "masticward_gateway_failed_callbacks",
+            "unexpected errors in callbacks of the event loop",
+            registry=process_metrics.registry,
+        )
         self.first_event = prometheus_client.Histogram(
             "masticward_gateway_first_event_seconds",
             "time from arrival to the first event of a stream, in seconds",
