--- a/tests/unit/test_scattered_prefixes.py
+++ b/tests/unit/test_scattered_prefixes.py
@@ -32,6 +32,9 @@
     def setUp(self) -> None:
         self.engines = [builders.make_endpoint(f"e{number}", slots=48) for number in range(60)]
         self.random = random.Random(1)
+        patcher = unittest.mock.patch.object(placement, "random", self.random)
+        patcher.start()
+        self.addCleanup(patcher.stop)
 
     def choose(
         self,
@@ -123,7 +126,10 @@
             if rolling_restart and steps % 30 == 0:
                 model.restart(steps // 30 % GATEWAYS)
 
-        with unittest.mock.patch.object(clocks, "boot_time", model.clock):
+        with (
+            unittest.mock.patch.object(clocks, "boot_time", model.clock),
+            unittest.mock.patch.object(placement, "random", model.random),
+        ):
             await model.run(20.0, step, MESSAGE_INTERVAL_SECONDS)
         for task in list(model.tasks):
             task.cancel()
