--- a/tests/lib/fleet_model.py
+++ b/tests/lib/fleet_model.py
@@ -115,9 +115,9 @@
     async def serve(self, owner: ModelGateway, metadata: gateway.RequestMetadata) -> None:
         """Place one request and let its engine serve it."""
         keys = prompt_cache.prefix_keys(metadata.parts)
-        request = placer.WaitingRequest(
-            metadata, builders.make_route(), "llm", "a", metadata.arrived_at + 0.64
-        )
+        route = builders.make_route()
+        refuse_at = metadata.arrived_at + placer.MAX_WAIT_FRACTION * route.target_latency_seconds
+        request = placer.WaitingRequest(metadata, route, "llm", "a", refuse_at)
         placed = await owner.placer.place(request)
         if not isinstance(placed, placement.Choice):
             self.refused += 1
