Mend what the last reading of the change found twice or in the wrong place

- The time until the balancer has moved clients stood in three modules (daemons/gateway, load_shedding, front); it is load_shedding.ROTATION_EXIT_SECONDS.
- The rule for the final cost of a ticket stood in the runner and the session; offers.add_final_cost.
- Exchange.receive turns a reset into an error for chunked and other bodies; a decoder begins with the bytes that came with the head, so it needs no flag; ServerConnection.write returns its bytes, and whether a body is chunked is decided once with the head.
- Idle connections are listed for engines only, not in scans of plain services.
- AvailablePeersTest uses PeeringCase instead of a copy of its set-up and reports.

Behaviour and assertions are unchanged.

--- a/src/masticward/coordination/endpoint_runner.py
+++ b/src/masticward/coordination/endpoint_runner.py
@@ -272,11 +272,8 @@
         self.reconcile()
 
     def add_finished(self, ticket_id: str, cost: float) -> None:
-        """Store the final cost of a ticket for the next report.
-
-        A refused duplicate, which costs nothing, does not replace the cost of the run.
-        """
-        self.finished[ticket_id] = max(cost, self.finished.get(ticket_id, 0.0))
+        """Store the final cost of a ticket for the next report."""
+        offers.add_final_cost(self.finished, ticket_id, cost)
         while len(self.finished) > MAXIMUM_FINISHED_TICKETS:
             del self.finished[next(iter(self.finished))]
 
--- a/src/masticward/coordination/offers.py
+++ b/src/masticward/coordination/offers.py
@@ -99,6 +99,14 @@
         """Record the number of tickets that wait at the dispatcher that receives the offers."""
 
 
+def add_final_cost(finished: dict[str, float], ticket_id: str, cost: float) -> None:
+    """Add the final cost of a ticket to costs that were not reported yet.
+
+    A refused duplicate, which costs nothing, does not replace the cost of the run.
+    """
+    finished[ticket_id] = max(cost, finished.get(ticket_id, 0.0))
+
+
 class DispatcherSession(dispatch_client.AgentListener):
     """The session with one dispatcher, and the values last reported to it."""
 
@@ -202,15 +210,12 @@
         self.offer_loop.source.changed.set()
 
     def add_finished(self, finished: dict[str, float]) -> None:
-        """Store final costs for the next report, unless no slots were offered on this link.
-
-        A refused duplicate, which costs nothing, does not replace the cost of the run.
-        """
+        """Store final costs for the next report, unless no slots were offered on this link."""
         if self.link is None or not self.offered:
             self.finished.clear()
             return
         for ticket_id, cost in finished.items():
-            self.finished[ticket_id] = max(cost, self.finished.get(ticket_id, 0.0))
+            add_final_cost(self.finished, ticket_id, cost)
 
     def is_report_due(self, now: float) -> bool:
         """Return whether a report is due on a session that receives no offers."""
--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -20,12 +20,10 @@
 )
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
-from masticward.state import loop_lag
+from masticward.state import load_shedding, loop_lag
 from masticward.transport import http1_server
 from masticward.utils import addresses, clocks, tasks
 
-# The load balancer checks readiness once per second and removes an instance after two failures.
-ROTATION_EXIT_SECONDS = 2.8
 # The platform kills the process at the end of the grace period; the process exits before that.
 STOP_MARGIN_SECONDS = 0.6
 STOP_POLL_INTERVAL_SECONDS = 0.05
@@ -356,7 +354,7 @@
         self.stopping = True
         self.peering.stopping = True
         self.client_server.stopping = True
-        await asyncio.sleep(ROTATION_EXIT_SECONDS)
+        await asyncio.sleep(load_shedding.ROTATION_EXIT_SECONDS)
         self.client_server.stop_listening()
         while self.client_server.busy and clocks.boot_time() < abort_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -7,12 +7,11 @@
 from masticward import errors, events, logs
 from masticward.gateway import request_path
 from masticward.models import gateway
+from masticward.state import load_shedding
 from masticward.transport import http1_server
 from masticward.utils import clocks
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
-# Until a late gateway has left the load balancer's rotation, clients that return reach it again.
-SHED_RETRY_AFTER_SECONDS = 2.8
 SHED_RETRY_JITTER_SECONDS = 0.4
 # A client with little time left should return while its request can still be served.
 SHED_RETRY_DEADLINE_FRACTION = 0.5
@@ -78,8 +77,9 @@
             and shedder.refuses(self.available_peers())
         ):
             remaining_seconds = metadata.deadline - clocks.boot_time()
+            # Clients that return before the gateway has left the rotation reach it again.
             delay = min(
-                SHED_RETRY_AFTER_SECONDS + SHED_RETRY_JITTER_SECONDS * random.random(),
+                load_shedding.ROTATION_EXIT_SECONDS + SHED_RETRY_JITTER_SECONDS * random.random(),
                 SHED_RETRY_DEADLINE_FRACTION * max(0.0, remaining_seconds),
             )
             raise request_path.RefusalError(503, "gateway is late", delay, closes_connection=True)
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -110,12 +110,13 @@
         service = configuration.services.get(service_name) if configuration else None
         self.engine = service.engine if service else None
         self.engine_states: dict[str, placement.EngineState] = {}
-        self.connected_ids = request_placer.connected_ids()
+        self.connected_ids: list[str] = []
         self.prefill_utilization = 0.0
         # Widest prefill window for which no engine has capacity; valid for the whole scan, because
         # a scan only adds load to engines.
         self.full_window_seconds = 0.0
         if self.engine is not None:
+            self.connected_ids = request_placer.connected_ids()
             self.engine_states = placement.engine_states(
                 self.candidates, self.engine, self.fleet.view, now
             )
--- a/src/masticward/state/load_shedding.py
+++ b/src/masticward/state/load_shedding.py
@@ -20,9 +20,10 @@
 PAUSE_LAG_SECONDS = 0.09
 PAUSE_LAG_DECAY_SECONDS = 0.5
 MAX_PAUSE_SAMPLE_WEIGHT = 0.15
-# The load balancer needs up to 3 s to move clients. The same clients return with the gateway, so it
-# stays away longer each time that it is late again soon after a pause.
+# The load balancer checks readiness once per second and removes an instance after two failures.
 ROTATION_EXIT_SECONDS = 2.8
+# The same clients return with the gateway, so it stays away longer each time that it is late again
+# soon after a pause.
 MIN_PAUSE_SECONDS = 4.0
 MAX_PAUSE_SECONDS = 32.0
 RELAPSE_SECONDS = 10.0
--- a/src/masticward/transport/chunked.py
+++ b/src/masticward/transport/chunked.py
@@ -18,16 +18,15 @@
 class ChunkedDecoder:
     """Incremental decoder of one body. ``trailing`` holds the bytes after the end of the body."""
 
-    __slots__ = ("buffered", "ended", "in_trailer", "remaining", "started", "trailer_bytes")
+    __slots__ = ("buffered", "ended", "in_trailer", "remaining", "trailer_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, received: bytes = b"") -> None:
         # Bytes that are received and not decoded: part of a line, or what follows the body.
-        self.buffered = b""
+        self.buffered = received
         # Bytes that are left of the current chunk, with the line end after its data.
         self.remaining = 0
         self.in_trailer = False
         self.trailer_bytes = 0
-        self.started = False
         self.ended = False
 
     @property
@@ -37,7 +36,6 @@
 
     def decode(self, received: bytes) -> bytes:
         """Return the data in newly received bytes; raise EndpointBrokenError if malformed."""
-        self.started = True
         source = self.buffered + received if self.buffered else received
         position = 0
         data: list[bytes] = []
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -343,6 +343,13 @@
         self.ended = False
         self.had_stray = True
 
+    async def receive(self) -> bytes:
+        """Return the next bytes, none at the end; raise EndpointBrokenError after a reset."""
+        try:
+            return await self.channel.read()
+        except OSError as error:
+            raise errors.EndpointBrokenError(f"reset: {error}") from error
+
     async def next_event(self) -> typing.Any:
         """Return the next h11 event; raises EndpointBrokenError if the answer breaks off."""
         while True:
@@ -352,10 +359,7 @@
                 raise errors.EndpointBrokenError(f"not an answer: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self.channel.read()
-            except OSError as error:
-                raise errors.EndpointBrokenError(f"reset: {error}") from error
+            data = await self.receive()
             if not data and self.machine.their_state is h11.SEND_RESPONSE:
                 raise errors.EndpointBrokenError("closed without an answer")
             self.received = self.received or bool(data)
@@ -370,7 +374,8 @@
             if not isinstance(event, h11.Response):
                 raise errors.EndpointBrokenError("closed without an answer")
             if self.has_chunked_body(event):
-                self.chunked = chunked.ChunkedDecoder()
+                # Bytes of the body may have been received together with the head.
+                self.chunked = chunked.ChunkedDecoder(bytes(self.machine.trailing_data[0]))
             return Answer(event.status_code, list(event.headers.raw_items()))
 
     def has_chunked_body(self, response: h11.Response) -> bool:
@@ -391,13 +396,9 @@
 
     async def read_chunked_data(self, decoder: chunked.ChunkedDecoder) -> bytes | None:
         """Return the next bytes of a chunked body, None at its end."""
-        # Bytes that h11 has received together with the head.
-        data = b"" if decoder.started else decoder.decode(bytes(self.machine.trailing_data[0]))
+        data = decoder.decode(b"") if decoder.buffered else b""
         while not data and not decoder.ended:
-            try:
-                received = await self.channel.read()
-            except OSError as error:
-                raise errors.EndpointBrokenError(f"reset: {error}") from error
+            received = await self.receive()
             if not received:
                 raise errors.EndpointBrokenError("closed within an answer")
             data = decoder.decode(received)
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -69,16 +69,18 @@
         if self.closes_connection:
             headers = [*headers, (b"Connection", b"close")]
         self.started = True
-        head = self.connection.machine.send(
+        head = self.connection.write(
             h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
         )
-        self.chunked = head is not None and b"\r\ntransfer-encoding: chunked\r\n" in head.lower()
-        self.connection.channel.writer.write(head or b"")
+        self.chunked = (
+            self.connection.method != b"HEAD"
+            and b"\r\ntransfer-encoding: chunked\r\n" in head.lower()
+        )
         await self.connection.drain()
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body."""
-        if data and self.chunked and self.connection.method != b"HEAD":
+        if data and self.chunked:
             # h11 keeps no state of a chunk; each of its events costs as much as the write.
             self.connection.channel.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await self.connection.drain()
@@ -209,11 +211,12 @@
         """Whether the connection has had no request so far."""
         return not self.busy and not self.served
 
-    def write(self, event: h11.Event) -> None:
-        """Write one event."""
-        data = self.machine.send(event)
+    def write(self, event: h11.Event) -> bytes:
+        """Write one event and return its bytes."""
+        data = self.machine.send(event) or b""
         if data:
             self.channel.writer.write(data)
+        return data
 
     async def drain(self) -> None:
         """Wait while the client does not read; raises OSError if it is gone."""
--- a/tests/unit/test_gateway_peering.py
+++ b/tests/unit/test_gateway_peering.py
@@ -36,6 +36,8 @@
         loads: dict[str, tuple[int, int, int]] | None = None,
         digest: int = 0,
         name: str = "g2",
+        availability_zone: str = "",
+        is_shedding: bool = False,
     ) -> None:
         report = gateway_peers.PeerReport(
             instance_id=name,
@@ -50,6 +52,8 @@
             demand={},
             prompts=[],
             members=[("g3", "127.0.0.3")],
+            availability_zone=availability_zone,
+            is_shedding=is_shedding,
         )
         own = self.peering.incarnation if echo_incarnation is None else echo_incarnation
         message = gateway_peers.PeerMessage(
--- a/tests/unit/test_hot_gateway.py
+++ b/tests/unit/test_hot_gateway.py
@@ -11,13 +11,14 @@
 
 import msgspec
 
-from masticward.gateway import front, peering, request_path
+from masticward.gateway import front, request_path
 from masticward.models import gateway
 from masticward.platform import headers
 from masticward.protocol import gateway_peers
 from masticward.state import load_shedding
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
+from tests.unit import test_gateway_peering
 
 PROBE_SECONDS = 0.02
 
@@ -97,66 +98,42 @@
         self.assertEqual(load_shedding.MIN_PAUSE_SECONDS, self.shedder.pause_seconds)
 
 
-class AvailablePeersTest(unittest.TestCase):
+class AvailablePeersTest(test_gateway_peering.PeeringCase):
     """Guards against refusals whose retry would only reach another late gateway."""
 
-    def setUp(self) -> None:
-        self.now = 100.0
-        patcher = unittest.mock.patch.object(clocks, "boot_time", lambda: self.now)
-        patcher.start()
-        self.addCleanup(patcher.stop)
-        self.fleet = builders.make_fleet(builders.make_endpoint("e1"), now=self.now)
-        self.peering = peering.Peering(self.fleet, builders.UnusedStore())
-
-    def receive(self, name: str, zone: str, shedding: bool, sent_at: float = 1.0) -> None:
-        report = gateway_peers.PeerReport(
-            instance_id=name,
-            ip=f"127.0.0.{name[1:]}",
-            incarnation=1,
-            configuration_version=1,
-            configuration_proof_age=0.1,
-            stopping=False,
-            listing_digest=0,
-            loads={},
-            usage={},
-            demand={},
-            prompts=[],
-            members=[],
-            availability_zone=zone,
-            is_shedding=shedding,
-        )
-        self.deliver(report, sent_at)
+    def receive_from(self, name: str, zone: str, shedding: bool) -> None:
+        self.receive(name=name, availability_zone=zone, is_shedding=shedding)
+        self.peering.update_liveness()
 
-    def deliver(self, content: gateway_peers.Content, sent_at: float) -> None:
-        message = gateway_peers.PeerMessage(sent_at, 0.0, 0, gateway_peers.encode_content(content))
+    def deliver(self, content: msgspec.Raw) -> None:
+        """Deliver content that is newer than the reports."""
+        message = gateway_peers.PeerMessage(2.0, 0.0, 0, content)
         self.peering.datagram_received(gateway_peers.encode(message), ("127.0.0.2", 1))
-        self.peering.update_liveness()
 
     def test_without_peers_none_is_available(self) -> None:
         self.assertEqual(0.0, self.peering.available_peers())
 
     def test_peers_of_the_own_zone_that_refuse_nothing_count(self) -> None:
-        self.receive("g2", "z1", shedding=False)
-        self.receive("g3", "z1", shedding=True)
-        self.receive("g4", "z2", shedding=False)
+        self.receive_from("g2", "z1", shedding=False)
+        self.receive_from("g3", "z1", shedding=True)
+        self.receive_from("g4", "z2", shedding=False)
         self.assertEqual(0.5, self.peering.available_peers())
 
     def test_changes_between_reports_tell_it_too(self) -> None:
-        self.receive("g2", "z1", shedding=False)
+        self.receive_from("g2", "z1", shedding=False)
         changes = gateway_peers.PeerChanges(
             instance_id="g2", incarnation=1, loads={}, prompts=[], is_shedding=True
         )
-        self.deliver(changes, 2.0)
+        self.deliver(gateway_peers.encode_content(changes))
         self.assertEqual(0.0, self.peering.available_peers())
 
     def test_a_message_of_an_older_version_means_not_late(self) -> None:
-        self.receive("g2", "z1", shedding=False)
+        self.receive_from("g2", "z1", shedding=False)
         encoded = gateway_peers.encode_content(
             gateway_peers.PeerChanges(instance_id="g2", incarnation=1, loads={}, prompts=[])
         )
         fields = gateway_peers.ENCODER.encode(msgspec.msgpack.decode(bytes(encoded))[:-1])
-        message = gateway_peers.PeerMessage(2.0, 0.0, 0, msgspec.Raw(fields))
-        self.peering.datagram_received(gateway_peers.encode(message), ("127.0.0.2", 1))
+        self.deliver(msgspec.Raw(fields))
         self.assertEqual(1.0, self.peering.available_peers())
 
 
