Log which prompt parts an endpoint held that broke off, and how far it had answered

Cause: 8104 did not tell whether an endpoint had begun to answer a request when it ended, nor which shared parts the request held, so that the hypotheses on LOST and BUDGET could not be told apart. Ruled out: nothing yet. No decision changes.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -64,11 +64,14 @@
     ``sends`` counts attempts that were sent, ``runs`` those that may have run.
     """
 
-    __slots__ = ("last_event_id", "response_started", "runs", "sends")
+    __slots__ = ("last_event_id", "received_bytes", "response_started", "runs", "sends", "sent_at")
 
     def __init__(self, last_event_id: str | None) -> None:
         self.runs = 0
         self.sends = 0
+        # Of the latest attempt: when it was sent, and the bytes of the response's body.
+        self.sent_at = 0.0
+        self.received_bytes = 0
         self.response_started = False
         self.last_event_id = last_event_id
 
@@ -220,6 +223,9 @@
             outcome=outcome,
             detail=detail,
             runs=self.progress.runs,
+            sent_ms_ago=round((clocks.boot_time() - self.progress.sent_at) * 1000),
+            received_bytes=self.progress.received_bytes,
+            shared_parts=[part.id for part in self.metadata.parts[:-1]],
         )
 
     async def attempt_at(
@@ -251,6 +257,8 @@
             raise
         self.progress.sends += 1
         self.progress.runs += 1
+        self.progress.sent_at = now
+        self.progress.received_bytes = 0
         LOGGER.log(
             events.Event.ATTEMPT_SENT,
             request_id=self.metadata.request_id,
@@ -379,6 +387,7 @@
                 self.dependencies.metrics.first_event.observe(now - self.metadata.arrived_at)
             if data is None:
                 break
+            self.progress.received_bytes += len(data)
             if self.route.resumable:
                 buffered += data
                 data, buffered = split_events(buffered)
