Keep a silent endpoint's attempt until another one is granted

Cause: while a request may run again, wait_with_timeout reset the connection to a silent endpoint first, and the request asked for another endpoint and for the retry budget afterwards. By then its time to wait for an endpoint has mostly passed, so that a moment without capacity, a used-up budget or the lack of another endpoint ended it.

Ruled out: requests that may run once were not concerned, they wait to their deadline.

Change: the timeout starts a search for a replacement, with placement, connection and retry budget, while the first endpoint is still read. Only when all three are granted is the first attempt given up. A refused search leaves it as it is. The order of checks within an attempt is unchanged.

Tests that failed before, with the output of the first and the second:

test_a_request_is_not_lost_without_another_endpoint AssertionError: Tuples differ: (200, b'answer') != (502, b'') test_a_stream_is_not_cut_without_another_endpoint - (b'id: 1\n\nid: 2\n\n', True) + (b'id: 1\n\n', False) test_a_stream_is_not_cut_without_retry_budget (as the second) test_a_request_is_not_lost_beside_an_unreachable_endpoint (as the first)

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -19,13 +19,13 @@
 MIN_ATTEMPT_SECONDS = 0.02
 STALE_PROOF_RETRY_AFTER_SECONDS = 0.5
 # A healthy endpoint begins its response within its expected time multiplied by the factor, plus the
-# margin. An endpoint that loses a response sends nothing at all. The stream margin is below 2 s,
-# because clients abandon a stream after a gap of 2 s or more.
+# margin. An endpoint that loses a response sends nothing at all; one that only pauses goes on. The
+# stream margin is below 2 s, because clients abandon a stream after a gap of 2 s or more.
 RESPONSE_TIMEOUT_FACTOR = 3.0
 STREAM_RESPONSE_MARGIN_SECONDS = 1.2
 PLAIN_RESPONSE_MARGIN_SECONDS = 0.35
-# Longest gap within a response before the request is retried or the stream is resumed at another
-# endpoint; the services' specifications allow gaps of 0.3 to 0.4 s.
+# Longest gap within a response before another endpoint is looked for; the services' specifications
+# allow gaps of 0.3 to 0.4 s.
 READ_TIMEOUT_SECONDS = 1.2
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 # A line that is not a comment, in a block of event lines.
@@ -122,6 +122,8 @@
         self.body = body
         self.responder = responder
         self.progress = RequestProgress(metadata.last_event_id)
+        # The next attempt, granted while the endpoint of the current one was silent.
+        self.replacement: AttemptGrant | None = None
         self.service = choose_service(route, metadata.request_id)
         self.response_deadline = min(
             metadata.deadline - RESPONSE_MARGIN_SECONDS,
@@ -156,37 +158,21 @@
             if self.progress.runs:
                 raise RefusalError(504, "deadline passed after a send") from None
             raise RefusalError(503, "deadline passed", placer.MIN_RETRY_AFTER_SECONDS) from None
+        finally:
+            self.discard_replacement()
 
     async def attempt(self) -> bool:
         """Make one attempt; return False if another should follow."""
-        placed = await self.dependencies.placer.place(self.waiting_request)
-        if isinstance(placed, placer.PlacementRefusal):
-            LOGGER.log(
-                events.Event.NO_ENDPOINT_IN_TIME,
-                request_id=self.metadata.request_id,
-                reason=placed.reason,
-                service=self.service,
-                team=self.team,
-                over_share=placed.over_share,
-                waited_ms=round((clocks.boot_time() - self.metadata.arrived_at) * 1000),
-                expected_wait_ms=round(placed.expected_wait_seconds * 1000),
-                tokens_ahead=placed.tokens_ahead,
-                candidates=placed.candidate_count,
-                live_gateways=len(self.fleet.live_gateways),
-            )
-            raise self.final_refusal(placed.reason, placed.retry_after_seconds)
-        endpoint = placed.endpoint
-        reservation = LoadReservation(self.fleet, endpoint.id, placed, self.metadata)
+        grant = self.replacement or await self.acquire(self.waiting_request)
+        self.replacement = None
+        endpoint = grant.choice.endpoint
+        self.waiting_request.excluded_endpoint_ids.add(endpoint.id)
         try:
-            return await self.attempt_at(endpoint, placed, reservation)
+            return await self.attempt_at(grant)
         except errors.EndpointNotStartedError as error:
-            self.waiting_request.excluded_endpoint_ids.add(endpoint.id)
-            if error.overloaded:
-                self.fleet.health.record_shed(endpoint.id, clocks.boot_time())
-            self.record_failed_attempt(endpoint, "not started", str(error))
+            self.record_not_started(endpoint, error)
             return False
         except errors.EndpointBrokenError as error:
-            self.waiting_request.excluded_endpoint_ids.add(endpoint.id)
             self.fleet.health.record_failure(endpoint.id, clocks.boot_time())
             self.record_failed_attempt(endpoint, "broken", str(error))
             if self.may_retry():
@@ -196,7 +182,80 @@
                 return True
             raise RefusalError(502, f"endpoint failed: {error}") from error
         finally:
-            reservation.release()
+            grant.reservation.release()
+
+    async def acquire(self, waiting_request: placer.WaitingRequest) -> "AttemptGrant":
+        """Wait for an endpoint to which a connection exists or can be opened.
+
+        Raise RefusalError if there is none in time or no attempt may be made.
+        """
+        while True:
+            placed = await self.dependencies.placer.place(waiting_request)
+            if isinstance(placed, placer.PlacementRefusal):
+                self.log_no_endpoint(placed)
+                raise self.final_refusal(placed.reason, placed.retry_after_seconds)
+            reservation = LoadReservation(self.fleet, placed.endpoint.id, placed, self.metadata)
+            try:
+                connection = await self.connect(placed.endpoint)
+            except errors.EndpointNotStartedError as error:
+                reservation.release()
+                waiting_request.excluded_endpoint_ids.add(placed.endpoint.id)
+                self.record_not_started(placed.endpoint, error)
+            except BaseException:
+                reservation.release()
+                raise
+            else:
+                return AttemptGrant(placed, connection, reservation)
+
+    async def connect(self, endpoint: gateway.Endpoint) -> calls.Connection:
+        """Return a connection for an attempt, which is charged to the retry budget.
+
+        Raise RefusalError if no attempt may be made.
+        """
+        # Let the event loop process a disconnect of the client that has already arrived, which
+        # cancels this request. In a busy process it may be queued behind the request's own bytes.
+        await asyncio.sleep(0)
+        connection = await self.dependencies.endpoint_client.connect(endpoint)
+        now = clocks.boot_time()
+        try:
+            if self.team is not None:
+                require_fresh_proof(self.fleet)
+                if self.fleet.team_of(self.metadata.api_key) != self.team:
+                    raise RefusalError(401, "API key revoked")
+            if self.response_deadline - now < MIN_ATTEMPT_SECONDS:
+                raise self.final_refusal("deadline passed", placer.MIN_RETRY_AFTER_SECONDS)
+            if self.progress.sends and not self.fleet.budget(self.service).take(
+                now, self.fleet.known_gateway_count
+            ):
+                raise self.final_refusal("retry budget used up", placer.MAX_RETRY_AFTER_SECONDS)
+        except RefusalError:
+            connection.channel.abort()
+            raise
+        return connection
+
+    def log_no_endpoint(self, refusal: placer.PlacementRefusal) -> None:
+        """Log that the request got no endpoint."""
+        LOGGER.log(
+            events.Event.NO_ENDPOINT_IN_TIME,
+            request_id=self.metadata.request_id,
+            reason=refusal.reason,
+            service=self.service,
+            team=self.team,
+            over_share=refusal.over_share,
+            waited_ms=round((clocks.boot_time() - self.metadata.arrived_at) * 1000),
+            expected_wait_ms=round(refusal.expected_wait_seconds * 1000),
+            tokens_ahead=refusal.tokens_ahead,
+            candidates=refusal.candidate_count,
+            live_gateways=len(self.fleet.live_gateways),
+        )
+
+    def record_not_started(
+        self, endpoint: gateway.Endpoint, error: errors.EndpointNotStartedError
+    ) -> None:
+        """Record an attempt that the endpoint certainly did not run."""
+        if error.overloaded:
+            self.fleet.health.record_shed(endpoint.id, clocks.boot_time())
+        self.record_failed_attempt(endpoint, "not started", str(error))
 
     def final_refusal(self, reason: str, retry_after_seconds: float) -> RefusalError:
         """Return the refusal of a request that gets no further attempt."""
@@ -228,33 +287,14 @@
             shared_parts=[part.id for part in self.metadata.parts[:-1]],
         )
 
-    async def attempt_at(
-        self, endpoint: gateway.Endpoint, choice: placement.Choice, reservation: "LoadReservation"
-    ) -> bool:
+    async def attempt_at(self, grant: "AttemptGrant") -> bool:
         """Send the request to one endpoint and relay its response.
 
         Return False if another attempt should follow.
         """
-        # Let the event loop process a disconnect of the client that has already arrived, which
-        # cancels this request. In a busy process it may be queued behind the request's own bytes.
-        await asyncio.sleep(0)
-        connection = await self.dependencies.endpoint_client.connect(endpoint)
+        choice, endpoint, reservation = grant.choice, grant.choice.endpoint, grant.reservation
         now = clocks.boot_time()
-        try:
-            if self.team is not None:
-                require_fresh_proof(self.fleet)
-                if self.fleet.team_of(self.metadata.api_key) != self.team:
-                    raise RefusalError(401, "API key revoked")
-            remaining_seconds = self.response_deadline - now
-            if remaining_seconds < MIN_ATTEMPT_SECONDS:
-                raise self.final_refusal("deadline passed", placer.MIN_RETRY_AFTER_SECONDS)
-            if self.progress.sends and not self.fleet.budget(self.service).take(
-                now, self.fleet.known_gateway_count
-            ):
-                raise self.final_refusal("retry budget used up", placer.MAX_RETRY_AFTER_SECONDS)
-        except RefusalError:
-            connection.channel.abort()
-            raise
+        remaining_seconds = self.response_deadline - now
         self.progress.sends += 1
         self.progress.runs += 1
         self.progress.sent_at = now
@@ -283,7 +323,7 @@
                     self.body,
                     int(remaining_seconds * 1000),
                     self.progress.last_event_id,
-                    connection,
+                    grant.connection,
                 ),
                 self.response_timeout_seconds(choice),
             )
@@ -307,20 +347,54 @@
     ) -> StepT:
         """Await a step of an endpoint's response.
 
-        Raise EndpointBrokenError on a timeout. The timeout applies only while the request may
-        run again at another endpoint.
+        If the request may run again, a replacement is looked for after the timeout. Raise
+        EndpointBrokenError once there is one. Until then, the endpoint may still continue.
         """
         if not self.may_retry():
             return await step
+        loop = asyncio.get_running_loop()
+        search: asyncio.Task[None] | None = None
+
+        def start_search() -> None:
+            nonlocal search
+            search = loop.create_task(self.find_replacement(silence))
+
         try:
-            async with asyncio.timeout(timeout_seconds) as timeout:
-                return await step
+            async with asyncio.timeout(None) as silence:
+                timer = loop.call_later(timeout_seconds, start_search)
+                try:
+                    result = await step
+                finally:
+                    timer.cancel()
+                    if search is not None:
+                        search.cancel()
         except TimeoutError:
-            if not timeout.expired():
+            if not silence.expired():
                 raise
             raise errors.EndpointBrokenError(
                 f"no response data for {timeout_seconds:.2f} s"
             ) from None
+        self.discard_replacement()
+        return result
+
+    async def find_replacement(self, silence: asyncio.Timeout) -> None:
+        """Acquire another endpoint in place of a silent one, then end the wait for that one."""
+        waiting_request = placer.WaitingRequest(
+            self.metadata, self.route, self.service, self.team, self.response_deadline
+        )
+        waiting_request.excluded_endpoint_ids = self.waiting_request.excluded_endpoint_ids
+        try:
+            self.replacement = await self.acquire(waiting_request)
+        except RefusalError:
+            return
+        silence.reschedule(asyncio.get_running_loop().time())
+
+    def discard_replacement(self) -> None:
+        """Release a replacement that is not needed."""
+        if self.replacement is not None:
+            self.replacement.connection.channel.abort()
+            self.replacement.reservation.release()
+            self.replacement = None
 
     async def relay(
         self, call: calls.EndpointCall, reservation: "LoadReservation", sent_at: float
@@ -338,7 +412,6 @@
         if response.status >= 500:
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
             if self.may_retry() and not self.progress.response_started:
-                self.waiting_request.excluded_endpoint_ids.add(call.endpoint.id)
                 self.record_failed_attempt(call.endpoint, "failed", f"status {response.status}")
                 return False
         if self.progress.response_started:
@@ -449,6 +522,22 @@
         )
 
 
+class AttemptGrant:
+    """An endpoint for one attempt, with a connection and the load that is reserved there."""
+
+    __slots__ = ("choice", "connection", "reservation")
+
+    def __init__(
+        self,
+        choice: placement.Choice,
+        connection: calls.Connection,
+        reservation: LoadReservation,
+    ) -> None:
+        self.choice = choice
+        self.connection = connection
+        self.reservation = reservation
+
+
 def choose_service(route: gateway.Route, request_id: str) -> str:
     """Return the service of a request by the weights of its route; stable for a request ID."""
     if len(route.shares) == 1:
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -488,6 +488,62 @@
         self.assertEqual(b"", await reader.read())
 
 
+class SilentEndpointTest(GatewayCase):
+    """Guards against requests lost because their endpoint paused and no other could serve them."""
+
+    def pausing(self, seconds: float, head_first: bool) -> platform_standins.Behaviour:
+        """Return a behaviour that pauses before its response, or between two events."""
+
+        async def behaviour(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            if head_first:
+                head = (
+                    f"HTTP/1.1 200 OK\r\nX-Masticward-Request-Id: {request.request_id}\r\n"
+                    f"{platform_standins.PROOF}Transfer-Encoding: chunked\r\n\r\n"
+                )
+                writer.write(head.encode() + b"7\r\nid: 1\n\n\r\n")
+            await asyncio.sleep(seconds)
+            if head_first:
+                writer.write(b"7\r\nid: 2\n\n\r\n0\r\n\r\n")
+                return True
+            return await platform_standins.send_complete_response(request, writer)
+
+        return behaviour
+
+    async def test_a_request_is_not_lost_without_another_endpoint(self) -> None:
+        await self.add_endpoint("e1", self.pausing(1.0, False))
+        await self.start()
+        response = await self.call("status", method="GET", body=b"")
+        self.assertEqual((200, b"answer"), (response.status, response.body))
+        self.assertEqual({}, dict(self.fleet.loads.own))
+
+    async def test_a_stream_is_not_cut_without_another_endpoint(self) -> None:
+        await self.add_endpoint("e1", self.pausing(1.5, True))
+        await self.start()
+        response = await self.call("resume")
+        self.assertEqual((b"id: 1\n\nid: 2\n\n", True), (response.body, response.complete))
+
+    async def test_a_stream_is_not_cut_without_retry_budget(self) -> None:
+        for name in ("e1", "e2"):
+            await self.add_endpoint(name, self.pausing(1.5, True))
+        await self.start()
+        now = clocks.boot_time()
+        while self.fleet.budget("app").take(now, self.fleet.known_gateway_count):
+            pass
+        response = await self.call("resume")
+        self.assertEqual((b"id: 1\n\nid: 2\n\n", True), (response.body, response.complete))
+        self.assertEqual(1, self.attempts())
+
+    async def test_a_request_is_not_lost_beside_an_unreachable_endpoint(self) -> None:
+        unreachable = await self.add_endpoint("e2")
+        await unreachable.stop()
+        await self.add_endpoint("e1", self.pausing(1.0, False))
+        await self.start()
+        response = await self.call("status", method="GET", body=b"")
+        self.assertEqual((200, b"answer"), (response.status, response.body))
+
+
 class ConfigurationTest(GatewayCase):
     """Guards against the use of revoked API keys, and of old or invalid configurations."""
 
