Keep parts of prompts that crash endpoints from endpoints

Cause: nothing related the crashes to what the endpoints held. A request that had crashed one endpoint was sent to the next, from any gateway, and no gateway alone saw more than one or two crashes. Class: a request that takes down what serves it, carried on by retries and by load balancing.

Ruled out: more capacity or longer backoff (endpoints end again within seconds of their return); blaming the route, the team or the first part, which sound requests share; counting crashes alone (common parts are in every crash of a rack).

Change: each gateway checks an endpoint that broke off before it had begun to answer, and records the shared parts of those requests if it accepts no connection. Gateways exchange this evidence; any answered request clears its parts. A part with two open crashes is suspected: requests with it wait while one gateway at a time tests it with one request; a crash in the test quarantines it for 30 s, doubling, and requests are refused at once with the time left. The state is a set of crashes with flags, so that the order and number of messages do not matter; 256 parts of 8 crashes, 40 in a message. Events 8110 to 8113 and 8206, a gauge.

Tests: test_deadly_requests fails on the code before (all five endpoints crash, the sound request gets 503); test_deadly_parts models up to 24 gateways, restarts, cuts, two deadly parts, a rack that fails, expiry and bounds; it found that a cleared quarantine came back from peers once its record was dropped.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -151,6 +151,11 @@
             "repeated sends within the window",
             lambda: sum(len(budget.retries) for budget in fleet.budgets.values()),
         )
+        add(
+            "masticward_gateway_restricted_parts",
+            "parts of prompts that are suspected or quarantined because endpoints crashed",
+            lambda: len(fleet.quarantine.restricted),
+        )
         self.gateway_metrics.add_labelled_gauge(
             "masticward_gateway_endpoints",
             "endpoints by state",
@@ -299,6 +304,7 @@
                 self.lag.moves_clients or self.fleet.shedder.has_left_rotation(now)
             )
             self.fleet.drop_expired_endpoints()
+            self.fleet.quarantine.expire(now)
             self.endpoint_client.pool.expire(set(self.fleet.table.endpoints))
 
     async def run_lag_probe(self) -> None:
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -11,6 +11,7 @@
     endpoint_table,
     load_shedding,
     load_table,
+    part_quarantine,
     placement,
     prompt_cache,
     retry_window,
@@ -63,6 +64,7 @@
         self.store_failed_at: float | None = None
         self.routes_by_host: dict[str, list[gateway.Route]] = {}
         self.shedder = load_shedding.LoadShedder(self.started_at)
+        self.quarantine = part_quarantine.PartQuarantine(settings.instance_id)
 
     def apply_settings(self, settings: gateway.GatewaySettings) -> None:
         """Apply changed settings."""
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -168,7 +168,10 @@
             )
             # Finished requests alone cause no message; the next report or placed request has them.
             due_at = self.changes_sent_at + MAX_CHANGES_INTERVAL_SECONDS
-            if self.unsent_prompts or self.has_unsent_request or clocks.boot_time() >= due_at:
+            has_changes = (
+                self.unsent_prompts or self.has_unsent_request or self.fleet.quarantine.changed
+            )
+            if has_changes or clocks.boot_time() >= due_at:
                 self.send_changes()
 
     def send_changes(self) -> None:
@@ -189,6 +192,7 @@
             configuration_proof_age=fleet.proof_age(now),
             listing_digest=fleet.listing_digest,
             is_shedding=fleet.shedder.is_shedding,
+            parts=fleet.quarantine.pop_changed(now),
         )
         self.prompts_to_repeat += self.unsent_prompts
         self.unsent_prompts = []
@@ -416,6 +420,7 @@
             availability_zone=fleet.settings.availability_zone,
             can_relay=fleet.reaches_store(now) and fleet.endpoints_known,
             is_shedding=fleet.shedder.is_shedding,
+            parts=fleet.quarantine.build_reports(now),
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
@@ -448,6 +453,8 @@
         loads = {key: load_table.EndpointLoad(*value) for key, value in changes.loads.items()}
         self.fleet.loads.update_peer_loads(peer.instance_id, loads, now)
         self.apply_prompts(changes.prompts)
+        for part in changes.parts:
+            self.fleet.quarantine.merge(part, peer.instance_id, now)
         if changes.configuration_version > 0:
             self.apply_status(
                 peer,
@@ -533,6 +540,8 @@
         fleet.usage.set_peer_usage(peer.instance_id, report.usage, now)
         fleet.demand.set_peer_usage(peer.instance_id, report.demand, now)
         self.apply_prompts(report.prompts)
+        for part in report.parts:
+            fleet.quarantine.merge(part, peer.instance_id, now)
         self.apply_status(
             peer,
             message,
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -8,7 +8,7 @@
 
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
-from masticward.state import cold_start, placement, prompt_cache, team_usage
+from masticward.state import cold_start, part_quarantine, placement, prompt_cache, team_usage
 from masticward.utils import clocks
 
 # The queues are scanned periodically because changes of the peers' loads trigger no event here.
@@ -55,6 +55,7 @@
         "future",
         "in_time_until",
         "metadata",
+        "part_keys",
         "prefix_keys",
         "refuse_at",
         "route",
@@ -82,6 +83,8 @@
         self.unread_tokens = metadata.prompt_tokens
         self.in_time_until = metadata.arrived_at + IN_TIME_FRACTION * route.target_latency_seconds
         self.prefix_keys = prompt_cache.prefix_keys(metadata.parts)
+        # Of the parts that other requests may share; the last one is the request's own.
+        self.part_keys = tuple(part_quarantine.part_key(part.id) for part in metadata.parts[:-1])
         self.excluded_endpoint_ids: set[str] = set()
         self.future: asyncio.Future[placement.Choice | PlacementRefusal] | None = None
 
@@ -123,26 +126,28 @@
             self.prefill_utilization = placement.prefill_utilization(self.engine_states.values())
 
     def choose(
-        self, request: WaitingRequest, excess_by_team: dict[str, float]
+        self, request: WaitingRequest, excess_by_team: dict[str, float], is_test: bool = False
     ) -> placement.Choice | None:
         """Return the best endpoint for a request, None without a candidate.
 
         ``excess_by_team`` maps teams above their fair share to the multiple of it they received.
+        A test of suspected parts gets no endpoint at which others are tested.
         """
+        excluded_ids = request.excluded_endpoint_ids
+        if is_test:
+            excluded_ids = excluded_ids | self.fleet.quarantine.tested_endpoints(self.now)
         if self.engine is None:
             candidates = self.candidates
-            if request.excluded_endpoint_ids:
-                candidates = [
-                    item for item in candidates if item.id not in request.excluded_endpoint_ids
-                ]
+            if excluded_ids:
+                candidates = [item for item in candidates if item.id not in excluded_ids]
             zone = self.fleet.settings.availability_zone
             return placement.choose_plain_endpoint(candidates, zone, self.fleet.view, self.now)
         states = self.engine_states
-        if request.excluded_endpoint_ids:
+        if excluded_ids:
             states = {
                 endpoint_id: state
                 for endpoint_id, state in states.items()
-                if endpoint_id not in request.excluded_endpoint_ids
+                if endpoint_id not in excluded_ids
             }
         target_seconds = max(0.01, request.route.target_latency_seconds)
         # A team within its share while others are above theirs soon gets any engine, instead of
@@ -216,6 +221,7 @@
         """Scan the queues periodically until cancelled."""
         while True:
             started_at = clocks.boot_time()
+            self.fleet.quarantine.advance(started_at)
             for service in list(self.queues):
                 self.process_queue(service)
             scan_seconds = clocks.boot_time() - started_at
@@ -264,18 +270,33 @@
             )
         )
         pool = CandidatePool(self, service, now)
+        quarantine = self.fleet.quarantine
         tokens_ahead = 0
         failed_choices = 0
         for request in list(queue):
             if request.future is None or request.future.done():
                 continue
+            verdict = part_quarantine.Verdict.SEND
+            if quarantine.restricted:
+                verdict, refused_until = quarantine.verdict(
+                    request.part_keys, self.fleet.live_gateways, now
+                )
+                if self.hold_back(request, verdict, refused_until, now):
+                    if request.future.done():
+                        queue.remove(request)
+                    continue
+            is_test = verdict is part_quarantine.Verdict.TEST
             choice = None
             if failed_choices < MAX_FAILED_CHOICES and pool.may_have_capacity(
                 excess_by_team.get(request.team)
             ):
-                choice = pool.choose(request, excess_by_team)
+                choice = pool.choose(request, excess_by_team, is_test)
             if choice is not None and choice.has_capacity:
                 self.reserve(request, choice, now)
+                if is_test:
+                    quarantine.start_test(
+                        request.part_keys, choice.endpoint.id, request.metadata.request_id, now
+                    )
                 queue.remove(request)
                 request.future.set_result(choice)
                 pool.update(choice.endpoint)
@@ -300,6 +321,40 @@
                 continue
             tokens_ahead += request.unread_tokens
 
+    def hold_back(
+        self,
+        request: WaitingRequest,
+        verdict: part_quarantine.Verdict,
+        refused_until: float,
+        now: float,
+    ) -> bool:
+        """Refuse a request with quarantined parts and hold one with suspected parts.
+
+        Return False if the request may be sent now.
+        """
+        reason = ""
+        retry_after_seconds = MAX_RETRY_AFTER_SECONDS
+        if verdict is part_quarantine.Verdict.REFUSE:
+            reason = "a part of the prompt is quarantined"
+            retry_after_seconds = refused_until - now
+        elif verdict is part_quarantine.Verdict.WAIT:
+            if now < request.refuse_at:
+                return True
+            reason = "a part of the prompt is suspected to crash endpoints"
+        if not reason or request.future is None:
+            return False
+        request.future.set_result(
+            PlacementRefusal(
+                reason=reason,
+                retry_after_seconds=retry_after_seconds,
+                expected_wait_seconds=0.0,
+                tokens_ahead=0,
+                candidate_count=0,
+                over_share=False,
+            )
+        )
+        return True
+
     def prefill_tokens_per_second(
         self, service: str, demand: dict[str, float], now: float
     ) -> float:
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -6,7 +6,7 @@
 import typing
 
 from masticward import errors, events, logs
-from masticward.gateway import calls, gateway_metrics, placer, sources
+from masticward.gateway import calls, crash_detector, gateway_metrics, placer, sources
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import placement
@@ -64,13 +64,23 @@
     ``sends`` counts attempts that were sent, ``runs`` those that may have run.
     """
 
-    __slots__ = ("last_event_id", "received_bytes", "response_started", "runs", "sends", "sent_at")
+    __slots__ = (
+        "answer_begun",
+        "last_event_id",
+        "received_bytes",
+        "response_started",
+        "runs",
+        "sends",
+        "sent_at",
+    )
 
     def __init__(self, last_event_id: str | None) -> None:
         self.runs = 0
         self.sends = 0
-        # Of the latest attempt: when it was sent, and the bytes of the response's body.
+        # Of the latest attempt: when it was sent, the bytes of the response's body, and whether a
+        # whole event or response was received.
         self.sent_at = 0.0
+        self.answer_begun = False
         self.received_bytes = 0
         self.response_started = False
         self.last_event_id = last_event_id
@@ -79,7 +89,7 @@
 class RequestDependencies:
     """Objects that all requests of a process share."""
 
-    __slots__ = ("codec", "endpoint_client", "fleet", "metrics", "placer")
+    __slots__ = ("codec", "crash_detector", "endpoint_client", "fleet", "metrics", "placer")
 
     def __init__(
         self,
@@ -93,6 +103,7 @@
         self.codec = codec
         self.placer = request_placer
         self.endpoint_client = endpoint_client
+        self.crash_detector = crash_detector.CrashDetector(fleet, endpoint_client.pool)
         self.metrics = metrics
 
 
@@ -175,6 +186,10 @@
         except errors.EndpointBrokenError as error:
             self.fleet.health.record_failure(endpoint.id, clocks.boot_time())
             self.record_failed_attempt(endpoint, "broken", str(error))
+            if not self.progress.answer_begun:
+                self.dependencies.crash_detector.record_unanswered(
+                    endpoint, self.waiting_request.part_keys
+                )
             if self.may_retry():
                 return False
             if self.progress.response_started:
@@ -182,7 +197,7 @@
                 return True
             raise RefusalError(502, f"endpoint failed: {error}") from error
         finally:
-            grant.reservation.release()
+            self.release(grant.reservation)
 
     async def acquire(self, waiting_request: placer.WaitingRequest) -> "AttemptGrant":
         """Wait for an endpoint to which a connection exists or can be opened.
@@ -198,11 +213,11 @@
             try:
                 connection = await self.connect(placed.endpoint)
             except errors.EndpointNotStartedError as error:
-                reservation.release()
+                self.release(reservation)
                 waiting_request.excluded_endpoint_ids.add(placed.endpoint.id)
                 self.record_not_started(placed.endpoint, error)
             except BaseException:
-                reservation.release()
+                self.release(reservation)
                 raise
             else:
                 return AttemptGrant(placed, connection, reservation)
@@ -217,6 +232,9 @@
         await asyncio.sleep(0)
         connection = await self.dependencies.endpoint_client.connect(endpoint)
         now = clocks.boot_time()
+        if not self.fleet.quarantine.may_still_send(self.waiting_request.part_keys, endpoint.id):
+            connection.channel.abort()
+            raise errors.EndpointNotStartedError("a part of the prompt has become suspected")
         try:
             if self.team is not None:
                 require_fresh_proof(self.fleet)
@@ -233,6 +251,15 @@
             raise
         return connection
 
+    def release(self, reservation: "LoadReservation") -> None:
+        """Release the load of an attempt, and end its test of suspected parts if it is one."""
+        reservation.release()
+        endpoint_id = reservation.endpoint_id
+        if not self.dependencies.crash_detector.is_checking(endpoint_id):
+            self.fleet.quarantine.end_test(
+                self.waiting_request.part_keys, endpoint_id, clocks.boot_time()
+            )
+
     def log_no_endpoint(self, refusal: placer.PlacementRefusal) -> None:
         """Log that the request got no endpoint."""
         LOGGER.log(
@@ -299,6 +326,7 @@
         self.progress.runs += 1
         self.progress.sent_at = now
         self.progress.received_bytes = 0
+        self.progress.answer_begun = False
         LOGGER.log(
             events.Event.ATTEMPT_SENT,
             request_id=self.metadata.request_id,
@@ -393,7 +421,7 @@
         """Release a replacement that is not needed."""
         if self.replacement is not None:
             self.replacement.connection.channel.abort()
-            self.replacement.reservation.release()
+            self.release(self.replacement.reservation)
             self.replacement = None
 
     async def relay(
@@ -416,6 +444,8 @@
                 return False
         if self.progress.response_started:
             raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
+        if succeeded:
+            self.record_answer_begun()
         headers = self.dependencies.codec.response_headers(response.headers)
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
@@ -424,6 +454,11 @@
             self.dependencies.metrics.count_outcome("answered", response.status)
         return True
 
+    def record_answer_begun(self) -> None:
+        """Record that the request has not crashed its endpoint."""
+        self.progress.answer_begun = True
+        self.fleet.quarantine.record_answer(self.waiting_request.part_keys, clocks.boot_time())
+
     def record_success(self, call: calls.EndpointCall, sent_at: float) -> None:
         """Count and log a complete response."""
         now = clocks.boot_time()
@@ -461,6 +496,8 @@
             if data is None:
                 break
             self.progress.received_bytes += len(data)
+            if not self.progress.answer_begun and EVENT_END.search(data):
+                self.record_answer_begun()
             if self.route.resumable:
                 buffered += data
                 data, buffered = split_events(buffered)
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from masticward.models import gateway
+from masticward.models import gateway, part_reports
 
 MAXIMUM_DATAGRAM_BYTES = 60_000
 
@@ -40,6 +40,8 @@
     can_relay: bool = False
     # Whether the sender refuses requests because it is late.
     is_shedding: bool = False
+    # Evidence on parts of prompts that may crash endpoints.
+    parts: list[part_reports.PartReport] = []
 
 
 class PeerChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
@@ -59,6 +61,8 @@
     listing_digest: int = 0
     # As in PeerReport.
     is_shedding: bool = False
+    # As in PeerReport, for the parts whose evidence changed.
+    parts: list[part_reports.PartReport] = []
 
 
 class StoreChanges(msgspec.Struct, array_like=True, frozen=True, tag="store"):
