Blame parts that were never answered first, and do not wait after a test without an outcome

Change: among suspected parts, those that the gateway has seen answered before are blamed only after others; a request with one part that was never answered is tested at once. A test restarts the delay only if it crashed an endpoint. A new crash restarts it at all gateways.

--- a/src/masticward/gateway/crash_detector.py
+++ b/src/masticward/gateway/crash_detector.py
@@ -62,6 +62,6 @@
             quarantine.record_crash(endpoint.id, part_keys, clocks.boot_time())
         else:
             self.pool.release(endpoint, channel, None)
-            quarantine.end_test(self.suspects[endpoint.id], endpoint.id, clocks.boot_time())
+            quarantine.end_test(self.suspects[endpoint.id], endpoint.id)
         finally:
             del self.suspects[endpoint.id]
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -256,9 +256,7 @@
         reservation.release()
         endpoint_id = reservation.endpoint_id
         if not self.dependencies.crash_detector.is_checking(endpoint_id):
-            self.fleet.quarantine.end_test(
-                self.waiting_request.part_keys, endpoint_id, clocks.boot_time()
-            )
+            self.fleet.quarantine.end_test(self.waiting_request.part_keys, endpoint_id)
 
     def log_no_endpoint(self, refusal: placer.PlacementRefusal) -> None:
         """Log that the request got no endpoint."""
--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -33,15 +33,16 @@
 # After each delay twice as many gateways may test a part, in the order of a hash. The first ones
 # may have no request with the part.
 TEST_RANK_DELAY_SECONDS = 0.5
-# A crash during a test of several suspected parts blames none of them, so parts that can be tested
+# A crash does not tell which of several suspected parts caused it, so parts that can be tested
 # alone come first. The delay applies for each further part and doubles with each such crash.
 TEST_FURTHER_PART_DELAY_SECONDS = 3.0
 # Peers report the same crash within this time, with the other requests that it hit.
 VERDICT_DELAY_SECONDS = 0.15
 # A part that was answered before is quarantined only after this many crashes in tests, because
-# another cause is more likely. So is one whose tests always crashed together with others'.
+# another cause is more likely.
 FAILED_TESTS_OF_ANSWERED_PART = 2
-MAX_FAILED_TESTS = 3
+# A part that was never answered is quarantined after this many crashes in tests beside others.
+MAX_AMBIGUOUS_TESTS = 3
 MAX_PARTS = 256
 MAX_CRASHES_PER_PART = 8
 MAX_ANSWERED_PARTS = 4096
@@ -189,9 +190,11 @@
             return Verdict.WAIT, 0.0
         testable_at = max(max(part.testable_since, part.quarantined_until) for part in parts)
         testable_at += TEST_DELAY_SECONDS + self.rank_delay(min(p.key for p in parts), gateways)
+        # If the test crashes the endpoint, parts that were never answered are blamed before others.
+        to_blame = sum(part.key not in self.answered for part in parts) or len(parts)
         ambiguous_tests = max(part.count_outcomes(TestOutcome.AMBIGUOUS) for part in parts)
         testable_at += (
-            TEST_FURTHER_PART_DELAY_SECONDS * (len(parts) - 1) * math.pow(2.0, ambiguous_tests)
+            TEST_FURTHER_PART_DELAY_SECONDS * (to_blame - 1) * math.pow(2.0, ambiguous_tests)
         )
         return (Verdict.TEST if now >= testable_at else Verdict.WAIT), 0.0
 
@@ -232,7 +235,7 @@
             events.Event.PART_TESTED, parts=tested, endpoint=endpoint_id, request_id=request_id
         )
 
-    def end_test(self, keys: collections.abc.Iterable[str], endpoint_id: str, now: float) -> None:
+    def end_test(self, keys: collections.abc.Iterable[str], endpoint_id: str) -> None:
         """End a test whose request ended without an answer and without a crash."""
         for key in keys:
             part = self.restricted.get(key)
@@ -243,12 +246,11 @@
                 and test.endpoint_id == endpoint_id
                 and test.decide_at is None
             ):
-                self.finish_test(part, now)
+                self.finish_test(part)
 
-    def finish_test(self, part: Part, now: float) -> None:
+    def finish_test(self, part: Part) -> None:
         """Allow the next test of a part."""
         part.own_test = None
-        part.testable_since = now
         self.changed.add(part.key)
 
     def record_answer(self, keys: collections.abc.Iterable[str], now: float) -> None:
@@ -273,7 +275,7 @@
         for key in keys:
             part = self.get(key)
             if endpoint_id not in part.crashes:
-                self.add_crash(part, endpoint_id, now + CRASH_MEMORY_SECONDS)
+                self.add_crash(part, endpoint_id, now + CRASH_MEMORY_SECONDS, now)
                 self.parts.move_to_end(key)
             test = part.own_test
             if test is not None and test.endpoint_id == endpoint_id and test.decide_at is None:
@@ -289,8 +291,9 @@
             part = self.parts[key] = Part(key)
         return part
 
-    def add_crash(self, part: Part, endpoint_id: str, expires_at: float) -> Crash:
+    def add_crash(self, part: Part, endpoint_id: str, expires_at: float, now: float) -> Crash:
         """Add a crash to a part's evidence; drop the oldest beyond the limit."""
+        part.testable_since = now
         crash = part.crashes[endpoint_id] = Crash(expires_at)
         while len(part.crashes) > MAX_CRASHES_PER_PART:
             del part.crashes[min(part.crashes, key=lambda item: part.crashes[item].expires_at)]
@@ -320,27 +323,32 @@
                 continue
             if test.decide_at is None:
                 if now >= test.ends_at:
-                    self.finish_test(part, now)
+                    self.finish_test(part)
             elif now >= test.decide_at:
                 self.decide(part, test, now)
 
     def decide(self, part: Part, test: OwnTest, now: float) -> None:
         """Judge a part whose test crashed the endpoint."""
-        crash = part.crashes.get(test.endpoint_id)
+        was_answered = part.key in self.answered
         others = any(
             other is not part
             and test.endpoint_id in other.crashes
             and not other.crashes[test.endpoint_id].cleared
+            and (was_answered or other.key not in self.answered)
             for other in self.restricted.values()
         )
+        crash = part.crashes.get(test.endpoint_id)
         if crash is not None and not crash.cleared:
             crash.outcome = TestOutcome.AMBIGUOUS if others else TestOutcome.FAILED
-        self.finish_test(part, now)
-        needed = FAILED_TESTS_OF_ANSWERED_PART if part.key in self.answered else 1
-        if (
-            part.count_outcomes(TestOutcome.FAILED) >= needed
-            or part.count_outcomes(TestOutcome.AMBIGUOUS) >= MAX_FAILED_TESTS
-        ):
+        self.finish_test(part)
+        failed_tests = part.count_outcomes(TestOutcome.FAILED)
+        if was_answered:
+            guilty = failed_tests >= FAILED_TESTS_OF_ANSWERED_PART
+        else:
+            guilty = bool(failed_tests) or (
+                part.count_outcomes(TestOutcome.AMBIGUOUS) >= MAX_AMBIGUOUS_TESTS
+            )
+        if guilty:
             self.quarantine(part, now)
 
     def quarantine(self, part: Part, now: float) -> None:
@@ -440,8 +448,8 @@
         if report.test_seconds > 0.0:
             ends_at = now + min(report.test_seconds, TEST_TIMEOUT_SECONDS)
             part.peer_tests[sender] = report.test_endpoint_id, ends_at
-        elif part.peer_tests.pop(sender, None) is not None:
-            part.testable_since = now
+        else:
+            part.peer_tests.pop(sender, None)
         if part.is_quarantined(now) and not quarantined:
             LOGGER.log(
                 events.Event.PART_QUARANTINED,
@@ -458,7 +466,7 @@
         expires_at = now + CRASH_MEMORY_SECONDS - max(0.0, item.age_seconds)
         crash = part.crashes.get(item.endpoint_id)
         if crash is None:
-            crash = self.add_crash(part, item.endpoint_id, expires_at)
+            crash = self.add_crash(part, item.endpoint_id, expires_at, now)
         crash.expires_at = min(crash.expires_at, expires_at)
         crash.cleared = crash.cleared or item.cleared
         try:
