Treat a stream that ends within an event as broken off

Callers saw: a stream that its endpoint broke off within an event was passed on with the rest of that event and ended with a last chunk, as if it were whole.

Cause: relay_stream trusted the framing alone. An answer without a length or chunks ends with its connection, so its end shows nothing; nor does a last chunk that an endpoint writes after half an event.

Change: the end of a stream is an error of the endpoint if it lies within an event or a line. A resumable stream goes on at another endpoint after its last complete event; any other one is cut. Bytes of streams that cannot be resumed are passed on as they arrive, as before. Responses on stream routes that declare another content type than text/event-stream are not affected.

--- /dev/null
+++ b/src/masticward/gateway/event_stream.py
@@ -0,0 +1,42 @@
+"""Finds the ends of events in a stream of server-sent events."""
+
+import re
+
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+# A line that is not a comment, in a block of event lines.
+EVENT_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
+
+
+def is_event_stream(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether a stream's response has events, as far as its headers tell."""
+    content_types = [value for name, value in headers if name.lower() == b"content-type"]
+    return all(value.strip().lower().startswith(b"text/event-stream") for value in content_types)
+
+
+class EventBuffer:
+    """The bytes after the last complete event of a stream, as ``incomplete``."""
+
+    __slots__ = ("incomplete",)
+
+    def __init__(self) -> None:
+        self.incomplete = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take the next bytes of the stream and return the events that are complete now."""
+        data = self.incomplete + data
+        end = 0
+        for match in EVENT_END.finditer(data):
+            end = match.end()
+        self.incomplete = data[end:]
+        return data[:end]
+
+    def keep_last(self, size: int) -> None:
+        """Drop the bytes before the last ``size`` of an incomplete event."""
+        self.incomplete = self.incomplete[-size:]
+
+    @property
+    def ends_in_event(self) -> bool:
+        """Whether a stream that ends here ends within an event or a line."""
+        if not self.incomplete:
+            return False
+        return bool(EVENT_FIELD.search(self.incomplete)) or not self.incomplete.endswith(b"\n")
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -6,7 +6,7 @@
 import typing
 
 from masticward import errors, events, logs
-from masticward.gateway import calls, gateway_metrics, placer, sources
+from masticward.gateway import calls, event_stream, gateway_metrics, placer, sources
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import placement
@@ -27,11 +27,10 @@
 # Longest gap within a response before the request is retried or the stream is resumed at another
 # endpoint; the services' specifications allow gaps of 0.3 to 0.4 s.
 READ_TIMEOUT_SECONDS = 1.2
-EVENT_END = re.compile(rb"\r?\n\r?\n")
-# A line that is not a comment, in a block of event lines.
-EVENT_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
 # Longest incomplete event of a resumable stream that is held in memory.
 MAX_EVENT_BYTES = 1024 * 1024
+# Of a longer event of another stream, only the last bytes are kept to find its end.
+KEPT_EVENT_BYTES = 64 * 1024
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 LOGGER = logs.get_logger(__name__)
 StepT = typing.TypeVar("StepT")
@@ -369,9 +368,10 @@
     ) -> None:
         """Relay events as they arrive; only complete events if the stream may be resumed.
 
-        Only a complete event counts as progress, not a byte or a comment.
+        Only a complete event counts as progress, not a byte or a comment. Raise
+        EndpointBrokenError if the stream ends within an event.
         """
-        buffered = b""
+        buffer = event_stream.EventBuffer()
         next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
         while True:
             data = await self.wait_with_timeout(
@@ -388,16 +388,22 @@
             if data is None:
                 break
             self.progress.received_bytes += len(data)
+            complete_events = buffer.feed(data)
             if self.route.resumable:
-                buffered += data
-                data, buffered = split_events(buffered)
-                if len(buffered) > MAX_EVENT_BYTES:
+                data = complete_events
+                if len(buffer.incomplete) > MAX_EVENT_BYTES:
                     raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
                 self.record_event_id(data)
+            else:
+                buffer.keep_last(KEPT_EVENT_BYTES)
             await self.write_to_client(call, data)
-            if EVENT_FIELD.search(data):
+            if event_stream.EVENT_FIELD.search(data):
                 next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
-        await self.write_to_client(call, buffered)
+        # The end of a connection may also end an answer without a length, whole or not.
+        if buffer.ends_in_event and event_stream.is_event_stream(call.response.headers):
+            raise errors.EndpointBrokenError("the stream ended within an event")
+        if self.route.resumable:
+            await self.write_to_client(call, buffer.incomplete)
         await self.responder.end()
 
     async def write_to_client(self, call: calls.EndpointCall, data: bytes) -> None:
@@ -460,11 +466,3 @@
         if point < 0:
             return share.service
     return route.shares[-1].service
-
-
-def split_events(data: bytes) -> tuple[bytes, bytes]:
-    """Split data into complete events and the rest."""
-    end = 0
-    for match in EVENT_END.finditer(data):
-        end = match.end()
-    return data[:end], data[end:]
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -26,15 +26,16 @@
 async def read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     """Read a chunked body; return it and whether its last chunk was received."""
     body = b""
-    while True:
-        line = await reader.readline()
-        if not line:
-            return body, False
-        size = int(line, 16)
-        data = await reader.readexactly(size + 2)
-        if size == 0:
-            return body, True
-        body += data[:-2]
+    try:
+        while line := await reader.readline():
+            size = int(line, 16)
+            data = await reader.readexactly(size + 2)
+            if size == 0:
+                return body, True
+            body += data[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError):
+        pass
+    return body, False
 
 
 class GatewayCase(loops.UvloopTestCase):
@@ -397,6 +398,63 @@
         )
         self.assertEqual("2", second.headers["last-event-id"])
 
+    async def add_endpoints(self, behaviour: platform_standins.Behaviour, count: int = 1) -> None:
+        for number in range(count):
+            await self.add_endpoint(f"e{number}", behaviour)
+        await self.start()
+
+    async def test_a_stream_that_ends_within_an_event_does_not_look_complete(self) -> None:
+        # Whatever the framing says: the endpoint stopped in the middle of an event.
+        first = b"id: 1\ndata: a\n\n"
+        script = platform_standins.ScriptedResponse(first, b"id: 2\nda")
+        await self.add_endpoints(script)
+        for framing in ("none", "chunked", "length"):
+            for rest in (b"id: 2\nda", b"id: 2\r\ndata: b\r\n\r", b": comm"):
+                for route in ("stream", "resume"):
+                    with self.subTest(framing=framing, rest=rest, route=route):
+                        script.parts, script.framing = (first, rest), framing
+                        response = await self.call(route)
+                        self.assertEqual((200, False), (response.status, response.complete))
+
+    async def test_a_stream_that_ends_with_an_event_is_complete(self) -> None:
+        script = platform_standins.ScriptedResponse()
+        await self.add_endpoints(script)
+        for framing in ("none", "chunked", "length"):
+            for parts in (
+                (b"id: 1\nda", b"ta: a\n\n"),
+                (b"id: 1\r\ndata: a\r\n\r", b"\nid: 2\r\ndata: b\r\n", b"\r\n"),
+                (b"id: 1\ndata: a\n\n\n: end\n",),
+            ):
+                for route in ("stream", "resume"):
+                    with self.subTest(framing=framing, parts=parts, route=route):
+                        script.parts, script.framing = parts, framing
+                        response = await self.call(route)
+                        self.assertTrue(response.complete)
+                        self.assertEqual(b"".join(parts), response.body)
+
+    async def test_a_response_without_events_on_a_stream_route_is_complete(self) -> None:
+        script = platform_standins.ScriptedResponse(b'{"error"', b": 1}")
+        script.fields += "Content-Type: application/json\r\n"
+        await self.add_endpoints(script)
+        for route in ("stream", "resume"):
+            response = await self.call(route)
+            self.assertEqual((True, b'{"error": 1}'), (response.complete, response.body))
+
+    async def test_an_unframed_stream_that_ends_within_an_event_is_resumed(self) -> None:
+        first = platform_standins.ScriptedResponse(b"id: 1\ndata: a\n\nid: 2\nda", framing="none")
+        resumed = platform_standins.ScriptedResponse(b"id: 2\ndata: b\n\n", framing="none")
+        await self.add_endpoints(platform_standins.ResumedStream(first, resumed), 2)
+        response = await self.call("resume")
+        self.assertEqual((True, 2), (response.complete, self.attempts()))
+        self.assertEqual(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", response.body)
+
+    async def test_an_unframed_response_that_is_reset_is_not_complete(self) -> None:
+        reset = platform_standins.ScriptedResponse(b"id: 1\ndata: a\n\n", framing="none")
+        reset.end = "reset"
+        await self.add_endpoints(reset)
+        self.assertEqual(502, (await self.call("book")).status)
+        self.assertFalse((await self.call("stream")).complete)
+
 
 class TimeoutTest(GatewayCase):
     """Guards against requests that outlive their client, route timeout or gateway."""
--- a/tests/lib/platform_standins.py
+++ b/tests/lib/platform_standins.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections.abc
 import json
+import socket
+import struct
 import typing
 import urllib.parse
 
@@ -121,6 +123,75 @@
     return head.encode() + body
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without the linger time, it would end as one that is closed."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class ScriptedResponse:
+    """Sends a signed response in parts, with a framing and an end that the test chooses.
+
+    ``framing`` is "chunked", "length" or "none", which ends with the connection. ``end`` is
+    "whole"; "closed" and "reset" leave out the last chunk or ``missing_bytes``.
+    """
+
+    missing_bytes = 10
+
+    def __init__(
+        self,
+        *parts: bytes,
+        framing: str = "chunked",
+        end: str = "whole",
+        status: int = 200,
+        fields: str = PROOF,
+    ) -> None:
+        self.parts = parts
+        self.framing = framing
+        self.end = end
+        self.status = status
+        self.fields = fields
+
+    async def __call__(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        """Send the response; return whether the connection stays open."""
+        missing = 0 if self.end == "whole" else self.missing_bytes
+        framing_field = {
+            "chunked": "Transfer-Encoding: chunked\r\n",
+            "length": f"Content-Length: {len(b''.join(self.parts)) + missing}\r\n",
+            "none": "",
+        }[self.framing]
+        writer.write(
+            f"HTTP/1.1 {self.status} X\r\nX-Masticward-Request-Id: {request.request_id}\r\n"
+            f"{self.fields}{framing_field}\r\n".encode()
+        )
+        for number, part in enumerate(self.parts):
+            if number:
+                # Let the gateway read each part by itself.
+                await asyncio.sleep(0.02)
+            chunk = b"%x\r\n%b\r\n" % (len(part), part)
+            writer.write(chunk if self.framing == "chunked" else part)
+        if self.framing == "chunked" and self.end == "whole":
+            writer.write(b"0\r\n\r\n")
+        if self.end == "reset":
+            await asyncio.sleep(0.02)
+            reset_connection(writer)
+        return self.framing != "none" and self.end == "whole"
+
+
+class ResumedStream:
+    """Answers a stream's first request with one behaviour and a resumption with another."""
+
+    def __init__(self, first: Behaviour, resumed: Behaviour) -> None:
+        self.first = first
+        self.resumed = resumed
+
+    async def __call__(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        """Respond; return whether the connection stays open."""
+        behaviour = self.resumed if "last-event-id" in request.headers else self.first
+        return await behaviour(request, writer)
+
+
 async def send_complete_response(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
     """Respond as a healthy endpoint."""
     writer.write(complete_response(request))
