Wait for the response after a stray one that arrived alone

Callers saw: 502 for a request that its endpoint ran and answered, when the endpoint first wrote a late response to an earlier request and that arrived in a read of its own.

Cause: expect_next_answer handed the bytes after the stray response to a new h11 state machine, also when there were none, and h11 takes no bytes for the end of the connection. The existing test writes both responses at once.

--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -338,7 +338,9 @@
         if length:
             machine.send(h11.Data(data=bytes(length)))
         machine.send(h11.EndOfMessage())
-        machine.receive_data(rest)
+        # h11 takes no bytes for the end of the connection.
+        if rest:
+            machine.receive_data(rest)
         self.machine = machine
         self.ended = False
         self.had_stray = True
--- a/tests/lib/platform_standins.py
+++ b/tests/lib/platform_standins.py
@@ -179,6 +179,54 @@
         return self.framing != "none" and self.end == "whole"
 
 
+class CutHead:
+    """Sends the first bytes of a response and closes or resets the connection."""
+
+    def __init__(self, kept: bytes = b"", reset: bool = False) -> None:
+        self.kept = kept
+        self.reset = reset
+
+    async def __call__(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        """Send the bytes; return whether the connection stays open."""
+        writer.write(self.kept)
+        if self.reset:
+            await asyncio.sleep(0.02)
+            reset_connection(writer)
+        return False
+
+
+class LateRefusal:
+    """Writes the refusal of an earlier request once more on a connection that was kept.
+
+    ``moment`` is "at once", with the earlier response, "idle" or "sent", when the next request was
+    received. ``refused_id`` is the ID in the refusal, None for none.
+    """
+
+    def __init__(self) -> None:
+        self.moment = "at once"
+        self.head = b"503 X\r\nX-Masticward-Not-Executed: 1\r\n"
+        self.refused_id: str | None = "q0"
+        self.used: set[asyncio.StreamWriter] = set()
+
+    def refusal(self) -> bytes:
+        """Return the bytes of the refusal."""
+        field = f"X-Masticward-Request-Id: {self.refused_id}\r\n" if self.refused_id else ""
+        return b"HTTP/1.1 " + self.head + field.encode() + b"Content-Length: 0\r\n\r\n"
+
+    async def __call__(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        """Run the request; return whether the connection stays open."""
+        if writer in self.used and self.moment == "sent":
+            writer.write(self.refusal())
+            await asyncio.sleep(0.03)
+        first = writer not in self.used
+        self.used.add(writer)
+        late = self.refusal() if first and self.moment == "at once" else b""
+        writer.write(complete_response(request, b"id: 1\ndata: a\n\n") + late)
+        if first and self.moment == "idle":
+            asyncio.get_running_loop().call_later(0.03, writer.write, self.refusal())
+        return True
+
+
 class ResumedStream:
     """Answers a stream's first request with one behaviour and a resumption with another."""
 
