Answer 502 for an endpoint's 503 that does not say "not run"

Callers saw: 408, 429 or 503 of an endpoint without the not-run header passed on for a request that may run only once. Clients take these statuses as "not run" and send the request again; only the header states that it did not run.

Cause: relay() passed each status on unchanged.

Change: on routes that allow no second run, the gateway answers 502 itself, which promises nothing. Responses with the header and 421 are handled before and go on to another endpoint; idempotent requests are not affected.

Test over real sockets: 6 of 6 subtests failed with the sources of the commit before (408, 429 and 503 were passed on); all pass now.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -18,6 +18,8 @@
 # Shortest remaining time with which an attempt is made.
 MIN_ATTEMPT_SECONDS = 0.02
 STALE_PROOF_RETRY_AFTER_SECONDS = 0.5
+# Clients take these as "not run" and send the request again.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # A healthy endpoint begins its response within its expected time multiplied by the factor, plus the
 # margin. An endpoint that loses a response sends nothing at all. The stream margin is below 2 s,
 # because clients abandon a stream after a gap of 2 s or more.
@@ -342,6 +344,8 @@
                 return False
         if self.progress.response_started:
             raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
+        if response.status in NOT_RUN_STATUSES and not self.route.retryable:
+            raise RefusalError(502, f"status {response.status}, but the request may have run")
         headers = self.dependencies.codec.response_headers(response.headers)
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
--- a/tests/functional/test_faulty_responses.py
+++ b/tests/functional/test_faulty_responses.py
@@ -49,3 +49,13 @@
                     self.assertEqual((200, EVENT), (response.status, response.body))
                 if route != "status":
                     self.assertEqual(1, self.attempts() - before)
+
+    async def test_a_refusal_that_does_not_say_not_run_is_no_promise(self) -> None:
+        # Clients repeat a request after these statuses; the endpoint may have run it.
+        script = platform_standins.ScriptedResponse(b"busy", framing="length", fields="")
+        await self.start_with(script)
+        for script.status, route in itertools.product((408, 429, 503), ("book", "stream")):
+            with self.subTest(status=script.status, route=route):
+                before = self.attempts()
+                self.assertEqual(502, (await self.call(route)).status)
+                self.assertEqual(1, self.attempts() - before)
