Pass on a success without a body on stream routes

Callers saw: a closed connection in place of an endpoint's 2xx with an empty body on a stream route; and for an endpoint that closed right after the head of a response without a length or chunks.

Cause: relay_stream wrote the head with the first data, so without any it ended a response that had not been started, which h11 refuses. The exception ended the client's connection and was logged as a failed task.

Change: the head is written before the end at the latest. A response without a length or chunks that ends before its first byte may be the start of any stream; it counts as broken off: retried where the route allows, else 502.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -403,22 +403,29 @@
             await self.write_to_client(call, data)
             if event_stream.EVENT_FIELD.search(data):
                 next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
+        if call.exchange.unframed and not self.progress.received_bytes:
+            raise errors.EndpointBrokenError("the stream ended before its first byte")
         # The end of a connection may also end an answer without a length, whole or not.
         if buffer.ends_in_event and event_stream.is_event_stream(call.response.headers):
             raise errors.EndpointBrokenError("the stream ended within an event")
         if self.route.resumable:
             await self.write_to_client(call, buffer.incomplete)
+        await self.start_response(call)
         await self.responder.end()
 
     async def write_to_client(self, call: calls.EndpointCall, data: bytes) -> None:
         """Write data of a stream to the client, the response head before the first data."""
         if not data:
             return
+        await self.start_response(call)
+        await self.responder.write(data)
+
+    async def start_response(self, call: calls.EndpointCall) -> None:
+        """Write the head of a stream's response to the client unless that was done."""
         if not self.progress.response_started:
             self.progress.response_started = True
             headers = self.dependencies.codec.response_headers(call.response.headers)
             await self.responder.start(call.response.status, headers)
-        await self.responder.write(data)
 
     def record_event_id(self, data: bytes) -> None:
         """Store the ID of the last event in data that is sent to the client."""
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -284,7 +284,8 @@
     Heads are read by h11, and so are bodies that are not chunked.
 
     ``sent`` tells whether a byte of the request may have reached the peer, ``received`` whether
-    one of the answer came, ``had_stray`` whether an answer to another request came.
+    one of the answer came, ``had_stray`` whether an answer to another request came, and
+    ``unframed`` whether the end of the connection ends the body.
     """
 
     __slots__ = (
@@ -296,6 +297,7 @@
         "received",
         "request",
         "sent",
+        "unframed",
     )
 
     def __init__(self, channel: Channel) -> None:
@@ -308,6 +310,7 @@
         self.received = False
         self.ended = False
         self.had_stray = False
+        self.unframed = False
 
     async def send(
         self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
@@ -375,18 +378,23 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise errors.EndpointBrokenError("closed without an answer")
+            self.unframed = self.has_body(event) and not any(
+                name in (b"content-length", b"transfer-encoding") for name, _ in event.headers
+            )
             if self.has_chunked_body(event):
                 # Bytes of the body may have been received together with the head.
                 self.chunked = chunked.ChunkedDecoder(bytes(self.machine.trailing_data[0]))
             return Answer(event.status_code, list(event.headers.raw_items()))
 
+    def has_body(self, response: h11.Response) -> bool:
+        """Return whether a body follows a response's head."""
+        assert self.request is not None
+        return self.request.method != b"HEAD" and response.status_code not in STATUSES_WITHOUT_BODY
+
     def has_chunked_body(self, response: h11.Response) -> bool:
         """Return whether a response has a body in chunks."""
-        assert self.request is not None
-        return (
-            self.request.method != b"HEAD"
-            and response.status_code not in STATUSES_WITHOUT_BODY
-            and any(name == b"transfer-encoding" for name, _ in response.headers)
+        return self.has_body(response) and any(
+            name == b"transfer-encoding" for name, _ in response.headers
         )
 
     @property
--- a/tests/functional/test_faulty_responses.py
+++ b/tests/functional/test_faulty_responses.py
@@ -59,3 +59,47 @@
                 before = self.attempts()
                 self.assertEqual(502, (await self.call(route)).status)
                 self.assertEqual(1, self.attempts() - before)
+
+
+class IncompleteResponseTest(FaultyResponseCase):
+    """Guards against a success made of a part of a response."""
+
+    async def test_a_response_that_ends_within_its_head_is_no_response(self) -> None:
+        cut = platform_standins.CutHead()
+        await self.start_with(cut)
+        head = b"HTTP/1.1 200 OK\r\nX-Masticward-Request-Id: q1\r\n"
+        head += platform_standins.PROOF.encode()
+        for kept in (head[:4], head[:13], head[:30], head[:-1], head, head + b"\r"):
+            for cut.reset, route in itertools.product((False, True), ROUTES):
+                with self.subTest(kept=kept, reset=cut.reset, route=route):
+                    cut.kept = kept
+                    response = await self.call(route)
+                    self.assertEqual((502, b""), (response.status, response.body))
+
+    async def test_a_body_that_is_cut_short_is_no_success(self) -> None:
+        script = platform_standins.ScriptedResponse()
+        await self.start_with(script)
+        for script.framing, script.end, script.parts, route in itertools.product(
+            ("length", "chunked"), ("closed", "reset"), ((), (EVENT,)), ROUTES
+        ):
+            with self.subTest(script.framing, end=script.end, parts=script.parts, route=route):
+                response = await self.call(route)
+                if script.parts and route in ("stream", "resume"):
+                    self.assertEqual((200, False), (response.status, response.complete))
+                else:
+                    self.assertEqual(502, response.status)
+
+    async def test_an_event_stream_that_ends_before_its_first_byte_is_no_success(self) -> None:
+        # Without a length or chunks, this may be the start of any stream.
+        await self.start_with(platform_standins.ScriptedResponse(framing="none"))
+        for route in ("stream", "resume"):
+            self.assertEqual(502, (await self.call(route)).status)
+
+    async def test_an_empty_success_on_a_stream_route_is_passed_on(self) -> None:
+        script = platform_standins.ScriptedResponse()
+        await self.start_with(script)
+        for script.framing, route in itertools.product(("length", "chunked"), ("stream", "resume")):
+            with self.subTest(script.framing, route=route):
+                response = await self.call(route)
+                self.assertEqual((200, b""), (response.status, response.body))
+                self.assertTrue(response.complete)
