--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -6,7 +6,14 @@
 import typing
 
 from masticward import errors, events, logs
-from masticward.gateway import calls, crash_detector, gateway_metrics, placer, sources
+from masticward.gateway import (
+    calls,
+    crash_detector,
+    event_stream,
+    gateway_metrics,
+    placer,
+    sources,
+)
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import placement
@@ -18,6 +25,8 @@
 # Shortest remaining time with which an attempt is made.
 MIN_ATTEMPT_SECONDS = 0.02
 STALE_PROOF_RETRY_AFTER_SECONDS = 0.5
+# Clients take these as "not run" and send the request again.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # A healthy endpoint begins its response within its expected time multiplied by the factor, plus the
 # margin. An endpoint that loses a response sends nothing at all; one that only pauses goes on. The
 # stream margin is below 2 s, because clients abandon a stream after a gap of 2 s or more.
@@ -27,11 +36,10 @@
 # Longest gap within a response before another endpoint is looked for; the services' specifications
 # allow gaps of 0.3 to 0.4 s.
 READ_TIMEOUT_SECONDS = 1.2
-EVENT_END = re.compile(rb"\r?\n\r?\n")
-# A line that is not a comment, in a block of event lines.
-EVENT_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
 # Longest incomplete event of a resumable stream that is held in memory.
 MAX_EVENT_BYTES = 1024 * 1024
+# Of a longer event of another stream, only the last bytes are kept to find its end.
+KEPT_EVENT_BYTES = 64 * 1024
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 LOGGER = logs.get_logger(__name__)
 StepT = typing.TypeVar("StepT")
@@ -442,6 +450,8 @@
                 return False
         if self.progress.response_started:
             raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
+        if response.status in NOT_RUN_STATUSES and not self.route.retryable:
+            raise RefusalError(502, f"status {response.status}, but the request may have run")
         if succeeded:
             self.record_answer_begun()
         headers = self.dependencies.codec.response_headers(response.headers)
@@ -475,9 +485,10 @@
     ) -> None:
         """Relay events as they arrive; only complete events if the stream may be resumed.
 
-        Only a complete event counts as progress, not a byte or a comment.
+        Only a complete event counts as progress, not a byte or a comment. Raise
+        EndpointBrokenError if the stream ends within an event.
         """
-        buffered = b""
+        buffer = event_stream.EventBuffer()
         next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
         while True:
             data = await self.wait_with_timeout(
@@ -494,29 +505,42 @@
             if data is None:
                 break
             self.progress.received_bytes += len(data)
-            if not self.progress.answer_begun and EVENT_END.search(data):
+            complete_events = buffer.feed(data)
+            if not self.progress.answer_begun and event_stream.EVENT_FIELD.search(complete_events):
                 self.record_answer_begun()
             if self.route.resumable:
-                buffered += data
-                data, buffered = split_events(buffered)
-                if len(buffered) > MAX_EVENT_BYTES:
+                data = complete_events
+                if len(buffer.incomplete) > MAX_EVENT_BYTES:
                     raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
                 self.record_event_id(data)
+            else:
+                buffer.keep_last(KEPT_EVENT_BYTES)
             await self.write_to_client(call, data)
-            if EVENT_FIELD.search(data):
+            if event_stream.EVENT_FIELD.search(data):
                 next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
-        await self.write_to_client(call, buffered)
+        if call.exchange.unframed and not self.progress.received_bytes:
+            raise errors.EndpointBrokenError("the stream ended before its first byte")
+        # The end of a connection may also end an answer without a length, whole or not.
+        if buffer.ends_in_event and event_stream.is_event_stream(call.response.headers):
+            raise errors.EndpointBrokenError("the stream ended within an event")
+        if self.route.resumable:
+            await self.write_to_client(call, buffer.incomplete)
+        await self.start_response(call)
         await self.responder.end()
 
     async def write_to_client(self, call: calls.EndpointCall, data: bytes) -> None:
         """Write data of a stream to the client, the response head before the first data."""
         if not data:
             return
+        await self.start_response(call)
+        await self.responder.write(data)
+
+    async def start_response(self, call: calls.EndpointCall) -> None:
+        """Write the head of a stream's response to the client unless that was done."""
         if not self.progress.response_started:
             self.progress.response_started = True
             headers = self.dependencies.codec.response_headers(call.response.headers)
             await self.responder.start(call.response.status, headers)
-        await self.responder.write(data)
 
     def record_event_id(self, data: bytes) -> None:
         """Store the ID of the last event in data that is sent to the client."""
@@ -584,11 +608,3 @@
         if point < 0:
             return share.service
     return route.shares[-1].service
-
-
-def split_events(data: bytes) -> tuple[bytes, bytes]:
-    """Split data into complete events and the rest."""
-    end = 0
-    for match in EVENT_END.finditer(data):
-        end = match.end()
-    return data[:end], data[end:]
