Refuse requests whose numbers are out of range

One request stopped a gateway's service for all others: after a prompt part of 400 digits, the scan of the queue raised OverflowError each time, so that later requests waited to their deadline (503 "deadline passed") and the placer restarted every 0.2 s (1004 "int too large to convert to float"). Token counts and a time budget of that size ended their own request without an answer.

Cause: the headers' numbers were taken as they came. Python's integers have no bound, and the sums of demand and of prompt prefixes are divided as floating-point numbers.

Change: numbers above 2**53 get 400, like text that is no number.

The test failed before: "AssertionError: 400 != 503"; a probe of the request after the one with the part got 503 in place of 200.

--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -13,6 +13,8 @@
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"(?:^|[ ,;])timeout=(\d+)", re.IGNORECASE)
 # Deadline of a request that has none: the longest one that the platform's clients use.
 DEFAULT_DEADLINE_SECONDS = 10.0
+# Larger numbers are not exact as floating-point numbers, and the largest cannot be converted.
+MAX_NUMBER = 2**53
 
 
 def header_text(headers: dict[bytes, bytes], name: bytes) -> str | None:
@@ -21,16 +23,24 @@
     return None if value is None else value.decode("latin-1").strip()
 
 
+def parse_number(text: str) -> int:
+    """Return a whole number; raise ValueError if it is none or above ``MAX_NUMBER``."""
+    number = int(text)
+    if abs(number) > MAX_NUMBER:
+        raise ValueError(f"{text[:60]} is out of range")
+    return number
+
+
 def parse_token_counts(text: str | None) -> tuple[int, int]:
     """Return prompt tokens and maximum output tokens; zeros if the header is missing.
 
-    Raise BadRequestError if a count is not a number.
+    Raise BadRequestError if a count is not a usable number.
     """
     if text is None:
         return 0, 0
     try:
         prompt, _, output = text.partition(",")
-        return max(0, int(prompt)), max(0, int(output or 0))
+        return max(0, parse_number(prompt)), max(0, parse_number(output or "0"))
     except ValueError as error:
         raise errors.BadRequestError(f"token counts {text[:60]!r} are not numbers") from error
 
@@ -43,7 +53,7 @@
     for item in text.split(","):
         part_id, _, tokens = item.strip().partition(":")
         try:
-            parts.append(gateway.PromptPart(part_id, int(tokens)))
+            parts.append(gateway.PromptPart(part_id, parse_number(tokens)))
         except ValueError as error:
             raise errors.BadRequestError(f"prompt part {item[:60]!r} has no size") from error
     return tuple(parts)
@@ -82,7 +92,7 @@
         remaining_seconds = DEFAULT_DEADLINE_SECONDS
         if deadline_text is not None:
             try:
-                remaining_seconds = int(deadline_text) / clocks.MILLISECONDS_PER_SECOND
+                remaining_seconds = parse_number(deadline_text) / clocks.MILLISECONDS_PER_SECOND
             except ValueError as error:
                 raise errors.BadRequestError("the deadline is not a whole number") from error
         prompt_tokens, output_tokens = parse_token_counts(header_text(by_name, names.TOKEN_COUNTS))
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -187,6 +187,21 @@
             writer.close()
         self.assertEqual(0, self.attempts())
 
+    async def test_numbers_without_bounds_in_one_request_do_not_stop_the_others(self) -> None:
+        # Placement raised OverflowError in each scan: every later request got 503 or no answer.
+        await self.add_endpoint("e1")
+        engine = {"slots": 64, "kv_capacity_tokens": 500000}
+        await self.start(services=[{"name": "app", "max_connections": 100, "engine": engine}])
+        huge = "9" * 400
+        for extra in (
+            f"X-Masticward-Token-Counts: {huge},1\r\n",
+            f"X-Masticward-Token-Counts: 1,{huge}\r\n",
+            f"X-Masticward-Token-Counts: 1,1\r\nX-Masticward-Prefix-Hash: a:{huge},b:1\r\n",
+            f"X-Masticward-Deadline-Ms: {huge}\r\n",
+        ):
+            self.assertEqual(400, (await self.call("book", extra=extra)).status)
+        self.assertEqual(200, (await self.call("book")).status)
+
     async def test_a_truncated_request_is_not_forwarded(self) -> None:
         await self.add_endpoint("e1")
         await self.start()
