Keep the host of a request whose Connection header names it

A whole request with "Connection: host" got no answer: its connection was closed (1004 "Missing mandatory Host: header"). With unexpected errors answered, it got 502, although nothing had been sent.

Cause: headers that the client's Connection header names are removed, Host among them, and a request without it cannot be encoded.

Change: Host is kept, like the headers that identify a request.

The test failed before: "AssertionError: 200 != 502".

--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -107,8 +107,14 @@
                 for item in value.split(b",")
             }
         )
-        # Endpoints identify a request by these; a client's Connection header must not remove them.
-        removed_names -= {names.REQUEST_ID, names.MODEL, names.TOKEN_COUNTS, names.PROMPT_PARTS}
+        # Endpoints need these in each request; a client's Connection header must not remove them.
+        removed_names -= {
+            names.HOST,
+            names.REQUEST_ID,
+            names.MODEL,
+            names.TOKEN_COUNTS,
+            names.PROMPT_PARTS,
+        }
         path = target.split(b"?", 1)[0].decode("latin-1")
         if not path.startswith("/"):
             path = urllib.parse.urlsplit(path).path
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -167,6 +167,14 @@
             self.assertNotIn(name, received)
         self.assertNotIn("x-masticward-kv-backup", received)
 
+    async def test_a_connection_header_cannot_remove_the_host(self) -> None:
+        # Without a host no request to an endpoint can be encoded.
+        endpoint = await self.add_endpoint("e1")
+        await self.start()
+        response = await self.call("book", extra="Connection: host\r\n")
+        self.assertEqual(200, response.status)
+        self.assertEqual("api.example", endpoint.received[0].headers["host"])
+
     async def test_unknown_keys_and_routes_are_refused_without_an_attempt(self) -> None:
         await self.add_endpoint("e1")
         await self.start()
