Judge a request on a kept connection by the limits now in force

Beside a change of the configuration, a proper request on a kept connection got 413 or 431 and its connection was closed, if the new configuration had raised max_body_bytes or max_header_bytes: the first request after the change was judged by the limits of the time at which the one before had ended, and the limit on heads was that of the time at which the connection was opened. A connection that was opened before the first configuration kept the default.

Cause: serve_request took the limits before it waited for the next request, and h11 takes the limit on heads once, when a connection is opened.

Change: the limits are taken when a request's first bytes arrive; if the limit on heads has changed, the connection's state machine, which is idle then, is created anew.

The test failed before: "AssertionError: 200 != 413".

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -193,19 +193,22 @@
 class ServerConnection:
     """One client connection."""
 
-    __slots__ = ("busy", "channel", "machine", "method", "served", "server")
+    __slots__ = ("busy", "channel", "head_bytes", "machine", "method", "served", "server")
 
     def __init__(self, server: Server, channel: http1.Channel) -> None:
         self.server = server
         self.channel = channel
-        self.machine = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.handler.limits().head_bytes
-        )
+        self.open_machine(server.handler.limits().head_bytes)
         self.busy = False
         # Number of requests that were read.
         self.served = 0
         self.method = b""
 
+    def open_machine(self, head_bytes: int) -> None:
+        """Start the protocol anew, with a limit on the size of heads."""
+        self.head_bytes = head_bytes
+        self.machine = h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+
     @property
     def awaits_first_request(self) -> bool:
         """Whether the connection has had no request so far."""
@@ -265,9 +268,8 @@
 
     async def serve_request(self) -> bool:
         """Serve one request; returns whether another may follow."""
-        limits = self.server.handler.limits()
         try:
-            request = await self.read_request(limits)
+            request = await self.read_request()
         except h11.RemoteProtocolError as error:
             await self.refuse(error.error_status_hint, str(error))
             return False
@@ -310,13 +312,18 @@
                 return event
             self.machine.receive_data(await self.channel.read_until(deadline))
 
-    async def read_request(self, limits: gateway.ClientLimits) -> Request | None:
+    async def read_request(self) -> Request | None:
         """Return a whole request, None if the client leaves instead."""
+        limits = self.server.handler.limits()
         if not self.machine.trailing_data[0]:
             data = await self.channel.read_until(clocks.boot_time() + limits.idle_timeout_seconds)
             if not data:
                 return None
             self.busy = True
+            # The limits may have changed since the last request.
+            limits = self.server.handler.limits()
+            if limits.head_bytes != self.head_bytes:
+                self.open_machine(limits.head_bytes)
             self.machine.receive_data(data)
         self.busy = True
         self.served += 1
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -622,6 +622,25 @@
         ):
             self.assertEqual(502, (await self.call("book")).status)
 
+    async def test_kept_connections_follow_raised_limits(self) -> None:
+        # They judged the next request by the limits in force when the last one had ended.
+        await self.add_endpoint("e1")
+        await self.start()
+        reader, writer = await self.send(self.request("book"))
+        self.assertEqual(200, (await self.read(reader)).status)
+        limits = {"max_header_bytes": 32768, "max_body_bytes": 200000}
+        self.store.put("config", "main", platform_standins.configuration(2, limits=limits))
+        await self.wait_until(lambda: self.fleet.configuration.version == 2)  # type: ignore[union-attr]
+        padding = f"X-Padding: {'x' * 20000}\r\n"
+        writer.write(self.request("book", body=bytes(150000)))
+        self.assertEqual(200, (await self.read(reader)).status)
+        request = self.request("book", extra=padding)
+        writer.write(request[:18000])
+        await asyncio.sleep(0.1)
+        writer.write(request[18000:])
+        self.assertEqual(200, (await self.read(reader)).status)
+        writer.close()
+
     async def test_an_older_configuration_is_ignored(self) -> None:
         await self.start(version=5)
         self.store.put("config", "main", platform_standins.configuration(4))
