Write answers out before a stopping gateway ends

A client that reads slowly lost the end of an answer at a planned stop: the answer counted as finished once it was in the gateway's own buffer (up to 64 KiB), and the process ended before the buffer was written out.

Cause: the drain of a stream returns below the buffer's high-water mark, the connection was removed from the server while its transport was still writing, and stop() waits only for connections that are busy.

Change: a connection stays with its server until its transport is closed, and counts as busy while its buffer is not empty. The end of the grace period still ends the wait.

The test failed before: stop() had returned after 1 s with most of a 60 KB answer unsent ("AssertionError: True is not false").

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 
 import h11
 
@@ -176,8 +177,15 @@
 
     @property
     def busy(self) -> int:
-        """Number of requests that are being read or answered, or may still arrive after a stop."""
-        busy = sum(1 for connection in self.connections if connection.busy)
+        """Number of requests that are being read or answered, or may still arrive after a stop.
+
+        An answer counts until it is written out.
+        """
+        busy = sum(
+            1
+            for connection in self.connections
+            if connection.busy or connection.channel.transport.get_write_buffer_size() > 0
+        )
         if self.stopping and clocks.boot_time() < self.first_requests_until:
             busy += sum(1 for connection in self.connections if connection.awaits_first_request)
             if self.listener is not None:
@@ -265,6 +273,8 @@
         finally:
             self.channel.protocol.on_peer_gone = None
             self.channel.writer.close()
+            with contextlib.suppress(OSError):
+                await self.channel.writer.wait_closed()
 
     async def serve_request(self) -> bool:
         """Serve one request; returns whether another may follow."""
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -8,6 +8,7 @@
 
 from masticward.daemons import gateway as gateway_daemon
 from masticward.platform import headers, settings, store
+from masticward.state import load_shedding
 from masticward.utils import clocks
 from tests.lib import loops, platform_standins
 
@@ -501,6 +502,35 @@
         self.assertFalse(self.program.ready())
         await stopping
 
+    async def test_a_stopping_gateway_writes_answers_out_for_slow_clients(self) -> None:
+        # The end of the process lost what was still in its buffers.
+        async def send_large(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(platform_standins.complete_response(request, bytes(60000)))
+            return True
+
+        await self.add_endpoint("e1", send_large)
+        await self.start()
+        listener = self.program.client_server.listener
+        assert listener is not None
+        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(("127.0.0.1", self.port))
+        client.sendall(self.request("book"))
+        answered = self.program.gateway_metrics.requests.labels("answered", "200")._value
+        await self.wait_until(lambda: answered.get() == 1)
+        with unittest.mock.patch.object(load_shedding, "ROTATION_EXIT_SECONDS", 0.1):
+            stopping = asyncio.ensure_future(self.program.stop())
+            await asyncio.sleep(1.0)
+        self.assertFalse(stopping.done())
+        client.setblocking(False)
+        reader, _ = await asyncio.open_connection(sock=client)
+        self.assertEqual(60000, len((await self.read(reader)).body))
+        await stopping
+
     async def test_an_overloaded_gateway_asks_clients_to_reconnect(self) -> None:
         # A client that keeps its connection does not notice that the instance left the rotation.
         await self.add_endpoint("e1")
