Apply the limit on gaps to each gap of a body, not to the whole body

A plain request that may run again was sent to a second endpoint although the first one was delivering its body: READ_TIMEOUT_SECONDS, the longest gap within a response, ended the read of the whole body after 1.2 s. Without another endpoint the caller got 502; since a silent endpoint is kept until there is one, the second run was only in vain and was charged to the budget.

Change: the timeout starts anew with each part that arrives.

The test failed before: "AssertionError: 1 != 2" (attempts).

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -10,7 +10,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import placement
-from masticward.transport import http1_server
+from masticward.transport import http1, http1_server
 from masticward.utils import clocks, identifiers
 
 # The final response is sent this long before the client's deadline, to arrive in time.
@@ -408,7 +408,7 @@
             await self.relay_stream(call, reservation, sent_at)
             self.record_success(call, sent_at)
             return True
-        body = await self.wait_with_timeout(call.exchange.read_body(), READ_TIMEOUT_SECONDS)
+        body = await self.read_body(call)
         if response.status >= 500:
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
             if self.may_retry() and not self.progress.response_started:
@@ -424,6 +424,18 @@
             self.dependencies.metrics.count_outcome("answered", response.status)
         return True
 
+    async def read_body(self, call: calls.EndpointCall) -> bytes:
+        """Return the whole body of a response that is not streamed."""
+        body = bytearray()
+        while (
+            data := await self.wait_with_timeout(call.exchange.read_data(), READ_TIMEOUT_SECONDS)
+        ) is not None:
+            body += data
+            self.progress.received_bytes = len(body)
+            if len(body) > http1.MAX_BODY_BYTES:
+                raise errors.EndpointBrokenError(f"the body exceeds {http1.MAX_BODY_BYTES} bytes")
+        return bytes(body)
+
     def record_success(self, call: calls.EndpointCall, sent_at: float) -> None:
         """Count and log a complete response."""
         now = clocks.boot_time()
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -597,6 +597,25 @@
         response = await self.call("status", method="GET", body=b"")
         self.assertEqual((200, b"answer"), (response.status, response.body))
 
+    async def test_a_body_that_arrives_slowly_is_read_to_its_end(self) -> None:
+        # The limit on gaps within a response was applied to the whole body.
+        async def trickle(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            response = platform_standins.complete_response(request)
+            writer.write(response[:-6])
+            for byte in response[-6:]:
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0.3)
+            return True
+
+        for name in ("e1", "e2"):
+            await self.add_endpoint(name, trickle)
+        await self.start()
+        response = await self.call("status", method="GET", body=b"")
+        self.assertEqual((200, b"answer"), (response.status, response.body))
+        self.assertEqual(1, self.attempts())
+
 
 class ConfigurationTest(GatewayCase):
     """Guards against the use of revoked API keys, and of old or invalid configurations."""
