--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -8,6 +8,7 @@
 
 from masticward.daemons import gateway as gateway_daemon
 from masticward.platform import headers, settings, store
+from masticward.state import load_shedding
 from masticward.utils import clocks
 from tests.lib import loops, platform_standins
 
@@ -168,6 +169,14 @@
             self.assertNotIn(name, received)
         self.assertNotIn("x-masticward-kv-backup", received)
 
+    async def test_a_connection_header_cannot_remove_the_host(self) -> None:
+        # Without a host no request to an endpoint can be encoded.
+        endpoint = await self.add_endpoint("e1")
+        await self.start()
+        response = await self.call("book", extra="Connection: host\r\n")
+        self.assertEqual(200, response.status)
+        self.assertEqual("api.example", endpoint.received[0].headers["host"])
+
     async def test_unknown_keys_and_routes_are_refused_without_an_attempt(self) -> None:
         await self.add_endpoint("e1")
         await self.start()
@@ -188,6 +197,21 @@
             writer.close()
         self.assertEqual(0, self.attempts())
 
+    async def test_numbers_without_bounds_in_one_request_do_not_stop_the_others(self) -> None:
+        # Placement raised OverflowError in each scan: every later request got 503 or no answer.
+        await self.add_endpoint("e1")
+        engine = {"slots": 64, "kv_capacity_tokens": 500000}
+        await self.start(services=[{"name": "app", "max_connections": 100, "engine": engine}])
+        huge = "9" * 400
+        for extra in (
+            f"X-Masticward-Token-Counts: {huge},1\r\n",
+            f"X-Masticward-Token-Counts: 1,{huge}\r\n",
+            f"X-Masticward-Token-Counts: 1,1\r\nX-Masticward-Prefix-Hash: a:{huge},b:1\r\n",
+            f"X-Masticward-Deadline-Ms: {huge}\r\n",
+        ):
+            self.assertEqual(400, (await self.call("book", extra=extra)).status)
+        self.assertEqual(200, (await self.call("book")).status)
+
     async def test_a_truncated_request_is_not_forwarded(self) -> None:
         await self.add_endpoint("e1")
         await self.start()
@@ -536,6 +560,35 @@
         self.assertFalse(self.program.ready())
         await stopping
 
+    async def test_a_stopping_gateway_writes_answers_out_for_slow_clients(self) -> None:
+        # The end of the process lost what was still in its buffers.
+        async def send_large(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(platform_standins.complete_response(request, bytes(60000)))
+            return True
+
+        await self.add_endpoint("e1", send_large)
+        await self.start()
+        listener = self.program.client_server.listener
+        assert listener is not None
+        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(("127.0.0.1", self.port))
+        client.sendall(self.request("book"))
+        answered = self.program.gateway_metrics.requests.labels("answered", "200")._value
+        await self.wait_until(lambda: answered.get() == 1)
+        with unittest.mock.patch.object(load_shedding, "ROTATION_EXIT_SECONDS", 0.1):
+            stopping = asyncio.ensure_future(self.program.stop())
+            await asyncio.sleep(1.0)
+        self.assertFalse(stopping.done())
+        client.setblocking(False)
+        reader, _ = await asyncio.open_connection(sock=client)
+        self.assertEqual(60000, len((await self.read(reader)).body))
+        await stopping
+
     async def test_an_overloaded_gateway_asks_clients_to_reconnect(self) -> None:
         # A client that keeps its connection does not notice that the instance left the rotation.
         await self.add_endpoint("e1")
@@ -602,6 +655,25 @@
         response = await self.call("status", method="GET", body=b"")
         self.assertEqual((200, b"answer"), (response.status, response.body))
 
+    async def test_a_body_that_arrives_slowly_is_read_to_its_end(self) -> None:
+        # The limit on gaps within a response was applied to the whole body.
+        async def trickle(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            response = platform_standins.complete_response(request)
+            writer.write(response[:-6])
+            for byte in response[-6:]:
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0.3)
+            return True
+
+        for name in ("e1", "e2"):
+            await self.add_endpoint(name, trickle)
+        await self.start()
+        response = await self.call("status", method="GET", body=b"")
+        self.assertEqual((200, b"answer"), (response.status, response.body))
+        self.assertEqual(1, self.attempts())
+
 
 class ConfigurationTest(GatewayCase):
     """Guards against the use of revoked API keys, and of old or invalid configurations."""
@@ -657,6 +729,25 @@
         ):
             self.assertEqual(502, (await self.call("book")).status)
 
+    async def test_kept_connections_follow_raised_limits(self) -> None:
+        # They judged the next request by the limits in force when the last one had ended.
+        await self.add_endpoint("e1")
+        await self.start()
+        reader, writer = await self.send(self.request("book"))
+        self.assertEqual(200, (await self.read(reader)).status)
+        limits = {"max_header_bytes": 32768, "max_body_bytes": 200000}
+        self.store.put("config", "main", platform_standins.configuration(2, limits=limits))
+        await self.wait_until(lambda: self.fleet.configuration.version == 2)  # type: ignore[union-attr]
+        padding = f"X-Padding: {'x' * 20000}\r\n"
+        writer.write(self.request("book", body=bytes(150000)))
+        self.assertEqual(200, (await self.read(reader)).status)
+        request = self.request("book", extra=padding)
+        writer.write(request[:18000])
+        await asyncio.sleep(0.1)
+        writer.write(request[18000:])
+        self.assertEqual(200, (await self.read(reader)).status)
+        writer.close()
+
     async def test_an_older_configuration_is_ignored(self) -> None:
         await self.start(version=5)
         self.store.put("config", "main", platform_standins.configuration(4))
