Keep quarantines of prompt parts in the store

Callers saw: after all gateways had stopped at once, the deadly part crashed endpoints again as if it had never been seen.

Cause: the evidence lived in the gateways' memory and in their messages alone.

Change: the gateway that begins or ends a quarantine writes or deletes one small object; each gateway lists them once at its start and restores what has time left. Calls that fail are retried each second and logged (8311); decisions do not wait for the store.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -14,6 +14,7 @@
     peering,
     placer,
     prover,
+    quarantine_keeper,
     request_path,
     snapshots,
     sources,
@@ -80,6 +81,7 @@
         self.prover = prover.Prover(
             source, self.fleet, self.followers[sources.ObjectKind.CONFIGURATION], self.send_proof
         )
+        self.quarantine_keeper = quarantine_keeper.QuarantineKeeper(source, self.fleet)
         self.snapshots = snapshots.SnapshotFetcher(self.fleet, self.peering, self.followers)
         self.snapshot_server = http1_server.Server(
             (settings.ip, settings.peer_port), snapshots.SnapshotHandler(self.fleet)
@@ -258,6 +260,7 @@
         self.supervise(self.prover.run, "prover")
         self.supervise(self.snapshots.run, "snapshots of peers")
         self.supervise(self.placer.run, "placer")
+        self.supervise(self.quarantine_keeper.run, "quarantine keeper")
         self.supervise(self.run_ticks, "ticks")
         self.supervise(self.run_lag_probe, "lag probe")
         self.supervise(self.run_reloads, "reloads")
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -109,6 +109,7 @@
     WATCH_GIVEN_UP = (8308, "watch_given_up", logging.WARNING)
     STORE_READER_CHANGED = (8309, "store_reader_changed", logging.INFO)
     STORE_CHANGES_MISSED = (8310, "store_changes_missed", logging.WARNING)
+    QUARANTINES_NOT_STORED = (8311, "quarantines_not_stored", logging.WARNING)
     PEER_HEARD = (8401, "peer_heard", logging.INFO)
     PEER_LOST = (8402, "peer_lost", logging.WARNING)
     PEER_MESSAGE_UNREADABLE = (8403, "peer_message_unreadable", logging.WARNING)
--- a/src/masticward/gateway/sources.py
+++ b/src/masticward/gateway/sources.py
@@ -18,6 +18,7 @@
     PROOFS = "proofs"
     EVACUATIONS = "evacuations"
     MEMBERS = "members"
+    QUARANTINES = "quarantines"
 
 
 # The kinds that gateways relay and hand over to each other object by object.
@@ -31,6 +32,17 @@
     ip: str
 
 
+class StoredQuarantine(msgspec.Struct, frozen=True):
+    """A part of prompts in quarantine, as it is stored.
+
+    ``expires_at`` is Unix time in seconds, because the object outlives all processes.
+    """
+
+    key: str
+    quarantines: int
+    expires_at: float
+
+
 class StoredObject(msgspec.Struct, frozen=True):
     """A stored object; ``value`` is None if it was removed or cannot be used."""
 
@@ -71,6 +83,14 @@
     async def register(self, member: Member) -> None:
         """Register this process as a member."""
 
+    @abc.abstractmethod
+    async def save_quarantine(self, quarantine: StoredQuarantine) -> None:
+        """Create or replace the entry of a part in quarantine."""
+
+    @abc.abstractmethod
+    async def delete_quarantine(self, key: str) -> None:
+        """Delete the entry of a part, if there is one."""
+
 
 class RequestCodec(abc.ABC):
     """Translates headers of requests and responses."""
--- a/src/masticward/platform/documents.py
+++ b/src/masticward/platform/documents.py
@@ -179,6 +179,13 @@
     )
 
 
+# The kinds that the gateways themselves write.
+OWN_TYPES = {
+    sources.ObjectKind.MEMBERS: sources.Member,
+    sources.ObjectKind.QUARANTINES: sources.StoredQuarantine,
+}
+
+
 def decode_object(kind: sources.ObjectKind, name: str, document: typing.Any) -> typing.Any:
     """Return the value of a stored object; None if it is not usable.
 
@@ -189,9 +196,9 @@
         return decode_endpoint(name, spec, status)
     if kind in (sources.ObjectKind.CONFIGURATION, sources.ObjectKind.PROOFS):
         return decode_configuration(spec) if name == names.CONFIGURATION_NAME else None
-    if kind is sources.ObjectKind.MEMBERS:
+    if kind in OWN_TYPES:
         try:
-            return msgspec.convert(spec, sources.Member)
+            return msgspec.convert(spec, OWN_TYPES[kind])
         except msgspec.ValidationError:
             return None
     return name
--- a/src/masticward/platform/names.py
+++ b/src/masticward/platform/names.py
@@ -64,6 +64,7 @@
 KIND_CONFIGURATION = "config"
 KIND_EVACUATIONS = "evacuations"
 KIND_MEMBERS = "masticward-gateways"
+KIND_QUARANTINES = "masticward-quarantines"
 CONFIGURATION_NAME = "main"
 
 STATE_READY = "ready"
--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -10,7 +10,7 @@
 from masticward.gateway import sources
 from masticward.platform import documents, names
 from masticward.transport import http1
-from masticward.utils import addresses
+from masticward.utils import addresses, identifiers
 
 KIND_NAMES = {
     sources.ObjectKind.ENDPOINTS: names.KIND_ENDPOINTS,
@@ -18,12 +18,14 @@
     sources.ObjectKind.PROOFS: names.KIND_CONFIGURATION,
     sources.ObjectKind.EVACUATIONS: names.KIND_EVACUATIONS,
     sources.ObjectKind.MEMBERS: names.KIND_MEMBERS,
+    sources.ObjectKind.QUARANTINES: names.KIND_QUARANTINES,
 }
 CONNECT_TIMEOUT_SECONDS = 0.5
 # The store usually responds in about 4 ms; this also suffices for one that is 50 times slower.
 CALL_TIMEOUT_SECONDS = 1.0
 GONE_STATUS = 410
 CONFLICT_STATUS = 409
+MISSING_STATUS = 404
 LOGGER = logs.get_logger(__name__)
 
 
@@ -159,17 +161,38 @@
 
     async def register(self, member: sources.Member) -> None:
         """Create or replace this process's entry in the list of members."""
-        kind = sources.ObjectKind.MEMBERS
-        path = f"/objects/{names.KIND_MEMBERS}"
-        document = {"metadata": {"name": member.instance_id}, "spec": member}
+        await self.put(sources.ObjectKind.MEMBERS, member.instance_id, member)
+
+    async def save_quarantine(self, quarantine: sources.StoredQuarantine) -> None:
+        """Create or replace the entry of a part in quarantine."""
+        kind = sources.ObjectKind.QUARANTINES
+        await self.put(kind, quarantine_name(quarantine.key), quarantine)
+
+    async def delete_quarantine(self, key: str) -> None:
+        """Delete the entry of a part, if there is one."""
+        kind = sources.ObjectKind.QUARANTINES
+        path = f"/objects/{KIND_NAMES[kind]}/{quarantine_name(key)}"
+        status, _ = await self.call(kind, b"DELETE", path, CALL_TIMEOUT_SECONDS)
+        if not 200 <= status < 300 and status != MISSING_STATUS:
+            raise errors.StoreUnavailableError(path, f"status {status}")
+
+    async def put(self, kind: sources.ObjectKind, name: str, spec: typing.Any) -> None:
+        """Create or replace an object."""
+        path = f"/objects/{KIND_NAMES[kind]}"
+        document = {"metadata": {"name": name}, "spec": spec}
         status, _ = await self.call(kind, b"POST", path, CALL_TIMEOUT_SECONDS, document)
         if status == CONFLICT_STATUS:
-            path = f"{path}/{urllib.parse.quote(member.instance_id)}"
+            path = f"{path}/{urllib.parse.quote(name)}"
             status, _ = await self.call(kind, b"PUT", path, CALL_TIMEOUT_SECONDS, document)
         if not 200 <= status < 300:
             raise errors.StoreUnavailableError(path, f"status {status}")
 
 
+def quarantine_name(key: str) -> str:
+    """Return the name of a part's object; keys may have characters that names may not."""
+    return f"{identifiers.stable_hash(key):016x}"
+
+
 def decode(data: bytes, body_type: type[typing.Any], name: str) -> typing.Any:
     """Decode a response body; raise StoreUnavailableError if it is malformed."""
     try:
--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -161,7 +161,7 @@
 class PartQuarantine:
     """The parts with evidence against them. Times are in seconds of ``clocks.boot_time``."""
 
-    __slots__ = ("answered", "changed", "own_id", "parts", "restricted")
+    __slots__ = ("answered", "changed", "decided", "own_id", "parts", "restricted")
 
     def __init__(self, own_id: str) -> None:
         self.own_id = own_id
@@ -172,6 +172,8 @@
         self.answered: collections.OrderedDict[str, None] = collections.OrderedDict()
         # Keys of parts with changes that the peers have not been sent.
         self.changed: set[str] = set()
+        # Keys of parts whose quarantine this gateway began or ended, until that is stored.
+        self.decided: set[str] = set()
 
     def verdict(
         self, keys: collections.abc.Sequence[str], gateways: list[str], now: float
@@ -262,6 +264,8 @@
             if part is not None and (part.open_crashes or part.was_quarantined):
                 for crash in part.crashes.values():
                     crash.cleared = True
+                if part.was_quarantined:
+                    self.decided.add(key)
                 part.cleared_quarantines = part.quarantines
                 self.changed.add(key)
                 self.update(part, now)
@@ -357,6 +361,7 @@
         part.quarantines += 1
         seconds = min(MAX_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2.0 ** min(further, 16))
         part.quarantined_until = now + seconds
+        self.decided.add(part.key)
         LOGGER.log(
             events.Event.PART_QUARANTINED,
             part=part.key,
@@ -428,6 +433,19 @@
             test_endpoint_id=part.own_test.endpoint_id if part.own_test else "",
         )
 
+    def restore(self, key: str, quarantines: int, seconds: float, now: float) -> None:
+        """Restore a quarantine that was stored, with ``seconds`` left, or ended for so long."""
+        report = part_reports.PartReport(
+            key=key,
+            crashes=[],
+            quarantines=quarantines,
+            cleared_quarantines=0,
+            quarantine_seconds=min(seconds, MAX_QUARANTINE_SECONDS),
+            test_seconds=0.0,
+            test_endpoint_id="",
+        )
+        self.merge(report, "store", now)
+
     def merge(self, report: part_reports.PartReport, sender: str, now: float) -> None:
         """Add a peer's evidence on a part.
 
--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from masticward.gateway import fleet as fleet_module
+from masticward.gateway import quarantine_keeper
+from masticward.utils import clocks
 from tests.functional import test_gateway
 from tests.lib import platform_standins
 
@@ -60,3 +63,20 @@
             await self.call_with_parts(f"doc:5,own{number}:5")
         await asyncio.sleep(0.1)
         self.assertEqual({}, dict(self.fleet.quarantine.parts))
+
+    async def test_a_quarantine_outlives_all_gateways(self) -> None:
+        """Guards against crashes that begin anew after all gateways have stopped at once."""
+        await self.add_endpoint("e1")
+        await self.start()
+        quarantine = self.fleet.quarantine
+        quarantine.quarantine(quarantine.get("deadly"), clocks.boot_time())
+        await self.wait_until(lambda: not quarantine.decided)
+        restarted = fleet_module.FleetState(self.program.settings)
+        keeper = quarantine_keeper.QuarantineKeeper(self.program.source, restarted)
+        await keeper.load()
+        self.assertTrue(
+            restarted.quarantine.restricted["deadly"].is_quarantined(clocks.boot_time())
+        )
+        quarantine.record_answer(["deadly"], clocks.boot_time())
+        await self.wait_until(lambda: not quarantine.decided)
+        self.assertFalse([key for key in self.store.objects if "quarantines" in key[0]])
--- a/tests/lib/gateway_builders.py
+++ b/tests/lib/gateway_builders.py
@@ -162,3 +162,9 @@
 
     async def register(self, member: sources.Member) -> None:
         raise NotImplementedError
+
+    async def save_quarantine(self, quarantine: sources.StoredQuarantine) -> None:
+        raise NotImplementedError
+
+    async def delete_quarantine(self, key: str) -> None:
+        raise NotImplementedError
--- a/tests/lib/platform_standins.py
+++ b/tests/lib/platform_standins.py
@@ -331,6 +331,9 @@
             document = json.loads(request.body)
             self.put(kind, document["metadata"]["name"], document["spec"])
             return 200, document
+        if request.method == "DELETE":
+            self.remove(kind, parts.path.split("/")[3])
+            return 200, {}
         if "watch" in query and kind in self.hanging_watches:
             await asyncio.sleep(60.0)
         if "watch" in query:
