Resume a stream only with events of a 200 response

Callers saw: the body of another kind of success in the middle of their stream. After a stream had broken off, the next endpoint's 200 with another content type (for example {} as JSON), a 204 or a 206 was joined to it, and the stream ended as complete.

Cause: relay() took each signed 2xx to a resumption for its next events.

Change: a resumption must be a 200 without another content type than text/event-stream, or the attempt counts as broken off; a further one follows where the route allows, else the client's stream is cut. An empty body with a length or chunks still completes a stream whose last event had been sent.

The tests clear the retry budget before each case; without that, later cases made no resumption at all.

Tests over real sockets: 4 subtests of test_a_success_that_does_not_continue_ the_stream_is_not_passed_on failed with the sources of the commit before; all pass now, as do the 90 of test_an_error_to_a_resumption_does_not_reach_the_ stream, before and after.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -331,6 +331,10 @@
         succeeded = 200 <= response.status < 300
         if response_metadata.encoded or (succeeded and not response_metadata.signed):
             raise errors.EndpointBrokenError("response was not produced by the endpoint")
+        if self.progress.response_started and not (
+            response.status == 200 and event_stream.is_event_stream(response.headers)
+        ):
+            raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
         if succeeded and self.route.kind is gateway.RequestKind.STREAM:
             await self.relay_stream(call, reservation, sent_at)
             self.record_success(call, sent_at)
@@ -338,12 +342,10 @@
         body = await self.wait_with_timeout(call.exchange.read_body(), READ_TIMEOUT_SECONDS)
         if response.status >= 500:
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
-            if self.may_retry() and not self.progress.response_started:
+            if self.may_retry():
                 self.waiting_request.excluded_endpoint_ids.add(call.endpoint.id)
                 self.record_failed_attempt(call.endpoint, "failed", f"status {response.status}")
                 return False
-        if self.progress.response_started:
-            raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
         if response.status in NOT_RUN_STATUSES and not self.route.retryable:
             raise RefusalError(502, f"status {response.status}, but the request may have run")
         headers = self.dependencies.codec.response_headers(response.headers)
--- a/tests/functional/test_faulty_responses.py
+++ b/tests/functional/test_faulty_responses.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import itertools
+import typing
 
 from tests.functional import test_gateway
 from tests.lib import platform_standins
 
 ROUTES = ("book", "status", "stream", "resume")
+NOT_RUN = "X-Masticward-Not-Executed: 1\r\n"
 EVENT = b"id: 1\ndata: a\n\n"
 
 
@@ -21,6 +23,11 @@
         patient["max_attempts"] = 3
         await self.start(routes=[*document["routes"], patient])
 
+    async def call(self, route: str, **arguments: typing.Any) -> test_gateway.Response:
+        # Earlier cases of a test must not use up the retries of later ones.
+        self.fleet.budgets.clear()
+        return await super().call(route, **arguments)
+
 
 class RefusalTest(FaultyResponseCase):
     """Guards against "not run" for a request that an endpoint ran, and against a second run."""
@@ -61,6 +68,82 @@
                 self.assertEqual(1, self.attempts() - before)
 
 
+class ResumptionTest(FaultyResponseCase):
+    """Guards against anything but the next events in a stream that is resumed."""
+
+    async def stream(self, route: str) -> test_gateway.Response:
+        response = await self.call(route)
+        self.assertEqual(200, response.status)
+        self.assertTrue(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n".startswith(response.body))
+        return response
+
+    async def test_an_error_to_a_resumption_does_not_reach_the_stream(self) -> None:
+        first = platform_standins.ScriptedResponse(EVENT, b"id: 2\nda", end="closed")
+        error = platform_standins.ScriptedResponse(b'{"error": "boom"}')
+        await self.start_with(platform_standins.ResumedStream(first, error), 4)
+        for error.status, error.fields, error.framing, route in itertools.product(
+            (404, 421, 429, 500, 503),
+            ("", NOT_RUN, platform_standins.PROOF),
+            ("chunked", "length", "none"),
+            ("resume", "patient"),
+        ):
+            with self.subTest(error.status, fields=error.fields, framing=error.framing):
+                before = self.attempts()
+                self.assertFalse((await self.stream(route)).complete)
+                self.assertGreaterEqual(self.attempts() - before, 2)
+
+    async def test_after_an_error_to_a_resumption_a_further_attempt_completes_the_stream(
+        self,
+    ) -> None:
+        errors = 0
+
+        async def error_once(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            nonlocal errors
+            errors += 1
+            script = platform_standins.ScriptedResponse(b"id: 2\ndata: b\n\n")
+            if errors == 1:
+                script.status, script.parts = 500, (b"boom",)
+            return await script(request, writer)
+
+        first = platform_standins.ScriptedResponse(EVENT, end="closed")
+        await self.start_with(platform_standins.ResumedStream(first, error_once), 3)
+        response = await self.stream("patient")
+        self.assertTrue(response.complete)
+        self.assertEqual(EVENT + b"id: 2\ndata: b\n\n", response.body)
+        self.assertEqual(3, self.attempts())
+
+    async def test_a_success_that_does_not_continue_the_stream_is_not_passed_on(self) -> None:
+        first = platform_standins.ScriptedResponse(EVENT, b"id: 2\nda", end="closed")
+        resumed = platform_standins.ScriptedResponse()
+        await self.start_with(platform_standins.ResumedStream(first, resumed))
+        proof = platform_standins.PROOF
+        following = b"id: 2\ndata: b\n\n"
+        for name, parts, fields, framing, status in (
+            ("content type", (b"{}",), proof + "Content-Type: text/json\r\n", "length", 200),
+            ("content type", (following,), proof + "Content-Type: text/json\r\n", "none", 200),
+            ("without an end", (), proof, "none", 200),
+            ("no content", (), proof, "none", 204),
+            ("other status", (following,), proof, "chunked", 206),
+            ("not signed", (following,), "", "chunked", 200),
+        ):
+            with self.subTest(name, parts=parts):
+                resumed.parts, resumed.fields, resumed.framing = parts, fields, framing
+                resumed.status = status
+                response = await self.stream("resume")
+                self.assertEqual((EVENT, False), (response.body, response.complete))
+
+    async def test_an_empty_resumption_with_an_end_completes_the_stream(self) -> None:
+        # The first endpoint broke off after its last event.
+        first = platform_standins.ScriptedResponse(EVENT, end="closed")
+        resumed = platform_standins.ScriptedResponse()
+        await self.start_with(platform_standins.ResumedStream(first, resumed))
+        for resumed.framing in ("chunked", "length"):
+            response = await self.stream("resume")
+            self.assertEqual((EVENT, True), (response.body, response.complete))
+
+
 class IncompleteResponseTest(FaultyResponseCase):
     """Guards against a success made of a part of a response."""
 
