Do not pass on events again that a resumed stream repeats

Callers saw: events twice in a stream that ended as complete, when it had been resumed at an endpoint that ignored the last event's ID.

Cause: the IDs of a resumed stream's events were stored but not compared.

Change: an event of a resumable stream whose ID does not come after the last one sent (numeric IDs increase, others differ) breaks the attempt off before it is passed on. A gap cannot be told from IDs alone: they only increase, and one event may hold several tokens.

Tests over real sockets: the 3 new subtests (repeated, repeated in two reads, from the start) failed with the sources of the commit before; all pass now.

--- a/src/masticward/gateway/event_stream.py
+++ b/src/masticward/gateway/event_stream.py
@@ -13,6 +13,13 @@
     return all(value.strip().lower().startswith(b"text/event-stream") for value in content_types)
 
 
+def follows(event_id: str, previous_id: str) -> bool:
+    """Return whether an event may come after another one; numeric IDs increase."""
+    if event_id.isdecimal() and previous_id.isdecimal():
+        return int(event_id) > int(previous_id)
+    return event_id != previous_id
+
+
 class EventBuffer:
     """The bytes after the last complete event of a stream, as ``incomplete``."""
 
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -399,7 +399,7 @@
                 data = complete_events
                 if len(buffer.incomplete) > MAX_EVENT_BYTES:
                     raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-                self.record_event_id(data)
+                self.record_event_ids(data)
             else:
                 buffer.keep_last(KEPT_EVENT_BYTES)
             await self.write_to_client(call, data)
@@ -429,11 +429,22 @@
             headers = self.dependencies.codec.response_headers(call.response.headers)
             await self.responder.start(call.response.status, headers)
 
-    def record_event_id(self, data: bytes) -> None:
-        """Store the ID of the last event in data that is sent to the client."""
-        event_ids = EVENT_ID.findall(data)
-        if event_ids:
-            self.progress.last_event_id = event_ids[-1].decode("latin-1")
+    def record_event_ids(self, data: bytes) -> None:
+        """Store the ID of the last event in data that is sent to the client.
+
+        Raise EndpointBrokenError if a resumed stream does not go on after the last event.
+        """
+        event_ids = [item.decode("latin-1") for item in EVENT_ID.findall(data)]
+        if not event_ids:
+            return
+        previous_id = self.progress.last_event_id
+        if (
+            self.progress.response_started
+            and previous_id is not None
+            and not event_stream.follows(event_ids[0], previous_id)
+        ):
+            raise errors.EndpointBrokenError(f"event {event_ids[0]} follows {previous_id}")
+        self.progress.last_event_id = event_ids[-1]
 
 
 class LoadReservation:
--- a/tests/functional/test_faulty_responses.py
+++ b/tests/functional/test_faulty_responses.py
@@ -126,6 +126,9 @@
             ("without an end", (), proof, "none", 200),
             ("no content", (), proof, "none", 204),
             ("other status", (following,), proof, "chunked", 206),
+            ("repeated", (EVENT, following), proof, "chunked", 200),
+            ("repeated, split", (b"id: ", b"1\ndata: a\n\n", following), proof, "chunked", 200),
+            ("from the start", (b"id: 0\ndata: x\n\n" + EVENT,), proof, "chunked", 200),
             ("not signed", (following,), "", "chunked", 200),
         ):
             with self.subTest(name, parts=parts):
