Do not start a stream again whose events had no IDs

Callers saw: the events sent so far once more in the same stream, when a resumable stream broke off whose events had no IDs.

Cause: the retry had no event to go on after and asked for the whole stream.

Change: after the first data was sent, a further run needs the ID of an event; without one, the client's stream is cut.

Test over real sockets: test_a_stream_without_event_ids_is_not_started_again failed with the sources of the commit before and passes now.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -211,7 +211,9 @@
         LOGGER.log(events.Event.STREAM_CUT, request_id=self.metadata.request_id, reason=reason)
 
     def may_retry(self) -> bool:
-        """Return whether the route allows another run."""
+        """Return whether the route allows another run, and events sent so far one that goes on."""
+        if self.progress.response_started and self.progress.last_event_id is None:
+            return False
         return self.route.retryable and self.progress.runs < self.route.max_attempts
 
     def record_failed_attempt(self, endpoint: gateway.Endpoint, outcome: str, detail: str) -> None:
--- a/tests/functional/test_faulty_responses.py
+++ b/tests/functional/test_faulty_responses.py
@@ -137,6 +137,13 @@
                 response = await self.stream("resume")
                 self.assertEqual((EVENT, False), (response.body, response.complete))
 
+    async def test_a_stream_without_event_ids_is_not_started_again(self) -> None:
+        first = platform_standins.ScriptedResponse(b"data: a\n\n", b"data: b", end="closed")
+        await self.start_with(first)
+        response = await self.call("resume")
+        self.assertEqual((b"data: a\n\n", False), (response.body, response.complete))
+        self.assertEqual(1, self.attempts())
+
     async def test_an_empty_resumption_with_an_end_completes_the_stream(self) -> None:
         # The first endpoint broke off after its last event.
         first = platform_standins.ScriptedResponse(EVENT, end="closed")
