Do not use a connection to an engine on which bytes came while idle

Callers of the project's own interface saw: the late copy of an earlier response in place of theirs, for idempotent calls (others have a connection of their own). With a copy of a refusal, the call counted as "not run".

Cause: aiohttp keeps the bytes that arrive on an idle connection and reads them as the next response.

Change: such a connection is closed and another one is taken.

What remains: a copy that arrives after the next call was sent cannot be told from its response, because the endpoint's responses carry no ID. Calls that must not be repeated are not affected.

--- a/src/masticward/transport/endpoint.py
+++ b/src/masticward/transport/endpoint.py
@@ -125,6 +125,10 @@
     ) -> typing.Any:
         """Return an open connection, closed again if the call may not be sent."""
         connection = await super().connect(req, traces, timeout)
+        while connection.protocol is not None and connection.protocol.should_close:
+            # Bytes came while it was idle; they would be read as the response to this call.
+            connection.close()
+            connection = await super().connect(req, traces, timeout)
         sending = current_sending.get()
         try:
             if sending is not None:
--- a/tests/functional/test_endpoint_calls.py
+++ b/tests/functional/test_endpoint_calls.py
@@ -1,5 +1,6 @@
 """Guards against calls that arrive twice at an endpoint and cut responses taken as whole."""
 
+import asyncio
 import unittest
 
 import msgspec
@@ -110,6 +111,19 @@
                 with self.subTest(path=path), self.assertRaises(errors.EndpointBrokenError):
                     await self.collect(endpoint, self.request("POST", path))
 
+    async def test_late_copy_on_an_idle_connection_is_not_the_next_response(self) -> None:
+        # An endpoint writes an earlier refusal once more; the next call would be "not run".
+        await self.open({})
+        copy = b"HTTP/1.1 503 X\r\nMasticward-Endpoint: not-run\r\nContent-Length: 0\r\n\r\n"
+        self.server.idle_bytes = copy
+        for endpoint in (self.plain, self.engine):
+            for _ in range(2):
+                request = self.request("GET", "/v1/ok", idempotent=True)
+                head = (await self.collect(endpoint, request))[0]
+                self.assertEqual(200, head.status)
+                await asyncio.sleep(0.1)
+        self.assertEqual(4, len(self.server.arrivals))
+
     async def test_response_is_passed_on_byte_exact(self) -> None:
         packed = bytes(range(256))
         # A redirect must not be followed, cookies of a team must not reach another one.
--- a/tests/lib/raw_server.py
+++ b/tests/lib/raw_server.py
@@ -19,6 +19,8 @@
         self.arrivals: list[tuple[str, str]] = []
         self.head = b""
         self.connections = 0
+        # Sent while the connection is idle after a response.
+        self.idle_bytes = b""
         self.server: typing.Any = None
 
     async def start(self) -> str:
@@ -47,4 +49,6 @@
         answer = OK_ANSWER if method != "HEAD" else OK_ANSWER[:-2]
         writer.write(answer if fault is None else fault)
         await writer.drain()
+        if self.idle_bytes:
+            asyncio.get_running_loop().call_later(0.02, writer.write, self.idle_bytes)
         return fault is None
