--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -302,7 +302,9 @@
         LOGGER.log(events.Event.STREAM_CUT, request_id=self.metadata.request_id, reason=reason)
 
     def may_retry(self) -> bool:
-        """Return whether the route allows another run."""
+        """Return whether the route allows another run, and events sent so far one that goes on."""
+        if self.progress.response_started and self.progress.last_event_id is None:
+            return False
         return self.route.retryable and self.progress.runs < self.route.max_attempts
 
     def record_failed_attempt(self, endpoint: gateway.Endpoint, outcome: str, detail: str) -> None:
@@ -438,6 +440,10 @@
         succeeded = 200 <= response.status < 300
         if response_metadata.encoded or (succeeded and not response_metadata.signed):
             raise errors.EndpointBrokenError("response was not produced by the endpoint")
+        if self.progress.response_started and not (
+            response.status == 200 and event_stream.is_event_stream(response.headers)
+        ):
+            raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
         if succeeded and self.route.kind is gateway.RequestKind.STREAM:
             await self.relay_stream(call, reservation, sent_at)
             self.record_success(call, sent_at)
@@ -445,11 +451,9 @@
         body = await self.read_body(call)
         if response.status >= 500:
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
-            if self.may_retry() and not self.progress.response_started:
+            if self.may_retry():
                 self.record_failed_attempt(call.endpoint, "failed", f"status {response.status}")
                 return False
-        if self.progress.response_started:
-            raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
         if response.status in NOT_RUN_STATUSES and not self.route.retryable:
             raise RefusalError(502, f"status {response.status}, but the request may have run")
         if succeeded:
@@ -524,7 +528,7 @@
                 data = complete_events
                 if len(buffer.incomplete) > MAX_EVENT_BYTES:
                     raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-                self.record_event_id(data)
+                self.record_event_ids(data)
             else:
                 buffer.keep_last(KEPT_EVENT_BYTES)
             await self.write_to_client(call, data)
@@ -554,11 +558,22 @@
             headers = self.dependencies.codec.response_headers(call.response.headers)
             await self.responder.start(call.response.status, headers)
 
-    def record_event_id(self, data: bytes) -> None:
-        """Store the ID of the last event in data that is sent to the client."""
-        event_ids = EVENT_ID.findall(data)
-        if event_ids:
-            self.progress.last_event_id = event_ids[-1].decode("latin-1")
+    def record_event_ids(self, data: bytes) -> None:
+        """Store the ID of the last event in data that is sent to the client.
+
+        Raise EndpointBrokenError if a resumed stream does not go on after the last event.
+        """
+        event_ids = [item.decode("latin-1") for item in EVENT_ID.findall(data)]
+        if not event_ids:
+            return
+        previous_id = self.progress.last_event_id
+        if (
+            self.progress.response_started
+            and previous_id is not None
+            and not event_stream.follows(event_ids[0], previous_id)
+        ):
+            raise errors.EndpointBrokenError(f"event {event_ids[0]} follows {previous_id}")
+        self.progress.last_event_id = event_ids[-1]
 
 
 class LoadReservation:
