--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -95,6 +95,7 @@
         dependencies = request_path.RequestDependencies(
             self.fleet, codec, self.placer, self.endpoint_client, self.gateway_metrics
         )
+        self.crash_detector = dependencies.crash_detector
         self.front = front.ClientRequestHandler(dependencies, self.peering.available_peers)
         self.client_server = http1_server.Server(
             addresses.split(settings.client_address), self.front
@@ -308,6 +309,7 @@
             )
             self.fleet.drop_expired_endpoints()
             self.fleet.quarantine.expire(now)
+            self.crash_detector.expire()
             self.endpoint_client.pool.expire(set(self.fleet.table.endpoints))
 
     async def run_lag_probe(self) -> None:
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -135,7 +135,10 @@
         """
         excluded_ids = request.excluded_endpoint_ids
         if is_test:
-            excluded_ids = excluded_ids | self.fleet.quarantine.tested_endpoints(self.now)
+            tested = self.fleet.quarantine.tested_endpoints(self.now)
+            excluded_ids = excluded_ids | {
+                item.id for item in self.candidates if item.incarnation in tested
+            }
         if self.engine is None:
             candidates = self.candidates
             if excluded_ids:
@@ -295,7 +298,10 @@
                 self.reserve(request, choice, now)
                 if is_test:
                     quarantine.start_test(
-                        request.part_keys, choice.endpoint.id, request.metadata.request_id, now
+                        request.part_keys,
+                        choice.endpoint.incarnation,
+                        request.metadata.request_id,
+                        now,
                     )
                 queue.remove(request)
                 request.future.set_result(choice)
@@ -333,10 +339,11 @@
         Return False if the request may be sent now.
         """
         reason = ""
-        retry_after_seconds = MAX_RETRY_AFTER_SECONDS
+        jitter = RETRY_AFTER_JITTER_FRACTION * random.random()
+        retry_after_seconds = MAX_RETRY_AFTER_SECONDS * (1.0 + jitter)
         if verdict is part_quarantine.Verdict.REFUSE:
             reason = "a part of the prompt is quarantined"
-            retry_after_seconds = refused_until - now
+            retry_after_seconds = (refused_until - now) * (1.0 + jitter)
         elif verdict is part_quarantine.Verdict.WAIT:
             if now < request.refuse_at:
                 return True
@@ -434,6 +441,7 @@
         if isinstance(placed, placement.Choice):
             memory_tokens = request.metadata.prompt_tokens + request.metadata.output_tokens
             self.fleet.loads.finish_request(placed.endpoint.id, memory_tokens, placed.unread_tokens)
+            self.fleet.quarantine.end_test(request.part_keys, request.metadata.request_id)
 
     def reserve(self, request: WaitingRequest, choice: placement.Choice, now: float) -> None:
         """Add a request to the load of its endpoint before it is sent."""
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -196,7 +196,7 @@
             self.record_failed_attempt(endpoint, "broken", str(error))
             if not self.progress.answer_begun:
                 self.dependencies.crash_detector.record_unanswered(
-                    endpoint, self.waiting_request.part_keys
+                    endpoint, self.metadata.request_id, self.waiting_request.part_keys
                 )
             if self.may_retry():
                 return False
@@ -204,6 +204,12 @@
                 self.record_cut_stream("cut by endpoint", str(error))
                 return True
             raise RefusalError(502, f"endpoint failed: {error}") from error
+        except asyncio.CancelledError:
+            if not self.progress.answer_begun:
+                self.dependencies.crash_detector.record_abandoned(
+                    endpoint, self.metadata.request_id, self.waiting_request.part_keys
+                )
+            raise
         finally:
             self.release(grant.reservation)
 
@@ -223,16 +229,20 @@
             except errors.EndpointNotStartedError as error:
                 self.release(reservation)
                 waiting_request.excluded_endpoint_ids.add(placed.endpoint.id)
+                self.dependencies.crash_detector.record_unreachable(placed.endpoint)
                 self.record_not_started(placed.endpoint, error)
             except BaseException:
                 self.release(reservation)
                 raise
             else:
-                return AttemptGrant(placed, connection, reservation)
+                if connection is not None:
+                    return AttemptGrant(placed, connection, reservation)
+                self.release(reservation)
 
-    async def connect(self, endpoint: gateway.Endpoint) -> calls.Connection:
+    async def connect(self, endpoint: gateway.Endpoint) -> calls.Connection | None:
         """Return a connection for an attempt, which is charged to the retry budget.
 
+        Return None if a part of the prompt has become suspected since the request was placed.
         Raise RefusalError if no attempt may be made.
         """
         # Let the event loop process a disconnect of the client that has already arrived, which
@@ -240,9 +250,11 @@
         await asyncio.sleep(0)
         connection = await self.dependencies.endpoint_client.connect(endpoint)
         now = clocks.boot_time()
-        if not self.fleet.quarantine.may_still_send(self.waiting_request.part_keys, endpoint.id):
-            connection.channel.abort()
-            raise errors.EndpointNotStartedError("a part of the prompt has become suspected")
+        if not self.fleet.quarantine.may_still_send(
+            self.waiting_request.part_keys, self.metadata.request_id
+        ):
+            self.dependencies.endpoint_client.pool.release(endpoint, connection.channel, None)
+            return None
         try:
             if self.team is not None:
                 require_fresh_proof(self.fleet)
@@ -262,9 +274,9 @@
     def release(self, reservation: "LoadReservation") -> None:
         """Release the load of an attempt, and end its test of suspected parts if it is one."""
         reservation.release()
-        endpoint_id = reservation.endpoint_id
-        if not self.dependencies.crash_detector.is_checking(endpoint_id):
-            self.fleet.quarantine.end_test(self.waiting_request.part_keys, endpoint_id)
+        request_id = self.metadata.request_id
+        if not self.dependencies.crash_detector.is_checking(reservation.endpoint_id, request_id):
+            self.fleet.quarantine.end_test(self.waiting_request.part_keys, request_id)
 
     def log_no_endpoint(self, refusal: placer.PlacementRefusal) -> None:
         """Log that the request got no endpoint."""
@@ -423,6 +435,9 @@
             self.replacement = await self.acquire(waiting_request)
         except RefusalError:
             return
+        except Exception as error:
+            LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
+            return
         silence.reschedule(asyncio.get_running_loop().time())
 
     def discard_replacement(self) -> None:
--- a/src/masticward/models/gateway.py
+++ b/src/masticward/models/gateway.py
@@ -95,6 +95,11 @@
     draining: bool = False
     cold_until: float = 0.0
 
+    @property
+    def incarnation(self) -> str:
+        """ID of one life of the endpoint; it may start again under the ID that it had."""
+        return f"{self.id}@{self.born}" if self.born else self.id
+
     def to_relative(self, now: float) -> "Endpoint":
         """Return a copy for another process: ``cold_until`` holds the remaining seconds."""
         return msgspec.structs.replace(self, cold_until=max(0.0, self.cold_until - now))
--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -43,13 +43,16 @@
 FAILED_TESTS_OF_ANSWERED_PART = 2
 # A part that was never answered is quarantined after this many crashes in tests beside others.
 MAX_AMBIGUOUS_TESTS = 3
-MAX_PARTS = 256
+MAX_PARTS = 1024
 MAX_CRASHES_PER_PART = 8
 MAX_ANSWERED_PARTS = 4096
 # Parts in one message to the peers.
 MAX_REPORTED_PARTS = 40
-# Clients choose the IDs; longer ones are replaced by a hash.
+# Clients choose the IDs of parts; longer ones are replaced by a hash.
 MAX_ID_LENGTH = 32
+# Peers' reports with longer endpoint IDs or larger counts are faulty.
+MAX_ENDPOINT_ID_LENGTH = 200
+MAX_QUARANTINES = 1000
 LOGGER = logs.get_logger(__name__)
 
 
@@ -86,11 +89,11 @@
 class OwnTest:
     """A test of a part by this gateway; ``decide_at`` is set once the endpoint has crashed."""
 
-    __slots__ = ("decide_at", "endpoint_id", "ends_at", "keys")
+    __slots__ = ("decide_at", "endpoint_id", "ends_at", "request_id")
 
-    def __init__(self, endpoint_id: str, keys: list[str], ends_at: float) -> None:
+    def __init__(self, endpoint_id: str, request_id: str, ends_at: float) -> None:
         self.endpoint_id = endpoint_id
-        self.keys = keys
+        self.request_id = request_id
         self.ends_at = ends_at
         self.decide_at: float | None = None
 
@@ -106,6 +109,8 @@
         "peer_tests",
         "quarantined_until",
         "quarantines",
+        "rank",
+        "ranked_gateways",
         "restricted",
         "testable_since",
     )
@@ -120,6 +125,9 @@
         # Whether requests with the part may not be sent freely, and since when it may be tested.
         self.restricted = False
         self.testable_since = 0.0
+        # This gateway's place in the order of tests, among the gateways of that list.
+        self.rank = 0
+        self.ranked_gateways: list[str] | None = None
         self.own_test: OwnTest | None = None
         # By gateway: the endpoint of its test, and until when the test may last.
         self.peer_tests: dict[str, tuple[str, float]] = {}
@@ -180,7 +188,7 @@
     ) -> tuple[Verdict, float]:
         """Return whether a request with these parts may be sent, and until when it is refused.
 
-        ``gateways`` has the IDs of all live gateways.
+        ``gateways`` has the IDs of all live gateways; a change needs another list.
         """
         parts = [self.restricted[key] for key in keys if key in self.restricted]
         if not parts:
@@ -191,20 +199,25 @@
         if any(part.is_tested(now) for part in parts):
             return Verdict.WAIT, 0.0
         testable_at = max(max(part.testable_since, part.quarantined_until) for part in parts)
-        testable_at += TEST_DELAY_SECONDS + self.rank_delay(min(p.key for p in parts), gateways)
+        testable_at += TEST_DELAY_SECONDS
         # If the test crashes the endpoint, parts that were never answered are blamed before others.
         to_blame = sum(part.key not in self.answered for part in parts) or len(parts)
         ambiguous_tests = max(part.count_outcomes(TestOutcome.AMBIGUOUS) for part in parts)
         testable_at += (
             TEST_FURTHER_PART_DELAY_SECONDS * (to_blame - 1) * math.pow(2.0, ambiguous_tests)
         )
+        if now >= testable_at:
+            testable_at += self.rank_delay(min(part.key for part in parts), gateways)
         return (Verdict.TEST if now >= testable_at else Verdict.WAIT), 0.0
 
     def rank_delay(self, key: str, gateways: list[str]) -> float:
         """Return how much later than the first gateway this one may test a part, in seconds."""
-        own_hash = identifiers.stable_hash(key, self.own_id)
-        rank = sum(identifiers.stable_hash(key, item) < own_hash for item in gateways)
-        return TEST_RANK_DELAY_SECONDS * math.log2(rank + 1)
+        part = self.restricted[key]
+        if part.ranked_gateways is not gateways:
+            own_hash = identifiers.stable_hash(key, self.own_id)
+            part.rank = sum(identifiers.stable_hash(key, item) < own_hash for item in gateways)
+            part.ranked_gateways = gateways
+        return TEST_RANK_DELAY_SECONDS * math.log2(part.rank + 1)
 
     def tested_endpoints(self, now: float) -> set[str]:
         """Return the endpoints at which a gateway tests a part."""
@@ -215,12 +228,12 @@
             endpoint_ids.update(item for item, until in part.peer_tests.values() if until > now)
         return endpoint_ids
 
-    def may_still_send(self, keys: collections.abc.Sequence[str], endpoint_id: str) -> bool:
+    def may_still_send(self, keys: collections.abc.Sequence[str], request_id: str) -> bool:
         """Return whether a placed request may be sent although parts may have become suspected."""
         for key in keys:
             part = self.restricted.get(key)
             if part is not None and (
-                part.own_test is None or part.own_test.endpoint_id != endpoint_id
+                part.own_test is None or part.own_test.request_id != request_id
             ):
                 return False
         return True
@@ -231,13 +244,15 @@
         """Record that a request with suspected parts is sent to an endpoint as their test."""
         tested = [key for key in keys if key in self.restricted]
         for key in tested:
-            self.restricted[key].own_test = OwnTest(endpoint_id, tested, now + TEST_TIMEOUT_SECONDS)
+            self.restricted[key].own_test = OwnTest(
+                endpoint_id, request_id, now + TEST_TIMEOUT_SECONDS
+            )
             self.changed.add(key)
         LOGGER.log(
             events.Event.PART_TESTED, parts=tested, endpoint=endpoint_id, request_id=request_id
         )
 
-    def end_test(self, keys: collections.abc.Iterable[str], endpoint_id: str) -> None:
+    def end_test(self, keys: collections.abc.Iterable[str], request_id: str) -> None:
         """End a test whose request ended without an answer and without a crash."""
         for key in keys:
             part = self.restricted.get(key)
@@ -245,7 +260,7 @@
             if (
                 part is not None
                 and test is not None
-                and test.endpoint_id == endpoint_id
+                and test.request_id == request_id
                 and test.decide_at is None
             ):
                 self.finish_test(part)
@@ -358,7 +373,7 @@
     def quarantine(self, part: Part, now: float) -> None:
         """Refuse requests with a part for a time that doubles with each further quarantine."""
         further = part.quarantines - part.cleared_quarantines
-        part.quarantines += 1
+        part.quarantines = min(part.quarantines + 1, MAX_QUARANTINES)
         seconds = min(MAX_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2.0 ** min(further, 16))
         part.quarantined_until = now + seconds
         self.decided.add(part.key)
@@ -389,14 +404,19 @@
                 self.changed.discard(part.key)
 
     def evict(self) -> None:
-        """Drop the oldest evidence beyond the limit, that on suspected parts last."""
-        while len(self.parts) > MAX_PARTS:
-            key = next((key for key, part in self.parts.items() if not part.restricted), None)
-            if key is None:
-                key = next(iter(self.parts))
-                del self.restricted[key]
-            del self.parts[key]
-            self.changed.discard(key)
+        """Drop parts beyond the limit: quarantined ones last, then suspected ones, then by age."""
+        excess = len(self.parts) - MAX_PARTS
+        if excess <= 0:
+            return
+        # Sorting keeps the order of age within each group.
+        by_importance = sorted(
+            self.parts.values(),
+            key=lambda part: (part.was_quarantined, part.restricted, bool(part.open_crashes)),
+        )
+        for part in by_importance[:excess]:
+            self.restricted.pop(part.key, None)
+            self.changed.discard(part.key)
+            del self.parts[part.key]
 
     def build_reports(self, now: float) -> list[part_reports.PartReport]:
         """Return reports on the parts that matter most, for a complete message to the peers."""
@@ -440,7 +460,7 @@
             crashes=[],
             quarantines=quarantines,
             cleared_quarantines=0,
-            quarantine_seconds=min(seconds, MAX_QUARANTINE_SECONDS),
+            quarantine_seconds=seconds,
             test_seconds=0.0,
             test_endpoint_id="",
         )
@@ -451,7 +471,14 @@
 
         The result does not depend on the order of messages or on how often one arrives.
         """
-        recent = [item for item in report.crashes if item.age_seconds < CRASH_MEMORY_SECONDS]
+        if len(report.key) > MAX_ID_LENGTH or not math.isfinite(report.quarantine_seconds):
+            return
+        recent = [
+            item
+            for item in report.crashes[:MAX_CRASHES_PER_PART]
+            if item.age_seconds < CRASH_MEMORY_SECONDS
+            and len(item.endpoint_id) <= MAX_ENDPOINT_ID_LENGTH
+        ]
         remembered = report.quarantine_seconds > -QUARANTINE_MEMORY_SECONDS
         if report.key not in self.parts and not recent and not (report.quarantines and remembered):
             return
@@ -459,10 +486,12 @@
         for item in recent:
             self.merge_crash(part, item, now)
         quarantined = part.is_quarantined(now)
-        if report.quarantines > part.quarantines:
-            part.quarantines = report.quarantines
-            part.quarantined_until = now + report.quarantine_seconds
-        part.cleared_quarantines = max(part.cleared_quarantines, report.cleared_quarantines)
+        quarantines = min(report.quarantines, MAX_QUARANTINES)
+        if quarantines > part.quarantines:
+            part.quarantines = quarantines
+            part.quarantined_until = now + min(report.quarantine_seconds, MAX_QUARANTINE_SECONDS)
+        cleared = min(report.cleared_quarantines, MAX_QUARANTINES)
+        part.cleared_quarantines = max(part.cleared_quarantines, cleared)
         if report.test_seconds > 0.0:
             ends_at = now + min(report.test_seconds, TEST_TIMEOUT_SECONDS)
             part.peer_tests[sender] = report.test_endpoint_id, ends_at
@@ -472,7 +501,7 @@
             LOGGER.log(
                 events.Event.PART_QUARANTINED,
                 part=part.key,
-                seconds=report.quarantine_seconds,
+                seconds=round(part.quarantined_until - now, 3),
                 endpoints=sorted(part.crashes),
                 source=sender,
             )
--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -1,6 +1,7 @@
 """A gateway before endpoints that one part of a prompt crashes, over real sockets."""
 
 import asyncio
+import typing
 
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import quarantine_keeper
@@ -61,9 +62,45 @@
         await self.start()
         for number in range(6):
             await self.call_with_parts(f"doc:5,own{number}:5")
-        await asyncio.sleep(0.1)
+        await self.wait_until(lambda: not self.program.crash_detector.checked)
+        # Each check opens a connection besides that of the request.
+        self.assertIn("e1", self.program.endpoint_client.pool.idle)
         self.assertEqual({}, dict(self.fleet.quarantine.parts))
 
+    async def test_a_crash_after_the_client_has_left_is_evidence(self) -> None:
+        """Guards against crashes that no request sees, because its client has left."""
+        crashes: list[asyncio.Task[None]] = []
+        for name in ("e1", "e2", "e3", "e4", "e5", "e6"):
+            endpoint = await self.add_endpoint(name)
+
+            async def crash(crashing: platform_standins.EndpointStandin = endpoint) -> None:
+                await asyncio.sleep(0.1)
+                await crashing.stop()
+
+            async def respond(
+                request: platform_standins.ReceivedRequest,
+                writer: asyncio.StreamWriter,
+                crash: typing.Callable[[], typing.Coroutine[None, None, None]] = crash,
+            ) -> bool:
+                if "deadly" not in request.headers["x-masticward-prefix-hash"]:
+                    writer.write(platform_standins.complete_response(request, EVENTS))
+                    return False
+                crashes.append(asyncio.create_task(crash()))
+                return await platform_standins.never_respond(request, writer)
+
+            endpoint.behaviour = respond
+        await self.start()
+        for number in range(8):
+            parts = f"X-Masticward-Prefix-Hash: doc:5,deadly:5,own{number}:5\r\n"
+            _, writer = await self.send(self.request("stream", extra=parts))
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.1)
+            sound = await self.call_with_parts(f"doc:5,own-sound{number}:5")
+            self.assertEqual(200, sound.status)
+        self.assertLess(len(crashes), 6)
+        self.assertIn("deadly", self.fleet.quarantine.restricted)
+
     async def test_a_quarantine_outlives_all_gateways(self) -> None:
         """Guards against crashes that begin anew after all gateways have stopped at once."""
         await self.add_endpoint("e1")
--- a/tests/lib/crash_model.py
+++ b/tests/lib/crash_model.py
@@ -108,7 +108,7 @@
         """Send a request to an endpoint."""
         if is_test:
             self.quarantines[request.gateway].start_test(
-                request.keys, endpoint_id, "request", self.now
+                request.keys, endpoint_id, f"q{id(request)}", self.now
             )
         if self.deadly.intersection(request.keys):
             self.deadly_sends.append(self.now)
--- a/tests/unit/test_deadly_parts.py
+++ b/tests/unit/test_deadly_parts.py
@@ -158,6 +158,73 @@
         size = len(gateway_peers.ENCODER.encode(reports))
         self.assertLess(size, gateway_peers.MAXIMUM_DATAGRAM_BYTES / 2)
 
+    def test_a_placed_request_is_not_sent_once_a_part_is_suspected(self) -> None:
+        """Guards against requests that were placed shortly before, and against second tests."""
+        quarantine = part_quarantine.PartQuarantine("g1")
+        self.assertTrue(quarantine.may_still_send(["a"], "q1"))
+        for endpoint_id in ("e1", "e2"):
+            quarantine.record_crash(endpoint_id, ["a"], 10.0)
+        self.assertFalse(quarantine.may_still_send(["a"], "q1"))
+        quarantine.start_test(["a"], "e3", "q2", 11.0)
+        self.assertFalse(quarantine.may_still_send(["a"], "q1"))
+        self.assertTrue(quarantine.may_still_send(["a"], "q2"))
+        quarantine.end_test(["a"], "q1")
+        self.assertEqual(part_quarantine.Verdict.WAIT, quarantine.verdict(["a"], ["g1"], 12.0)[0])
+        quarantine.end_test(["a"], "q2")
+        self.assertEqual(part_quarantine.Verdict.TEST, quarantine.verdict(["a"], ["g1"], 12.0)[0])
+
+    def test_gateways_test_one_after_the_other(self) -> None:
+        """Guards against one crash for each gateway."""
+        gateways = [f"g{number}" for number in range(16)]
+        quarantines = [part_quarantine.PartQuarantine(item) for item in gateways]
+        for quarantine in quarantines:
+            quarantine.record_crash("e1", ["a"], 10.0)
+            quarantine.record_crash("e2", ["a"], 10.0)
+        counts = [
+            sum(
+                quarantine.verdict(["a"], gateways, now)[0] is part_quarantine.Verdict.TEST
+                for quarantine in quarantines
+            )
+            for now in (10.1, 10.3, 10.8, 13.0)
+        ]
+        self.assertEqual([0, 1, 2, 16], counts)
+        tester = next(
+            item
+            for item in quarantines
+            if item.verdict(["a"], gateways, 10.3)[0] is part_quarantine.Verdict.TEST
+        )
+        tester.start_test(["a"], "e3", "q1", 10.3)
+        report = tester.build_reports(10.3)[0]
+        other = quarantines[0] if quarantines[0] is not tester else quarantines[1]
+        other.merge(report, tester.own_id, 10.3)
+        self.assertEqual(part_quarantine.Verdict.WAIT, other.verdict(["a"], gateways, 13.0)[0])
+
+    def test_a_crash_blames_parts_that_were_never_answered_before_others(self) -> None:
+        """Guards against quarantines of the sound parts of a deadly request."""
+        quarantine = part_quarantine.PartQuarantine("g1")
+        quarantine.record_answer(["doc"], 9.0)
+        for endpoint_id in ("e1", "e2"):
+            quarantine.record_crash(endpoint_id, ["doc", "new"], 10.0)
+        quarantine.start_test(["doc", "new"], "e3", "q1", 11.0)
+        quarantine.record_crash("e3", ["doc", "new"], 11.1)
+        quarantine.advance(12.0)
+        self.assertTrue(quarantine.restricted["new"].is_quarantined(12.0))
+        self.assertFalse(quarantine.restricted["doc"].is_quarantined(12.0))
+
+    def test_faulty_reports_of_peers_restrict_nothing_for_good(self) -> None:
+        """Guards against numbers of a faulty peer that no time or message can hold."""
+        quarantine = part_quarantine.PartQuarantine("g1")
+        for seconds in (float("inf"), float("nan"), 1e300):
+            crash = part_reports.CrashReport("e" * 9000, float("nan"), False, 7)
+            quarantine.merge(
+                part_reports.PartReport("a", [crash] * 50, 2**63, 0, seconds, seconds, "e" * 9000),
+                "g2",
+                10.0,
+            )
+        self.assertLess(quarantine.verdict(["a"], ["g1"], 10.0)[1], 1000.0)
+        size = len(gateway_peers.ENCODER.encode(quarantine.build_reports(10.0)))
+        self.assertLess(size, 1000)
+
     def test_evidence_expires(self) -> None:
         """Guards against crashes of last week that suspect a part today."""
         quarantine = part_quarantine.PartQuarantine("g1")
