--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -284,7 +284,7 @@
                 verdict, refused_until = quarantine.verdict(
                     request.part_keys, self.fleet.live_gateways, now
                 )
-                if self.hold_back(request, verdict, refused_until, now):
+                if self.hold_back(request, verdict, refused_until, len(pool.candidates), now):
                     if request.future.done():
                         queue.remove(request)
                     continue
@@ -332,6 +332,7 @@
         request: WaitingRequest,
         verdict: part_quarantine.Verdict,
         refused_until: float,
+        candidate_count: int,
         now: float,
     ) -> bool:
         """Refuse a request with quarantined parts and hold one with suspected parts.
@@ -356,7 +357,7 @@
                 retry_after_seconds=retry_after_seconds,
                 expected_wait_seconds=0.0,
                 tokens_ahead=0,
-                candidate_count=0,
+                candidate_count=candidate_count,
                 over_share=False,
             )
         )
