Test suspected parts at no endpoint that has crashed

Callers saw: a deadly part found up to 4 s late, and its neighbours held meanwhile.

Change: the endpoints of the suspected parts' crashes get no test; a later life of theirs has another ID or birth.

--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -131,13 +131,13 @@
         """Return the best endpoint for a request, None without a candidate.
 
         ``excess_by_team`` maps teams above their fair share to the multiple of it they received.
-        A test of suspected parts gets no endpoint at which others are tested.
+        A test of suspected parts gets no endpoint that has crashed or at which others are tested.
         """
         excluded_ids = request.excluded_endpoint_ids
         if is_test:
-            tested = self.fleet.quarantine.tested_endpoints(self.now)
+            avoided = self.fleet.quarantine.endpoints_to_avoid(self.now)
             excluded_ids = excluded_ids | {
-                item.id for item in self.candidates if item.incarnation in tested
+                item.id for item in self.candidates if item.incarnation in avoided
             }
         if self.engine is None:
             candidates = self.candidates
--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -219,10 +219,11 @@
             part.ranked_gateways = gateways
         return TEST_RANK_DELAY_SECONDS * math.log2(part.rank + 1)
 
-    def tested_endpoints(self, now: float) -> set[str]:
-        """Return the endpoints at which a gateway tests a part."""
-        endpoint_ids = set()
+    def endpoints_to_avoid(self, now: float) -> set[str]:
+        """Return the endpoints that get no test: those with one, and those that have crashed."""
+        endpoint_ids: set[str] = set()
         for part in self.restricted.values():
+            endpoint_ids.update(part.crashes)
             if part.own_test is not None:
                 endpoint_ids.add(part.own_test.endpoint_id)
             endpoint_ids.update(item for item, until in part.peer_tests.values() if until > now)
--- a/tests/lib/crash_model.py
+++ b/tests/lib/crash_model.py
@@ -92,8 +92,8 @@
             quarantine = self.quarantines[request.gateway]
             verdict, _ = quarantine.verdict(request.keys, self.gateway_ids, self.now)
             is_test = verdict is part_quarantine.Verdict.TEST
-            tested = quarantine.tested_endpoints(self.now) if is_test else set()
-            free = [item for item in self.running if item not in tested]
+            avoided = quarantine.endpoints_to_avoid(self.now) if is_test else set()
+            free = [item for item in self.running if item not in avoided]
             if free and (is_test or verdict is part_quarantine.Verdict.SEND):
                 self.send(request, self.random.choice(free), is_test)
             elif (
--- a/tests/unit/test_deadly_parts.py
+++ b/tests/unit/test_deadly_parts.py
@@ -166,6 +166,7 @@
             quarantine.record_crash(endpoint_id, ["a"], 10.0)
         self.assertFalse(quarantine.may_still_send(["a"], "q1"))
         quarantine.start_test(["a"], "e3", "q2", 11.0)
+        self.assertEqual({"e1", "e2", "e3"}, quarantine.endpoints_to_avoid(11.0))
         self.assertFalse(quarantine.may_still_send(["a"], "q1"))
         self.assertTrue(quarantine.may_still_send(["a"], "q2"))
         quarantine.end_test(["a"], "q1")
