--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -28,6 +28,8 @@
 # The platform kills the process at the end of the grace period; the process exits before that.
 STOP_MARGIN_SECONDS = 0.6
 STOP_POLL_INTERVAL_SECONDS = 0.05
+# Requests that arrive in part are refused this long before the end, for the refusal to be read.
+STOP_READING_SECONDS = 0.4
 TICK_INTERVAL_SECONDS = 0.25
 # Interval of the timer whose lateness decides on the refusal of requests.
 LAG_PROBE_INTERVAL_SECONDS = 0.02
@@ -357,18 +359,24 @@
     async def stop(self) -> None:
         """Leave the load balancer's rotation, finish open requests, then stop.
 
-        Requests still open shortly before the end of the grace period are aborted.
+        Requests that cannot end before the end of the grace period are refused from the start.
+        Those that are still open shortly before it are aborted.
         """
         started = clocks.boot_time()
         abort_at = started + self.settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
         LOGGER.log(events.Event.PROCESS_STOPPING, instance=self.settings.instance_id)
         self.stopping = True
         self.peering.stopping = True
+        self.fleet.ends_at = abort_at
         self.client_server.stopping = True
         await asyncio.sleep(load_shedding.ROTATION_EXIT_SECONDS)
         self.client_server.stop_listening()
         while self.client_server.busy and clocks.boot_time() < abort_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
+            self.client_server.close_unused()
+            reads_end = clocks.boot_time() >= abort_at - STOP_READING_SECONDS
+            if reads_end and not self.client_server.reading_stopped:
+                self.client_server.stop_reading()
         cut = self.client_server.busy
         self.client_server.abort()
         await self.background.cancel()
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -1,6 +1,7 @@
 """State of the fleet in one gateway process: configuration, endpoints, loads and peers."""
 
 import collections.abc
+import math
 
 from masticward import events, logs
 from masticward.gateway import sources
@@ -15,6 +16,7 @@
     placement,
     prompt_cache,
     retry_window,
+    run_times,
     store_readers,
     team_usage,
 )
@@ -22,6 +24,10 @@
 
 # Covers the time from a check here to the start at an endpoint, and timers that fire late.
 REVOKE_MARGIN_SECONDS = 0.5
+# While the process stops, a request is taken to last this multiple of the longest recent one of its
+# route, plus the margin.
+RUN_TIME_FACTOR = 1.5
+RUN_TIME_MARGIN_SECONDS = 0.25
 LOGGER = logs.get_logger(__name__)
 
 
@@ -65,6 +71,9 @@
         self.routes_by_host: dict[str, list[gateway.Route]] = {}
         self.shedder = load_shedding.LoadShedder(self.started_at)
         self.quarantine = part_quarantine.PartQuarantine(settings.instance_id)
+        self.run_times = run_times.RunTimes()
+        # When the process ends and aborts what is not answered; infinite unless it is stopping.
+        self.ends_at = math.inf
 
     def apply_settings(self, settings: gateway.GatewaySettings) -> None:
         """Apply changed settings."""
@@ -185,6 +194,16 @@
             return None
         return configuration.team_of_key.get(api_key)
 
+    def can_finish(self, route: gateway.Route, response_deadline: float, now: float) -> bool:
+        """Return whether a request that is sent now will be answered before the process ends."""
+        if response_deadline <= self.ends_at:
+            return True
+        longest_seconds = self.run_times.longest(route.name, now)
+        if longest_seconds is None:
+            return False
+        needed_seconds = RUN_TIME_FACTOR * longest_seconds + RUN_TIME_MARGIN_SECONDS
+        return now + needed_seconds <= self.ends_at
+
     def budget(self, service: str) -> retry_window.WindowedRetryBudget:
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -13,6 +13,9 @@
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
 ERROR_RETRY_AFTER_SECONDS = 0.5
+# A retry reaches another gateway, so it need not wait; the spread keeps retries apart.
+STOPPING_RETRY_JITTER_SECONDS = 0.2
+MIN_PEERS_FOR_RETRY = 0.5
 SHED_RETRY_JITTER_SECONDS = 0.4
 # A client with little time left should return while its request can still be served.
 SHED_RETRY_DEADLINE_FRACTION = 0.5
@@ -54,6 +57,7 @@
             )
             request_id = metadata.request_id
             route, team = self.authorize(metadata)
+            self.require_time_to_finish(metadata, route)
             self.shed_load(metadata, route)
             proxied = request_path.ProxiedRequest(
                 self.dependencies, metadata, route, team, request.body, responder
@@ -64,8 +68,12 @@
         except request_path.RefusalError as refusal:
             await self.refuse(responder, request_id, refusal)
         except asyncio.CancelledError:
-            self.dependencies.metrics.count_outcome("client left", 0)
-            LOGGER.log(events.Event.CLIENT_LEFT, request_id=request_id)
+            if clocks.boot_time() >= self.fleet.ends_at:
+                self.dependencies.metrics.count_outcome("cut by stop", 0)
+                LOGGER.log(events.Event.REQUEST_CUT_BY_STOP, request_id=request_id)
+            else:
+                self.dependencies.metrics.count_outcome("client left", 0)
+                LOGGER.log(events.Event.CLIENT_LEFT, request_id=request_id)
             raise
         except Exception as error:
             # Without an answer, a client cannot tell whether its request was run.
@@ -78,6 +86,31 @@
                 final = proxied.final_refusal("internal error", ERROR_RETRY_AFTER_SECONDS)
             await self.refuse(responder, request_id, final)
 
+    def require_time_to_finish(
+        self, metadata: gateway.RequestMetadata, route: gateway.Route
+    ) -> None:
+        """Raise RefusalError if the process ends before the request can be answered."""
+        now = clocks.boot_time()
+        deadline = min(metadata.deadline, metadata.arrived_at + route.timeout_seconds)
+        if self.fleet.can_finish(route, deadline, now):
+            return
+        delay = STOPPING_RETRY_JITTER_SECONDS * random.random()
+        if self.available_peers() < MIN_PEERS_FOR_RETRY:
+            delay += self.leave_rotation_seconds(metadata.deadline - now)
+        raise request_path.RefusalError(
+            503, request_path.STOPPING_REASON, delay, closes_connection=True
+        )
+
+    def leave_rotation_seconds(self, remaining_seconds: float) -> float:
+        """Return how long a client waits until gateways that leave get no new connections.
+
+        ``remaining_seconds`` is the time that the client has left.
+        """
+        return min(
+            load_shedding.ROTATION_EXIT_SECONDS,
+            SHED_RETRY_DEADLINE_FRACTION * max(0.0, remaining_seconds),
+        )
+
     def shed_load(self, metadata: gateway.RequestMetadata, route: gateway.Route) -> None:
         """Raise RefusalError if another gateway should serve the request because this one is late.
 
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -25,6 +25,7 @@
 # Shortest remaining time with which an attempt is made.
 MIN_ATTEMPT_SECONDS = 0.02
 STALE_PROOF_RETRY_AFTER_SECONDS = 0.5
+STOPPING_REASON = "the gateway stops before the request can end"
 # Clients take these as "not run" and send the request again.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # A healthy endpoint begins its response within its expected time multiplied by the factor, plus the
@@ -262,6 +263,8 @@
                     raise RefusalError(401, "API key revoked")
             if self.response_deadline - now < MIN_ATTEMPT_SECONDS:
                 raise self.final_refusal("deadline passed", placer.MIN_RETRY_AFTER_SECONDS)
+            if not self.fleet.can_finish(self.route, self.response_deadline, now):
+                raise self.final_refusal(STOPPING_REASON, placer.MIN_RETRY_AFTER_SECONDS)
             if self.progress.sends and not self.fleet.budget(self.service).take(
                 now, self.fleet.known_gateway_count
             ):
@@ -362,6 +365,7 @@
             attempt=self.progress.sends,
             config=self.fleet.configuration.version if self.fleet.configuration else None,
         )
+        run = self.fleet.run_times.start(self.route.name, now)
         try:
             call = await self.wait_with_timeout(
                 self.dependencies.endpoint_client.call(
@@ -375,13 +379,15 @@
                 ),
                 self.response_timeout_seconds(choice),
             )
+            try:
+                return await self.relay(call, reservation, now)
+            finally:
+                call.finish()
         except errors.EndpointNotStartedError:
             self.progress.runs -= 1
             raise
-        try:
-            return await self.relay(call, reservation, now)
         finally:
-            call.finish()
+            self.fleet.run_times.end(run, clocks.boot_time())
 
     def response_timeout_seconds(self, choice: placement.Choice) -> float:
         """Return the time within which a healthy endpoint begins its response."""
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -140,6 +140,8 @@
         self.overloaded = False
         # After a stop: the time until which new connections may send a request.
         self.first_requests_until = 0.0
+        # Whether requests that have arrived in part are refused, because the process ends.
+        self.reading_stopped = False
         self.connections: set[ServerConnection] = set()
         self.listener: http1.Listener | None = None
 
@@ -170,6 +172,20 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def close_unused(self) -> None:
+        """Close the connections that have had no request once the time for it is over."""
+        if clocks.boot_time() < self.first_requests_until:
+            return
+        for connection in list(self.connections):
+            if connection.awaits_first_request and not connection.has_unread_request():
+                connection.close("stopping")
+
+    def stop_reading(self) -> None:
+        """Refuse the requests that have arrived in part; they have not run."""
+        self.reading_stopped = True
+        for connection in list(self.connections):
+            connection.stop_reading()
+
     @property
     def closes_connections(self) -> bool:
         """Whether each answer is the last one on its connection."""
@@ -201,7 +217,16 @@
 class ServerConnection:
     """One client connection."""
 
-    __slots__ = ("busy", "channel", "head_bytes", "machine", "method", "served", "server")
+    __slots__ = (
+        "busy",
+        "channel",
+        "head_bytes",
+        "machine",
+        "method",
+        "reading",
+        "served",
+        "server",
+    )
 
     def __init__(self, server: Server, channel: http1.Channel) -> None:
         self.server = server
@@ -211,6 +236,8 @@
         # Number of requests that were read.
         self.served = 0
         self.method = b""
+        # Set while a request is waited for or read.
+        self.reading: asyncio.Timeout | None = None
 
     def open_machine(self, head_bytes: int) -> None:
         """Start the protocol anew, with a limit on the size of heads."""
@@ -246,6 +273,11 @@
             return
         self.close("stopping")
 
+    def stop_reading(self) -> None:
+        """Refuse a request that has arrived in part."""
+        if self.busy and self.reading is not None:
+            self.reading.reschedule(asyncio.get_running_loop().time())
+
     def close(self, cause: str) -> None:
         """Close the connection and log the cause."""
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
@@ -279,15 +311,17 @@
     async def serve_request(self) -> bool:
         """Serve one request; returns whether another may follow."""
         try:
-            request = await self.read_request()
+            request = await self.read_until_stopped()
         except h11.RemoteProtocolError as error:
             await self.refuse(error.error_status_hint, str(error))
             return False
         except TimeoutError:
-            if self.busy:
-                await self.refuse(408, "the request did not arrive in time")
-            else:
+            if not self.busy:
                 self.close("idle timeout")
+            elif self.server.reading_stopped:
+                await self.refuse(503, "the process stops before the request has arrived")
+            else:
+                await self.refuse(408, "the request did not arrive in time")
             return False
         except errors.BadRequestError as error:
             await self.refuse(413, str(error))
@@ -322,6 +356,14 @@
                 return event
             self.machine.receive_data(await self.channel.read_until(deadline))
 
+    async def read_until_stopped(self) -> Request | None:
+        """Return a whole request as ``read_request``; raise TimeoutError if reading is stopped."""
+        try:
+            async with asyncio.timeout(None) as self.reading:
+                return await self.read_request()
+        finally:
+            self.reading = None
+
     async def read_request(self) -> Request | None:
         """Return a whole request, None if the client leaves instead."""
         limits = self.server.handler.limits()
