--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -320,6 +320,7 @@
             due = clocks.boot_time() + LAG_PROBE_INTERVAL_SECONDS
             await asyncio.sleep(LAG_PROBE_INTERVAL_SECONDS)
             now = clocks.boot_time()
+            self.fleet.pauses.tick(now)
             if self.fleet.shedder.record(now - due, now):
                 LOGGER.log(
                     events.Event.ROTATION_PAUSED,
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -13,6 +13,7 @@
     load_shedding,
     load_table,
     part_quarantine,
+    pauses,
     placement,
     prompt_cache,
     retry_window,
@@ -70,6 +71,7 @@
         self.store_failed_at: float | None = None
         self.routes_by_host: dict[str, list[gateway.Route]] = {}
         self.shedder = load_shedding.LoadShedder(self.started_at)
+        self.pauses = pauses.Pauses(self.started_at)
         self.quarantine = part_quarantine.PartQuarantine(settings.instance_id)
         self.run_times = run_times.RunTimes()
         # When the process ends and aborts what is not answered; infinite unless it is stopping.
--- a/src/masticward/gateway/followers.py
+++ b/src/masticward/gateway/followers.py
@@ -146,15 +146,20 @@
             )
 
     def record_response(self) -> None:
-        """Record a successful call; after an outage, log its end and start the grace period."""
+        """Record a successful call; after an outage, log its end and start the grace period.
+
+        Time in which this process did not run is no outage: the store may have served the others.
+        """
         now = clocks.boot_time()
         self.fleet.store_failed_at = None
         if self.store_unavailable:
-            outage_seconds = now - self.unavailable_since
+            paused_seconds = self.fleet.pauses.seconds_within(self.unavailable_since, now)
+            outage_seconds = now - self.unavailable_since - paused_seconds
             LOGGER.log(
                 events.Event.GATEWAY_STORE_RESTORED,
                 kind=self.kind.value,
                 seconds=round(outage_seconds, 2),
+                paused_seconds=round(paused_seconds, 2),
             )
             self.store_unavailable = False
             if self.kind is sources.ObjectKind.ENDPOINTS and outage_seconds > MIN_OUTAGE_SECONDS:
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -194,6 +194,9 @@
 ) -> None:
     """Apply a peer's snapshot.
 
+    Endpoints that the peer keeps although the store no longer lists them are taken only if this
+    process has not learned of their departure itself.
+
     The peer determined the age of its proof after ``requested_at``, so the proof dates at the
     earliest from that time minus the age.
     """
@@ -201,7 +204,14 @@
     now = clocks.boot_time()
     if apply_revision(fleet, snapshot, sources.ObjectKind.ENDPOINTS):
         fleet.apply_endpoints(
-            [(item.id, item.to_absolute(now)) for item in snapshot.endpoints], True
+            [
+                (item.id, item.to_absolute(now))
+                for item in snapshot.endpoints
+                if item.id not in snapshot.missing
+                or not fleet.endpoints_known
+                or not fleet.table.knows_departure(item)
+            ],
+            True,
         )
         fleet.table.mark_missing({name: now + left for name, left in snapshot.missing.items()})
     if apply_revision(fleet, snapshot, sources.ObjectKind.EVACUATIONS):
--- a/src/masticward/state/endpoint_table.py
+++ b/src/masticward/state/endpoint_table.py
@@ -101,6 +101,15 @@
         self.missing.pop(endpoint_id, None)
         changes.append(Change(endpoint_id, "gone"))
 
+    def knows_departure(self, endpoint: gateway.Endpoint) -> bool:
+        """Return whether an endpoint that a peer keeps for a grace period is known to leave.
+
+        It was listed once. If it is not in this table, or draining, or there is another
+        incarnation, the store has said that it left.
+        """
+        known = self.endpoints.get(endpoint.id)
+        return known is None or known.draining or known.born != endpoint.born
+
     def mark_missing(self, expires_at: dict[str, float]) -> None:
         """Mark listed endpoints as missing after an outage, with the times of their removal."""
         self.cached_digest = None
