Expect a stop's last requests to be as slow as their route for each output token

Change: the time of a request is also expected from the slowest one for each output token. The soak gets planned work in series (--planned), a number of gateways (--gateways), connections held unused for up to 6 s, requests in halves, bodies in chunks and long streams; its check also finds requests that were not passed on and waited.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -25,7 +25,7 @@
 
 # Covers the time from a check here to the start at an endpoint, and timers that fire late.
 REVOKE_MARGIN_SECONDS = 0.5
-# While the process stops, a request is taken to last this multiple of the longest recent one of its
+# While the process stops, a request is taken to last this multiple of the slowest recent one of its
 # route, plus the margin.
 RUN_TIME_FACTOR = 1.5
 RUN_TIME_MARGIN_SECONDS = 0.25
@@ -196,14 +196,16 @@
             return None
         return configuration.team_of_key.get(api_key)
 
-    def can_finish(self, route: gateway.Route, response_deadline: float, now: float) -> bool:
+    def can_finish(
+        self, route: gateway.Route, output_tokens: int, response_deadline: float, now: float
+    ) -> bool:
         """Return whether a request that is sent now will be answered before the process ends."""
         if response_deadline <= self.ends_at:
             return True
-        longest_seconds = self.run_times.longest(route.name, now)
-        if longest_seconds is None:
+        expected_seconds = self.run_times.expected_seconds(route.name, output_tokens, now)
+        if expected_seconds is None:
             return False
-        needed_seconds = RUN_TIME_FACTOR * longest_seconds + RUN_TIME_MARGIN_SECONDS
+        needed_seconds = RUN_TIME_FACTOR * expected_seconds + RUN_TIME_MARGIN_SECONDS
         return now + needed_seconds <= self.ends_at
 
     def budget(self, service: str) -> retry_window.WindowedRetryBudget:
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -263,7 +263,9 @@
                     raise RefusalError(401, "API key revoked")
             if self.response_deadline - now < MIN_ATTEMPT_SECONDS:
                 raise self.final_refusal("deadline passed", placer.MIN_RETRY_AFTER_SECONDS)
-            if not self.fleet.can_finish(self.route, self.response_deadline, now):
+            if not self.fleet.can_finish(
+                self.route, self.metadata.output_tokens, self.response_deadline, now
+            ):
                 raise self.final_refusal(STOPPING_REASON, placer.MIN_RETRY_AFTER_SECONDS)
             if self.progress.sends and not self.fleet.budget(self.service).take(
                 now, self.fleet.known_gateway_count
@@ -365,7 +367,7 @@
             attempt=self.progress.sends,
             config=self.fleet.configuration.version if self.fleet.configuration else None,
         )
-        run = self.fleet.run_times.start(self.route.name, now)
+        run = self.fleet.run_times.start(self.route.name, self.metadata.output_tokens, now)
         try:
             call = await self.wait_with_timeout(
                 self.dependencies.endpoint_client.call(
--- a/src/masticward/state/run_times.py
+++ b/src/masticward/state/run_times.py
@@ -8,30 +8,47 @@
 
 
 class Run:
-    """A request that was sent to an endpoint and is not answered yet."""
+    """A request that was sent to an endpoint. ``output_tokens`` is the most it may generate."""
 
-    __slots__ = ("route_name", "started_at")
+    __slots__ = ("output_tokens", "route_name", "started_at")
 
-    def __init__(self, route_name: str, started_at: float) -> None:
+    def __init__(self, route_name: str, output_tokens: int, started_at: float) -> None:
         self.route_name = route_name
+        self.output_tokens = output_tokens
         self.started_at = started_at
 
 
+class Longest:
+    """The longest of some runs, in seconds and in seconds for each output token."""
+
+    __slots__ = ("seconds", "seconds_per_token")
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self.seconds_per_token = 0.0
+
+    def add(self, run: Run, now: float) -> None:
+        """Take the time of a run until now into account."""
+        seconds = now - run.started_at
+        self.seconds = max(self.seconds, seconds)
+        self.seconds_per_token = max(self.seconds_per_token, seconds / max(1, run.output_tokens))
+
+
 class RunTimes:
-    """The longest time from sending a request to the end of its answer, by route."""
+    """The longest times from sending a request to the end of its answer, by route."""
 
     __slots__ = ("current", "previous", "running", "span_ends_at")
 
     def __init__(self) -> None:
-        # Longest seconds by route, of the requests that ended in this span and the one before it.
-        self.current: dict[str, float] = {}
-        self.previous: dict[str, float] = {}
+        # Of the requests that ended in this span and the one before it.
+        self.current: dict[str, Longest] = {}
+        self.previous: dict[str, Longest] = {}
         self.span_ends_at = 0.0
         self.running: set[Run] = set()
 
-    def start(self, route_name: str, now: float) -> Run:
+    def start(self, route_name: str, output_tokens: int, now: float) -> Run:
         """Record that a request was sent; ``end`` takes the returned object."""
-        run = Run(route_name, now)
+        run = Run(route_name, output_tokens, now)
         self.running.add(run)
         return run
 
@@ -39,9 +56,7 @@
         """Record that a request ended, whatever its outcome."""
         self.running.discard(run)
         self.forget_older(now)
-        seconds = now - run.started_at
-        if seconds > self.current.get(run.route_name, -1.0):
-            self.current[run.route_name] = seconds
+        self.current.setdefault(run.route_name, Longest()).add(run, now)
 
     def forget_older(self, now: float) -> None:
         """Begin a new span if the current one is over."""
@@ -52,14 +67,19 @@
         self.current = {}
         self.span_ends_at = now + SPAN_SECONDS
 
-    def longest(self, route_name: str, now: float) -> float | None:
-        """Return the longest recent time of a route's requests, None if none has ended.
+    def expected_seconds(self, route_name: str, output_tokens: int, now: float) -> float | None:
+        """Return the time of a request that is as slow as the slowest recent one of its route.
 
-        A request that is still running counts with its time so far.
+        A request that is still running counts with its time so far. Return None if none has ended.
         """
         self.forget_older(now)
-        ended = [span[route_name] for span in (self.current, self.previous) if route_name in span]
-        if not ended:
+        known = [span[route_name] for span in (self.current, self.previous) if route_name in span]
+        if not known:
             return None
-        ages = [now - run.started_at for run in self.running if run.route_name == route_name]
-        return max(ended + ages)
+        running = Longest()
+        for run in self.running:
+            if run.route_name == route_name:
+                running.add(run, now)
+        return max(
+            max(item.seconds, item.seconds_per_token * output_tokens) for item in (*known, running)
+        )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+import h11
+
 from masticward import errors
 from masticward.transport import http1
 from tests.soak import endpoints, world
@@ -13,7 +15,15 @@
 DEADLINE_SECONDS = 2.5
 # What a caller waits beyond its deadline before it leaves.
 PATIENCE_SECONDS = 1.5
-ROUTES = ("book", "status", "moving", "plan", "note")
+# Long streams have more time.
+DRAFT_DEADLINE_SECONDS = 9.0
+ROUTES = ("book", "status", "moving", "plan", "note", "draft")
+KEYED_ROUTES = ("plan", "note", "draft")
+# Shares of requests that wait on their connection before they are sent, that are sent in two
+# parts, and whose bodies have no length.
+HELD_SHARE = 0.1
+PARTED_SHARE = 0.1
+CHUNKED_SHARE = 0.3
 METHODS = {"status": b"GET", "moving": b"GET"}
 
 
@@ -34,6 +44,7 @@
         "body",
         "detail",
         "ended_at",
+        "events",
         "gateway",
         "headers",
         "kept",
@@ -42,6 +53,7 @@
         "request_id",
         "route",
         "sent_at",
+        "sent_whole_at",
         "status",
         "team",
     )
@@ -53,14 +65,23 @@
         self.key = ""
         self.team = ""
         self.kept = False
+        # When its first and its last byte were sent.
         self.sent_at = 0.0
+        self.sent_whole_at = 0.0
         self.ended_at = 0.0
+        # Number of events that a stream is asked for.
+        self.events = endpoints.STREAM_EVENTS
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
         self.body = b""
         self.outcome = Outcome.NO_CONNECTION
         self.detail = ""
 
+    @property
+    def deadline_seconds(self) -> float:
+        """Time that the caller gives the request."""
+        return DRAFT_DEADLINE_SECONDS if self.route == "draft" else DEADLINE_SECONDS
+
     @property
     def repeatable(self) -> bool:
         """Whether the route allows more than one run."""
@@ -103,7 +124,7 @@
     async def stop(self) -> None:
         """Let the callers finish what they have sent."""
         self.stopping = True
-        await asyncio.wait(self.tasks, timeout=DEADLINE_SECONDS + PATIENCE_SECONDS + 1.0)
+        await asyncio.wait(self.tasks, timeout=DRAFT_DEADLINE_SECONDS + PATIENCE_SECONDS + 1.0)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -144,7 +165,13 @@
             call.detail = str(error)
             call.ended_at = time.monotonic()
             return None
-        leaves_at = DEADLINE_SECONDS + PATIENCE_SECONDS
+        if seeded.random() < HELD_SHARE:
+            # Connections stay open unused, and the first request may come at any moment of a stop.
+            await asyncio.sleep(seeded.uniform(0.5, 6.0))
+            if channel.peer_gone:
+                channel.abort()
+                return None
+        leaves_at = call.deadline_seconds + PATIENCE_SECONDS
         if seeded.random() < 0.04:
             leaves_at = seeded.uniform(0.0, 0.1)
         exchange = http1.Exchange(channel)
@@ -154,10 +181,10 @@
             async with asyncio.timeout(leaves_at):
                 method = METHODS.get(call.route, b"POST")
                 body = b"" if method == b"GET" else b"x" * seeded.choice((10, 3000))
-                await exchange.send(method, f"/{call.route}/1?a=b".encode(), headers(body), body)
+                await self.send(call, exchange, method, headers(body), body, seeded)
                 await self.read(call, exchange)
         except TimeoutError:
-            early = leaves_at < DEADLINE_SECONDS
+            early = leaves_at < call.deadline_seconds
             call.outcome = Outcome.LEFT if early else Outcome.SILENT
             channel.abort()
         except (errors.EndpointError, OSError) as error:
@@ -170,9 +197,39 @@
             return None
         return channel
 
+    async def send(
+        self,
+        call: Call,
+        exchange: http1.Exchange,
+        method: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        seeded: random.Random,
+    ) -> None:
+        """Send a request, its body with a length or in chunks, now and then with a pause in it."""
+        if body and seeded.random() < CHUNKED_SHARE:
+            headers = [(b"Transfer-Encoding", b"chunked"), *headers[:-1]]
+        target = f"/{call.route}/1?a=b".encode()
+        exchange.request = h11.Request(method=method, target=target, headers=headers)
+        parts = [exchange.machine.send(exchange.request) or b""]
+        if body:
+            parts.append(exchange.machine.send(h11.Data(data=body)) or b"")
+        parts.append(exchange.machine.send(h11.EndOfMessage()) or b"")
+        data = b"".join(parts)
+        exchange.sent = True
+        if seeded.random() < PARTED_SHARE:
+            half = seeded.randrange(1, len(data))
+            exchange.channel.writer.write(data[:half])
+            await asyncio.sleep(seeded.uniform(0.1, 2.0))
+            data = data[half:]
+        exchange.channel.writer.write(data)
+        call.sent_whole_at = time.monotonic()
+
     def request_headers(self, call: Call, seeded: random.Random) -> "HeaderBuilder":
         """Choose team and key of a request and return a builder of its headers."""
-        if call.route in ("plan", "note"):
+        if call.route == "draft":
+            call.events = seeded.randint(4, endpoints.MAX_DRAFT_EVENTS)
+        if call.route in KEYED_ROUTES:
             call.team = seeded.choice(world.TEAMS)
             keys = self.fleet.keys[call.team]
             # A key that was taken away is tried now and then, as by a caller that was not told.
@@ -207,12 +264,13 @@
         headers = [
             (b"Host", b"api.example"),
             (b"X-Masticward-Request-Id", self.call.request_id.encode()),
-            (b"X-Masticward-Deadline-Ms", str(int(DEADLINE_SECONDS * 1000)).encode()),
+            (b"X-Masticward-Deadline-Ms", str(int(self.call.deadline_seconds * 1000)).encode()),
             (b"X-Masticward-Tenant", b"forged"),
         ]
         if self.call.key:
             headers.append((b"Authorization", b"Bearer " + self.call.key.encode()))
-            headers.append((b"X-Masticward-Token-Counts", b"1500,40"))
+            counts = f"1500,{self.call.events * endpoints.TOKENS_PER_EVENT}"
+            headers.append((b"X-Masticward-Token-Counts", counts.encode()))
             parts = f"d{self.document}:1000,{self.call.request_id.encode().hex()}:500"
             headers.append((b"X-Masticward-Prefix-Hash", parts.encode()))
         if body:
@@ -222,9 +280,9 @@
 
 def expected_body(call: Call) -> bytes:
     """Return the body that the request's own endpoint sends."""
-    if call.route in ("plan", "note"):
+    if call.route in KEYED_ROUTES:
         return b"".join(
             f"id: {number}\ndata: {call.request_id}\n\n".encode()
-            for number in range(1, endpoints.STREAM_EVENTS + 1)
+            for number in range(1, call.events + 1)
         )
     return call.request_id.encode() * 3
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -8,6 +8,11 @@
 from tests.lib import platform_standins
 
 STREAM_EVENTS = 6
+EVENT_SECONDS = 0.02
+# Drafts are long streams of different lengths.
+MAX_DRAFT_EVENTS = 34
+DRAFT_EVENT_SECONDS = 0.15
+TOKENS_PER_EVENT = 5
 
 
 class Arrival:
@@ -88,7 +93,7 @@
             return await platform_standins.shed_request(request, writer)
         if chance() < self.mute:
             return await platform_standins.never_respond(request, writer)
-        stream = request.target.startswith(("/plan/", "/note/"))
+        stream = request.target.startswith(("/plan/", "/note/", "/draft/"))
         await asyncio.sleep(self.random.uniform(0.005, 0.04) * self.slow)
         if chance() < self.answer_lost:
             return False
@@ -113,13 +118,17 @@
         )
         writer.write(head.encode())
         first = int(request.headers.get("last-event-id", "0")) + 1
-        for number in range(first, STREAM_EVENTS + 1):
+        counts = request.headers["x-masticward-token-counts"]
+        events = int(counts.partition(",")[2]) // TOKENS_PER_EVENT
+        draft = request.target.startswith("/draft/")
+        interval_seconds = (DRAFT_EVENT_SECONDS if draft else EVENT_SECONDS) * self.slow
+        for number in range(first, events + 1):
             event = f"id: {number}\ndata: {request.request_id}\n\n".encode()
-            if cut and number == STREAM_EVENTS // 2:
+            if cut and number == events // 2:
                 writer.write(f"{len(event):x}\r\n".encode() + event[: len(event) // 2])
                 return False
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(0.02 * self.slow)
+            await asyncio.sleep(interval_seconds)
         writer.write(b"0\r\n\r\n")
         return True
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -261,3 +261,11 @@
     KeyTaken,
     Flood,
 )
+# Planned work: while nothing else happens, no request may be lost.
+PLANNED_KINDS: tuple[type[Fault], ...] = (
+    GatewayStopped,
+    GatewayStopped,
+    SettingsReloaded,
+    ConfigurationChanges,
+    EndpointLeaves,
+)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,6 +9,8 @@
 ANSWER_SLACK_SECONDS = 0.5
 # Differences of moments that were taken in different places.
 CLOCK_SLACK_SECONDS = 0.25
+# A stopping gateway closes the connection of a request that it doesn't pass on within this time.
+LOSS_SECONDS = 0.2
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5
 
@@ -161,19 +163,22 @@
 
     def answers_in_time(self) -> list[str]:
         """A calm gateway answers each request by its caller's deadline."""
-        limit = callers.DEADLINE_SECONDS + ANSWER_SLACK_SECONDS
         return [
             f"{call.request_id} at {call.gateway.name} ({call.outcome.value}) "
             f"had no answer after {call.ended_at - call.sent_at:.2f} s"
             for call in self.calls
             if call.sent_at
             and call.outcome is not callers.Outcome.LEFT
-            and call.ended_at - call.sent_at > limit
+            and call.ended_at - (call.sent_whole_at or call.sent_at)
+            > call.deadline_seconds + ANSWER_SLACK_SECONDS
             and call.gateway.calm(call.sent_at, call.ended_at)
         ]
 
     def stops_cut_nothing(self) -> list[str]:
-        """Between SIGTERM and the exit, requests at sound endpoints are answered whole."""
+        """Between SIGTERM and the exit, requests at sound endpoints are answered whole.
+
+        One that was not passed on may cross the close of its connection, but is not kept waiting.
+        """
         found = []
         for call in self.calls:
             if call.outcome is not callers.Outcome.CUT:
@@ -181,14 +186,15 @@
             runs = self.runs.get(call.request_id, [])
             for stop_at in call.gateway.stops:
                 if (
-                    not stop_at - callers.DEADLINE_SECONDS
+                    not stop_at - call.deadline_seconds
                     < call.sent_at
                     < (stop_at + world.GRACE_SECONDS)
                 ):
                     continue
                 calm = call.gateway.calm(call.sent_at, call.ended_at)
                 sound = all(run.endpoint.calm(run.at, call.ended_at) for run in runs)
-                if runs and calm and sound:
+                held = call.sent_whole_at and call.ended_at > call.sent_whole_at + LOSS_SECONDS
+                if (runs or held) and calm and sound:
                     found.append(f"{call.request_id} was cut around a SIGTERM: {call.detail}")
         return found
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,9 +32,14 @@
     summary: str
 
 
-async def play_seed(seed: int, seconds: float) -> Result:
+async def play_seed(
+    seed: int,
+    seconds: float,
+    kinds: tuple[type[faults.Fault], ...] = faults.KINDS,
+    gateway_count: int = world.GATEWAYS,
+) -> Result:
     """Play one seed for a time and check it."""
-    fleet = world.World(seed)
+    fleet = world.World(seed, gateway_count)
     load = callers.Callers(fleet)
     findings: list[str] = ["it was not played to its end"]
     played: collections.Counter[str] = collections.Counter()
@@ -45,7 +50,7 @@
         end_at = time.monotonic() + seconds
         while time.monotonic() < end_at:
             await asyncio.sleep(fleet.random.expovariate(1.0 / FAULT_GAP_SECONDS))
-            kind = fleet.random.choice(faults.KINDS)
+            kind = fleet.random.choice(kinds)
             played[kind.__name__] += 1
             running.append(asyncio.create_task(kind(fleet, load).play()))
         if running:
@@ -100,27 +105,35 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-3", help="first-last, or one seed")
     parser.add_argument("--seconds", type=float, default=15.0, help="time with faults")
+    parser.add_argument(
+        "--planned", action="store_true", help="only stops, reloads and changes of configuration"
+    )
+    parser.add_argument("--gateways", type=int, default=world.GATEWAYS, help="in each seed")
     parser.add_argument("--jobs", type=int, default=1, help="seeds that play at the same time")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     seeds = list(range(int(first), int(last or first) + 1))
     if len(seeds) == 1:
-        result = asyncio.run(play_seed(seeds[0], arguments.seconds))
+        kinds = faults.PLANNED_KINDS if arguments.planned else faults.KINDS
+        result = asyncio.run(play_seed(seeds[0], arguments.seconds, kinds, arguments.gateways))
         print(f"seed {result.seed}: {'BROKEN' if result.findings else 'held'}; {result.summary}")
         for item in result.findings[:FINDINGS_SHOWN]:
             print(f"  {item}")
         sys.exit(1 if result.findings else 0)
-    sys.exit(0 if play_many(seeds, arguments.seconds, arguments.jobs) else 1)
+    options = ["--seconds", str(arguments.seconds), "--gateways", str(arguments.gateways)]
+    if arguments.planned:
+        options.append("--planned")
+    sys.exit(0 if play_many(seeds, options, arguments.jobs) else 1)
 
 
-def play_many(seeds: list[int], seconds: float, jobs: int) -> bool:
+def play_many(seeds: list[int], options: list[str], jobs: int) -> bool:
     """Play each seed in a process of its own; returns whether all held."""
     waiting = list(seeds)
     playing: list[subprocess.Popen[str]] = []
     held = True
     while waiting or playing:
         while waiting and len(playing) < jobs:
-            playing.append(start_seed(waiting.pop(0), seconds))
+            playing.append(start_seed(waiting.pop(0), options))
         time.sleep(0.2)
         for process in [item for item in playing if item.poll() is not None]:
             playing.remove(process)
@@ -130,11 +143,11 @@
     return held
 
 
-def start_seed(seed: int, seconds: float) -> subprocess.Popen[str]:
+def start_seed(seed: int, options: list[str]) -> subprocess.Popen[str]:
     """Start the process that plays one seed."""
     command = [sys.executable, "-m", "tests.soak.run", "--seeds", str(seed)]
     return subprocess.Popen(
-        [*command, "--seconds", str(seconds)],
+        [*command, *options],
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -123,7 +123,8 @@
 class World:
     """Everything that one seed plays with."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, gateway_count: int = GATEWAYS) -> None:
+        self.gateway_count = gateway_count
         self.random = random.Random(seed)
         self.seed = seed
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix=f"masticward-soak-{seed}-"))
@@ -153,7 +154,7 @@
             for number in range(count):
                 await self.add_endpoint(service, ZONES[number % len(ZONES)])
         ports = [free_port() for _ in range(3)]
-        for number in range(GATEWAYS):
+        for number in range(self.gateway_count):
             gateway = Gateway(f"g{number}", f"127.0.{1 + self.seed % 200}.{number + 1}", "")
             gateway.zone = ZONES[number % len(ZONES)]
             gateway.front_port, gateway.ready_port, peer = ports
@@ -313,6 +314,7 @@
                 route("moving", "idempotent", self.moving_service, max_attempts=2),
                 route("plan", "stream", "llm", public=False),
                 route("note", "stream", "llm", public=False, resumable=True, max_attempts=2),
+                route("draft", "stream", "llm", public=False, timeout_ms=10000),
             ],
             services=[
                 {
