--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,8 +7,10 @@
 import argparse
 import asyncio
 import collections
+import pathlib
 import subprocess
 import sys
+import tempfile
 import time
 import typing
 
@@ -129,29 +131,31 @@
 def play_many(seeds: list[int], options: list[str], jobs: int) -> bool:
     """Play each seed in a process of its own; returns whether all held."""
     waiting = list(seeds)
-    playing: list[subprocess.Popen[str]] = []
+    playing: dict[int, subprocess.Popen[bytes]] = {}
     held = True
-    while waiting or playing:
-        while waiting and len(playing) < jobs:
-            playing.append(start_seed(waiting.pop(0), options))
-        time.sleep(0.2)
-        for process in [item for item in playing if item.poll() is not None]:
-            playing.remove(process)
-            assert process.stdout is not None
-            print(process.stdout.read().rstrip(), flush=True)
-            held = held and process.returncode == 0
+    with tempfile.TemporaryDirectory(prefix="masticward-soak-output-") as directory:
+        while waiting or playing:
+            while waiting and len(playing) < jobs:
+                seed = waiting.pop(0)
+                playing[seed] = start_seed(seed, options, output_path(directory, seed))
+            time.sleep(0.2)
+            for seed in [seed for seed, process in playing.items() if process.poll() is not None]:
+                held = playing.pop(seed).returncode == 0 and held
+                output = output_path(directory, seed).read_text(errors="replace")
+                print(output.rstrip(), flush=True)
     return held
 
 
-def start_seed(seed: int, options: list[str]) -> subprocess.Popen[str]:
-    """Start the process that plays one seed."""
+def output_path(directory: str, seed: int) -> pathlib.Path:
+    """Return the file for a seed's output; a pipe would block a seed that writes much."""
+    return pathlib.Path(directory) / f"{seed}.txt"
+
+
+def start_seed(seed: int, options: list[str], output: pathlib.Path) -> subprocess.Popen[bytes]:
+    """Start the process that plays one seed and writes to a file."""
     command = [sys.executable, "-m", "tests.soak.run", "--seeds", str(seed)]
-    return subprocess.Popen(
-        [*command, *options],
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-        text=True,
-    )
+    with output.open("wb") as file:
+        return subprocess.Popen([*command, *options], stdout=file, stderr=subprocess.STDOUT)
 
 
 if __name__ == "__main__":
