Send nothing new to an endpoint that has said in an answer that it leaves (DRAIN)

Cause: only the store's listing could end the use of an endpoint.

Change: the mark is taken from every answer's head and closes that incarnation at that address to new attempts at once, against listings and while the store is away; requests under way end as they would. Gateways report it to each other for listed endpoints, so that one answer spares the others theirs.

Ruled out: taking it for draining in the endpoint table, which the next listing would undo.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -167,10 +167,16 @@
             "state",
             {
                 "usable": lambda: sum(
-                    not item.draining and item.id not in fleet.table.missing
+                    not item.draining
+                    and item.id not in fleet.table.missing
+                    and not fleet.announcements.is_leaving(item)
                     for item in fleet.table.endpoints.values()
                 ),
                 "leaving": lambda: sum(item.draining for item in fleet.table.endpoints.values()),
+                "announced leaving": lambda: sum(
+                    not item.draining and fleet.announcements.is_leaving(item)
+                    for item in fleet.table.endpoints.values()
+                ),
                 "missing": lambda: len(fleet.table.missing),
             },
         )
@@ -311,6 +317,7 @@
             )
             self.fleet.drop_expired_endpoints()
             self.fleet.quarantine.expire(now)
+            self.fleet.announcements.expire(self.fleet.table.endpoints.values(), now)
             self.crash_detector.expire()
             self.endpoint_client.pool.expire(set(self.fleet.table.endpoints))
 
--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -249,7 +249,7 @@
         try:
             await exchange.send(metadata.method, metadata.target, headers, body)
             response, response_metadata = await self.read_matching_head(
-                exchange, metadata.request_id, connection.idle_seconds is not None
+                exchange, endpoint, metadata.request_id, connection.idle_seconds is not None
             )
             if response_metadata.not_run:
                 await exchange.read_body()
@@ -267,8 +267,25 @@
             )
         return call
 
+    def record_announcements(
+        self, endpoint: gateway.Endpoint, request_id: str, response: gateway.ResponseMetadata
+    ) -> None:
+        """Record what an endpoint says of itself in any of its answers."""
+        now = clocks.boot_time()
+        if response.leaving and self.fleet.announcements.record_leaving(endpoint, now):
+            LOGGER.log(
+                events.Event.ENDPOINT_ANNOUNCED_LEAVING,
+                request_id=request_id,
+                endpoint=endpoint.id,
+                source="answer",
+            )
+
     async def read_matching_head(
-        self, exchange: http1.Exchange, request_id: str, reused: bool
+        self,
+        exchange: http1.Exchange,
+        endpoint: gateway.Endpoint,
+        request_id: str,
+        reused: bool,
     ) -> tuple[http1.Answer, gateway.ResponseMetadata]:
         """Return the head of the response to this request, skipping responses to others.
 
@@ -278,6 +295,7 @@
         for _ in range(MAX_STRAY_RESPONSES + 1):
             response = await exchange.read_head()
             response_metadata = self.codec.decode_response_head(response.status, response.headers)
+            self.record_announcements(endpoint, request_id, response_metadata)
             if response_metadata.request_id == request_id:
                 return response, response_metadata
             if response_metadata.request_id is None:
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -7,6 +7,7 @@
 from masticward.gateway import sources
 from masticward.models import gateway
 from masticward.state import (
+    announcements,
     cold_start,
     endpoint_health,
     endpoint_table,
@@ -71,6 +72,7 @@
         self.store_failed_at: float | None = None
         self.routes_by_host: dict[str, list[gateway.Route]] = {}
         self.shedder = load_shedding.LoadShedder(self.started_at)
+        self.announcements = announcements.Announcements()
         self.pauses = pauses.Pauses(self.started_at)
         self.quarantine = part_quarantine.PartQuarantine(settings.instance_id)
         self.run_times = run_times.RunTimes()
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -424,6 +424,7 @@
             can_relay=fleet.reaches_store(now) and fleet.endpoints_known,
             is_shedding=fleet.shedder.is_shedding,
             parts=fleet.quarantine.build_reports(now),
+            leaving=fleet.announcements.build_report(fleet.table.endpoints.values()),
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
@@ -545,6 +546,14 @@
         self.apply_prompts(report.prompts)
         for part in report.parts:
             fleet.quarantine.merge(part, peer.instance_id, now)
+        for key in report.leaving:
+            if fleet.announcements.merge_leaving(key, now):
+                LOGGER.log(
+                    events.Event.ENDPOINT_ANNOUNCED_LEAVING,
+                    request_id=None,
+                    endpoint=key,
+                    source=peer.instance_id,
+                )
         self.apply_status(
             peer,
             message,
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -418,9 +418,11 @@
         self, endpoint: gateway.Endpoint, service: gateway.Service, now: float
     ) -> bool:
         """Return whether an endpoint of a known service may receive a request now."""
-        return not self.fleet.health.in_backoff(
-            endpoint.id, now
-        ) and self.is_warm_or_within_cold_rate(endpoint, service, now)
+        return (
+            not self.fleet.health.in_backoff(endpoint.id, now)
+            and not self.fleet.announcements.is_leaving(endpoint)
+            and self.is_warm_or_within_cold_rate(endpoint, service, now)
+        )
 
     def is_warm_or_within_cold_rate(
         self, endpoint: gateway.Endpoint, service: gateway.Service, now: float
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -243,15 +243,17 @@
     async def connect(self, endpoint: gateway.Endpoint) -> calls.Connection | None:
         """Return a connection for an attempt, which is charged to the retry budget.
 
-        Return None if a part of the prompt has become suspected since the request was placed.
-        Raise RefusalError if no attempt may be made.
+        Return None if, since the request was placed, the endpoint has announced that it is leaving
+        or a part of the prompt has become suspected. Raise RefusalError if no attempt may be made.
         """
         # Let the event loop process a disconnect of the client that has already arrived, which
         # cancels this request. In a busy process it may be queued behind the request's own bytes.
         await asyncio.sleep(0)
         connection = await self.dependencies.endpoint_client.connect(endpoint)
         now = clocks.boot_time()
-        if not self.fleet.quarantine.may_still_send(
+        if self.fleet.announcements.is_leaving(
+            endpoint
+        ) or not self.fleet.quarantine.may_still_send(
             self.waiting_request.part_keys, self.metadata.request_id
         ):
             self.dependencies.endpoint_client.pool.release(endpoint, connection.channel, None)
--- a/src/masticward/models/gateway.py
+++ b/src/masticward/models/gateway.py
@@ -139,7 +139,8 @@
 
     ``signed`` is set if the response carries the endpoint's signature, ``not_run`` if the
     endpoint did not execute the request, ``encoded`` if the body has a content encoding, and
-    ``closes`` if the connection ends after the response. ``running`` and ``waiting`` count
+    ``closes`` if the connection ends after the response, ``leaving`` if the endpoint says that it
+    wants no further request because it leaves. ``running`` and ``waiting`` count
     requests at the endpoint.
     """
 
@@ -149,6 +150,7 @@
     encoded: bool
     keep_alive_seconds: float | None
     closes: bool
+    leaving: bool
     running: int | None
     waiting: int | None
 
--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -173,6 +173,7 @@
             encoded=encoding != b"identity",
             keep_alive_seconds=float(timeout[1]) if timeout else None,
             closes=b"close" in by_name.get(names.CONNECTION, b"").lower(),
+            leaving=by_name.get(names.LEAVING, b"").strip() == b"1",
             running=running,
             waiting=waiting,
         )
--- a/src/masticward/platform/names.py
+++ b/src/masticward/platform/names.py
@@ -15,6 +15,7 @@
 NOT_RUN = b"x-masticward-not-executed"
 LOAD = b"x-masticward-server-load"  # running, waiting, slots
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
 KEEP_ALIVE = b"keep-alive"
 CONTENT_ENCODING = b"content-encoding"
 CONTENT_LENGTH = b"content-length"
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -42,6 +42,8 @@
     is_shedding: bool = False
     # Evidence on parts of prompts that may crash endpoints.
     parts: list[part_reports.PartReport] = []
+    # Keys (``announcements.key_of``) of listed endpoints that have said that they are leaving.
+    leaving: list[str] = []
 
 
 class PeerChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -53,6 +53,8 @@
         self.mute = 0.0
         self.fails = 0.0
         self.slow = 1.0
+        # Whether its answers say that it leaves.
+        self.says_leaving = False
         self.disturbed: list[tuple[float, float]] = []
 
     async def open(self) -> None:
@@ -77,6 +79,11 @@
         """Whether no disturbance reached into a span or the 3 s before it."""
         return not any(begun < end and over > start - 3.0 for begun, over in self.disturbed)
 
+    @property
+    def announcement(self) -> str:
+        """The header field of an answer that says that the endpoint leaves, or nothing."""
+        return "Server-Leaving: 1\r\n" if self.says_leaving else ""
+
     async def serve_request(
         self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
@@ -103,7 +110,8 @@
         garbled = chance() < self.garbled
         if stream:
             return await self.stream(request, writer, garbled)
-        whole = platform_standins.complete_response(request, body=request.request_id.encode() * 3)
+        body = request.request_id.encode() * 3
+        whole = platform_standins.complete_response(request, body, self.announcement)
         writer.write(whole[: len(whole) // 2] if garbled else whole)
         return not garbled
 
@@ -113,7 +121,7 @@
         """Send the events after the one that the caller has, to the end or until it is cut."""
         head = (
             f"HTTP/1.1 200 OK\r\nX-Masticward-Request-Id: {request.request_id}\r\n"
-            f"{platform_standins.PROOF}Content-Type: text/event-stream\r\n"
+            f"{platform_standins.PROOF}{self.announcement}Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(head.encode())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import math
 import signal
 import time
 
@@ -192,6 +193,10 @@
             self.fleet.store.remove("servers", endpoint.id)
         endpoint.left_at = time.monotonic()
         await self.fleet.add_endpoint(endpoint.service, endpoint.zone, cold=True)
+        await self.close(endpoint)
+
+    async def close(self, endpoint: endpoints.SoakEndpoint) -> None:
+        """End an endpoint some time after it has said that it leaves."""
         await asyncio.sleep(world.DRAIN_SECONDS + self.random.uniform(0.5, 3.0))
         endpoint.disturb(0.5)
         await endpoint.close()
@@ -201,6 +206,19 @@
             self.fleet.store.remove("servers", endpoint.id)
 
 
+class EndpointAnnouncesLeaving(EndpointLeaves):
+    """An endpoint says in its answers alone that it leaves; the store lists it as ready."""
+
+    async def play(self) -> None:
+        endpoint = self.endpoint()
+        if endpoint is None:
+            return
+        endpoint.left_at = math.inf
+        endpoint.says_leaving = True
+        await self.fleet.add_endpoint(endpoint.service, endpoint.zone)
+        await self.close(endpoint)
+
+
 class ZoneOut(Fault):
     """A zone is taken out and back."""
 
@@ -273,7 +291,7 @@
     KeyTaken,
     Flood,
 )
-ALL_KINDS = (*KINDS, OddEntry)
+ALL_KINDS = (*KINDS, OddEntry, EndpointAnnouncesLeaving)
 # Planned work: while nothing else happens, no request may be lost.
 PLANNED_KINDS: tuple[type[Fault], ...] = (
     GatewayStopped,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -45,6 +45,7 @@
             self.own_team,
             self.revoked_keys,
             self.leaving_endpoints,
+            self.announced_leaving,
             self.zones_out,
             self.configuration_in_force,
             self.answers_in_time,
@@ -121,6 +122,23 @@
                 found.append(f"{arrival.request_id} reached a leaving endpoint {late:.2f} s late")
         return found
 
+    def announced_leaving(self) -> list[str]:
+        """A gateway that has passed an announcement on sends nothing new there after the bound."""
+        told_at: dict[tuple[str, str, int], float] = {}
+        found = []
+        for arrival in self.arrivals:
+            call = self.by_id[arrival.request_id]
+            place = (arrival.endpoint.id, call.gateway.name, incarnation_of(call))
+            if call.outcome is callers.Outcome.ANSWERED and b"server-leaving" in call.headers:
+                told_at[place] = min(call.ended_at, told_at.get(place, call.ended_at))
+        for arrival in self.arrivals:
+            call = self.by_id[arrival.request_id]
+            place = (arrival.endpoint.id, call.gateway.name, incarnation_of(call))
+            late = call.sent_at - told_at.get(place, call.sent_at)
+            if late > world.DRAIN_SECONDS:
+                found.append(f"{arrival.request_id} was sent {late:.2f} s after an announcement")
+        return found
+
     def zones_out(self) -> list[str]:
         """A zone that is out gets nothing new after the bound."""
         found = []
@@ -148,8 +166,7 @@
             if newest is None:
                 found.append(f"{arrival.request_id} ran at {arrival.endpoint.service}")
                 continue
-            incarnation = sum(1 for at in call.gateway.started_at if at <= call.sent_at)
-            place = (call.gateway.name, incarnation)
+            place = (call.gateway.name, incarnation_of(call))
             if newest < seen.get(place, 0) and calm_since(call, moves, newest):
                 found.append(f"{arrival.request_id} ran by an older configuration again")
             seen[place] = max(seen.get(place, 0), newest)
@@ -236,6 +253,11 @@
         return found
 
 
+def incarnation_of(call: callers.Call) -> int:
+    """Return the number of the start of the gateway process that a request was sent to."""
+    return sum(1 for at in call.gateway.started_at if at <= call.sent_at)
+
+
 def newest_move_of(service: str, moves: list[tuple[int, str, float]], at: float) -> int | None:
     """Return the index of the newest accepted move to a service, None if there was none."""
     for index in range(len(moves) - 1, -1, -1):
