--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -169,7 +169,7 @@
                 "usable": lambda: sum(
                     not item.draining
                     and item.id not in fleet.table.missing
-                    and not fleet.announcements.is_leaving(item)
+                    and fleet.announcements.is_open(item, clocks.boot_time())
                     for item in fleet.table.endpoints.values()
                 ),
                 "leaving": lambda: sum(item.draining for item in fleet.table.endpoints.values()),
@@ -177,6 +177,7 @@
                     not item.draining and fleet.announcements.is_leaving(item)
                     for item in fleet.table.endpoints.values()
                 ),
+                "wants nothing": lambda: len(fleet.announcements.paused_until),
                 "missing": lambda: len(fleet.table.missing),
             },
         )
--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -279,6 +279,17 @@
                 endpoint=endpoint.id,
                 source="answer",
             )
+        if response.wanted_pause_seconds is not None:
+            until = self.fleet.announcements.record_pause(
+                endpoint, response.wanted_pause_seconds, now
+            )
+            LOGGER.log(
+                events.Event.ENDPOINT_WANTS_NOTHING,
+                request_id=request_id,
+                endpoint=endpoint.id,
+                asked_seconds=response.wanted_pause_seconds,
+                seconds=round(until - now, 3),
+            )
 
     async def read_matching_head(
         self,
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 import random
 
 import msgspec
@@ -273,6 +274,7 @@
             )
         )
         pool = CandidatePool(self, service, now)
+        opens_at = now if pool.candidates else self.opens_at(service, now)
         quarantine = self.fleet.quarantine
         tokens_ahead = 0
         failed_choices = 0
@@ -310,8 +312,9 @@
             failed_choices += 1
             if choice is not None:
                 request.unread_tokens = choice.unread_tokens
-            cannot_be_in_time = bool(pool.candidates) and (
-                now + tokens_ahead / prefill_tokens_per_second > request.refuse_at
+            cannot_be_in_time = opens_at > request.refuse_at or (
+                bool(pool.candidates)
+                and now + tokens_ahead / prefill_tokens_per_second > request.refuse_at
             )
             if now >= request.refuse_at or cannot_be_in_time:
                 queue.remove(request)
@@ -319,6 +322,7 @@
                     self.build_refusal(
                         request,
                         pool.candidates,
+                        opens_at - now,
                         tokens_ahead,
                         prefill_tokens_per_second,
                         excess_by_team,
@@ -381,16 +385,24 @@
         self,
         request: WaitingRequest,
         candidates: list[gateway.Endpoint],
+        closed_seconds: float,
         tokens_ahead: int,
         prefill_tokens_per_second: float,
         excess_by_team: dict[str, float],
     ) -> PlacementRefusal:
-        """Return a refusal with a randomized retry delay."""
+        """Return a refusal with a randomized retry delay.
+
+        For ``closed_seconds`` no endpoint of the service wants a request.
+        """
         expected_wait_seconds = tokens_ahead / prefill_tokens_per_second
         jitter = 1.0 + RETRY_AFTER_JITTER_FRACTION * random.random()
+        reason = "no capacity in time" if candidates else "no endpoint"
+        if closed_seconds > 0.0:
+            reason = "no endpoint wants a request yet"
         return PlacementRefusal(
-            reason="no capacity in time" if candidates else "no endpoint",
-            retry_after_seconds=min(
+            reason=reason,
+            retry_after_seconds=closed_seconds
+            + min(
                 MAX_RETRY_AFTER_SECONDS, (expected_wait_seconds + MIN_RETRY_AFTER_SECONDS) * jitter
             ),
             expected_wait_seconds=expected_wait_seconds,
@@ -399,6 +411,19 @@
             over_share=request.team in excess_by_team,
         )
 
+    def opens_at(self, service_name: str, now: float) -> float:
+        """Return when the first endpoint of a service wants a request, if all have said when.
+
+        Return the time ``now`` if that is unknown: one may be usable sooner for another reason, or
+        all are leaving, and others may be listed at any moment.
+        """
+        times = [
+            self.fleet.announcements.opens_at(endpoint, now)
+            for endpoint in self.fleet.table.usable(service_name, now)
+        ]
+        times = [time for time in times if time < math.inf]
+        return min(times, default=now)
+
     def candidates(self, service_name: str, now: float) -> list[gateway.Endpoint]:
         """Return the endpoints of a service that may receive a request now."""
         usable = self.fleet.table.usable(service_name, now)
@@ -420,7 +445,7 @@
         """Return whether an endpoint of a known service may receive a request now."""
         return (
             not self.fleet.health.in_backoff(endpoint.id, now)
-            and not self.fleet.announcements.is_leaving(endpoint)
+            and self.fleet.announcements.is_open(endpoint, now)
             and self.is_warm_or_within_cold_rate(endpoint, service, now)
         )
 
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -243,7 +243,7 @@
     async def connect(self, endpoint: gateway.Endpoint) -> calls.Connection | None:
         """Return a connection for an attempt, which is charged to the retry budget.
 
-        Return None if, since the request was placed, the endpoint has announced that it is leaving
+        Return None if, since the request was placed, the endpoint has said that it wants no request
         or a part of the prompt has become suspected. Raise RefusalError if no attempt may be made.
         """
         # Let the event loop process a disconnect of the client that has already arrived, which
@@ -251,8 +251,8 @@
         await asyncio.sleep(0)
         connection = await self.dependencies.endpoint_client.connect(endpoint)
         now = clocks.boot_time()
-        if self.fleet.announcements.is_leaving(
-            endpoint
+        if not self.fleet.announcements.is_open(
+            endpoint, now
         ) or not self.fleet.quarantine.may_still_send(
             self.waiting_request.part_keys, self.metadata.request_id
         ):
--- a/src/masticward/models/gateway.py
+++ b/src/masticward/models/gateway.py
@@ -140,7 +140,8 @@
     ``signed`` is set if the response carries the endpoint's signature, ``not_run`` if the
     endpoint did not execute the request, ``encoded`` if the body has a content encoding, and
     ``closes`` if the connection ends after the response, ``leaving`` if the endpoint says that it
-    wants no further request because it leaves. ``running`` and ``waiting`` count
+    wants no further request because it leaves. It wants none for ``wanted_pause_seconds``, None if
+    it does not say so. ``running`` and ``waiting`` count
     requests at the endpoint.
     """
 
@@ -151,6 +152,7 @@
     keep_alive_seconds: float | None
     closes: bool
     leaving: bool
+    wanted_pause_seconds: float | None
     running: int | None
     waiting: int | None
 
--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -13,6 +13,7 @@
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"(?:^|[ ,;])timeout=(\d+)", re.IGNORECASE)
 # Deadline of a request that has none: the longest one that the platform's clients use.
 DEFAULT_DEADLINE_SECONDS = 10.0
+RETRY_AFTER_PATTERN = re.compile(r"\d+(\.\d+)?", re.ASCII)
 # Larger numbers are not exact as floating-point numbers, and the largest cannot be converted.
 MAX_NUMBER = 2**53
 
@@ -173,6 +174,7 @@
             encoded=encoding != b"identity",
             keep_alive_seconds=float(timeout[1]) if timeout else None,
             closes=b"close" in by_name.get(names.CONNECTION, b"").lower(),
+            wanted_pause_seconds=parse_pause(status, header_text(by_name, names.RETRY_AFTER)),
             leaving=by_name.get(names.LEAVING, b"").strip() == b"1",
             running=running,
             waiting=waiting,
@@ -194,6 +196,17 @@
         return headers
 
 
+def parse_pause(status: int, retry_after: str | None) -> float | None:
+    """Return the seconds for which an endpoint wants no request, None if it does not say so.
+
+    A date or another text that is no plain number counts as nothing.
+    """
+    # 503 is Service Unavailable: with other statuses the field concerns the client alone.
+    if status != 503 or retry_after is None or not RETRY_AFTER_PATTERN.fullmatch(retry_after):
+        return None
+    return min(float(retry_after), float(MAX_NUMBER))
+
+
 def parse_load(text: str | None) -> tuple[int | None, int | None]:
     """Return the numbers of running and waiting requests; both None if the header is invalid."""
     try:
--- a/tests/functional/test_endpoint_announcements.py
+++ b/tests/functional/test_endpoint_announcements.py
@@ -79,3 +79,39 @@
         self.store.put_endpoint("e1", self.endpoints[0].address, born=77)
         await self.wait_until(lambda: self.fleet.table.endpoints["e1"].born == 77)
         self.assertEqual(200, (await self.call("book")).status)
+
+
+class PausedTest(test_gateway.GatewayCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.pausing = AnnouncingEndpoint()
+        self.pausing.status, self.pausing.not_run = 503, True
+        self.pausing.fields = "Retry-After: 1.2\r\n"
+        await self.add_endpoint("e1", self.pausing)
+
+    async def test_an_endpoint_gets_nothing_until_its_time_is_over(self) -> None:
+        await self.start()
+        self.assertEqual(503, (await self.call("short")).status)
+        await self.add_endpoint("e2", AnnouncingEndpoint())
+        await self.wait_until(lambda: len(self.fleet.table.endpoints) == 2)
+        before = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() < before + 0.8:
+            self.assertEqual(200, (await self.call("status")).status)
+        self.assertEqual(1, len(self.endpoints[0].received))
+        self.pausing.status, self.pausing.not_run, self.pausing.fields = 200, False, ""
+        await self.endpoints[1].stop()
+        self.store.remove("servers", "e2")
+        await self.wait_until(lambda: len(self.fleet.table.endpoints) == 1)
+        await asyncio.sleep(1.0)
+        self.assertEqual(200, (await self.call("status")).status)
+
+    async def test_the_client_learns_when_all_want_nothing(self) -> None:
+        self.pausing.fields = "Retry-After: 7\r\n"
+        await self.start()
+        await self.call("book")
+        before = asyncio.get_running_loop().time()
+        response = await self.call("book")
+        self.assertLess(asyncio.get_running_loop().time() - before, 0.5)
+        self.assertEqual(503, response.status)
+        self.assertGreater(float(response.headers["retry-after"]), 6.0)
+        self.assertEqual(1, len(self.endpoints[0].received))
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -55,6 +55,9 @@
         self.slow = 1.0
         # Whether its answers say that it leaves.
         self.says_leaving = False
+        # Until when it refuses everything, and by request when it did so and until when.
+        self.wants_nothing_until = 0.0
+        self.pauses: dict[str, tuple[float, float]] = {}
         self.disturbed: list[tuple[float, float]] = []
 
     async def open(self) -> None:
@@ -94,6 +97,15 @@
             arrival.run = False
             writer.write(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
             return True
+        pause_seconds = self.wants_nothing_until - arrival.at
+        if pause_seconds > 0.0:
+            arrival.run = False
+            self.pauses[arrival.request_id] = arrival.at, self.wants_nothing_until
+            writer.write(
+                b"HTTP/1.1 503 Service Unavailable\r\nX-Masticward-Not-Executed: 1\r\n"
+                b"Retry-After: %.3f\r\nContent-Length: 0\r\n\r\n" % pause_seconds
+            )
+            return True
         chance = self.random.random
         if chance() < self.sheds:
             arrival.run = False
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -219,6 +219,19 @@
         await self.close(endpoint)
 
 
+class EndpointWantsNothing(Fault):
+    """An endpoint turns all requests away and says for how long."""
+
+    async def play(self) -> None:
+        endpoint = self.endpoint()
+        if endpoint is None:
+            return
+        seconds = self.random.uniform(1.0, 6.0)
+        endpoint.disturb(seconds)
+        endpoint.wants_nothing_until = time.monotonic() + seconds
+        await asyncio.sleep(seconds)
+
+
 class ZoneOut(Fault):
     """A zone is taken out and back."""
 
@@ -291,7 +304,7 @@
     KeyTaken,
     Flood,
 )
-ALL_KINDS = (*KINDS, OddEntry, EndpointAnnouncesLeaving)
+ALL_KINDS = (*KINDS, OddEntry, EndpointAnnouncesLeaving, EndpointWantsNothing)
 # Planned work: while nothing else happens, no request may be lost.
 PLANNED_KINDS: tuple[type[Fault], ...] = (
     GatewayStopped,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -11,6 +11,9 @@
 CLOCK_SLACK_SECONDS = 0.25
 # A stopping gateway closes the connection of a request that it doesn't pass on within this time.
 LOSS_SECONDS = 0.2
+# A gateway may have sent requests before it reads that an endpoint wants nothing.
+PAUSE_SLACK_SECONDS = 0.5
+MOST_IN_PAUSE = 2
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5
 
@@ -46,6 +49,7 @@
             self.revoked_keys,
             self.leaving_endpoints,
             self.announced_leaving,
+            self.wanted_pauses,
             self.zones_out,
             self.configuration_in_force,
             self.answers_in_time,
@@ -139,6 +143,26 @@
                 found.append(f"{arrival.request_id} was sent {late:.2f} s after an announcement")
         return found
 
+    def wanted_pauses(self) -> list[str]:
+        """While an endpoint wants nothing, it gets at most two requests of a gateway."""
+        found = []
+        for endpoint in [*self.fleet.endpoints.values(), *self.fleet.gone_endpoints]:
+            for request_id, (refused_at, until) in endpoint.pauses.items():
+                call = self.by_id[request_id]
+                place = (call.gateway.name, incarnation_of(call))
+                late = 0
+                for arrival in endpoint.arrivals:
+                    other = self.by_id[arrival.request_id]
+                    if (
+                        (other.gateway.name, incarnation_of(other)) == place
+                        and refused_at + PAUSE_SLACK_SECONDS < arrival.at < until
+                        and call.gateway.calm(refused_at, arrival.at)
+                    ):
+                        late += 1
+                if late > MOST_IN_PAUSE:
+                    found.append(f"{late} requests of {place[0]} in a pause of {endpoint.id}")
+        return found
+
     def zones_out(self) -> list[str]:
         """A zone that is out gets nothing new after the bound."""
         found = []
