--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -21,7 +21,7 @@
 )
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
-from masticward.state import load_shedding, loop_lag
+from masticward.state import body_memory, load_shedding, loop_lag
 from masticward.transport import http1_server
 from masticward.utils import addresses, clocks, tasks
 
@@ -99,8 +99,9 @@
         )
         self.crash_detector = dependencies.crash_detector
         self.front = front.ClientRequestHandler(dependencies, self.peering.available_peers)
+        self.body_memory = body_memory.BodyMemory(body_memory.limit_for(settings.memory_bytes))
         self.client_server = http1_server.Server(
-            addresses.split(settings.client_address), self.front
+            addresses.split(settings.client_address), self.front, self.body_memory
         )
         self.ready_server = http1_server.Server(
             addresses.split(settings.ready_address), ReadinessHandler(self)
@@ -126,6 +127,11 @@
             "requests that are being read or answered",
             lambda: self.client_server.busy,
         )
+        add(
+            "masticward_gateway_body_bytes",
+            "bytes of requests' bodies that are being read or held",
+            lambda: self.body_memory.held_bytes,
+        )
         add(
             "masticward_gateway_configuration_version",
             "configuration in force",
@@ -362,6 +368,7 @@
         )
         self.settings = loaded
         self.fleet.apply_settings(loaded)
+        self.body_memory.limit_bytes = body_memory.limit_for(loaded.memory_bytes)
         self.peering.apply_settings(loaded)
         LOGGER.log(events.Event.SETTINGS_RELOADED, needs_restart=needs_restart)
 
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -182,6 +182,10 @@
         self.scope = scope
 
 
+class BodyMemoryError(MasticwardError):
+    """Raised when a request's body does not fit into the memory for bodies; it was not run."""
+
+
 class CallerGoneError(MasticwardError):
     """Raised when the caller's connection is lost and nothing more can be sent to it."""
 
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -60,7 +60,7 @@
             self.require_time_to_finish(metadata, route)
             self.shed_load(metadata, route)
             proxied = request_path.ProxiedRequest(
-                self.dependencies, metadata, route, team, request.body, responder
+                self.dependencies, metadata, route, team, request, responder
             )
             await proxied.run()
         except errors.BadRequestError as error:
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -131,7 +131,7 @@
         metadata: gateway.RequestMetadata,
         route: gateway.Route,
         team: str | None,
-        body: bytes,
+        request: http1_server.Request,
         responder: http1_server.Responder,
     ) -> None:
         self.dependencies = dependencies
@@ -139,7 +139,7 @@
         self.metadata = metadata
         self.route = route
         self.team = team
-        self.body = body
+        self.request = request
         self.responder = responder
         self.progress = RequestProgress(metadata.last_event_id)
         # The next attempt, granted while the endpoint of the current one was silent.
@@ -376,7 +376,7 @@
                     endpoint,
                     self.metadata,
                     self.team,
-                    self.body,
+                    self.request.body,
                     int(remaining_seconds * 1000),
                     self.progress.last_event_id,
                     grant.connection,
@@ -384,6 +384,8 @@
                 self.response_timeout_seconds(choice),
             )
             try:
+                if not self.may_retry() and not call.exchange.channel.unsent_bytes:
+                    self.request.drop_body()
                 return await self.relay(call, reservation, now)
             finally:
                 call.finish()
--- a/src/masticward/models/gateway.py
+++ b/src/masticward/models/gateway.py
@@ -177,7 +177,10 @@
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of one gateway process. Addresses are ``IP:port``."""
+    """Settings of one gateway process. Addresses are ``IP:port``.
+
+    The platform kills a process that takes more than ``memory_bytes``.
+    """
 
     instance_id: str
     ip: str
@@ -188,3 +191,4 @@
     seed_ips: tuple[str, ...]
     store_address: str
     bounds: Bounds
+    memory_bytes: int = 256 * 2**20
--- a/src/masticward/platform/settings.py
+++ b/src/masticward/platform/settings.py
@@ -13,6 +13,8 @@
 from masticward.models import gateway
 from masticward.utils import addresses, clocks
 
+MEGABYTE = 1_000_000
+
 
 class Listen(msgspec.Struct):
     """Addresses on which the process listens."""
@@ -39,6 +41,12 @@
     cold_slack: float = 5
 
 
+class LimitsTable(msgspec.Struct):
+    """Limits of the process. The default is less than all known sites give."""
+
+    memory_mb: float = 200
+
+
 class SettingsFile(msgspec.Struct):
     """The settings that the gateway uses; other fields are ignored."""
 
@@ -50,6 +58,7 @@
     platform: Store
     bounds: BoundsTable
     seeds: list[str] = []
+    limits: LimitsTable = msgspec.field(default_factory=LimitsTable)
 
 
 def decode(text: str) -> gateway.GatewaySettings:
@@ -69,6 +78,7 @@
         peer_port=file.port_range[0],
         seed_ips=tuple(addresses.split(seed)[0] for seed in file.seeds),
         store_address=file.platform.address,
+        memory_bytes=int(file.limits.memory_mb * MEGABYTE),
         bounds=gateway.Bounds(
             revoke_seconds=bounds.revoke_ms / clocks.MILLISECONDS_PER_SECOND,
             stop_grace_seconds=bounds.grace_s,
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -19,6 +19,8 @@
 from masticward.utils import clocks
 
 READ_BYTES = 65536
+# Longer bodies are written apart from their heads.
+MAX_JOINED_BYTES = 65536
 # Longest body that is held in memory; a faulty peer may send bytes without end.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -122,6 +124,11 @@
         """Whether the peer has closed or reset its side."""
         return self.protocol.peer_gone
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the transport still holds."""
+        return self.transport.get_write_buffer_size()
+
     async def read(self) -> bytes:
         """Return the next bytes, none at the end of the stream; raise OSError after a reset."""
         data = await self.reader.read(READ_BYTES)
@@ -317,13 +324,18 @@
     ) -> None:
         """Write a whole request; raises EndpointBrokenError if the connection fails."""
         self.request = h11.Request(method=method, target=target, headers=headers)
-        data = self.machine.send(self.request) or b""
+        parts = [self.machine.send(self.request) or b""]
         if body:
-            data += self.machine.send(h11.Data(data=body)) or b""
-        data += self.machine.send(h11.EndOfMessage()) or b""
+            parts.append(self.machine.send(h11.Data(data=body)) or b"")
+        parts.append(self.machine.send(h11.EndOfMessage()) or b"")
         self.sent = True
         try:
-            self.channel.writer.write(data)
+            if len(body) > MAX_JOINED_BYTES:
+                # The transport keeps what it has not sent; joining would make another copy.
+                for part in parts:
+                    self.channel.writer.write(part)
+            else:
+                self.channel.writer.write(b"".join(parts))
             # An early answer may come before a long body has been taken, so a full buffer
             # is not waited for here; the transport keeps on writing while the answer is read.
         except OSError as error:
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -3,16 +3,20 @@
 import abc
 import asyncio
 import contextlib
+import math
 
 import h11
 
 from masticward import errors, events, logs
 from masticward.models import gateway
+from masticward.state import body_memory
 from masticward.transport import http1
 from masticward.utils import clocks
 
 # After a stop, connections that were just opened may send their first request for this long.
 FIRST_REQUEST_SECONDS = 0.5
+# Of a request that was refused before it was read, in seconds; its retry reaches another process.
+RETRY_AFTER = b"0.2"
 LOGGER = logs.get_logger(__name__)
 REASONS = {
     200: b"OK",
@@ -34,17 +38,39 @@
 class Request:
     """A whole request. ``arrived_at`` is the moment at which its head was read."""
 
-    __slots__ = ("arrived_at", "body", "headers", "method", "target")
+    __slots__ = ("arrived_at", "body", "headers", "memory", "method", "reserved_bytes", "target")
 
     def __init__(
-        self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], arrived_at: float
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        arrived_at: float,
+        memory: body_memory.BodyMemory,
     ) -> None:
+        self.memory = memory
+        self.reserved_bytes = 0
         self.method = method
         self.target = target
         self.headers = headers
         self.body = b""
         self.arrived_at = arrived_at
 
+    def reserve(self, size: int) -> None:
+        """Reserve memory for a body of this size; raise BodyMemoryError if there is none."""
+        missing = size - self.reserved_bytes
+        if missing <= 0:
+            return
+        if not self.memory.take(missing):
+            raise errors.BodyMemoryError(f"no memory for a body of {size} bytes")
+        self.reserved_bytes = size
+
+    def drop_body(self) -> None:
+        """Free the body, which is not needed any more."""
+        self.body = b""
+        self.memory.give_back(self.reserved_bytes)
+        self.reserved_bytes = 0
+
 
 class Responder:
     """Writes the answer to one request."""
@@ -132,7 +158,13 @@
 class Server:
     """Listens on one address and serves each connection in a task of its own."""
 
-    def __init__(self, address: tuple[str, int], handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: RequestHandler,
+        memory: body_memory.BodyMemory | None = None,
+    ) -> None:
+        self.memory = memory or body_memory.BodyMemory(math.inf)
         self.address = address
         self.handler = handler
         self.stopping = False
@@ -326,10 +358,16 @@
         except errors.BadRequestError as error:
             await self.refuse(413, str(error))
             return False
+        except errors.BodyMemoryError as error:
+            await self.refuse(503, str(error))
+            return False
         if request is None:
             return False
         responder = Responder(self)
-        await self.handle_watched(request, responder)
+        try:
+            await self.handle_watched(request, responder)
+        finally:
+            request.drop_body()
         if not responder.ended:
             self.channel.abort()
             return False
@@ -383,19 +421,32 @@
         if not isinstance(event, h11.Request):
             return None
         request = Request(
-            event.method, event.target, list(event.headers.raw_items()), clocks.boot_time()
+            event.method,
+            event.target,
+            list(event.headers.raw_items()),
+            clocks.boot_time(),
+            self.server.memory,
         )
         self.method = event.method
         names = [name for name, _ in event.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             raise h11.RemoteProtocolError("both content-length and transfer-encoding", 400)
-        if self.machine.they_are_waiting_for_100_continue:
-            self.write(h11.InformationalResponse(status_code=100, headers=[]))
-        request.body = await self.read_body(limits)
+        try:
+            # What does not fit is refused before it is sent.
+            request.reserve(min(declared_length(event), limits.body_bytes))
+            if self.machine.they_are_waiting_for_100_continue:
+                self.write(h11.InformationalResponse(status_code=100, headers=[]))
+            request.body = await self.read_body(request, limits)
+        except BaseException:
+            request.drop_body()
+            raise
         return request
 
-    async def read_body(self, limits: gateway.ClientLimits) -> bytes:
-        """Return the whole body; raises BadRequestError if it is above the limit."""
+    async def read_body(self, request: Request, limits: gateway.ClientLimits) -> bytes:
+        """Return the whole body.
+
+        Raise BadRequestError if it is above the limit, BodyMemoryError if it does not fit.
+        """
         parts: list[bytes] = []
         size = 0
         while True:
@@ -404,6 +455,7 @@
                 size += len(event.data)
                 if size > limits.body_bytes:
                     raise errors.BadRequestError(f"the body exceeds {limits.body_bytes} bytes")
+                request.reserve(size)
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
@@ -415,12 +467,20 @@
         self.server.handler.note_protocol_error(status, detail)
         if self.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if status == 503:
+            headers.append((b"Retry-After", RETRY_AFTER))
         self.write(
             h11.Response(
                 status_code=status,
-                headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
+                headers=headers,
                 reason=REASONS.get(status, b""),
             )
         )
         self.write(h11.EndOfMessage())
         await self.channel.close_after_peer()
+
+
+def declared_length(request: h11.Request) -> int:
+    """Return the length of the body that a request's head declares, 0 for one in chunks."""
+    return next((int(value) for name, value in request.headers if name == b"content-length"), 0)
