Let requests' bodies take a third of the process's memory

Bodies that wait for the first event are there once only; a second copy exists while parts are joined.

--- a/src/masticward/state/body_memory.py
+++ b/src/masticward/state/body_memory.py
@@ -1,7 +1,7 @@
 """Bound on the memory that the bodies of clients' requests take in one process."""
 
-# Of a body there may be a second copy while it is joined or sent.
-BODY_FRACTION = 1 / 6
+# The rest is for all else, and for the second copy of a body while its parts are joined.
+BODY_FRACTION = 1 / 3
 
 
 def limit_for(process_bytes: int) -> int:
