Reading: one length of a declared body, one bound on numbers, one encoding of a request

http1_server had declared_length beside http1's own, documents MAX_NUMBER beside headers', the soak's callers the encoding of Exchange.send, and decode_endpoint logged what decode_item logs for every other object. Each has one place now; behaviour is the same.

--- a/src/masticward/platform/documents.py
+++ b/src/masticward/platform/documents.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from masticward import errors, events, logs
+from masticward import errors
 from masticward.gateway import sources
 from masticward.models import gateway
-from masticward.platform import names
+from masticward.platform import headers, names
 from masticward.utils import addresses, clocks
 
 KINDS = {
@@ -20,17 +20,14 @@
 }
 
 
-# Larger numbers are not exact as floating-point numbers, and gateways cannot send each other those
-# of more than 64 bits.
-MAX_NUMBER = 2**53
-WholeNumber = typing.Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-Milliseconds = typing.Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+NUMBER_BOUNDS = msgspec.Meta(ge=-headers.MAX_NUMBER, le=headers.MAX_NUMBER)
+WholeNumber = typing.Annotated[int, NUMBER_BOUNDS]
+Milliseconds = typing.Annotated[float, NUMBER_BOUNDS]
 # Gateways send these to each other in datagrams.
 MAX_NAME_LENGTH = 200
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 # What decoding raises for text that cannot be read.
 UNREADABLE = (msgspec.DecodeError, RecursionError, ValueError, OverflowError)
-LOGGER = logs.get_logger(__name__)
 
 
 class ServerEntry(msgspec.Struct):
@@ -118,18 +115,12 @@
 
 
 def decode_endpoint(name: str, spec: msgspec.Raw, status: msgspec.Raw) -> gateway.Endpoint | None:
-    """Return an endpoint; None if the object does not describe a usable endpoint."""
+    """Return an endpoint; None if the object does not describe a usable endpoint.
+
+    Raise one of ``UNREADABLE`` if it describes nothing.
+    """
     text = spec if has_members(spec) else status
-    try:
-        entry = msgspec.json.decode(text, type=ServerEntry)
-    except UNREADABLE as error:
-        LOGGER.log(
-            events.Event.STORED_OBJECT_UNREADABLE,
-            kind=sources.ObjectKind.ENDPOINTS.value,
-            name=name,
-            error=str(error),
-        )
-        return None
+    entry = msgspec.json.decode(text, type=ServerEntry)
     if entry.state not in (names.STATE_READY, names.STATE_DRAINING):
         return None
     if len(name) > MAX_NAME_LENGTH or not addresses.is_usable(entry.address):
@@ -215,7 +206,8 @@
 ) -> typing.Any:
     """Return the value of a stored object; None if it is not usable.
 
-    Raise ConfigurationError if the object is an invalid configuration.
+    Raise ConfigurationError if the object is an invalid configuration, one of ``UNREADABLE`` if it
+    is no endpoint's entry.
     """
     if kind is sources.ObjectKind.ENDPOINTS:
         return decode_endpoint(name, spec, status)
--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -14,7 +14,8 @@
 # Deadline of a request that has none: the longest one that the platform's clients use.
 DEFAULT_DEADLINE_SECONDS = 10.0
 RETRY_AFTER_PATTERN = re.compile(r"\d+(\.\d+)?", re.ASCII)
-# Larger numbers are not exact as floating-point numbers, and the largest cannot be converted.
+# Larger numbers are not exact as floating-point numbers, and the largest cannot be converted, or
+# sent to other gateways.
 MAX_NUMBER = 2**53
 
 
--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -262,7 +262,7 @@
     if not removed:
         try:
             value = documents.decode_object(kind, metadata.name, document.spec, document.status)
-        except errors.ConfigurationError as error:
+        except (errors.ConfigurationError, *documents.UNREADABLE) as error:
             LOGGER.log(
                 events.Event.STORED_OBJECT_UNREADABLE,
                 kind=kind.value,
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -319,15 +319,22 @@
         self.had_stray = False
         self.unframed = False
 
-    async def send(
+    def encode(
         self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> None:
-        """Write a whole request; raises EndpointBrokenError if the connection fails."""
+    ) -> list[bytes]:
+        """Return the bytes of a whole request, its body apart from its head."""
         self.request = h11.Request(method=method, target=target, headers=headers)
         parts = [self.machine.send(self.request) or b""]
         if body:
             parts.append(self.machine.send(h11.Data(data=body)) or b"")
         parts.append(self.machine.send(h11.EndOfMessage()) or b"")
+        return parts
+
+    async def send(
+        self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Write a whole request; raises EndpointBrokenError if the connection fails."""
+        parts = self.encode(method, target, headers, body)
         self.sent = True
         try:
             if len(body) > MAX_JOINED_BYTES:
@@ -349,7 +356,7 @@
         assert self.request is not None
         # The new state machine passes through the sending states; its bytes are not written again.
         machine.send(self.request)
-        length = _declared_length(self.request)
+        length = declared_length(self.request)
         if length:
             machine.send(h11.Data(data=bytes(length)))
         machine.send(h11.EndOfMessage())
@@ -470,5 +477,6 @@
         )
 
 
-def _declared_length(request: h11.Request) -> int:
+def declared_length(request: h11.Request) -> int:
+    """Return the length of the body that a request's head declares, 0 for one in chunks."""
     return next((int(value) for name, value in request.headers if name == b"content-length"), 0)
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -433,7 +433,7 @@
             raise h11.RemoteProtocolError("both content-length and transfer-encoding", 400)
         try:
             # What does not fit is refused before it is sent.
-            request.reserve(min(declared_length(event), limits.body_bytes))
+            request.reserve(min(http1.declared_length(event), limits.body_bytes))
             if self.machine.they_are_waiting_for_100_continue:
                 self.write(h11.InformationalResponse(status_code=100, headers=[]))
             request.body = await self.read_body(request, limits)
@@ -479,8 +479,3 @@
         )
         self.write(h11.EndOfMessage())
         await self.channel.close_after_peer()
-
-
-def declared_length(request: h11.Request) -> int:
-    """Return the length of the body that a request's head declares, 0 for one in chunks."""
-    return next((int(value) for name, value in request.headers if name == b"content-length"), 0)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,8 +5,6 @@
 import random
 import time
 
-import h11
-
 from masticward import errors
 from masticward.transport import http1
 from tests.soak import endpoints, world
@@ -210,12 +208,7 @@
         if body and seeded.random() < CHUNKED_SHARE:
             headers = [(b"Transfer-Encoding", b"chunked"), *headers[:-1]]
         target = f"/{call.route}/1?a=b".encode()
-        exchange.request = h11.Request(method=method, target=target, headers=headers)
-        parts = [exchange.machine.send(exchange.request) or b""]
-        if body:
-            parts.append(exchange.machine.send(h11.Data(data=body)) or b"")
-        parts.append(exchange.machine.send(h11.EndOfMessage()) or b"")
-        data = b"".join(parts)
+        data = b"".join(exchange.encode(method, target, headers, body))
         exchange.sent = True
         if seeded.random() < PARTED_SHARE:
             half = seeded.randrange(1, len(data))
