Reading: tests share the numbered requests and the set clock

The two classes of test_planned_stop built their requests alike, and test_frozen_reader patched the clock twice. All assertions are as they were; the 15 tests pass.

--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -41,10 +41,22 @@
     return True
 
 
-class PlannedStopTest(test_gateway.GatewayCase):
+class NumberedRequestCase(test_gateway.GatewayCase):
+    """Sends requests with IDs of their own and nine seconds of time."""
+
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.serials = itertools.count()
+
+    def make_request(self, route: str) -> tuple[str, bytes]:
+        request_id = f"n{next(self.serials)}"
+        data = self.request(route).replace(b"Id: q1\r\n", f"Id: {request_id}\r\n".encode())
+        return request_id, data.replace(b"Ms: 3000", b"Ms: 9000")
+
+
+class PlannedStopTest(NumberedRequestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.open = True
         # Request IDs by outcome.
         self.answered: set[str] = set()
@@ -53,11 +65,6 @@
         # Sent on a connection that had served requests; the close may have crossed it.
         self.crossed: set[str] = set()
 
-    def make_request(self, route: str) -> tuple[str, bytes]:
-        request_id = f"q{next(self.serials)}"
-        data = self.request(route).replace(b"Id: q1\r\n", f"Id: {request_id}\r\n".encode())
-        return request_id, data.replace(b"Ms: 3000", b"Ms: 9000")
-
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
         """Return a connection, None once the gateway accepts no more."""
         try:
@@ -156,7 +163,7 @@
         self.assertGreater(len(self.answered), STREAMS)
 
 
-class LateRequestTest(test_gateway.GatewayCase):
+class LateRequestTest(NumberedRequestCase):
     """Guards against requests that a stopping gateway begins although it has to cut them.
 
     It stops 4.4 s after the signal; the streams take 3 s.
@@ -170,7 +177,6 @@
         await self.add_endpoint("e1", self.send_slow_events)
         routes = platform_standins.configuration()["routes"]
         await self.start(routes=[{**route, "timeout_ms": 9000} for route in routes])
-        self.serials = itertools.count()
         self.stopped_at = 0.0
 
     async def send_slow_events(
@@ -178,11 +184,6 @@
     ) -> bool:
         return await send_events(request, writer, self.event_interval_seconds)
 
-    def make_request(self, route: str) -> tuple[str, bytes]:
-        request_id = f"late{next(self.serials)}"
-        data = self.request(route).replace(b"Id: q1\r\n", f"Id: {request_id}\r\n".encode())
-        return request_id, data.replace(b"Ms: 3000", b"Ms: 9000")
-
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", self.port)
 
--- a/tests/unit/test_frozen_reader.py
+++ b/tests/unit/test_frozen_reader.py
@@ -16,12 +16,19 @@
 TICK_SECONDS = 0.02
 
 
-class FrozenReaderTest(unittest.TestCase):
+class ClockCase(unittest.TestCase):
+    """Sets the clock by ``now``."""
+
     def setUp(self) -> None:
         self.now = 1000.0
         patcher = unittest.mock.patch.object(clocks, "boot_time", lambda: self.now)
         patcher.start()
         self.addCleanup(patcher.stop)
+
+
+class FrozenReaderTest(ClockCase):
+    def setUp(self) -> None:
+        super().setUp()
         self.fleet = builders.make_fleet(
             builders.make_endpoint("e1"), builders.make_endpoint("e2"), now=self.now
         )
@@ -83,14 +90,11 @@
         self.assertEqual(["e1", "e2"], self.usable())
 
 
-class SnapshotOfMissingEndpointsTest(unittest.TestCase):
+class SnapshotOfMissingEndpointsTest(ClockCase):
     """A peer's snapshot holds e1 and e2; it keeps e1 for a grace period only."""
 
     def setUp(self) -> None:
-        self.now = 1000.0
-        patcher = unittest.mock.patch.object(clocks, "boot_time", lambda: self.now)
-        patcher.start()
-        self.addCleanup(patcher.stop)
+        super().setUp()
         peer = builders.make_fleet(
             builders.make_endpoint("e1"), builders.make_endpoint("e2"), now=self.now
         )
