An answer ends as broken after 32 informational answers

Callers saw: with four of twelve endpoints that send "102 Processing" without end, 20 callers got 44 answers in 8 s (30 late, one 504), at 0.72 cores of the gateway; requests of other endpoints waited for the same event loop.

Cause: Exchange.read_head skipped informational answers without a limit. h11 takes tens of microseconds for each, and up to 14,000 of them are buffered between two suspensions of the task.

Evidence: InformationalAnswersTest.test_more_of_them_break_the_answer failed on the code before ("EndpointBrokenError not raised"). Ruled out: memory (peak 40 MB) and the network.

The limit is for one request, over stray answers too, and the endpoint then counts as failed, so that it is avoided. 32 are passed over as before.

--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -24,6 +24,8 @@
 # Longest body that is held in memory; a faulty peer may send bytes without end.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
+# A faulty peer may send informational answers without end and never a final one.
+MAX_INFORMATIONAL_ANSWERS = 32
 # A peer that answers no packet for this long is gone; pages of the platform grant 3 s of contact.
 SILENCE_MILLISECONDS = 1500
 KEEP_ALIVE_IDLE_SECONDS = 1
@@ -300,6 +302,7 @@
         "chunked",
         "ended",
         "had_stray",
+        "informational_answers",
         "machine",
         "received",
         "request",
@@ -317,6 +320,7 @@
         self.received = False
         self.ended = False
         self.had_stray = False
+        self.informational_answers = 0
         self.unframed = False
 
     def encode(
@@ -390,10 +394,16 @@
             self.machine.receive_data(data)
 
     async def read_head(self) -> Answer:
-        """Return the head of the final answer."""
+        """Return the head of the final answer.
+
+        Raise EndpointBrokenError after more than ``MAX_INFORMATIONAL_ANSWERS`` to the request.
+        """
         while True:
             event = await self.next_event()
             if isinstance(event, h11.InformationalResponse):
+                self.informational_answers += 1
+                if self.informational_answers > MAX_INFORMATIONAL_ANSWERS:
+                    raise errors.EndpointBrokenError("too many informational answers")
                 continue
             if not isinstance(event, h11.Response):
                 raise errors.EndpointBrokenError("closed without an answer")
--- a/tests/functional/test_http1_exchange.py
+++ b/tests/functional/test_http1_exchange.py
@@ -77,6 +77,36 @@
         self.assertFalse(self.is_reusable(b"Transfer-Encoding: chunked\r\n", CHUNKED_BODY + extra))
 
 
+class InformationalAnswersTest(unittest.TestCase):
+    """Guards against a peer that holds the event loop with informational answers without end."""
+
+    def read_status(self, informational_answers: int) -> int:
+        """Return the status of a final answer after a number of informational ones."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        answer = b"HTTP/1.1 102 Processing\r\n\r\n" * informational_answers + HEAD
+        arguments = (listener, answer, False, threading.Event())
+        threading.Thread(target=serve_once, args=arguments, daemon=True).start()
+
+        async def exchange() -> int:
+            channel = await http1.connect(listener.getsockname(), 1.0)
+            call = http1.Exchange(channel)
+            try:
+                await call.send(b"GET", b"/", [(b"host", b"test")], b"")
+                return (await call.read_head()).status
+            finally:
+                channel.abort()
+
+        return uvloop.run(exchange())
+
+    def test_the_final_answer_follows_a_few(self) -> None:
+        self.assertEqual(200, self.read_status(http1.MAX_INFORMATIONAL_ANSWERS))
+
+    def test_more_of_them_break_the_answer(self) -> None:
+        with self.assertRaisesRegex(errors.EndpointBrokenError, "informational"):
+            self.read_status(http1.MAX_INFORMATIONAL_ANSWERS + 1)
+
+
 class UnframedAnswerTest(unittest.TestCase):
     def read_answer(self, reset: bool) -> bytes:
         listener = socket.create_server(("127.0.0.1", 0))
