Gateway: a begun stream has its caller's whole time

Callers saw: streams that had begun ended without their last event 30 ms before the caller's budget was reached, with a warning 8105 "deadline".

Cause: RESPONSE_MARGIN_SECONDS lets a refusal arrive before its caller gives up, but it also bounded responses that had begun, and the time that endpoints are handed and stop at.

Evidence: two of the three new tests failed on (a stream with a budget of 1 s was ended 0.991 s after it was sent; a stream of 2 s was cut at a limit that should bound only its beginning). The third guards the margin of responses that have not begun, and the time that their endpoints are handed.

Ruled out: the route's timeout, which never had a margin.

Why it works: the limit moves to min(deadline, timeout) when the first byte is sent to the caller. Endpoints of stream routes are handed the time up to that limit; it is never more than the caller's or the route's. While the process stops, can_finish compares with the same limit, so no stream is begun that may use time after the end.

Measured: test_time_limits 3 of 3, test_gateway 52 of 52 and test_planned_stop 6 of 6 on this code.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -20,7 +20,7 @@
 from masticward.transport import http1, http1_server
 from masticward.utils import clocks, identifiers
 
-# The final response is sent this long before the client's deadline, to arrive in time.
+# A response begins at least this long before the client's deadline, to arrive in time.
 RESPONSE_MARGIN_SECONDS = 0.03
 # Shortest remaining time with which an attempt is made.
 MIN_ATTEMPT_SECONDS = 0.02
@@ -145,10 +145,10 @@
         # The next attempt, granted while the endpoint of the current one was silent.
         self.replacement: AttemptGrant | None = None
         self.service = choose_service(route, metadata.request_id)
-        self.response_deadline = min(
-            metadata.deadline - RESPONSE_MARGIN_SECONDS,
-            metadata.arrived_at + route.timeout_seconds,
-        )
+        self.deadline = min(metadata.deadline, metadata.arrived_at + route.timeout_seconds)
+        # Of the response until its first byte is sent, then ``deadline``.
+        self.response_deadline = min(metadata.deadline - RESPONSE_MARGIN_SECONDS, self.deadline)
+        self.time_limit = asyncio.timeout(None)
         self.waiting_request = placer.WaitingRequest(
             metadata,
             route,
@@ -164,7 +164,8 @@
         """Serve the request; raise RefusalError if it fails before a response was started."""
         self.fleet.budget(self.service).record_request(clocks.boot_time())
         try:
-            async with asyncio.timeout(max(0.0, self.response_deadline - clocks.boot_time())):
+            async with self.time_limit:
+                self.schedule_time_limit()
                 while not await self.attempt():
                     pass
         except RefusalError as refusal:
@@ -181,6 +182,16 @@
         finally:
             self.discard_replacement()
 
+    def schedule_time_limit(self) -> None:
+        """Let the request end at ``response_deadline``."""
+        remaining_seconds = self.response_deadline - clocks.boot_time()
+        self.time_limit.reschedule(asyncio.get_running_loop().time() + remaining_seconds)
+
+    def extend_time_limit(self) -> None:
+        """Give a response whose first byte is sent the client's whole time."""
+        self.response_deadline = self.deadline
+        self.schedule_time_limit()
+
     async def attempt(self) -> bool:
         """Make one attempt; return False if another should follow."""
         grant = self.replacement or await self.acquire(self.waiting_request)
@@ -266,7 +277,7 @@
             if self.response_deadline - now < MIN_ATTEMPT_SECONDS:
                 raise self.final_refusal("deadline passed", placer.MIN_RETRY_AFTER_SECONDS)
             if not self.fleet.can_finish(
-                self.route, self.metadata.output_tokens, self.response_deadline, now
+                self.route, self.metadata.output_tokens, self.deadline, now
             ):
                 raise self.final_refusal(STOPPING_REASON, placer.MIN_RETRY_AFTER_SECONDS)
             if self.progress.sends and not self.fleet.budget(self.service).take(
@@ -348,7 +359,9 @@
         """
         choice, endpoint, reservation = grant.choice, grant.choice.endpoint, grant.reservation
         now = clocks.boot_time()
-        remaining_seconds = self.response_deadline - now
+        # A stream may use the time up to its end; any other response has to arrive in time.
+        streams = self.route.kind is gateway.RequestKind.STREAM
+        remaining_seconds = (self.deadline if streams else self.response_deadline) - now
         self.progress.sends += 1
         self.progress.runs += 1
         self.progress.sent_at = now
@@ -582,6 +595,7 @@
         """Write the head of a stream's response to the client unless that was done."""
         if not self.progress.response_started:
             self.progress.response_started = True
+            self.extend_time_limit()
             headers = self.dependencies.codec.response_headers(call.response.headers)
             await self.responder.start(call.response.status, headers)
 
--- /dev/null
+++ b/tests/functional/test_time_limits.py
@@ -0,0 +1,74 @@
+"""Guards what a request may take of its caller's time, before and after its response begins."""
+
+import asyncio
+import time
+import unittest.mock
+
+from masticward.gateway import request_path
+from tests.functional import test_gateway, test_planned_stop
+from tests.lib import platform_standins
+
+# Of nine seconds; leaves 1.5 s to begin a response, and the streams take 2 s.
+LONG_MARGIN_SECONDS = 7.5
+EVENT_INTERVAL_SECONDS = 0.25
+
+
+class StreamTimeTest(test_planned_stop.NumberedRequestCase):
+    """Guards against streams that are ended although their callers still wait."""
+
+    async def start_with_margin(self) -> None:
+        margin = unittest.mock.patch.object(
+            request_path, "RESPONSE_MARGIN_SECONDS", LONG_MARGIN_SECONDS
+        )
+        margin.start()
+        self.addCleanup(margin.stop)
+        routes = platform_standins.configuration()["routes"]
+        await self.start(routes=[{**route, "timeout_ms": 9000} for route in routes])
+
+    async def exchange(self, route: str) -> test_gateway.Response:
+        reader, writer = await self.send(self.make_request(route)[1])
+        self.addCleanup(writer.close)
+        return await self.read(reader)
+
+    async def test_a_begun_stream_may_use_the_time_up_to_its_deadline(self) -> None:
+        async def send_slowly(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            return await test_planned_stop.send_events(request, writer, EVENT_INTERVAL_SECONDS)
+
+        endpoint = await self.add_endpoint("e1", send_slowly)
+        await self.start_with_margin()
+        response = await self.exchange("stream")
+        self.assertEqual((200, True), (response.status, response.complete))
+        handed_ms = int(endpoint.received[0].headers["x-masticward-deadline-ms"])
+        self.assertGreater(handed_ms, 9000 - LONG_MARGIN_SECONDS * 1000)
+
+    async def test_a_stream_without_an_end_ends_no_earlier_than_its_deadline(self) -> None:
+        async def send_forever(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            while await test_planned_stop.send_events(request, writer, 10.0):
+                pass
+            return False
+
+        await self.add_endpoint("e1", send_forever)
+        await self.start()
+        data = self.request("stream").replace(b"Ms: 3000", b"Ms: 1000")
+        sent_at = time.monotonic()
+        reader, writer = await self.send(data)
+        response = await self.read(reader)
+        ended_after = time.monotonic() - sent_at
+        writer.close()
+        self.assertEqual((200, False), (response.status, response.complete))
+        self.assertGreaterEqual(ended_after, 1.0)
+
+    async def test_a_response_that_has_not_begun_keeps_the_margin(self) -> None:
+        endpoint = await self.add_endpoint("e1", platform_standins.never_respond)
+        await self.start_with_margin()
+        for route in ("book", "stream"):
+            with self.subTest(route):
+                started = time.monotonic()
+                self.assertEqual(504, (await self.exchange(route)).status)
+                self.assertLess(time.monotonic() - started, 9.0)
+        handed_ms = int(endpoint.received[0].headers["x-masticward-deadline-ms"])
+        self.assertLessEqual(handed_ms, 9000 - LONG_MARGIN_SECONDS * 1000)
