Gateway: no second response to a client that still reads the first

Callers saw: nothing new, a reset connection. Operators saw a 504 (8103) that was never sent, then 1004 "client connection" without a request's ID: a closed connection after a request that was read and passed on, without a line that says why.

Cause: when the deadline passed while Responder.send waited for a client that reads slowly, the request counted as not begun, and the refusal wrote a second head, which h11 rejects. Only streams counted as begun. Responder.ended was also set before the connection had taken the response.

Why it works: a response counts as begun before its first byte is written, so the end of its time is logged as 8105 with the request's ID and counted as "cut at deadline"; a response that was not taken whole has not ended, so the server resets the connection.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -499,6 +499,8 @@
         if succeeded:
             self.record_answer_begun()
         headers = self.dependencies.codec.response_headers(response.headers)
+        self.progress.response_started = True
+        self.extend_time_limit()
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
             self.record_success(call, sent_at)
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -117,9 +117,9 @@
 
     async def end(self) -> None:
         """Complete the body."""
-        self.ended = True
         self.connection.write(h11.EndOfMessage())
         await self.connection.drain()
+        self.ended = True
 
     async def send(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Write a whole answer with its length."""
@@ -127,7 +127,6 @@
         if self.closes_connection:
             with_length.append((b"Connection", b"close"))
         self.started = True
-        self.ended = True
         response = h11.Response(
             status_code=status, headers=with_length, reason=REASONS.get(status, b"")
         )
@@ -138,6 +137,7 @@
         parts.append(self.connection.machine.send(h11.EndOfMessage()))
         self.connection.channel.writer.write(b"".join(part for part in parts if part))
         await self.connection.drain()
+        self.ended = True
 
 
 class RequestHandler(abc.ABC):
--- a/tests/functional/test_time_limits.py
+++ b/tests/functional/test_time_limits.py
@@ -1,16 +1,29 @@
 """Guards what a request may take of its caller's time, before and after its response begins."""
 
 import asyncio
+import contextlib
+import socket
 import time
 import unittest.mock
 
 from masticward.gateway import request_path
+from masticward.transport import http1_server
 from tests.functional import test_gateway, test_planned_stop
 from tests.lib import platform_standins
 
 # Of nine seconds; leaves 1.5 s to begin a response, and the streams take 2 s.
 LONG_MARGIN_SECONDS = 7.5
 EVENT_INTERVAL_SECONDS = 0.25
+# More than the buffers of the two sockets hold.
+LONG_BODY = b"x" * 12_000_000
+CLIENT_BUFFER_BYTES = 65536
+
+
+async def send_long_body(
+    request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+) -> bool:
+    writer.write(platform_standins.complete_response(request, LONG_BODY))
+    return True
 
 
 class StreamTimeTest(test_planned_stop.NumberedRequestCase):
@@ -72,3 +85,28 @@
                 self.assertLess(time.monotonic() - started, 9.0)
         handed_ms = int(endpoint.received[0].headers["x-masticward-deadline-ms"])
         self.assertLessEqual(handed_ms, 9000 - LONG_MARGIN_SECONDS * 1000)
+
+
+class SlowClientTest(test_gateway.GatewayCase):
+    """Guards against a second response to a client that still reads the first at its deadline."""
+
+    async def test_a_response_that_is_read_too_slowly_is_cut_once(self) -> None:
+        await self.add_endpoint("e1", send_long_body)
+        await self.start()
+        with unittest.mock.patch.object(http1_server, "LOGGER") as log:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CLIENT_BUFFER_BYTES)
+            client.connect(("127.0.0.1", self.port))
+            client.setblocking(False)
+            client.sendall(self.request("book"))
+            await self.wait_until(lambda: self.program.client_server.busy > 0)
+            while self.program.client_server.busy:
+                await asyncio.sleep(0.1)
+                # A client that reads nothing at all is taken for gone before its deadline.
+                with contextlib.suppress(BlockingIOError, ConnectionError):
+                    client.recv(CLIENT_BUFFER_BYTES)
+        client.close()
+        outcomes = self.program.gateway_metrics.requests
+        self.assertEqual([], [call.args for call in log.log.call_args_list])
+        self.assertEqual(1.0, outcomes.labels("cut at deadline", "0")._value.get())
+        self.assertEqual(0.0, outcomes.labels("refused", "504")._value.get())
