Write out the log lines that wait when a gateway ends

Operators saw no line of requests that were open when a gateway ended while the collector of its logs was behind: up to 256 KiB of lines that waited in LineWriter ended with the process. The last lines are the ones that say how requests ended (8114, 8105, 1003).

main() now closes the writer after the event loop, so lines of tasks that are cancelled there are included.

Checked: on the code before, the two new tests fail, because there is no close(). Now 4 of 4 pass, 3 times.

--- a/src/masticward/logs.py
+++ b/src/masticward/logs.py
@@ -3,6 +3,7 @@
 import collections
 import logging
 import os
+import select
 import sys
 import typing
 
@@ -10,10 +11,14 @@
 import structlog
 
 from masticward import events
+from masticward.utils import clocks
 
 # Lines that wait while the reader is behind; warnings may use the whole of it.
 BUFFER_BYTES = 256 * 1024
 ROUTINE_BUFFER_BYTES = 192 * 1024
+# Longest wait at the end of the process for a reader that is behind; it has to fit into the time
+# between the end of the last request and the end of the grace period.
+CLOSE_WAIT_SECONDS = 0.25
 
 
 def configure(level: int = logging.INFO, **context: str) -> None:
@@ -106,9 +111,21 @@
             dropped, self.dropped = self.dropped, 0
             get_logger(__name__).log(events.Event.LOG_LINES_DROPPED, lines=dropped)
 
+    def close(self, deadline: float) -> None:
+        """Write the lines that still wait; give up at the deadline (``clocks.boot_time``)."""
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLOUT)
+        self.flush()
+        while self.pending and (remaining := deadline - clocks.boot_time()) > 0.0:
+            poll.poll(remaining * clocks.MILLISECONDS_PER_SECOND)
+            self.flush()
+
 
-def configure_gateway() -> None:
-    """Write events as JSON lines to standard output, without blocking."""
+def configure_gateway() -> LineWriter:
+    """Write events as JSON lines to standard output, without blocking; return the writer.
+
+    The writer has to be closed at the end of the process, or lines that wait are lost.
+    """
     writer = LineWriter(sys.stdout.fileno())
     structlog.configure(
         processors=[
@@ -121,6 +138,7 @@
         logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
     )
+    return writer
 
 
 def bind(**context: str) -> None:
--- a/src/masticward/platform/program.py
+++ b/src/masticward/platform/program.py
@@ -7,7 +7,7 @@
 from masticward import errors, events, logs
 from masticward.daemons import gateway as gateway_daemon
 from masticward.platform import headers, settings, store
-from masticward.utils import programs
+from masticward.utils import clocks, programs
 
 SETTINGS_VARIABLE = "MASTICWARD_SETTINGS"
 INVALID_SETTINGS_EXIT_CODE = 3
@@ -16,8 +16,16 @@
 
 def main() -> int:
     """Run the gateway with the platform's settings; return the exit code."""
+    writer = logs.configure_gateway()
+    try:
+        return run_gateway()
+    finally:
+        writer.close(clocks.boot_time() + logs.CLOSE_WAIT_SECONDS)
+
+
+def run_gateway() -> int:
+    """Load the settings and run the gateway; return the exit code."""
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "/etc/masticward/node.yaml"))
-    logs.configure_gateway()
     try:
         loaded = settings.load(path)
     except errors.SettingsError as error:
--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -1,11 +1,14 @@
 """Guards against a reader of the logs that stalls the gateway, and against lost warnings."""
 
 import os
+import threading
 import unittest
 
 from masticward import logs
+from masticward.utils import clocks
 
 LINE = "x" * 200
+READ_TIMEOUT_SECONDS = 60.0
 
 
 class LineWriterTest(unittest.TestCase):
@@ -41,3 +44,31 @@
         lines = data.splitlines()
         self.assertEqual({LINE.encode(), b"important"}, set(lines))
         self.assertEqual(0, self.writer.dropped)
+
+    # Lines that waited for a full pipe when the process ended were lost.
+    def test_lines_that_wait_at_the_end_are_written_out(self) -> None:
+        for number in range(1_000):
+            self.writer.warning(f"{number} {LINE}")
+        self.assertGreater(self.writer.pending_bytes, 0)
+        data = b""
+
+        def read_to_end() -> None:
+            nonlocal data
+            while not data.endswith(b"999 " + LINE.encode() + b"\n"):
+                data += os.read(self.read_end, 1 << 20)
+
+        reader = threading.Thread(target=read_to_end)
+        reader.start()
+        self.writer.close(clocks.boot_time() + READ_TIMEOUT_SECONDS)
+        reader.join()
+        numbers = [int(line.split()[0]) for line in data.splitlines()]
+        self.assertEqual(list(range(1_000)), numbers)
+
+    # A collector that never reads again must not keep the process beyond its grace period.
+    def test_the_end_does_not_wait_for_a_reader_beyond_the_deadline(self) -> None:
+        for _ in range(1_000):
+            self.writer.warning(LINE)
+        started = clocks.boot_time()
+        self.writer.close(started + 0.05)
+        self.assertGreaterEqual(clocks.boot_time(), started + 0.05)
+        self.assertGreater(self.writer.pending_bytes, 0)
