Keep serving when the reader of the logs is gone

Every log call raised BrokenPipeError once the collector had closed the gateway's standard output, and with it every request failed that logs a line. LineWriter caught only BlockingIOError. It now counts the lines as dropped.

--- a/src/masticward/logs.py
+++ b/src/masticward/logs.py
@@ -102,6 +102,12 @@
                 written = os.write(self.descriptor, line)
             except BlockingIOError:
                 return
+            except OSError:
+                # The reader is gone. Requests go on without their lines.
+                self.dropped += len(self.pending)
+                self.pending.clear()
+                self.pending_bytes = 0
+                return
             self.pending_bytes -= written
             if written < len(line):
                 self.pending[0] = line[written:]
--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -72,3 +72,12 @@
         self.writer.close(started + 0.05)
         self.assertGreaterEqual(clocks.boot_time(), started + 0.05)
         self.assertGreater(self.writer.pending_bytes, 0)
+
+    # A collector that ended made every log call, and with it every request, fail.
+    def test_a_reader_that_is_gone_fails_no_caller(self) -> None:
+        read_end, write_end = os.pipe()
+        self.addCleanup(os.close, write_end)
+        os.close(read_end)
+        writer = logs.LineWriter(write_end)
+        writer.warning(LINE)
+        self.assertEqual((1, 0), (writer.dropped, writer.pending_bytes))
