Say in 8103 what decided a refusal and how old that was

8103 now has path, method, host, route, team, times, the configuration in force with the time since it was applied and since its latest proof, a newer version that a peer has, the endpoint and runs of earlier attempts, and with 404 and 401 the last configuration of this process that had the route or the key. EventLogger writes the module last, because an excerpt that cuts lines at 200 characters showed it in place of the cause.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -383,6 +383,7 @@
         LOGGER.log(events.Event.PROCESS_STOPPING, instance=self.settings.instance_id)
         self.stopping = True
         self.peering.stopping = True
+        self.fleet.stopping_at = started
         self.fleet.ends_at = abort_at
         self.client_server.stopping = True
         await asyncio.sleep(load_shedding.ROTATION_EXIT_SECONDS)
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -17,6 +17,7 @@
     pauses,
     placement,
     prompt_cache,
+    removal_history,
     retry_window,
     run_times,
     store_readers,
@@ -45,6 +46,9 @@
         self.settings = settings
         self.started_at = clocks.boot_time()
         self.configuration: gateway.FleetConfiguration | None = None
+        # When it was put in force here.
+        self.configuration_applied_at = 0.0
+        self.removals = removal_history.RemovalHistory()
         # The latest time for which a proof shows that the configuration in force was the newest.
         self.configuration_proven_at = 0.0
         # Newest version that a peer reported; its content is read from the store.
@@ -76,6 +80,8 @@
         self.pauses = pauses.Pauses(self.started_at)
         self.quarantine = part_quarantine.PartQuarantine(settings.instance_id)
         self.run_times = run_times.RunTimes()
+        # When the process began to stop; None while it serves.
+        self.stopping_at: float | None = None
         # When the process ends and aborts what is not answered; infinite unless it is stopping.
         self.ends_at = math.inf
 
@@ -103,7 +109,11 @@
         self.configuration_proven_at = max(self.configuration_proven_at, proven_at)
         if current is not None and configuration.version == current.version:
             return False
+        now = clocks.boot_time()
+        if current is not None:
+            self.removals.record_change(current, configuration, now)
         self.configuration = configuration
+        self.configuration_applied_at = now
         self.routes_by_host = {}
         for route in configuration.routes:
             self.routes_by_host.setdefault(route.host, []).append(route)
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -49,6 +49,7 @@
         self, request: http1_server.Request, responder: http1_server.Responder
     ) -> None:
         """Handle one request."""
+        metadata = None
         request_id = None
         proxied = None
         try:
@@ -64,9 +65,10 @@
             )
             await proxied.run()
         except errors.BadRequestError as error:
-            await self.refuse(responder, request_id, request_path.RefusalError(400, str(error)))
+            final = request_path.RefusalError(400, str(error))
+            await self.refuse(request, responder, metadata, proxied, final)
         except request_path.RefusalError as refusal:
-            await self.refuse(responder, request_id, refusal)
+            await self.refuse(request, responder, metadata, proxied, refusal)
         except asyncio.CancelledError:
             if clocks.boot_time() >= self.fleet.ends_at:
                 self.dependencies.metrics.count_outcome("cut by stop", 0)
@@ -84,7 +86,7 @@
                 final = request_path.RefusalError(503, "internal error", ERROR_RETRY_AFTER_SECONDS)
             else:
                 final = proxied.final_refusal("internal error", ERROR_RETRY_AFTER_SECONDS)
-            await self.refuse(responder, request_id, final)
+            await self.refuse(request, responder, metadata, proxied, final)
 
     def require_time_to_finish(
         self, metadata: gateway.RequestMetadata, route: gateway.Route
@@ -132,18 +134,24 @@
 
     async def refuse(
         self,
+        request: http1_server.Request,
         responder: http1_server.Responder,
-        request_id: str | None,
+        metadata: gateway.RequestMetadata | None,
+        proxied: request_path.ProxiedRequest | None,
         refusal: request_path.RefusalError,
     ) -> None:
         """Answer a request with a refusal by the gateway itself."""
+        request_id = metadata.request_id if metadata else None
+        route = self.fleet.find_route(metadata.host, metadata.path) if metadata else None
         self.dependencies.metrics.count_outcome("refused", refusal.status)
-        LOGGER.log(
-            events.Event.GATEWAY_REQUEST_REFUSED,
-            request_id=request_id,
-            status=refusal.status,
-            reason=refusal.reason,
-            retry_after=refusal.retry_after_seconds,
+        self.dependencies.reporter.report_refusal(
+            request,
+            metadata,
+            proxied.route if proxied else route,
+            refusal.status,
+            refusal.reason,
+            refusal.retry_after_seconds,
+            proxied.describe_attempts() if proxied else {},
         )
         if refusal.closes_connection:
             responder.ends_connection = True
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -12,6 +12,7 @@
     event_stream,
     gateway_metrics,
     placer,
+    request_reports,
     sources,
 )
 from masticward.gateway import fleet as fleet_module
@@ -75,6 +76,7 @@
 
     __slots__ = (
         "answer_begun",
+        "endpoint_id",
         "last_event_id",
         "received_bytes",
         "response_started",
@@ -86,8 +88,9 @@
     def __init__(self, last_event_id: str | None) -> None:
         self.runs = 0
         self.sends = 0
-        # Of the latest attempt: when it was sent, the bytes of the response's body, and whether a
-        # whole event or response was received.
+        # Of the latest attempt: its endpoint, when it was sent, the bytes of the response's body,
+        # and whether a whole event or response was received.
+        self.endpoint_id: str | None = None
         self.sent_at = 0.0
         self.answer_begun = False
         self.received_bytes = 0
@@ -98,7 +101,15 @@
 class RequestDependencies:
     """Objects that all requests of a process share."""
 
-    __slots__ = ("codec", "crash_detector", "endpoint_client", "fleet", "metrics", "placer")
+    __slots__ = (
+        "codec",
+        "crash_detector",
+        "endpoint_client",
+        "fleet",
+        "metrics",
+        "placer",
+        "reporter",
+    )
 
     def __init__(
         self,
@@ -114,6 +125,7 @@
         self.endpoint_client = endpoint_client
         self.crash_detector = crash_detector.CrashDetector(fleet, endpoint_client.pool)
         self.metrics = metrics
+        self.reporter = request_reports.RequestReporter(fleet)
 
 
 def require_fresh_proof(fleet: fleet_module.FleetState) -> None:
@@ -320,6 +332,13 @@
         self.dependencies.metrics.count_outcome(outcome, 0)
         LOGGER.log(events.Event.STREAM_CUT, request_id=self.metadata.request_id, reason=reason)
 
+    def describe_attempts(self) -> dict[str, typing.Any]:
+        """Return the service, and the endpoint of the latest attempt if there was one."""
+        described: dict[str, typing.Any] = {"service": self.service, "runs": self.progress.runs}
+        if self.progress.endpoint_id is not None:
+            described["endpoint"] = self.progress.endpoint_id
+        return described
+
     def may_retry(self) -> bool:
         """Return whether the route allows another run, and events sent so far one that goes on."""
         if self.progress.response_started and self.progress.last_event_id is None:
@@ -351,6 +370,7 @@
         remaining_seconds = self.response_deadline - now
         self.progress.sends += 1
         self.progress.runs += 1
+        self.progress.endpoint_id = endpoint.id
         self.progress.sent_at = now
         self.progress.received_bytes = 0
         self.progress.answer_begun = False
--- a/src/masticward/logs.py
+++ b/src/masticward/logs.py
@@ -49,8 +49,9 @@
     def log(self, event: events.Event, **fields: typing.Any) -> None:
         """Write one event with its fields."""
         # Fetched for each event, because modules are imported before configure() runs.
+        # The module comes last, because tools may show only the beginning of a line.
         structlog.get_logger().log(
-            event.level, event.text, number=event.number, module=self.module, **fields
+            event.level, event.text, number=event.number, **fields, module=self.module
         )
 
 
