Gateway: bound the answers that are held in their sum; discard those that nobody gets

What callers saw: beside endpoints that send the body of an error or a refusal without end, a gateway exceeds memory_mb and would be killed, with all requests that it serves.

Cause: each answer was bounded (16 MB), their sum was not. The bodies of refusals, of answers to other requests and of errors that another attempt follows were kept whole, though no client gets them. A body that was passed on was copied twice, and stayed in the transport until a slow client had read it.

Now bodies that nobody gets are discarded as they come, up to 128 KiB and 50 ms; then the connection is reset and the next attempt begins. The head alone decides that a refusal was not run; before, one with a long body counted as "may have run". Answers that are held take a sixth of the memory in their sum. One may grow to a quarter of what is free, so endless ones break off the earlier the more there are, and a part is for small ones alone. A declared length that does not fit is refused at the head. Long bodies are written in parts, from one copy.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -85,10 +85,14 @@
         )
         self.quarantine_keeper = quarantine_keeper.QuarantineKeeper(source, self.fleet)
         self.snapshots = snapshots.SnapshotFetcher(self.fleet, self.peering, self.followers)
+        self.body_memory = body_memory.BodyMemory(body_memory.requests_limit(settings.memory_bytes))
+        self.answer_memory = body_memory.AnswerMemory(
+            body_memory.answers_limit(settings.memory_bytes)
+        )
         self.snapshot_server = http1_server.Server(
             (settings.ip, settings.peer_port), snapshots.SnapshotHandler(self.fleet)
         )
-        self.endpoint_client = calls.EndpointClient(self.fleet, codec)
+        self.endpoint_client = calls.EndpointClient(self.fleet, codec, self.answer_memory)
         self.placer = placer.Placer(
             self.fleet, self.peering.announce_prompt, self.endpoint_client.pool.connected_ids
         )
@@ -99,7 +103,6 @@
         )
         self.crash_detector = dependencies.crash_detector
         self.front = front.ClientRequestHandler(dependencies, self.peering.available_peers)
-        self.body_memory = body_memory.BodyMemory(body_memory.limit_for(settings.memory_bytes))
         self.client_server = http1_server.Server(
             addresses.split(settings.client_address), self.front, self.body_memory
         )
@@ -132,6 +135,11 @@
             "bytes of requests' bodies that are being read or held",
             lambda: self.body_memory.held_bytes,
         )
+        add(
+            "masticward_gateway_answer_bytes",
+            "bytes of answers' bodies that are held until clients have them",
+            lambda: self.answer_memory.held_bytes,
+        )
         add(
             "masticward_gateway_configuration_version",
             "configuration in force",
@@ -368,7 +376,8 @@
         )
         self.settings = loaded
         self.fleet.apply_settings(loaded)
-        self.body_memory.limit_bytes = body_memory.limit_for(loaded.memory_bytes)
+        self.body_memory.limit_bytes = body_memory.requests_limit(loaded.memory_bytes)
+        self.answer_memory.limit_bytes = body_memory.answers_limit(loaded.memory_bytes)
         self.peering.apply_settings(loaded)
         LOGGER.log(events.Event.SETTINGS_RELOADED, needs_restart=needs_restart)
 
--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -1,5 +1,6 @@
 """HTTP calls to endpoints over pooled connections."""
 
+import contextlib
 import math
 
 import msgspec
@@ -8,6 +9,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import sources
 from masticward.models import gateway
+from masticward.state import body_memory
 from masticward.transport import http1
 from masticward.utils import addresses, clocks
 
@@ -34,6 +36,8 @@
 # At a reused address, late responses to earlier requests may arrive first. This many are skipped;
 # more of them are a fault.
 MAX_STRAY_RESPONSES = 2
+# The next attempt waits at most this long for the end of a response that nobody gets.
+DISCARD_SECONDS = 0.05
 LOGGER = logs.get_logger(__name__)
 
 
@@ -172,9 +176,12 @@
 
 
 class EndpointCall:
-    """A request sent to an endpoint, with the head of its response received."""
+    """A request sent to an endpoint, with the head of its response received.
 
-    __slots__ = ("endpoint", "exchange", "pool", "response", "response_metadata")
+    ``held_body`` is the memory that the body of the response takes.
+    """
+
+    __slots__ = ("endpoint", "exchange", "held_body", "pool", "response", "response_metadata")
 
     def __init__(
         self,
@@ -183,15 +190,51 @@
         exchange: http1.Exchange,
         response: http1.Answer,
         response_metadata: gateway.ResponseMetadata,
+        held_body: body_memory.HeldBody,
     ) -> None:
+        self.held_body = held_body
         self.pool = pool
         self.endpoint = endpoint
         self.exchange = exchange
         self.response = response
         self.response_metadata = response_metadata
 
+    def require_room(self) -> None:
+        """Raise EndpointBrokenError if the response declares a length that cannot be held."""
+        length = self.exchange.expected_length(self.response)
+        if length > http1.MAX_BODY_BYTES:
+            raise errors.EndpointBrokenError(f"the body exceeds {http1.MAX_BODY_BYTES} bytes")
+        try:
+            self.held_body.require(length)
+        except errors.BodyMemoryError as error:
+            raise errors.EndpointBrokenError(str(error)) from error
+
+    def hold(self, size: int) -> None:
+        """Hold memory for this many bytes of the body and for no others.
+
+        Raise EndpointBrokenError if they do not fit or are above ``http1.MAX_BODY_BYTES``.
+        """
+        if size > http1.MAX_BODY_BYTES:
+            raise errors.EndpointBrokenError(f"the body exceeds {http1.MAX_BODY_BYTES} bytes")
+        try:
+            self.held_body.resize(size)
+        except errors.BodyMemoryError as error:
+            raise errors.EndpointBrokenError(str(error)) from error
+
+    async def discard_body(self) -> int:
+        """Read a body that nobody gets if it is short; return the bytes that were read.
+
+        The connection of a longer one cannot be used again. Raise EndpointBrokenError if it
+        breaks off.
+        """
+        return await self.exchange.discard_body(clocks.boot_time() + DISCARD_SECONDS)
+
     def finish(self) -> None:
-        """Release the connection if its response was read completely, otherwise reset it."""
+        """Release the connection if its response was read completely, otherwise reset it.
+
+        The body's memory is given back.
+        """
+        self.held_body.release()
         if self.exchange.reusable and not self.response_metadata.closes:
             self.pool.release(
                 self.endpoint, self.exchange.channel, self.response_metadata.keep_alive_seconds
@@ -203,9 +246,15 @@
 class EndpointClient:
     """Sends requests to endpoints."""
 
-    def __init__(self, fleet: fleet_module.FleetState, codec: sources.RequestCodec) -> None:
+    def __init__(
+        self,
+        fleet: fleet_module.FleetState,
+        codec: sources.RequestCodec,
+        answer_memory: body_memory.BodyMemory,
+    ) -> None:
         self.fleet = fleet
         self.codec = codec
+        self.answer_memory = answer_memory
         self.pool = ConnectionPool(fleet)
 
     async def connect(self, endpoint: gateway.Endpoint) -> Connection:
@@ -251,15 +300,20 @@
             response, response_metadata = await self.read_matching_head(
                 exchange, endpoint, metadata.request_id, connection.idle_seconds is not None
             )
+            held_body = body_memory.HeldBody(self.answer_memory)
+            call = EndpointCall(
+                self.pool, endpoint, exchange, response, response_metadata, held_body
+            )
             if response_metadata.not_run:
-                await exchange.read_body()
+                # The head alone says that the request did not run.
+                with contextlib.suppress(errors.EndpointBrokenError):
+                    await call.discard_body()
         except BaseException as error:
             channel.abort()
             unanswered = isinstance(error, errors.EndpointBrokenError) and not exchange.received
             if unanswered and connection.idle_seconds is not None:
                 self.pool.record_drop(endpoint, connection.idle_seconds)
             raise
-        call = EndpointCall(self.pool, endpoint, exchange, response, response_metadata)
         if response_metadata.not_run:
             call.finish()
             raise errors.EndpointNotStartedError(
@@ -320,6 +374,8 @@
                 request_id=request_id,
                 other=response_metadata.request_id,
             )
-            await exchange.read_body()
+            await exchange.discard_body(math.inf)
+            if not exchange.ended:
+                raise errors.EndpointBrokenError("a response to another request does not end")
             exchange.expect_next_answer()
         raise errors.EndpointBrokenError("received only responses to other requests")
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -17,7 +17,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import placement
-from masticward.transport import http1, http1_server
+from masticward.transport import http1_server
 from masticward.utils import clocks, identifiers
 
 # The final response is sent this long before the client's deadline, to arrive in time.
@@ -475,12 +475,14 @@
             await self.relay_stream(call, reservation, sent_at)
             self.record_success(call, sent_at)
             return True
+        if response.status >= 500 and self.may_retry():
+            self.progress.received_bytes = await call.discard_body()
+            self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
+            self.record_failed_attempt(call.endpoint, "failed", f"status {response.status}")
+            return False
         body = await self.read_body(call)
         if response.status >= 500:
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
-            if self.may_retry():
-                self.record_failed_attempt(call.endpoint, "failed", f"status {response.status}")
-                return False
         if response.status in NOT_RUN_STATUSES and not self.route.retryable:
             raise RefusalError(502, f"status {response.status}, but the request may have run")
         if succeeded:
@@ -498,17 +500,20 @@
         self.progress.answer_begun = True
         self.fleet.quarantine.record_answer(self.waiting_request.part_keys, clocks.boot_time())
 
-    async def read_body(self, call: calls.EndpointCall) -> bytes:
-        """Return the whole body of a response that is not streamed."""
+    async def read_body(self, call: calls.EndpointCall) -> bytearray:
+        """Return the whole body of a response that is not streamed.
+
+        Raise EndpointBrokenError if it breaks off, is too long or does not fit into the memory.
+        """
         body = bytearray()
+        call.require_room()
         while (
             data := await self.wait_with_timeout(call.exchange.read_data(), READ_TIMEOUT_SECONDS)
         ) is not None:
+            call.hold(len(body) + len(data))
             body += data
             self.progress.received_bytes = len(body)
-            if len(body) > http1.MAX_BODY_BYTES:
-                raise errors.EndpointBrokenError(f"the body exceeds {http1.MAX_BODY_BYTES} bytes")
-        return bytes(body)
+        return body
 
     def record_success(self, call: calls.EndpointCall, sent_at: float) -> None:
         """Count and log a complete response."""
@@ -555,6 +560,7 @@
                 data = complete_events
                 if len(buffer.incomplete) > MAX_EVENT_BYTES:
                     raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+                call.hold(len(buffer.incomplete))
                 self.record_event_ids(data)
             else:
                 buffer.keep_last(KEPT_EVENT_BYTES)
--- a/src/masticward/state/body_memory.py
+++ b/src/masticward/state/body_memory.py
@@ -1,12 +1,15 @@
-"""Bound on the memory that the bodies of clients' requests take in one process."""
-
-# The rest is for all else, and for the second copy of a body while its parts are joined.
-BODY_FRACTION = 1 / 3
+"""Bounds on the memory that the bodies of requests and of answers take in one process."""
 
+from masticward import errors
 
-def limit_for(process_bytes: int) -> int:
-    """Return the bytes of bodies that a process may hold that has this much memory in all."""
-    return int(process_bytes * BODY_FRACTION)
+# The rest is for all else, and for the second copy of a body while its parts are joined.
+REQUEST_FRACTION = 1 / 3
+ANSWER_FRACTION = 1 / 6
+# An answer may take at most this part of what is free, so that many large ones leave room for more.
+ANSWER_SHARE = 1 / 4
+# Answers up to this size may also use the part of the memory that others leave free.
+SMALL_ANSWER_BYTES = 16 * 1024
+SMALL_ANSWER_FRACTION = 1 / 4
 
 
 class BodyMemory:
@@ -18,13 +21,63 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
 
-    def take(self, size: int) -> bool:
-        """Reserve bytes and return True, or return False if they don't fit."""
-        if self.held_bytes + size > self.limit_bytes:
-            return False
-        self.held_bytes += size
-        return True
+    @property
+    def free_bytes(self) -> float:
+        """Number of bytes that may still be taken, not below 0."""
+        return max(0.0, self.limit_bytes - self.held_bytes)
+
+    def fits(self, held: int, size: int) -> bool:
+        """Return whether a body of which ``held`` bytes are held may grow to ``size`` bytes."""
+        return size - held <= self.free_bytes
+
+
+class AnswerMemory(BodyMemory):
+    """Memory of which each body may take only a part of what is free at that time.
+
+    Bodies without end thereby break off the earlier the more of them there are. A part of the
+    memory is for small bodies alone.
+    """
+
+    __slots__ = ()
+
+    def fits(self, held: int, size: int) -> bool:
+        """Return whether a body of which ``held`` bytes are held may grow to ``size`` bytes."""
+        if size <= SMALL_ANSWER_BYTES:
+            return super().fits(held, size)
+        free_bytes = self.free_bytes - SMALL_ANSWER_FRACTION * self.limit_bytes
+        return size <= ANSWER_SHARE * free_bytes
+
+
+class HeldBody:
+    """The memory that one body takes."""
+
+    __slots__ = ("memory", "reserved_bytes")
+
+    def __init__(self, memory: BodyMemory) -> None:
+        self.memory = memory
+        self.reserved_bytes = 0
+
+    def require(self, size: int) -> None:
+        """Raise BodyMemoryError unless the body may grow to ``size`` bytes."""
+        if size > self.reserved_bytes and not self.memory.fits(self.reserved_bytes, size):
+            raise errors.BodyMemoryError(f"no memory for a body of {size} bytes")
+
+    def resize(self, size: int) -> None:
+        """Hold this many bytes; raise BodyMemoryError if they do not fit."""
+        self.require(size)
+        self.memory.held_bytes += size - self.reserved_bytes
+        self.reserved_bytes = size
+
+    def release(self) -> None:
+        """Give the memory back."""
+        self.resize(0)
+
+
+def requests_limit(process_bytes: int) -> int:
+    """Return the bytes of requests' bodies that a process with this much memory may hold."""
+    return int(process_bytes * REQUEST_FRACTION)
+
 
-    def give_back(self, size: int) -> None:
-        """Give reserved bytes back."""
-        self.held_bytes -= size
+def answers_limit(process_bytes: int) -> int:
+    """Return the bytes of answers' bodies that a process with this much memory may hold."""
+    return int(process_bytes * ANSWER_FRACTION)
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -23,6 +23,8 @@
 MAX_JOINED_BYTES = 65536
 # Longest body that is held in memory; a faulty peer may send bytes without end.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Reading a longer rest of a body that nobody gets costs more than a new connection.
+MAX_DISCARDED_BYTES = 128 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
 # A peer that answers no packet for this long is gone; pages of the platform grant 3 s of contact.
 SILENCE_MILLISECONDS = 1500
@@ -292,7 +294,8 @@
 
     ``sent`` tells whether a byte of the request may have reached the peer, ``received`` whether
     one of the answer came, ``had_stray`` whether an answer to another request came, and
-    ``unframed`` whether the end of the connection ends the body.
+    ``unframed`` whether the end of the connection ends the body. ``received_bytes`` counts all
+    bytes that were read from the connection.
     """
 
     __slots__ = (
@@ -302,6 +305,7 @@
         "had_stray",
         "machine",
         "received",
+        "received_bytes",
         "request",
         "sent",
         "unframed",
@@ -315,6 +319,7 @@
         self.request: h11.Request | None = None
         self.sent = False
         self.received = False
+        self.received_bytes = 0
         self.ended = False
         self.had_stray = False
         self.unframed = False
@@ -370,9 +375,11 @@
     async def receive(self) -> bytes:
         """Return the next bytes, none at the end; raise EndpointBrokenError after a reset."""
         try:
-            return await self.channel.read()
+            data = await self.channel.read()
         except OSError as error:
             raise errors.EndpointBrokenError(f"reset: {error}") from error
+        self.received_bytes += len(data)
+        return data
 
     async def next_event(self) -> typing.Any:
         """Return the next h11 event; raises EndpointBrokenError if the answer breaks off."""
@@ -459,6 +466,42 @@
             parts.append(data)
         return b"".join(parts)
 
+    def expected_length(self, answer: Answer) -> int:
+        """Return the length that an answer's head declares for its body, 0 without one."""
+        assert self.request is not None
+        if (
+            self.chunked is not None
+            or self.request.method == b"HEAD"
+            or answer.status in STATUSES_WITHOUT_BODY
+        ):
+            return 0
+        return next(
+            (int(value) for name, value in answer.headers if name.lower() == b"content-length"), 0
+        )
+
+    async def discard_body(self, deadline: float) -> int:
+        """Read the rest of the body without keeping it; return its bytes that were read.
+
+        At most ``MAX_DISCARDED_BYTES`` are received, until a deadline in seconds of
+        ``clocks.boot_time``; ``ended`` tells whether that was all. Raise EndpointBrokenError if
+        the body breaks off.
+        """
+        size = 0
+        limit = self.received_bytes + MAX_DISCARDED_BYTES
+        while self.received_bytes <= limit:
+            try:
+                async with asyncio.timeout(max(0.0, deadline - clocks.boot_time())):
+                    while self.received_bytes <= limit:
+                        data = await self.read_data()
+                        if data is None:
+                            return size
+                        size += len(data)
+            except TimeoutError:
+                # The loop may be late; what has arrived until the deadline counts.
+                if not self.channel.has_unread_bytes():
+                    break
+        return size
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection.
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -38,7 +38,7 @@
 class Request:
     """A whole request. ``arrived_at`` is the moment at which its head was read."""
 
-    __slots__ = ("arrived_at", "body", "headers", "memory", "method", "reserved_bytes", "target")
+    __slots__ = ("arrived_at", "body", "headers", "held_body", "method", "target")
 
     def __init__(
         self,
@@ -48,8 +48,7 @@
         arrived_at: float,
         memory: body_memory.BodyMemory,
     ) -> None:
-        self.memory = memory
-        self.reserved_bytes = 0
+        self.held_body = body_memory.HeldBody(memory)
         self.method = method
         self.target = target
         self.headers = headers
@@ -58,18 +57,13 @@
 
     def reserve(self, size: int) -> None:
         """Reserve memory for a body of this size; raise BodyMemoryError if there is none."""
-        missing = size - self.reserved_bytes
-        if missing <= 0:
-            return
-        if not self.memory.take(missing):
-            raise errors.BodyMemoryError(f"no memory for a body of {size} bytes")
-        self.reserved_bytes = size
+        if size > self.held_body.reserved_bytes:
+            self.held_body.resize(size)
 
     def drop_body(self) -> None:
         """Free the body, which is not needed any more."""
         self.body = b""
-        self.memory.give_back(self.reserved_bytes)
-        self.reserved_bytes = 0
+        self.held_body.release()
 
 
 class Responder:
@@ -121,20 +115,31 @@
         self.connection.write(h11.EndOfMessage())
         await self.connection.drain()
 
-    async def send(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        """Write a whole answer with its length."""
+    async def send(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes | bytearray
+    ) -> None:
+        """Write a whole answer with its length.
+
+        Of a body above ``http1.MAX_JOINED_BYTES``, the connection buffers only a part at a time.
+        """
         with_length = [*headers, (b"Content-Length", str(len(body)).encode())]
         if self.closes_connection:
             with_length.append((b"Connection", b"close"))
         self.started = True
-        self.ended = True
         response = h11.Response(
             status_code=status, headers=with_length, reason=REASONS.get(status, b"")
         )
+        if len(body) > http1.MAX_JOINED_BYTES and self.connection.method != b"HEAD":
+            self.connection.write(response)
+            for start in range(0, len(body), http1.MAX_JOINED_BYTES):
+                await self.write(bytes(body[start : start + http1.MAX_JOINED_BYTES]))
+            await self.end()
+            return
+        self.ended = True
         # One write for the whole answer: each system call costs processor time.
         parts = [self.connection.machine.send(response)]
         if body and self.connection.method != b"HEAD":
-            parts.append(self.connection.machine.send(h11.Data(data=body)))
+            parts.append(self.connection.machine.send(h11.Data(data=bytes(body))))
         parts.append(self.connection.machine.send(h11.EndOfMessage()))
         self.connection.channel.writer.write(b"".join(part for part in parts if part))
         await self.connection.drain()
--- a/tests/lib/endless_responses.py
+++ b/tests/lib/endless_responses.py
@@ -19,6 +19,7 @@
         self.block = block
         # Bytes before the status line that belong to an earlier part of the answer.
         self.before = before
+        self.sent_bytes = 0
 
     async def __call__(
         self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
@@ -27,10 +28,39 @@
         writer.write((self.before + self.start).format(id=request.request_id).encode())
         while True:
             writer.write(self.block)
+            self.sent_bytes += len(self.block)
             await writer.drain()
             await asyncio.sleep(INTERVAL_SECONDS)
 
 
+class UnendedResponse:
+    """Sends the same part of a response to all its callers at once, then nothing more.
+
+    ``waiting`` counts the callers so far, ``open`` those that have not closed the connection.
+    """
+
+    def __init__(self, start: str, body: bytes = b"") -> None:
+        self.start = start
+        self.body = body
+        self.begins = asyncio.Event()
+        self.waiting = 0
+        self.open = 0
+
+    async def __call__(
+        self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send until the caller closes the connection."""
+        self.waiting += 1
+        self.open += 1
+        try:
+            await self.begins.wait()
+            writer.write(self.start.format(id=request.request_id).encode() + self.body)
+            await asyncio.Event().wait()
+        finally:
+            self.open -= 1
+        return False
+
+
 def chunked(data: bytes) -> bytes:
     """Return data as one chunk of a body."""
     return b"%x\r\n%b\r\n" % (len(data), data)
