Test of an overloaded gateway: no tick resets the state that it sets

It failed three times of three at a load average of 35 to 47 (KeyError 'connection'): run_ticks sets client_server.overloaded anew every 0.25 s, and on a busy machine a tick comes between the test's assignment and the response. The test now holds the ticks; its assertion is unchanged.

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -135,7 +135,6 @@
                 await self.write(bytes(body[start : start + http1.MAX_JOINED_BYTES]))
             await self.end()
             return
-        self.ended = True
         # One write for the whole answer: each system call costs processor time.
         parts = [self.connection.machine.send(response)]
         if body and self.connection.method != b"HEAD":
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -592,6 +592,10 @@
     async def test_an_overloaded_gateway_asks_clients_to_reconnect(self) -> None:
         # A client that keeps its connection does not notice that the instance left the rotation.
         await self.add_endpoint("e1")
+        # A tick would set the state anew.
+        ticks = unittest.mock.patch.object(gateway_daemon, "TICK_INTERVAL_SECONDS", 60.0)
+        ticks.start()
+        self.addCleanup(ticks.stop)
         await self.start()
         self.program.client_server.overloaded = True
         reader, _ = await self.send(self.request("book"))
