Gateway: bound the bytes that connections hold unread, each and in their sum

Cause: a stream paused only above 128 KiB, one read may add 250 KB, the kernel's buffers grow to megabytes, and nothing summed the connections.

Bytes of a request that is being read do not count, so a burst of sound bodies resets none.

Evidence: the new test fails on the code before (no connection is reset).

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -140,6 +140,11 @@
             "bytes of answers' bodies that are held until clients have them",
             lambda: self.answer_memory.held_bytes,
         )
+        add(
+            "masticward_gateway_unread_bytes",
+            "bytes that clients have sent behind requests that are being served",
+            lambda: self.client_server.unread_bytes,
+        )
         add(
             "masticward_gateway_configuration_version",
             "configuration in force",
@@ -330,6 +335,9 @@
             self.client_server.overloaded = has_peers and (
                 self.lag.moves_clients or self.fleet.shedder.has_left_rotation(now)
             )
+            unread_limit = body_memory.unread_limit(self.settings.memory_bytes)
+            for server in (self.client_server, self.snapshot_server, self.ready_server):
+                server.limit_unread(unread_limit)
             self.fleet.drop_expired_endpoints()
             self.fleet.quarantine.expire(now)
             self.fleet.announcements.expire(self.fleet.table.endpoints.values(), now)
--- a/src/masticward/state/body_memory.py
+++ b/src/masticward/state/body_memory.py
@@ -1,10 +1,12 @@
-"""Bounds on the memory that the bodies of requests and of answers take in one process."""
+"""Bounds on the memory that requests and answers take in one process."""
 
 from masticward import errors
 
 # The rest is for all else, and for the second copy of a body while its parts are joined.
 REQUEST_FRACTION = 1 / 3
 ANSWER_FRACTION = 1 / 6
+# The kernel may hold several times as many for the same connections.
+UNREAD_FRACTION = 1 / 16
 # An answer may take at most this part of what is free, so that many large ones leave room for more.
 ANSWER_SHARE = 1 / 4
 # Answers up to this size may also use the part of the memory that others leave free.
@@ -81,3 +83,8 @@
 def answers_limit(process_bytes: int) -> int:
     """Return the bytes of answers' bodies that a process with this much memory may hold."""
     return int(process_bytes * ANSWER_FRACTION)
+
+
+def unread_limit(process_bytes: int) -> int:
+    """Return the bytes that clients may send ahead of the answers of such a process."""
+    return int(process_bytes * UNREAD_FRACTION)
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import os
 import select
 import socket
@@ -19,6 +20,10 @@
 from masticward.utils import clocks
 
 READ_BYTES = 65536
+# A stream pauses once it holds twice this many unread bytes. One read may pass that by what the
+# kernel's buffer holds, which grows to megabytes without a limit.
+STREAM_LIMIT_BYTES = 16 * 1024
+KERNEL_BUFFER_BYTES = 64 * 1024
 # Longer bodies are written apart from their heads.
 MAX_JOINED_BYTES = 65536
 # Longest body that is held in memory; a faulty peer may send bytes without end.
@@ -92,10 +97,13 @@
 
 
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
-    """Make a silent peer fail the connection instead of leaving it open."""
+    """Make a silent peer fail the connection, and limit what the kernel buffers of it."""
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None:
         return
+    # Memory that is not limited is no reason to fail a connection.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
@@ -184,7 +192,7 @@
 async def connect(address: tuple[str, int], timeout_seconds: float) -> Channel:
     """Open a connection; raises EndpointNotStartedError if there is none in time."""
     loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(limit=READ_BYTES, loop=loop)
+    reader = asyncio.StreamReader(limit=STREAM_LIMIT_BYTES, loop=loop)
     protocol = WatchedProtocol(reader, None)
     try:
         async with asyncio.timeout(timeout_seconds):
@@ -244,7 +252,7 @@
 
     async def open(self, accepted: socket.socket) -> None:
         """Serve an accepted connection in a task of its own."""
-        reader = asyncio.StreamReader(limit=READ_BYTES, loop=self.loop)
+        reader = asyncio.StreamReader(limit=STREAM_LIMIT_BYTES, loop=self.loop)
         protocol: WatchedProtocol
 
         async def connected(stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -245,6 +245,25 @@
                 busy += len(self.listener.opening)
         return busy
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes that clients have sent behind requests that are being served."""
+        return sum(connection.unread_bytes for connection in self.connections)
+
+    def limit_unread(self, limit_bytes: int) -> None:
+        """Reset connections, those with the most unread bytes first, to keep within a limit.
+
+        A client that sends that much ahead would otherwise end the process with all requests.
+        """
+        unread_bytes = self.unread_bytes
+        if unread_bytes <= limit_bytes:
+            return
+        for connection in sorted(self.connections, key=lambda item: -item.unread_bytes):
+            if unread_bytes <= limit_bytes:
+                break
+            unread_bytes -= connection.unread_bytes
+            connection.reset("unread bytes")
+
     def abort(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
@@ -315,6 +334,21 @@
         if self.busy and self.reading is not None:
             self.reading.reschedule(asyncio.get_running_loop().time())
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes that have arrived behind the request that is being served.
+
+        Those of a request that is being read are consumed in the next pass of the event loop.
+        """
+        if not self.busy or self.reading is not None:
+            return 0
+        return self.channel.protocol.unread_bytes + len(self.machine.trailing_data[0])
+
+    def reset(self, cause: str) -> None:
+        """Reset the connection and log the cause."""
+        LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
+        self.channel.abort()
+
     def close(self, cause: str) -> None:
         """Close the connection and log the cause."""
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -186,3 +186,26 @@
             for _ in range(2):
                 await self.call("status")
         self.assertEqual({"e1", "e2"}, {call.args[0].id for call in release.call_args_list})
+
+
+class UnreadBytesTest(EndlessBytesCase):
+    """Guards against clients that fill the memory beside or behind requests in progress."""
+
+    async def test_clients_that_send_far_ahead_do_not_take_the_memory(self) -> None:
+        endless = endless_responses.UnendedResponse("")
+        await self.start_beside(endless)
+        writers = [(await self.send(self.request("other-book")))[1] for _ in range(CALLERS)]
+        await self.wait_until(lambda: endless.waiting >= 0.8 * CALLERS)
+        for writer in writers:
+            writer.write(bytes(MEBIBYTE // 4))
+        connections = self.program.client_server.connections
+
+        def unread_bytes() -> int:
+            return sum(item.channel.protocol.unread_bytes for item in connections)
+
+        await self.wait_until(
+            lambda: 0 < len(connections) < CALLERS / 2 and unread_bytes() <= MEMORY_BYTES / 16
+        )
+        self.assertEqual(200, (await self.call("book")).status)
+        for writer in writers:
+            writer.close()
