--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -90,7 +90,9 @@
             body_memory.answers_limit(settings.memory_bytes)
         )
         self.snapshot_server = http1_server.Server(
-            (settings.ip, settings.peer_port), snapshots.SnapshotHandler(self.fleet)
+            (settings.ip, settings.peer_port),
+            snapshots.SnapshotHandler(self.fleet),
+            self.body_memory,
         )
         self.endpoint_client = calls.EndpointClient(self.fleet, codec, self.answer_memory)
         self.placer = placer.Placer(
@@ -107,7 +109,7 @@
             addresses.split(settings.client_address), self.front, self.body_memory
         )
         self.ready_server = http1_server.Server(
-            addresses.split(settings.ready_address), ReadinessHandler(self)
+            addresses.split(settings.ready_address), ReadinessHandler(self), self.body_memory
         )
         self.background = tasks.TaskGroup()
         self.lag = loop_lag.LoopLag()
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -209,3 +209,15 @@
         self.assertEqual(200, (await self.call("book")).status)
         for writer in writers:
             writer.close()
+
+    async def test_bodies_on_other_ports_count_as_those_of_clients(self) -> None:
+        await self.start_patiently()
+        self.program.body_memory.limit_bytes = 1000
+        for server in (self.program.ready_server, self.program.snapshot_server):
+            assert server.listener is not None
+            self.port = server.listener.port
+            reader, writer = await self.send(self.request("book", body=PART))
+            response = await self.read(reader)
+            self.assertEqual(503, response.status)
+            self.assertIn("retry-after", response.headers)
+            writer.close()
