--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -26,6 +26,8 @@
 GONE_STATUS = 410
 CONFLICT_STATUS = 409
 MISSING_STATUS = 404
+# Of one listing; a faulty store may announce further pages without end.
+MAX_LISTING_BYTES = http1.MAX_BODY_BYTES
 NOTHING = msgspec.Raw(b"null")
 LOGGER = logs.get_logger(__name__)
 
@@ -139,9 +141,15 @@
         items: list[sources.StoredObject] = []
         after = ""
         revision: int | None = None
+        size = 0
         while True:
             query = f"?after={urllib.parse.quote(after)}" if after else ""
             data = await self.read(kind, f"/objects/{name}{query}", CALL_TIMEOUT_SECONDS)
+            size += len(data)
+            if size > MAX_LISTING_BYTES:
+                raise errors.StoreUnavailableError(
+                    name, f"the listing exceeds {MAX_LISTING_BYTES} bytes"
+                )
             body = decode(data, ListBody, name)
             # A watch from the first page's revision also returns the changes between pages.
             revision = body.current_rev if revision is None else revision
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -4,6 +4,10 @@
 import socket
 import unittest.mock
 
+from masticward import errors
+from masticward.gateway import sources
+from masticward.platform import store
+from masticward.transport import http1
 from tests.functional import test_gateway
 from tests.lib import endless_responses, platform_standins
 
@@ -221,3 +225,15 @@
             self.assertEqual(503, response.status)
             self.assertIn("retry-after", response.headers)
             writer.close()
+
+
+class ListingTest(EndlessBytesCase):
+    """Guards against a listing of the store whose pages do not end."""
+
+    async def test_a_listing_that_does_not_end_is_no_listing(self) -> None:
+        pages = endless_responses.EndlessPages()
+        await pages.start()
+        self.addAsyncCleanup(pages.stop)
+        with self.assertRaises(errors.StoreUnavailableError):
+            await store.Store(pages.address).list_objects(sources.ObjectKind.ENDPOINTS)
+        self.assertLess(pages.sent_bytes, 2 * http1.MAX_BODY_BYTES)
--- a/tests/lib/endless_responses.py
+++ b/tests/lib/endless_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import json
 import os
 
 from tests.lib import platform_standins
@@ -61,6 +62,29 @@
         return False
 
 
+class EndlessPages(platform_standins.SocketServer):
+    """A store each of whose pages announces another one, up to a number that is not expected."""
+
+    last_page = 100
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pages = 0
+        self.sent_bytes = 0
+
+    async def handle(
+        self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer with one page."""
+        self.pages += 1
+        has_more = self.pages < self.last_page
+        item = {"metadata": {"name": f"e{self.pages}"}, "spec": "x" * BLOCK_BYTES * 2}
+        body = json.dumps({"items": [item], "current_rev": 1, "has_more": has_more}).encode()
+        self.sent_bytes += len(body)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        return True
+
+
 def chunked(data: bytes) -> bytes:
     """Return data as one chunk of a body."""
     return b"%x\r\n%b\r\n" % (len(data), data)
