--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -90,7 +90,9 @@
             body_memory.answers_limit(settings.memory_bytes)
         )
         self.snapshot_server = http1_server.Server(
-            (settings.ip, settings.peer_port), snapshots.SnapshotHandler(self.fleet)
+            (settings.ip, settings.peer_port),
+            snapshots.SnapshotHandler(self.fleet),
+            self.body_memory,
         )
         self.endpoint_client = calls.EndpointClient(self.fleet, codec, self.answer_memory)
         self.placer = placer.Placer(
@@ -107,7 +109,7 @@
             addresses.split(settings.client_address), self.front, self.body_memory
         )
         self.ready_server = http1_server.Server(
-            addresses.split(settings.ready_address), ReadinessHandler(self)
+            addresses.split(settings.ready_address), ReadinessHandler(self), self.body_memory
         )
         self.background = tasks.TaskGroup()
         self.lag = loop_lag.LoopLag()
@@ -140,6 +142,11 @@
             "bytes of answers' bodies that are held until clients have them",
             lambda: self.answer_memory.held_bytes,
         )
+        add(
+            "masticward_gateway_unread_bytes",
+            "bytes that clients have sent behind requests that are being served",
+            lambda: self.client_server.unread_bytes,
+        )
         add(
             "masticward_gateway_configuration_version",
             "configuration in force",
@@ -330,6 +337,9 @@
             self.client_server.overloaded = has_peers and (
                 self.lag.moves_clients or self.fleet.shedder.has_left_rotation(now)
             )
+            unread_limit = body_memory.unread_limit(self.settings.memory_bytes)
+            for server in (self.client_server, self.snapshot_server, self.ready_server):
+                server.limit_unread(unread_limit)
             self.fleet.drop_expired_endpoints()
             self.fleet.quarantine.expire(now)
             self.fleet.announcements.expire(self.fleet.table.endpoints.values(), now)
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -4,6 +4,10 @@
 import socket
 import unittest.mock
 
+from masticward import errors
+from masticward.gateway import sources
+from masticward.platform import store
+from masticward.transport import http1
 from tests.functional import test_gateway
 from tests.lib import endless_responses, platform_standins
 
@@ -186,3 +190,50 @@
             for _ in range(2):
                 await self.call("status")
         self.assertEqual({"e1", "e2"}, {call.args[0].id for call in release.call_args_list})
+
+
+class UnreadBytesTest(EndlessBytesCase):
+    """Guards against clients that fill the memory beside or behind requests in progress."""
+
+    async def test_clients_that_send_far_ahead_do_not_take_the_memory(self) -> None:
+        endless = endless_responses.UnendedResponse("")
+        await self.start_beside(endless)
+        writers = [(await self.send(self.request("other-book")))[1] for _ in range(CALLERS)]
+        await self.wait_until(lambda: endless.waiting >= 0.8 * CALLERS)
+        for writer in writers:
+            writer.write(bytes(MEBIBYTE // 4))
+        connections = self.program.client_server.connections
+
+        def unread_bytes() -> int:
+            return sum(item.channel.protocol.unread_bytes for item in connections)
+
+        await self.wait_until(
+            lambda: 0 < len(connections) < CALLERS / 2 and unread_bytes() <= MEMORY_BYTES / 16
+        )
+        self.assertEqual(200, (await self.call("book")).status)
+        for writer in writers:
+            writer.close()
+
+    async def test_bodies_on_other_ports_count_as_those_of_clients(self) -> None:
+        await self.start_patiently()
+        self.program.body_memory.limit_bytes = 1000
+        for server in (self.program.ready_server, self.program.snapshot_server):
+            assert server.listener is not None
+            self.port = server.listener.port
+            reader, writer = await self.send(self.request("book", body=PART))
+            response = await self.read(reader)
+            self.assertEqual(503, response.status)
+            self.assertIn("retry-after", response.headers)
+            writer.close()
+
+
+class ListingTest(EndlessBytesCase):
+    """Guards against a listing of the store whose pages do not end."""
+
+    async def test_a_listing_that_does_not_end_is_no_listing(self) -> None:
+        pages = endless_responses.EndlessPages()
+        await pages.start()
+        self.addAsyncCleanup(pages.stop)
+        with self.assertRaises(errors.StoreUnavailableError):
+            await store.Store(pages.address).list_objects(sources.ObjectKind.ENDPOINTS)
+        self.assertLess(pages.sent_bytes, 2 * http1.MAX_BODY_BYTES)
