--- a/src/masticward/state/body_memory.py
+++ b/src/masticward/state/body_memory.py
@@ -7,8 +7,9 @@
 ANSWER_FRACTION = 1 / 6
 # The kernel may hold several times as many for the same connections.
 UNREAD_FRACTION = 1 / 16
-# An answer may take at most this part of what is free, so that many large ones leave room for more.
-ANSWER_SHARE = 1 / 4
+# An answer may take at most this many times what it leaves free for others. One by itself may be
+# long, and many together stay within the limit.
+ANSWER_SHARE = 2
 # Answers up to this size may also use the part of the memory that others leave free.
 SMALL_ANSWER_BYTES = 16 * 1024
 SMALL_ANSWER_FRACTION = 1 / 4
@@ -34,7 +35,7 @@
 
 
 class AnswerMemory(BodyMemory):
-    """Memory of which each body may take only a part of what is free at that time.
+    """Memory of which each body may take only so much that others still get a part.
 
     Bodies without end thereby break off the earlier the more of them there are. A part of the
     memory is for small bodies alone.
@@ -46,8 +47,8 @@
         """Return whether a body of which ``held`` bytes are held may grow to ``size`` bytes."""
         if size <= SMALL_ANSWER_BYTES:
             return super().fits(held, size)
-        free_bytes = self.free_bytes - SMALL_ANSWER_FRACTION * self.limit_bytes
-        return size <= ANSWER_SHARE * free_bytes
+        left_bytes = self.free_bytes - (size - held) - SMALL_ANSWER_FRACTION * self.limit_bytes
+        return size <= ANSWER_SHARE * left_bytes
 
 
 class HeldBody:
