Connections above a small share of the processor's time take turns

Callers saw: beside endpoints that send a body without end, requests to sound endpoints waited for seconds or were not answered in time; one client that pipelines requests without a route did the same.

Cause: one task may use the event loop for as long as bytes are buffered, and the next bytes are handled in the next pass.

Fix: the time from a read to the next one is billed to the connection's message (state/read_turns.py). One that has used over 1% of the time and 10 ms, or 2 ms while others wait, waits for turns, which together take a quarter of the time and go to the reader that used least. Its full buffers then slow the peer. A wait for a slow client is not billed, and a use of over 1 ms counts as 1 ms, so that a preemption limits nobody. Longer uses are followed by a suspension and by smaller reads. Pipelined requests take turns, too. Waiting for a turn is no silence of the endpoint: the timeouts for gaps in a response leave it out. Three gauges show the waits.

The policy's tests run on its own clock. The functional test of slowed responses fails if the wait counts as silence (mutation run). The tests cannot run on the code before, which has no such policy.

Bodies that are read whole are now read for longer until they exceed their limit, some until the deadline of the request (504 instead of 502).

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -22,7 +22,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import body_memory, load_shedding, loop_lag
-from masticward.transport import http1_server
+from masticward.transport import http1_server, turn_queue
 from masticward.utils import addresses, clocks, tasks
 
 # The platform kills the process at the end of the grace period; the process exits before that.
@@ -162,6 +162,21 @@
             "repeated sends within the window",
             lambda: sum(len(budget.retries) for budget in fleet.budgets.values()),
         )
+        add(
+            "masticward_gateway_waiting_connections",
+            "connections that wait for a turn to be read",
+            lambda: turn_queue.current().turns.waiting_count,
+        )
+        add(
+            "masticward_gateway_turn_wait_seconds",
+            "time for which connections waited for turns to be read, in seconds",
+            lambda: turn_queue.current().turns.waited_seconds,
+        )
+        add(
+            "masticward_gateway_turn_seconds",
+            "time that turns of connections above their share took, in seconds",
+            lambda: turn_queue.current().turns.turn_seconds,
+        )
         add(
             "masticward_gateway_restricted_parts",
             "parts of prompts that are suspected or quarantined because endpoints crashed",
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import re
+import time
 import typing
 
 from masticward import errors, events, logs
@@ -37,6 +38,8 @@
 # Longest gap within a response before another endpoint is looked for; the services' specifications
 # allow gaps of 0.3 to 0.4 s.
 READ_TIMEOUT_SECONDS = 1.2
+# A response that waits for its turn to be read is looked at again after this time at the earliest.
+MIN_EXCUSE_SECONDS = 0.05
 # Longest incomplete event of a resumable stream that is held in memory.
 MAX_EVENT_BYTES = 1024 * 1024
 # Of a longer event of another stream, only the last bytes are kept to find its end.
@@ -142,6 +145,8 @@
         self.request = request
         self.responder = responder
         self.progress = RequestProgress(metadata.last_event_id)
+        # The connection whose response is read, once it has begun.
+        self.channel: http1.Channel | None = None
         # The next attempt, granted while the endpoint of the current one was silent.
         self.replacement: AttemptGrant | None = None
         self.service = choose_service(route, metadata.request_id)
@@ -408,15 +413,24 @@
         """Await a step of an endpoint's response.
 
         If the request may run again, a replacement is looked for after the timeout. Raise
-        EndpointBrokenError once there is one. Until then, the endpoint may still continue.
+        EndpointBrokenError once there is one. Until then, the endpoint may still continue. Time in
+        which this process let received bytes wait for their turn is no time of the endpoint.
         """
         if not self.may_retry():
             return await step
         loop = asyncio.get_running_loop()
         search: asyncio.Task[None] | None = None
+        timer: asyncio.TimerHandle | None = None
+        excused_seconds = self.turn_wait_seconds()
 
         def start_search() -> None:
-            nonlocal search
+            nonlocal search, timer, excused_seconds
+            waited = self.turn_wait_seconds()
+            if waited > excused_seconds:
+                delay = max(MIN_EXCUSE_SECONDS, waited - excused_seconds)
+                timer = loop.call_later(delay, start_search)
+                excused_seconds = waited
+                return
             search = loop.create_task(self.find_replacement(silence))
 
         try:
@@ -437,6 +451,12 @@
         self.discard_replacement()
         return result
 
+    def turn_wait_seconds(self) -> float:
+        """Return how long bytes of the response have waited for their turn to be read."""
+        if self.channel is None:
+            return 0.0
+        return self.channel.usage.total_waited_seconds(time.perf_counter())
+
     async def find_replacement(self, silence: asyncio.Timeout) -> None:
         """Acquire another endpoint in place of a silent one, then end the wait for that one."""
         waiting_request = placer.WaitingRequest(
@@ -464,6 +484,7 @@
     ) -> bool:
         """Relay a response to the client; return False if another attempt should follow."""
         response, response_metadata = call.response, call.response_metadata
+        self.channel = call.exchange.channel
         succeeded = 200 <= response.status < 300
         if response_metadata.encoded or (succeeded and not response_metadata.signed):
             raise errors.EndpointBrokenError("response was not produced by the endpoint")
@@ -532,11 +553,14 @@
         EndpointBrokenError if the stream ends within an event.
         """
         buffer = event_stream.EventBuffer()
+        usage = call.exchange.channel.usage
         next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
         while True:
+            waited_seconds = usage.waited_seconds
             data = await self.wait_with_timeout(
                 call.exchange.read_data(), max(0.0, next_event_until - clocks.boot_time())
             )
+            next_event_until += usage.waited_seconds - waited_seconds
             if not reservation.prefilled:
                 reservation.record_first_event()
                 now = clocks.boot_time()
--- a/src/masticward/transport/chunked.py
+++ b/src/masticward/transport/chunked.py
@@ -9,6 +9,8 @@
 from masticward import errors
 
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
+# A chunk header without extensions, with the end of its line.
+PLAIN_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})\r\n")
 # Longest chunk header or trailer section; a faulty peer may send one without end.
 MAX_LINE_BYTES = 1024
 MAX_TRAILER_BYTES = 16 * 1024
@@ -43,6 +45,14 @@
             if self.remaining:
                 position = self.take_chunk_data(source, position, data)
                 continue
+            if not self.in_trailer and (match := PLAIN_CHUNK_SIZE.match(source, position)):
+                # Most chunks are received whole.
+                start = match.end()
+                end = start + int(match[1], 16)
+                if end > start and source.startswith(LINE_END, end):
+                    data.append(source[start:end])
+                    position = end + len(LINE_END)
+                    continue
             end = source.find(LINE_END, position)
             if end < 0:
                 break
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -10,12 +10,14 @@
 import os
 import select
 import socket
+import time
 import typing
 
 import h11
 
 from masticward import errors, events, logs
-from masticward.transport import chunked
+from masticward.state import read_turns
+from masticward.transport import chunked, turn_queue
 from masticward.utils import clocks
 
 READ_BYTES = 65536
@@ -105,9 +107,12 @@
 
 
 class Channel:
-    """One TCP connection with its reader, writer and state of the peer."""
+    """One TCP connection with its reader, writer and state of the peer.
 
-    __slots__ = ("protocol", "reader", "transport", "writer")
+    ``usage`` is what the bytes of the present message have used of the processor's time.
+    """
+
+    __slots__ = ("fetched", "protocol", "reader", "transport", "turn_queue", "usage", "writer")
 
     def __init__(
         self,
@@ -119,6 +124,10 @@
         self.writer = writer
         self.protocol = protocol
         self.transport = writer.transport
+        self.turn_queue = turn_queue.current()
+        self.usage = read_turns.Reader()
+        # Bytes that were read from the stream and wait for their turn.
+        self.fetched = b""
         set_socket_options(self.transport)
 
     @property
@@ -132,25 +141,58 @@
         return self.transport.get_write_buffer_size()
 
     async def read(self) -> bytes:
-        """Return the next bytes, none at the end of the stream; raise OSError after a reset."""
-        data = await self.reader.read(READ_BYTES)
+        """Return the next bytes, none at the end of the stream; raise OSError after a reset.
+
+        The time until the next read or ``pause_use`` is billed to the peer. One that has used more
+        than its share waits for its turn.
+        """
+        turns = self.turn_queue.turns
+        now = time.perf_counter()
+        if turns.running is not None and turns.stop(now) > read_turns.MAX_USE_SECONDS:
+            # Bytes that were received earlier are read without a suspension.
+            await asyncio.sleep(0)
+            now = time.perf_counter()
+        if not self.fetched:
+            self.fetched = await self.reader.read(self.usage.read_bytes)
+            silent_since, now = now, time.perf_counter()
+            self.usage.silent_seconds += now - silent_since
+        if self.usage.limited and self.fetched:
+            await self.wait_for_turn()
+            now = time.perf_counter()
+        data, self.fetched = self.fetched, b""
         self.protocol.unread_bytes -= len(data)
+        turns.start(self.usage, now)
         return data
 
+    async def begin_message(self) -> None:
+        """Let others go on before a message is handled that was received with an earlier one."""
+        self.turn_queue.stop()
+        if self.usage.limited:
+            await self.wait_for_turn()
+        else:
+            await asyncio.sleep(0)
+        self.turn_queue.turns.start(self.usage, time.perf_counter())
+
+    async def wait_for_turn(self) -> None:
+        """Wait for a turn, which ends at the latest when the event loop goes on."""
+        await self.turn_queue.wait(self.usage)
+        asyncio.get_running_loop().call_soon(self.turn_queue.stop)
+
     async def read_until(self, deadline: float) -> bytes:
         """Return the next bytes; raise TimeoutError at the deadline unless any have arrived.
 
         The deadline is in seconds of ``clocks.boot_time``. In a late event loop, the timer and
         bytes that arrived before it are handled in the same pass, so the bytes are looked for
-        once more.
+        once more. Bytes that wait for their turn have arrived.
         """
-        while True:
+        while not self.fetched:
             try:
                 async with asyncio.timeout(max(0.0, deadline - clocks.boot_time())):
                     return await self.read()
             except TimeoutError:
                 if not self.has_unread_bytes():
                     raise
+        return await self.read()
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that were not read, also by the kernel alone."""
@@ -312,6 +354,7 @@
 
     def __init__(self, channel: Channel) -> None:
         self.channel = channel
+        channel.usage = read_turns.Reader()
         self.machine = h11.Connection(h11.CLIENT)
         # Decodes a chunked body; None before its head and for other bodies.
         self.chunked: chunked.ChunkedDecoder | None = None
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -9,7 +9,7 @@
 
 from masticward import errors, events, logs
 from masticward.models import gateway
-from masticward.state import body_memory
+from masticward.state import body_memory, read_turns
 from masticward.transport import http1
 from masticward.utils import clocks
 
@@ -17,6 +17,8 @@
 FIRST_REQUEST_SECONDS = 0.5
 # Of a request that was refused before it was read, in seconds; its retry reaches another process.
 RETRY_AFTER = b"0.2"
+# With fewer unsent bytes, a transport does not let its writers wait.
+MIN_PAUSED_BYTES = 16 * 1024
 LOGGER = logs.get_logger(__name__)
 REASONS = {
     200: b"OK",
@@ -290,6 +292,11 @@
 
     async def drain(self) -> None:
         """Wait while the client does not read; raises OSError if it is gone."""
+        if self.channel.unsent_bytes < MIN_PAUSED_BYTES:
+            await self.channel.writer.drain()
+            return
+        # The wait for the client is no use of the processor.
+        self.channel.turn_queue.stop()
         await self.channel.writer.drain()
 
     def has_unread_request(self) -> bool:
@@ -381,6 +388,8 @@
         task = asyncio.current_task()
         assert task is not None
         self.channel.protocol.on_peer_gone = task.cancel
+        # A handler that waits does not use the processor.
+        asyncio.get_running_loop().call_soon(self.channel.turn_queue.stop)
         try:
             await self.server.handler.handle(request, responder)
         finally:
@@ -406,6 +415,9 @@
         """Return a whole request, None if the client leaves instead."""
         limits = self.server.handler.limits()
         if not self.machine.trailing_data[0]:
+            if not self.channel.protocol.unread_bytes:
+                # The client has waited for its last answer.
+                self.channel.usage = read_turns.Reader()
             data = await self.channel.read_until(clocks.boot_time() + limits.idle_timeout_seconds)
             if not data:
                 return None
@@ -415,6 +427,9 @@
             if limits.head_bytes != self.head_bytes:
                 self.open_machine(limits.head_bytes)
             self.machine.receive_data(data)
+        else:
+            self.busy = True
+            await self.channel.begin_message()
         self.busy = True
         self.served += 1
         event = await self.next_event(clocks.boot_time() + limits.head_timeout_seconds)
