--- a/tests/functional/test_read_turns.py
+++ b/tests/functional/test_read_turns.py
@@ -7,12 +7,13 @@
 
 from masticward.gateway import request_path
 from masticward.state import read_turns
-from masticward.transport import turn_queue
+from masticward.transport import http1_server, turn_queue
 from tests.functional import test_gateway
 from tests.lib import endless_responses, platform_standins
 
 KINDS = ("stream-chunked", "stream-events", "stream-length", "stream-unframed", "small-chunks")
 READ_BYTES = 256 * 1024
+PIPELINED_REQUESTS = 50
 TURN_GAP_SECONDS = 0.4
 SILENCE_SECONDS = 0.3
 
@@ -62,6 +63,32 @@
         await self.wait_until(lambda: self.turns.holder is None and not self.turns.waiting_count)
 
 
+class PipelinedRequestsTest(test_gateway.GatewayCase):
+    """Guards against a client that holds the event loop with requests that it sends at once."""
+
+    async def test_other_tasks_run_between_them(self) -> None:
+        await self.start()
+        loop = asyncio.get_running_loop()
+        passes: list[int] = [0]
+        handled: list[int] = []
+        handle = self.program.front.handle
+
+        def count_pass() -> None:
+            passes[0] += 1
+            loop.call_soon(count_pass)
+
+        async def record(request: http1_server.Request, responder: http1_server.Responder) -> None:
+            handled.append(passes[0])
+            await handle(request, responder)
+
+        count_pass()
+        with unittest.mock.patch.object(self.program.front, "handle", record):
+            _, writer = await self.send(self.request("unknown") * PIPELINED_REQUESTS)
+            await self.wait_until(lambda: len(handled) == PIPELINED_REQUESTS)
+        writer.close()
+        self.assertEqual(PIPELINED_REQUESTS, len(set(handled)))
+
+
 class SlowedResponseTest(ReadTurnsCase):
     """Guards against a sound response that is abandoned because it waited for its turns."""
 
