Unreadable datagrams are logged once a second, with their count

test_a_flood_is_logged_once_a_second_with_its_count failed on the code before (each datagram was logged; its lines have no count).

--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -43,6 +43,8 @@
 # A message is sent at least this often, also without changes, so that liveness and the age of the
 # configuration's proof do not depend on the rate of reports.
 MAX_CHANGES_INTERVAL_SECONDS = 0.5
+# A log line costs more processor time than the datagram that it is about.
+MIN_UNREADABLE_LOG_INTERVAL_SECONDS = 1.0
 LOGGER = logs.get_logger(__name__)
 
 
@@ -118,6 +120,9 @@
         self.unsent_prompts: list[tuple[str, list[tuple[int, int]]]] = []
         # Whether a request was placed since the last message.
         self.has_unsent_request = False
+        # Datagrams that were dropped since the last log line about one.
+        self.unreadable_datagrams = 0
+        self.next_unreadable_log_at = 0.0
         # Prompts already sent once, repeated in the next report because datagrams may be lost.
         self.prompts_to_repeat: list[tuple[str, list[tuple[int, int]]]] = []
 
@@ -432,7 +437,7 @@
         try:
             message, content = gateway_peers.decode(data)
         except (msgspec.DecodeError, RecursionError) as error:
-            LOGGER.log(events.Event.PEER_MESSAGE_UNREADABLE, sender=str(addr[0]), error=str(error))
+            self.note_unreadable(str(addr[0]), str(error))
             return
         now = clocks.boot_time()
         if isinstance(content, gateway_peers.PeerChanges):
@@ -442,6 +447,21 @@
         else:
             self.apply_report(message, content, now)
 
+    def note_unreadable(self, sender: str, error: str) -> None:
+        """Count a datagram that was dropped; log the latest one, not more often than allowed."""
+        self.unreadable_datagrams += 1
+        now = clocks.boot_time()
+        if now < self.next_unreadable_log_at:
+            return
+        self.next_unreadable_log_at = now + MIN_UNREADABLE_LOG_INTERVAL_SECONDS
+        LOGGER.log(
+            events.Event.PEER_MESSAGE_UNREADABLE,
+            sender=sender,
+            error=error,
+            count=self.unreadable_datagrams,
+        )
+        self.unreadable_datagrams = 0
+
     def apply_changes(
         self, message: gateway_peers.PeerMessage, changes: gateway_peers.PeerChanges, now: float
     ) -> None:
@@ -476,11 +496,7 @@
             return
         kind = next((item for item in sources.LISTED_KINDS if item.value == changes.kind), None)
         if kind is None:
-            LOGGER.log(
-                events.Event.PEER_MESSAGE_UNREADABLE,
-                sender=peer.ip,
-                error=f"unknown kind of object {changes.kind!r}",
-            )
+            self.note_unreadable(peer.ip, f"unknown kind of object {changes.kind!r}")
             return
         items = [
             sources.StoredObject(name, endpoint.to_absolute(now) if endpoint else None, removed)
--- a/tests/unit/test_gateway_peering.py
+++ b/tests/unit/test_gateway_peering.py
@@ -62,6 +62,18 @@
         self.peering.datagram_received(gateway_peers.encode(message), ("127.0.0.2", 1))
 
 
+class UnreadableMessagesTest(PeeringCase):
+    """Guards against a flood of datagrams whose log lines take the processor."""
+
+    def test_a_flood_is_logged_once_a_second_with_its_count(self) -> None:
+        with unittest.mock.patch.object(peering, "LOGGER") as logger:
+            for now in (100.0, 100.5, 100.9, 101.0):
+                self.now = now
+                for _ in range(50):
+                    self.peering.datagram_received(b"\xff", ("127.0.0.9", 1))
+        self.assertEqual([1, 150], [call.kwargs["count"] for call in logger.log.call_args_list])
+
+
 class ProofTest(PeeringCase):
     """Guards against keys that are accepted because a peer's proof is dated too late."""
 
