Name the cause of every request that ends without a whole answer

Nothing was logged when a client reset its connection while a request was read or while the answer was written (OSError in ServerConnection.run), when it had left before its request was handled, when the end of the process reset a connection whose answer was not written out (8102 says that it was answered), or when an endpoint's status 5xx was passed on. 8107 had no id, nor had 8103 if a header was invalid. An unexpected error within an answer was logged without the id. 8106 "client left", level info, also stood for connections that the kernel gave up by our TCP_USER_TIMEOUT.

8105, 8106, 8114 and the new 8115 (unexpected error within an answer) and 8116 (the kernel gave the client up, warning) share their fields: cause, stage, path, route, endpoint, times since the arrival, to the caller's deadline and since SIGTERM, status and bytes sent and unsent. 8105 tells the caller's deadline from the route's timeout. 8107 names the request once its head was read; 1003 counts what was cut by stage; 8008 says if bytes after a last answer were not read; 8104 has route and left_ms, and no sent_ms_ago without a send. masticward_gateway_cut_requests_total counts by cause and stage. The stop is told from a client that left by the reset of all connections, not by the clock.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -380,7 +380,12 @@
         """
         started = clocks.boot_time()
         abort_at = started + self.settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
-        LOGGER.log(events.Event.PROCESS_STOPPING, instance=self.settings.instance_id)
+        LOGGER.log(
+            events.Event.PROCESS_STOPPING,
+            instance=self.settings.instance_id,
+            unfinished=self.client_server.busy,
+            connections=len(self.client_server.connections),
+        )
         self.stopping = True
         self.peering.stopping = True
         self.fleet.stopping_at = started
@@ -394,10 +399,17 @@
             reads_end = clocks.boot_time() >= abort_at - STOP_READING_SECONDS
             if reads_end and not self.client_server.reading_stopped:
                 self.client_server.stop_reading()
-        cut = self.client_server.busy
-        self.client_server.abort()
+        connections = len(self.client_server.connections)
+        cut = self.client_server.abort()
         await self.background.cancel()
-        LOGGER.log(events.Event.PROCESS_STOPPED, instance=self.settings.instance_id, cut=cut)
+        LOGGER.log(
+            events.Event.PROCESS_STOPPED,
+            instance=self.settings.instance_id,
+            cut=cut.total(),
+            cut_by_stage={stage.value: count for stage, count in cut.items()},
+            connections=connections,
+            stopping_ms=round((clocks.boot_time() - started) * 1000),
+        )
 
 
 async def run_until_signal(program: GatewayProgram) -> int:
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -5,7 +5,7 @@
 import random
 
 from masticward import errors, events, logs
-from masticward.gateway import request_path
+from masticward.gateway import request_path, request_reports
 from masticward.models import gateway
 from masticward.state import load_shedding
 from masticward.transport import http1_server
@@ -19,6 +19,11 @@
 SHED_RETRY_JITTER_SECONDS = 0.4
 # A client with little time left should return while its request can still be served.
 SHED_RETRY_DEADLINE_FRACTION = 0.5
+# Events and causes of requests without a whole answer.
+CLIENT_LEFT = (events.Event.CLIENT_LEFT, "client left")
+CLIENT_SILENT = (events.Event.CLIENT_SILENT, "client silent")
+CUT_BY_STOP = (events.Event.REQUEST_CUT_BY_STOP, "cut by stop")
+BROKEN_OFF = (events.Event.ANSWER_BROKEN_OFF, "cut by error")
 LOGGER = logs.get_logger(__name__)
 
 
@@ -40,10 +45,24 @@
         configuration = self.fleet.configuration
         return configuration.limits if configuration else gateway.ClientLimits()
 
-    def note_protocol_error(self, status: int, detail: str) -> None:
-        """Count and log a request that could not be parsed."""
-        self.dependencies.metrics.count_outcome("unreadable", status)
-        LOGGER.log(events.Event.REQUEST_UNREADABLE, status=status, detail=detail)
+    def note_protocol_error(
+        self, request: http1_server.Request | None, status: int, detail: str
+    ) -> None:
+        """Count and log a request that was refused before it was read."""
+        self.dependencies.reporter.report_unreadable(request, status, detail)
+
+    def note_unfinished(
+        self,
+        request: http1_server.Request | None,
+        stage: http1_server.Stage,
+        reason: str,
+        client_left: bool,
+    ) -> None:
+        """Count and log a request whose connection ended before or after it was handled."""
+        event, cause = CLIENT_LEFT if client_left else CUT_BY_STOP
+        self.dependencies.reporter.report_cut(
+            event, cause, reason, request_reports.Cut(request, stage)
+        )
 
     async def handle(
         self, request: http1_server.Request, responder: http1_server.Responder
@@ -70,16 +89,26 @@
         except request_path.RefusalError as refusal:
             await self.refuse(request, responder, metadata, proxied, refusal)
         except asyncio.CancelledError:
-            if clocks.boot_time() >= self.fleet.ends_at:
-                self.dependencies.metrics.count_outcome("cut by stop", 0)
-                LOGGER.log(events.Event.REQUEST_CUT_BY_STOP, request_id=request_id)
+            channel = responder.connection.channel
+            if responder.connection.server.aborted or not channel.peer_gone:
+                event, cause = CUT_BY_STOP
+                reason = "the process ended"
             else:
-                self.dependencies.metrics.count_outcome("client left", 0)
-                LOGGER.log(events.Event.CLIENT_LEFT, request_id=request_id)
+                event, cause = CLIENT_SILENT if channel.timed_out else CLIENT_LEFT
+                reason = channel.protocol.end_reason
+            cut = self.describe_cut(request, responder, metadata, proxied)
+            self.dependencies.reporter.report_cut(event, cause, reason, cut)
             raise
         except Exception as error:
             # Without an answer, a client cannot tell whether its request was run.
             if responder.started:
+                channel = responder.connection.channel
+                if not isinstance(error, OSError) or not channel.peer_gone:
+                    event, cause = BROKEN_OFF
+                else:
+                    event, cause = CLIENT_SILENT if channel.timed_out else CLIENT_LEFT
+                cut = self.describe_cut(request, responder, metadata, proxied)
+                self.dependencies.reporter.report_cut(event, cause, f"{error!r}", cut)
                 raise
             LOGGER.log(events.Event.TASK_FAILED, task=f"request {request_id}", error=f"{error!r}")
             if proxied is None:
@@ -88,6 +117,18 @@
                 final = proxied.final_refusal("internal error", ERROR_RETRY_AFTER_SECONDS)
             await self.refuse(request, responder, metadata, proxied, final)
 
+    def describe_cut(
+        self,
+        request: http1_server.Request,
+        responder: http1_server.Responder,
+        metadata: gateway.RequestMetadata | None,
+        proxied: request_path.ProxiedRequest | None,
+    ) -> request_reports.Cut:
+        """Return what is known of a request if it ends now without a whole answer."""
+        if proxied is not None:
+            return proxied.describe_cut()
+        return request_reports.Cut(request, responder.stage, metadata, responder=responder)
+
     def require_time_to_finish(
         self, metadata: gateway.RequestMetadata, route: gateway.Route
     ) -> None:
@@ -143,7 +184,6 @@
         """Answer a request with a refusal by the gateway itself."""
         request_id = metadata.request_id if metadata else None
         route = self.fleet.find_route(metadata.host, metadata.path) if metadata else None
-        self.dependencies.metrics.count_outcome("refused", refusal.status)
         self.dependencies.reporter.report_refusal(
             request,
             metadata,
--- a/src/masticward/gateway/gateway_metrics.py
+++ b/src/masticward/gateway/gateway_metrics.py
@@ -13,6 +13,7 @@
     """Counters, histograms and gauges of one gateway process."""
 
     __slots__ = (
+        "cut_requests",
         "failed_attempts",
         "failed_callbacks",
         "first_event",
@@ -28,6 +29,12 @@
             ["outcome", "status"],
             registry=process_metrics.registry,
         )
+        self.cut_requests = prometheus_client.Counter(
+            "masticward_gateway_cut_requests",
+            "requests without a whole answer",
+            ["cause", "stage"],
+            registry=process_metrics.registry,
+        )
         self.failed_attempts = prometheus_client.Counter(
             "masticward_gateway_failed_attempts",
             "sends to endpoints without a whole answer",
@@ -73,3 +80,8 @@
     def count_outcome(self, outcome: str, status: int) -> None:
         """Count a finished request by outcome and HTTP status; status 0 if none was sent."""
         self.requests.labels(outcome, str(status)).inc()
+
+    def count_cut(self, cause: str, stage: str) -> None:
+        """Count a request without a whole answer by its cause and by how far it was."""
+        self.count_outcome(cause, 0)
+        self.cut_requests.labels(cause, stage).inc()
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -125,7 +125,7 @@
         self.endpoint_client = endpoint_client
         self.crash_detector = crash_detector.CrashDetector(fleet, endpoint_client.pool)
         self.metrics = metrics
-        self.reporter = request_reports.RequestReporter(fleet)
+        self.reporter = request_reports.RequestReporter(fleet, codec, metrics)
 
 
 def require_fresh_proof(fleet: fleet_module.FleetState) -> None:
@@ -185,7 +185,7 @@
             self.record_cut_stream("cut by endpoint", refusal.reason)
         except TimeoutError:
             if self.progress.response_started:
-                self.record_cut_stream("cut at deadline", "deadline")
+                self.record_cut_stream(*self.deadline_cause())
                 return
             if self.progress.runs:
                 raise RefusalError(504, "deadline passed after a send") from None
@@ -329,8 +329,26 @@
 
     def record_cut_stream(self, outcome: str, reason: str) -> None:
         """Count and log a response that was started but not completed."""
-        self.dependencies.metrics.count_outcome(outcome, 0)
-        LOGGER.log(events.Event.STREAM_CUT, request_id=self.metadata.request_id, reason=reason)
+        self.dependencies.reporter.report_cut(
+            events.Event.STREAM_CUT, outcome, reason, self.describe_cut()
+        )
+
+    def deadline_cause(self) -> tuple[str, str]:
+        """Return outcome and reason of a stream that was cut at the response deadline."""
+        if self.metadata.deadline <= self.metadata.arrived_at + self.route.timeout_seconds:
+            return "cut at deadline", "deadline of the caller"
+        return "cut at route timeout", "timeout of the route"
+
+    def describe_cut(self) -> request_reports.Cut:
+        """Return what is known of the request if it ends now without a whole answer."""
+        return request_reports.Cut(
+            self.request,
+            self.responder.stage,
+            self.metadata,
+            self.route,
+            self.responder,
+            self.describe_attempts(),
+        )
 
     def describe_attempts(self) -> dict[str, typing.Any]:
         """Return the service, and the endpoint of the latest attempt if there was one."""
@@ -347,6 +365,7 @@
 
     def record_failed_attempt(self, endpoint: gateway.Endpoint, outcome: str, detail: str) -> None:
         """Count and log a failed attempt."""
+        now = clocks.boot_time()
         self.dependencies.metrics.failed_attempts.labels(outcome).inc()
         LOGGER.log(
             events.Event.GATEWAY_ATTEMPT_FAILED,
@@ -355,7 +374,11 @@
             outcome=outcome,
             detail=detail,
             runs=self.progress.runs,
-            sent_ms_ago=round((clocks.boot_time() - self.progress.sent_at) * 1000),
+            sent_ms_ago=round((now - self.progress.sent_at) * 1000)
+            if self.progress.sends
+            else None,
+            left_ms=round((self.metadata.deadline - now) * 1000),
+            route=self.route.name,
             received_bytes=self.progress.received_bytes,
             shared_parts=[part.id for part in self.metadata.parts[:-1]],
         )
@@ -510,7 +533,7 @@
         if response.status < 500:
             self.record_success(call, sent_at)
         else:
-            self.dependencies.metrics.count_outcome("answered", response.status)
+            self.record_answered(call, clocks.boot_time())
         return True
 
     def record_answer_begun(self) -> None:
@@ -531,14 +554,19 @@
         return bytes(body)
 
     def record_success(self, call: calls.EndpointCall, sent_at: float) -> None:
-        """Count and log a complete response."""
+        """Count and log a complete response of a healthy endpoint."""
         now = clocks.boot_time()
         self.fleet.health.record_success(call.endpoint.id, now)
+        self.record_answered(call, now)
+
+    def record_answered(self, call: calls.EndpointCall, now: float) -> None:
+        """Count and log a response that was passed on, whatever its status."""
         self.dependencies.metrics.count_outcome("answered", call.response.status)
         LOGGER.log(
             events.Event.GATEWAY_REQUEST_ANSWERED,
             request_id=self.metadata.request_id,
             endpoint=call.endpoint.id,
+            route=self.route.name,
             status=call.response.status,
             total_ms=round((now - self.metadata.arrived_at) * 1000),
         )
--- a/src/masticward/gateway/request_reports.py
+++ b/src/masticward/gateway/request_reports.py
@@ -4,6 +4,7 @@
 
 from masticward import events, logs
 from masticward.gateway import fleet as fleet_module
+from masticward.gateway import gateway_metrics, sources
 from masticward.models import gateway
 from masticward.transport import http1_server
 from masticward.utils import clocks
@@ -76,13 +77,80 @@
         fields["removed_ms_ago"] = to_milliseconds(now - removal.removed_at)
 
 
+class Cut:
+    """A request that ended without a whole answer, and what is known of it.
+
+    ``metadata`` and ``route`` are None if the request was not decoded or has none, ``responder``
+    if it was not handed to a handler.
+    """
+
+    __slots__ = ("attempts", "metadata", "request", "responder", "route", "stage")
+
+    def __init__(
+        self,
+        request: http1_server.Request | None,
+        stage: http1_server.Stage,
+        metadata: gateway.RequestMetadata | None = None,
+        route: gateway.Route | None = None,
+        responder: http1_server.Responder | None = None,
+        attempts: dict[str, typing.Any] | None = None,
+    ) -> None:
+        self.request = request
+        self.stage = stage
+        self.metadata = metadata
+        self.route = route
+        self.responder = responder
+        self.attempts = attempts or {}
+
+
 class RequestReporter:
-    """Logs how requests ended."""
+    """Counts and logs how requests ended."""
 
-    __slots__ = ("fleet",)
+    __slots__ = ("codec", "fleet", "metrics")
 
-    def __init__(self, fleet: fleet_module.FleetState) -> None:
+    def __init__(
+        self,
+        fleet: fleet_module.FleetState,
+        codec: sources.RequestCodec,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
         self.fleet = fleet
+        self.codec = codec
+        self.metrics = metrics
+
+    def report_unreadable(
+        self, request: http1_server.Request | None, status: int, detail: str
+    ) -> None:
+        """Count and log a request that was refused before it was read."""
+        self.metrics.count_outcome("unreadable", status)
+        fields: dict[str, typing.Any] = {"request_id": None, "status": status, "detail": detail}
+        if request is not None:
+            fields["request_id"] = self.codec.request_id(request.headers)
+            add_target(fields, request, None)
+            fields["elapsed_ms"] = to_milliseconds(clocks.boot_time() - request.arrived_at)
+        LOGGER.log(events.Event.REQUEST_UNREADABLE, **fields)
+
+    def report_cut(self, event: events.Event, cause: str, reason: str, cut: Cut) -> None:
+        """Count and log a request that ended without a whole answer."""
+        self.metrics.count_cut(cause, cut.stage.value)
+        now = clocks.boot_time()
+        request, metadata, responder = cut.request, cut.metadata, cut.responder
+        fields: dict[str, typing.Any] = {"request_id": None, "cause": cause}
+        fields["stage"] = cut.stage.value
+        if request is not None:
+            fields["request_id"] = self.codec.request_id(request.headers)
+            add_target(fields, request, metadata)
+        if metadata is not None:
+            add_times(fields, self.fleet, metadata, now)
+        elif self.fleet.stopping_at is not None:
+            fields["stopping_ms"] = to_milliseconds(now - self.fleet.stopping_at)
+        if cut.route is not None:
+            fields["route"] = cut.route.name
+        if responder is not None:
+            fields["sent_status"] = responder.status
+            fields["sent_bytes"] = responder.sent_bytes
+            fields["unsent_bytes"] = responder.connection.channel.unsent_bytes
+        LOGGER.log(event, **fields, **cut.attempts, reason=reason)
 
     def report_refusal(
         self,
@@ -94,15 +162,16 @@
         retry_after_seconds: float | None,
         attempts: dict[str, typing.Any],
     ) -> None:
-        """Log an answer by the gateway itself.
+        """Count and log an answer by the gateway itself.
 
         ``metadata`` is None if the request could not be decoded, ``route`` if it was not found.
         ``attempts`` are further fields of a request that was to be sent.
         """
+        self.metrics.count_outcome("refused", status)
         now = clocks.boot_time()
         fleet = self.fleet
         fields: dict[str, typing.Any] = {
-            "request_id": metadata.request_id if metadata else None,
+            "request_id": self.codec.request_id(request.headers),
             "status": status,
             "reason": reason,
         }
--- a/src/masticward/gateway/sources.py
+++ b/src/masticward/gateway/sources.py
@@ -95,6 +95,10 @@
 class RequestCodec(abc.ABC):
     """Translates headers of requests and responses."""
 
+    @abc.abstractmethod
+    def request_id(self, headers: list[tuple[bytes, bytes]]) -> str | None:
+        """Return the ID of a client's request, None without a valid one."""
+
     @abc.abstractmethod
     def decode_request(
         self,
--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -75,6 +75,13 @@
 class HeaderCodec(sources.RequestCodec):
     """Codec for the platform's headers."""
 
+    def request_id(self, headers: list[tuple[bytes, bytes]]) -> str | None:
+        """Return the ID of a client's request, None without a valid one."""
+        for name, value in headers:
+            if name.lower() == names.REQUEST_ID and REQUEST_ID_PATTERN.match(value):
+                return value.decode("latin-1")
+        return None
+
     def decode_request(
         self,
         method: bytes,
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import errno
 import os
 import select
 import socket
@@ -49,6 +50,9 @@
         # Bytes that were received and not yet read from the stream.
         self.unread_bytes = 0
         self.peer_gone = False
+        # Why the connection ended, for log lines, and the number of the error if there was one.
+        self.end_reason = ""
+        self.end_errno = 0
         self.on_peer_gone: collections.abc.Callable[[], object] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -70,21 +74,24 @@
         error = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if self.socket else 0
         if error:
             self.stream_reader.set_exception(ConnectionResetError(error, os.strerror(error)))
-            self.note_gone()
+            self.note_gone(os.strerror(error), error)
             return False
         result = super().eof_received()
-        self.note_gone()
+        self.note_gone("closed by the peer")
         return result
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that the connection is gone."""
         super().connection_lost(exc)
-        self.note_gone()
+        error = exc.errno or 0 if isinstance(exc, OSError) else 0
+        self.note_gone(str(exc) if exc else "closed here", error)
 
-    def note_gone(self) -> None:
-        """Call the listener once."""
+    def note_gone(self, reason: str, error: int = 0) -> None:
+        """Store the first reason and call the listener once."""
         if not self.peer_gone:
             self.peer_gone = True
+            self.end_reason = reason
+            self.end_errno = error
             if self.on_peer_gone is not None:
                 self.on_peer_gone()
 
@@ -124,6 +131,11 @@
         """Whether the peer has closed or reset its side."""
         return self.protocol.peer_gone
 
+    @property
+    def timed_out(self) -> bool:
+        """Whether the connection ended because the peer acknowledged nothing in time."""
+        return self.protocol.end_errno == errno.ETIMEDOUT
+
     @property
     def unsent_bytes(self) -> int:
         """Number of written bytes that the transport still holds."""
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -2,7 +2,9 @@
 
 import abc
 import asyncio
+import collections
 import contextlib
+import enum
 import math
 
 import h11
@@ -35,6 +37,20 @@
 }
 
 
+class Stage(enum.Enum):
+    """How far a request is.
+
+    ``UNREAD`` bytes have arrived and were not read, ``WAITING`` requests have no answer so far, and
+    of those in ``WRITING`` the client may lack the end of the answer.
+    """
+
+    UNREAD = "unread"
+    READING = "reading"
+    WAITING = "waiting"
+    ANSWERING = "answering"
+    WRITING = "writing"
+
+
 class Request:
     """A whole request. ``arrived_at`` is the moment at which its head was read."""
 
@@ -75,7 +91,15 @@
 class Responder:
     """Writes the answer to one request."""
 
-    __slots__ = ("chunked", "connection", "ended", "ends_connection", "started")
+    __slots__ = (
+        "chunked",
+        "connection",
+        "ended",
+        "ends_connection",
+        "sent_bytes",
+        "started",
+        "status",
+    )
 
     def __init__(self, connection: "ServerConnection") -> None:
         self.connection = connection
@@ -83,6 +107,9 @@
         self.ends_connection = False
         self.started = False
         self.ended = False
+        # Status of the head, 0 without one, and bytes of the body that were written.
+        self.status = 0
+        self.sent_bytes = 0
         # Whether h11 sends the body in chunks; it decides that by head and client.
         self.chunked = False
 
@@ -91,11 +118,19 @@
         """Whether this answer is the last one on its connection."""
         return self.ends_connection or self.connection.server.closes_connections
 
+    @property
+    def stage(self) -> Stage:
+        """How far the request is."""
+        if self.ended:
+            return Stage.WRITING
+        return Stage.ANSWERING if self.started else Stage.WAITING
+
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Write the head; a head without a length is sent in chunks."""
         if self.closes_connection:
             headers = [*headers, (b"Connection", b"close")]
         self.started = True
+        self.status = status
         head = self.connection.write(
             h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
         )
@@ -107,6 +142,7 @@
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body."""
+        self.sent_bytes += len(data)
         if data and self.chunked:
             # h11 keeps no state of a chunk; each of its events costs as much as the write.
             self.connection.channel.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
@@ -128,6 +164,8 @@
             with_length.append((b"Connection", b"close"))
         self.started = True
         self.ended = True
+        self.status = status
+        self.sent_bytes = len(body)
         response = h11.Response(
             status_code=status, headers=with_length, reason=REASONS.get(status, b"")
         )
@@ -151,8 +189,18 @@
     def limits(self) -> gateway.ClientLimits:
         """Return what clients may send now."""
 
-    def note_protocol_error(self, status: int, detail: str) -> None:  # noqa: B027
-        """Note a request that was not handed on because of its form."""
+    def note_protocol_error(  # noqa: B027
+        self, request: Request | None, status: int, detail: str
+    ) -> None:
+        """Note a request that was not handed on; None if its head could not be read."""
+
+    def note_unfinished(  # noqa: B027
+        self, request: Request | None, stage: Stage, reason: str, client_left: bool
+    ) -> None:
+        """Note a request that no handler answers and whose connection has ended.
+
+        ``request`` is None if its head was not read. If not the client left, the process ended.
+        """
 
 
 class Server:
@@ -174,6 +222,8 @@
         self.first_requests_until = 0.0
         # Whether requests that have arrived in part are refused, because the process ends.
         self.reading_stopped = False
+        # Whether all connections were reset, because the process ends.
+        self.aborted = False
         self.connections: set[ServerConnection] = set()
         self.listener: http1.Listener | None = None
 
@@ -240,10 +290,21 @@
                 busy += len(self.listener.opening)
         return busy
 
-    def abort(self) -> None:
-        """Reset all connections."""
+    def abort(self) -> collections.Counter[Stage]:
+        """Reset all connections; return the number of open requests by stage."""
+        self.aborted = True
+        stages: collections.Counter[Stage] = collections.Counter()
         for connection in list(self.connections):
+            stage = connection.stage()
+            if stage is not None:
+                stages[stage] += 1
+                # Handlers note their own requests when they are cancelled.
+                if connection.responder is None:
+                    self.handler.note_unfinished(
+                        connection.request, stage, "the process ended", False
+                    )
             connection.channel.abort()
+        return stages
 
 
 class ServerConnection:
@@ -256,6 +317,8 @@
         "machine",
         "method",
         "reading",
+        "request",
+        "responder",
         "served",
         "server",
     )
@@ -270,6 +333,10 @@
         self.method = b""
         # Set while a request is waited for or read.
         self.reading: asyncio.Timeout | None = None
+        # The request whose head was read last, kept until its answer is written out.
+        self.request: Request | None = None
+        # Set while a handler answers.
+        self.responder: Responder | None = None
 
     def open_machine(self, head_bytes: int) -> None:
         """Start the protocol anew, with a limit on the size of heads."""
@@ -281,6 +348,16 @@
         """Whether the connection has had no request so far."""
         return not self.busy and not self.served
 
+    def stage(self) -> Stage | None:
+        """Return how far the connection's request is, None without one."""
+        if self.responder is not None:
+            return self.responder.stage
+        if self.busy and self.reading is not None:
+            return Stage.READING
+        if self.channel.unsent_bytes:
+            return Stage.WRITING
+        return Stage.UNREAD if not self.busy and self.has_unread_request() else None
+
     def write(self, event: h11.Event) -> bytes:
         """Write one event and return its bytes."""
         data = self.machine.send(event) or b""
@@ -327,6 +404,11 @@
                     return
             closing = self.channel.peer_gone or self.channel.transport.is_closing()
             if not closing and self.has_unread_request():
+                LOGGER.log(
+                    events.Event.CLIENT_CONNECTION_CLOSED,
+                    cause="last answer, further bytes are not read",
+                    requests=self.served,
+                )
                 await self.channel.close_after_peer()
         except (OSError, asyncio.CancelledError):
             # The client is gone, or the process ends: nobody is left to be answered.
@@ -355,6 +437,10 @@
             else:
                 await self.refuse(408, "the request did not arrive in time")
             return False
+        except OSError as error:
+            if self.busy and not self.server.aborted:
+                self.server.handler.note_unfinished(self.request, Stage.READING, str(error), True)
+            raise
         except errors.BadRequestError as error:
             await self.refuse(413, str(error))
             return False
@@ -368,6 +454,9 @@
             await self.handle_watched(request, responder)
         finally:
             request.drop_body()
+            self.responder = None
+            if not self.channel.unsent_bytes:
+                self.request = None
         if not responder.ended:
             self.channel.abort()
             return False
@@ -376,8 +465,12 @@
     async def handle_watched(self, request: Request, responder: Responder) -> None:
         """Run the handler and cancel it when the client leaves."""
         if self.channel.peer_gone:
+            if not self.server.aborted:
+                reason = self.channel.protocol.end_reason
+                self.server.handler.note_unfinished(request, Stage.WAITING, reason, True)
             self.channel.abort()
             return
+        self.responder = responder
         task = asyncio.current_task()
         assert task is not None
         self.channel.protocol.on_peer_gone = task.cancel
@@ -416,6 +509,7 @@
                 self.open_machine(limits.head_bytes)
             self.machine.receive_data(data)
         self.busy = True
+        self.request = None
         self.served += 1
         event = await self.next_event(clocks.boot_time() + limits.head_timeout_seconds)
         if not isinstance(event, h11.Request):
@@ -427,6 +521,7 @@
             clocks.boot_time(),
             self.server.memory,
         )
+        self.request = request
         self.method = event.method
         names = [name for name, _ in event.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
@@ -464,7 +559,8 @@
 
     async def refuse(self, status: int, detail: str) -> None:
         """Answer a request that could not be read, and close the connection."""
-        self.server.handler.note_protocol_error(status, detail)
+        if not self.server.aborted:
+            self.server.handler.note_protocol_error(self.request, status, detail)
         if self.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
