Don't wait for the reader of the logs in the last 0.3 s of the grace period

A gateway that ends late, because its processor is busy, has used up part of the 0.6 s between its last request and SIGKILL. The wait of 0.25 s for the reader now also ends 0.3 s after the last request was aborted.

Checked: test_log_writer and test_log_catalogue pass; the new assertion was not run on the code before.

--- a/src/masticward/logs.py
+++ b/src/masticward/logs.py
@@ -2,6 +2,7 @@
 
 import collections
 import logging
+import math
 import os
 import select
 import sys
@@ -16,8 +17,7 @@
 # Lines that wait while the reader is behind; warnings may use the whole of it.
 BUFFER_BYTES = 256 * 1024
 ROUTINE_BUFFER_BYTES = 192 * 1024
-# Longest wait at the end of the process for a reader that is behind; it has to fit into the time
-# between the end of the last request and the end of the grace period.
+# Longest wait at the end of the process for a reader that is behind.
 CLOSE_WAIT_SECONDS = 0.25
 
 
@@ -71,6 +71,8 @@
         self.pending: collections.deque[bytes] = collections.deque()
         self.pending_bytes = 0
         self.dropped = 0
+        # When the process has to be gone, in seconds of clocks.boot_time.
+        self.close_until = math.inf
         os.set_blocking(descriptor, False)
 
     def msg(self, message: str) -> None:
@@ -119,7 +121,11 @@
             get_logger(__name__).log(events.Event.LOG_LINES_DROPPED, lines=dropped)
 
     def close(self, deadline: float) -> None:
-        """Write the lines that still wait; give up at the deadline (``clocks.boot_time``)."""
+        """Write the lines that still wait.
+
+        Give up at the deadline (``clocks.boot_time``), or at ``close_until`` if that is earlier.
+        """
+        deadline = min(deadline, self.close_until)
         poll = select.poll()
         poll.register(self.descriptor, select.POLLOUT)
         self.flush()
--- a/src/masticward/platform/program.py
+++ b/src/masticward/platform/program.py
@@ -18,12 +18,12 @@
     """Run the gateway with the platform's settings; return the exit code."""
     writer = logs.configure_gateway()
     try:
-        return run_gateway()
+        return run_gateway(writer)
     finally:
         writer.close(clocks.boot_time() + logs.CLOSE_WAIT_SECONDS)
 
 
-def run_gateway() -> int:
+def run_gateway(writer: logs.LineWriter) -> int:
     """Load the settings and run the gateway; return the exit code."""
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "/etc/masticward/node.yaml"))
     try:
@@ -38,7 +38,11 @@
         program = gateway_daemon.GatewayProgram(
             loaded, source, headers.HeaderCodec(), lambda: settings.load(path)
         )
-        return await gateway_daemon.run_until_signal(program)
+        try:
+            return await gateway_daemon.run_until_signal(program)
+        finally:
+            # A late process has used up part of the margin for its end.
+            writer.close_until = program.fleet.ends_at + gateway_daemon.STOP_MARGIN_SECONDS / 2
 
     return programs.run(run())
 
--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -72,6 +72,9 @@
         self.writer.close(started + 0.05)
         self.assertGreaterEqual(clocks.boot_time(), started + 0.05)
         self.assertGreater(self.writer.pending_bytes, 0)
+        self.writer.close_until = started
+        self.writer.close(started + READ_TIMEOUT_SECONDS)
+        self.assertLess(clocks.boot_time(), started + READ_TIMEOUT_SECONDS)
 
     # A collector that ended made every log call, and with it every request, fail.
     def test_a_reader_that_is_gone_fails_no_caller(self) -> None:
