Gateway: a stop counts first requests that have arrived

Callers saw: a reset connection after the first request on it, when it arrived at the moment at which a stopping gateway no longer waits for first requests and serves nothing else. No log line named it.

Cause: close_unused spared a connection with unread bytes, but busy counted it only while first requests were waited for. The process then aborted all connections and ended.

Ruled out: used connections, which close_if_idle marks as busy.

Why it works: both paths now mark the connection as busy, so the stop waits until the request is answered or refused. What has arrived only in part is still refused before the end.

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -209,8 +209,8 @@
         if clocks.boot_time() < self.first_requests_until:
             return
         for connection in list(self.connections):
-            if connection.awaits_first_request and not connection.has_unread_request():
-                connection.close("stopping")
+            if connection.awaits_first_request:
+                connection.close_unless_request_arrived()
 
     def stop_reading(self) -> None:
         """Refuse the requests that have arrived in part; they have not run."""
@@ -298,12 +298,15 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is served, has arrived or is due to arrive."""
-        if self.busy or self.awaits_first_request:
-            return
+        if not self.busy and not self.awaits_first_request:
+            self.close_unless_request_arrived()
+
+    def close_unless_request_arrived(self) -> None:
+        """Close the connection, or count a request that has arrived and is not read yet."""
         if self.has_unread_request():
             self.busy = True
-            return
-        self.close("stopping")
+        else:
+            self.close("stopping")
 
     def stop_reading(self) -> None:
         """Refuse a request that has arrived in part."""
--- a/tests/functional/test_late_loop.py
+++ b/tests/functional/test_late_loop.py
@@ -15,6 +15,7 @@
 
 from masticward.models import gateway
 from masticward.transport import http1_server
+from masticward.utils import clocks
 
 CLIENTS = 20
 IDLE_TIMEOUT_SECONDS = 0.5
@@ -89,6 +90,11 @@
 async def stop_server(server: http1_server.Server) -> None:
     """Stop as the gateway does: no new connection, then abort once nothing is served."""
     server.stop_listening()
+    await end_server(server)
+
+
+async def end_server(server: http1_server.Server) -> None:
+    """Abort the connections once nothing is served."""
     async with asyncio.timeout(SOCKET_TIMEOUT_SECONDS):
         while server.busy:
             await asyncio.sleep(0.02)
@@ -158,6 +164,22 @@
 
         self.run_on_each_loop(scenario)
 
+    def test_first_requests_received_when_their_time_ends_are_answered(self) -> None:
+        # A stop closes unused connections; the process ended before it read these requests.
+        async def scenario(server: http1_server.Server) -> Clients:
+            clients = Clients(await server.start())
+            clients.start()
+            await asyncio.to_thread(clients.connected.wait, SOCKET_TIMEOUT_SECONDS)
+            server.stop_listening()
+            server.first_requests_until = clocks.boot_time()
+            clients.send_at.set()
+            clients.sent.wait(SOCKET_TIMEOUT_SECONDS)
+            server.close_unused()
+            await end_server(server)
+            return clients
+
+        self.run_on_each_loop(scenario)
+
     def test_connections_without_a_request_yet_are_served_after_a_stop(self) -> None:
         async def scenario(server: http1_server.Server) -> Clients:
             clients = Clients(await server.start())
