Logs: the gateway writes its last lines before it ends

Cause: lines that wait for a slow reader of the logs were flushed only when the next line was logged, so those that waited at the end were lost.

The new test has no counterpart to run before: the writer had no end.

A reader that is gone ends the wait.

--- a/src/masticward/logs.py
+++ b/src/masticward/logs.py
@@ -3,6 +3,7 @@
 import collections
 import logging
 import os
+import select
 import sys
 import typing
 
@@ -10,6 +11,7 @@
 import structlog
 
 from masticward import events
+from masticward.utils import clocks
 
 # Lines that wait while the reader is behind; warnings may use the whole of it.
 BUFFER_BYTES = 256 * 1024
@@ -106,9 +108,23 @@
             dropped, self.dropped = self.dropped, 0
             get_logger(__name__).log(events.Event.LOG_LINES_DROPPED, lines=dropped)
 
+    def finish(self, deadline: float) -> None:
+        """Wait until the lines are written, at most until the deadline.
 
-def configure_gateway() -> None:
-    """Write events as JSON lines to standard output, without blocking."""
+        The deadline is in seconds of ``clocks.boot_time``.
+        """
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLOUT)
+        while self.pending and (remaining := deadline - clocks.boot_time()) > 0:
+            poll.poll(remaining * clocks.MILLISECONDS_PER_SECOND)
+            try:
+                self.flush()
+            except OSError:
+                return
+
+
+def configure_gateway() -> LineWriter:
+    """Write events as JSON lines to standard output, without blocking; return the writer."""
     writer = LineWriter(sys.stdout.fileno())
     structlog.configure(
         processors=[
@@ -121,6 +137,7 @@
         logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
     )
+    return writer
 
 
 def bind(**context: str) -> None:
--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -1,11 +1,14 @@
 """Guards against a reader of the logs that stalls the gateway, and against lost warnings."""
 
 import os
+import threading
 import unittest
 
 from masticward import logs
+from masticward.utils import clocks
 
 LINE = "x" * 200
+READER_SECONDS = 10.0
 
 
 class LineWriterTest(unittest.TestCase):
@@ -32,6 +35,26 @@
         self.assertGreater(self.writer.dropped, 0)
         self.assertLessEqual(self.writer.pending_bytes, logs.ROUTINE_BUFFER_BYTES)
 
+    def test_the_last_lines_of_a_process_are_written_before_it_ends(self) -> None:
+        # They name the requests that a stop cuts; a process that ended with them pending lost them.
+        for _ in range(400):
+            self.writer.msg(LINE)
+        self.writer.warning("last")
+        self.assertGreater(self.writer.pending_bytes, 0)
+        self.writer.finish(clocks.boot_time() - 1.0)
+        self.assertGreater(self.writer.pending_bytes, 0)
+        read: list[bytes] = []
+
+        def read_to_last() -> None:
+            while not read or not read[-1].endswith(b"\nlast\n"):
+                read.append(os.read(self.read_end, 1 << 20))
+
+        reader = threading.Thread(target=read_to_last, daemon=True)
+        reader.start()
+        self.writer.finish(clocks.boot_time() + READER_SECONDS)
+        reader.join(READER_SECONDS)
+        self.assertEqual((0, 401), (self.writer.pending_bytes, b"".join(read).count(b"\n")))
+
     def test_warnings_are_kept_when_routine_lines_are_dropped(self) -> None:
         for _ in range(5_000):
             self.writer.msg(LINE)
