Soak: streams that reach the end of their callers' time

The soak could hardly see a stream that is ended shortly before its caller's budget: its streams took 5.1 s of 9 s at most, and only stops were checked.

- Four more callers send stories: streams of 4 to 80 events at uneven times, with 1, 3, 5 or 10 s of their callers and 8 s of the route; three in ten are uploaded in eight parts.
- A cut counts unless the caller's budget or the route's timeout was reached, as the rule says.
Both begin for the gateway when it reads the request, so the caller's clock needs no slack.
- nothing_else_is_cut is new: also apart from stops, what a gateway that is not disturbed passed on to a sound endpoint is answered whole.
- Stories may outlast a stop.
The rule excuses those that were sent no later than 3 s after SIGTERM and at work in the last sixth of the grace; the other streams are checked without this excuse, as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,17 +10,24 @@
 from tests.soak import endpoints, world
 
 CLIENTS = 24
+# Callers that only send stories, from this number on.
+STORY_CLIENTS = 4
+FIRST_STORY_CLIENT = 1000
 DEADLINE_SECONDS = 2.5
 # What a caller waits beyond its deadline before it leaves.
 PATIENCE_SECONDS = 1.5
 # Long streams have more time.
 DRAFT_DEADLINE_SECONDS = 9.0
+# Stories may last longer than the time that their callers or the route give them.
+STORY_DEADLINES_SECONDS = (1.0, 3.0, 5.0, 10.0)
 ROUTES = ("book", "status", "moving", "plan", "note", "draft")
-KEYED_ROUTES = ("plan", "note", "draft")
+KEYED_ROUTES = ("plan", "note", "draft", "story")
 # Shares of requests that wait on their connection before they are sent, that are sent in two
-# parts, and whose bodies have no length.
+# parts, whose bodies have no length, and of stories that are sent slowly.
 HELD_SHARE = 0.1
 PARTED_SHARE = 0.1
+SLOW_UPLOAD_SHARE = 0.3
+SLOW_UPLOAD_PARTS = 8
 CHUNKED_SHARE = 0.3
 METHODS = {"status": b"GET", "moving": b"GET"}
 
@@ -40,6 +47,7 @@
 
     __slots__ = (
         "body",
+        "deadline_seconds",
         "detail",
         "ended_at",
         "events",
@@ -69,6 +77,8 @@
         self.ended_at = 0.0
         # Number of events that a stream is asked for.
         self.events = endpoints.STREAM_EVENTS
+        # Time that the caller gives the request.
+        self.deadline_seconds = DRAFT_DEADLINE_SECONDS if route == "draft" else DEADLINE_SECONDS
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
         self.body = b""
@@ -76,9 +86,13 @@
         self.detail = ""
 
     @property
-    def deadline_seconds(self) -> float:
-        """Time that the caller gives the request."""
-        return DRAFT_DEADLINE_SECONDS if self.route == "draft" else DEADLINE_SECONDS
+    def limit_reached(self) -> bool:
+        """Whether the caller's time or the route's timeout was over at the end.
+
+        Both begin for a gateway when it reads the request, so it ends nothing earlier.
+        """
+        timeout_seconds = world.ROUTE_TIMEOUTS_SECONDS[self.route]
+        return self.ended_at - self.sent_at >= min(self.deadline_seconds, timeout_seconds)
 
     @property
     def repeatable(self) -> bool:
@@ -100,11 +114,13 @@
         """Start the callers."""
         for number in range(CLIENTS):
             self.add(number)
+        for number in range(FIRST_STORY_CLIENT, FIRST_STORY_CLIENT + STORY_CLIENTS):
+            self.add(number, ("story",))
 
-    def add(self, number: int) -> None:
+    def add(self, number: int, routes: tuple[str, ...] = ROUTES) -> None:
         """Start one more caller."""
         seeded = random.Random(self.fleet.seed * 1000 + number)
-        self.tasks.append(asyncio.create_task(self.run(seeded, number)))
+        self.tasks.append(asyncio.create_task(self.run(seeded, number, routes)))
 
     async def flood(self, count: int, seconds: float) -> None:
         """Add callers for a time."""
@@ -122,12 +138,15 @@
     async def stop(self) -> None:
         """Let the callers finish what they have sent."""
         self.stopping = True
-        await asyncio.wait(self.tasks, timeout=DRAFT_DEADLINE_SECONDS + PATIENCE_SECONDS + 1.0)
+        longest_seconds = max(DRAFT_DEADLINE_SECONDS, *STORY_DEADLINES_SECONDS)
+        await asyncio.wait(self.tasks, timeout=longest_seconds + PATIENCE_SECONDS + 1.0)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    async def run(self, seeded: random.Random, number: int) -> None:
+    async def run(
+        self, seeded: random.Random, number: int, routes: tuple[str, ...] = ROUTES
+    ) -> None:
         """Send one request after the other, on one connection while it lasts."""
         channel: http1.Channel | None = None
         gateway: world.Gateway | None = None
@@ -139,7 +158,9 @@
                 gateway = seeded.choice(ready or self.fleet.gateways)
                 channel = None
             sent += 1
-            call = Call(f"s{self.fleet.seed}-{number}-{sent}", seeded.choice(ROUTES), gateway)
+            call = Call(f"s{self.fleet.seed}-{number}-{sent}", seeded.choice(routes), gateway)
+            if call.route == "story":
+                call.deadline_seconds = seeded.choice(STORY_DEADLINES_SECONDS)
             self.calls.append(call)
             try:
                 channel = await self.attempt(call, channel, seeded)
@@ -210,7 +231,14 @@
         target = f"/{call.route}/1?a=b".encode()
         data = b"".join(exchange.encode(method, target, headers, body))
         exchange.sent = True
-        if seeded.random() < PARTED_SHARE:
+        if call.route == "story" and seeded.random() < SLOW_UPLOAD_SHARE:
+            size = len(data) // SLOW_UPLOAD_PARTS
+            pause_seconds = seeded.uniform(0.0, call.deadline_seconds / 2 / SLOW_UPLOAD_PARTS)
+            for _ in range(SLOW_UPLOAD_PARTS):
+                exchange.channel.writer.write(data[:size])
+                await asyncio.sleep(pause_seconds)
+                data = data[size:]
+        elif seeded.random() < PARTED_SHARE:
             half = seeded.randrange(1, len(data))
             exchange.channel.writer.write(data[:half])
             await asyncio.sleep(seeded.uniform(0.1, 2.0))
@@ -222,6 +250,8 @@
         """Choose team and key of a request and return a builder of its headers."""
         if call.route == "draft":
             call.events = seeded.randint(4, endpoints.MAX_DRAFT_EVENTS)
+        if call.route == "story":
+            call.events = seeded.randint(4, endpoints.MAX_STORY_EVENTS)
         if call.route in KEYED_ROUTES:
             call.team = seeded.choice(world.TEAMS)
             keys = self.fleet.keys[call.team]
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints of the soak: they record what arrives and misbehave when told."""
 
 import asyncio
+import math
 import random
 import time
 
@@ -12,18 +13,33 @@
 # Drafts are long streams of different lengths.
 MAX_DRAFT_EVENTS = 34
 DRAFT_EVENT_SECONDS = 0.15
+# The events of a story come at uneven times, up to this long apart.
+MAX_STORY_EVENTS = 80
+MAX_STORY_EVENT_SECONDS = 0.3
 TOKENS_PER_EVENT = 5
 
 
 class Arrival:
     """A request as an endpoint got it. ``run`` is False if the endpoint refused to run it."""
 
-    __slots__ = ("at", "cold", "deadline_ms", "endpoint", "headers", "request_id", "run", "target")
+    __slots__ = (
+        "at",
+        "cold",
+        "deadline_ms",
+        "ended_at",
+        "endpoint",
+        "headers",
+        "request_id",
+        "run",
+        "target",
+    )
 
     def __init__(
         self, endpoint: "SoakEndpoint", request: platform_standins.ReceivedRequest
     ) -> None:
         self.at = time.monotonic()
+        # When the endpoint ended its work on it; infinite while it goes on.
+        self.ended_at = math.inf
         self.endpoint = endpoint
         self.request_id = request.request_id
         self.target = request.target
@@ -93,6 +109,18 @@
         """Answer one request, or misbehave."""
         arrival = Arrival(self, request)
         self.arrivals.append(arrival)
+        try:
+            return await self.answer(arrival, request, writer)
+        finally:
+            arrival.ended_at = time.monotonic()
+
+    async def answer(
+        self,
+        arrival: Arrival,
+        request: platform_standins.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer a request that was recorded."""
         if arrival.headers.get("x-masticward-expect-instance") != self.id:
             arrival.run = False
             writer.write(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
@@ -112,7 +140,7 @@
             return await platform_standins.shed_request(request, writer)
         if chance() < self.mute:
             return await platform_standins.never_respond(request, writer)
-        stream = request.target.startswith(("/plan/", "/note/", "/draft/"))
+        stream = request.target.startswith(("/plan/", "/note/", "/draft/", "/story/"))
         await asyncio.sleep(self.random.uniform(0.005, 0.04) * self.slow)
         if chance() < self.answer_lost:
             return False
@@ -141,6 +169,7 @@
         counts = request.headers["x-masticward-token-counts"]
         events = int(counts.partition(",")[2]) // TOKENS_PER_EVENT
         draft = request.target.startswith("/draft/")
+        story = random.Random(request.request_id) if request.target.startswith("/story/") else None
         interval_seconds = (DRAFT_EVENT_SECONDS if draft else EVENT_SECONDS) * self.slow
         for number in range(first, events + 1):
             event = f"id: {number}\ndata: {request.request_id}\n\n".encode()
@@ -149,6 +178,8 @@
                 return False
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
+            if story is not None:
+                interval_seconds = story.uniform(0.0, MAX_STORY_EVENT_SECONDS) * self.slow
             await asyncio.sleep(interval_seconds)
         writer.write(b"0\r\n\r\n")
         return True
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -11,6 +11,10 @@
 CLOCK_SLACK_SECONDS = 0.25
 # A stopping gateway closes the connection of a request that it doesn't pass on within this time.
 LOSS_SECONDS = 0.2
+# The rules excuse a request that was sent up to this long after a SIGTERM and on which an endpoint
+# still worked in the last part of the grace. Only stories can be so long.
+LATE_REQUEST_SECONDS = 3.0
+LAST_WORK_SECONDS = world.GRACE_SECONDS * 5 / 6
 # A gateway may have sent requests before it reads that an endpoint wants nothing.
 PAUSE_SLACK_SECONDS = 0.5
 MOST_IN_PAUSE = 2
@@ -54,6 +58,7 @@
             self.configuration_in_force,
             self.answers_in_time,
             self.stops_cut_nothing,
+            self.nothing_else_is_cut,
             self.repeat_budget,
             self.cold_endpoints,
         ):
@@ -222,7 +227,7 @@
         """
         found = []
         for call in self.calls:
-            if call.outcome is not callers.Outcome.CUT:
+            if call.outcome is not callers.Outcome.CUT or call.limit_reached:
                 continue
             runs = self.runs.get(call.request_id, [])
             for stop_at in call.gateway.stops:
@@ -235,8 +240,46 @@
                 calm = call.gateway.calm(call.sent_at, call.ended_at)
                 sound = all(run.endpoint.calm(run.at, call.ended_at) for run in runs)
                 held = call.sent_whole_at and call.ended_at > call.sent_whole_at + LOSS_SECONDS
-                if (runs or held) and calm and sound:
-                    found.append(f"{call.request_id} was cut around a SIGTERM: {call.detail}")
+                if (runs or held) and calm and sound and not self.outlasts_stop(call, stop_at):
+                    sent, ended = call.sent_whole_at - stop_at, call.ended_at - stop_at
+                    found.append(
+                        f"{call.request_id} was sent {sent:.2f} s after a SIGTERM and cut "
+                        f"{ended:.2f} s after it: {call.detail}"
+                    )
+        return found
+
+    def outlasts_stop(self, call: callers.Call, stop_at: float) -> bool:
+        """Whether a story was at work in the last part of the grace, and sent early enough."""
+        return (
+            call.route == "story"
+            and call.sent_whole_at <= stop_at + LATE_REQUEST_SECONDS
+            and any(
+                run.at < stop_at + LAST_WORK_SECONDS <= run.ended_at
+                for run in self.runs.get(call.request_id, [])
+            )
+        )
+
+    def nothing_else_is_cut(self) -> list[str]:
+        """While nothing is stopped or disturbed, what was passed on is answered whole."""
+        found = []
+        for call in self.calls:
+            if call.outcome is not callers.Outcome.CUT or call.limit_reached:
+                continue
+            runs = self.runs.get(call.request_id, [])
+            stopping = any(
+                stop_at < call.ended_at < stop_at + world.GRACE_SECONDS + 1.0
+                for stop_at in call.gateway.stops
+            )
+            if (
+                runs
+                and not stopping
+                and call.gateway.calm(call.sent_at, call.ended_at)
+                and all(run.endpoint.calm(run.at, call.ended_at) for run in runs)
+            ):
+                found.append(
+                    f"{call.request_id} was cut {call.ended_at - call.sent_at:.3f} s after it was "
+                    f"sent, of {call.deadline_seconds} s: {call.detail}"
+                )
         return found
 
     def repeat_budget(self) -> list[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -66,9 +66,10 @@
         await load.stop()
         await fleet.close(keep=bool(findings))
     if findings:
-        findings.append(f"logs are in {fleet.directory}")
+        findings.insert(0, f"logs are in {fleet.directory}")
     outcomes = collections.Counter(f"{call.outcome.value} {call.status}" for call in load.calls)
-    return Result(seed, findings, f"{len(load.calls)} calls {dict(outcomes)}; {dict(played)}")
+    summary = f"{len(load.calls)} calls {dict(outcomes)}; {dict(played)}"
+    return Result(seed, findings, f"{summary}; longest stall {fleet.longest_stall:.2f} s")
 
 
 async def check_recovery(fleet: world.World, load: callers.Callers) -> list[str]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -30,6 +30,15 @@
 CONTACT_SECONDS = 3.0
 EVACUATE_SECONDS = 5.0
 GRACE_SECONDS = 8.0
+ROUTE_TIMEOUTS_SECONDS = {
+    "book": 4.0,
+    "status": 4.0,
+    "moving": 4.0,
+    "plan": 4.0,
+    "note": 4.0,
+    "draft": 10.0,
+    "story": 8.0,
+}
 REPEAT_RATIO = 0.2
 REPEAT_SLACK = 58
 REPEAT_WINDOW_SECONDS = 10.0
@@ -297,7 +306,7 @@
                 "host": "api.example",
                 "path_prefix": f"/{name}/",
                 "kind": kind,
-                "timeout_ms": 4000,
+                "timeout_ms": int(ROUTE_TIMEOUTS_SECONDS[name] * 1000),
                 "target_latency_ms": 800,
                 "priority": 1,
                 "service": service,
@@ -314,7 +323,8 @@
                 route("moving", "idempotent", self.moving_service, max_attempts=2),
                 route("plan", "stream", "llm", public=False),
                 route("note", "stream", "llm", public=False, resumable=True, max_attempts=2),
-                route("draft", "stream", "llm", public=False, timeout_ms=10000),
+                route("draft", "stream", "llm", public=False),
+                route("story", "stream", "llm", public=False),
             ],
             services=[
                 {
