Store: bound the bodies that are read at once in their sum

Cause: each body was bounded (16 MB), not the sum over the kinds of objects, which are read at the same time. Beside a store that sends bodies without end, a gateway peaked at 260 MB (memory_mb 300). Now they have 24 MiB together, and a read that does not fit fails as any other.

Evidence: the new test fails on the code before (no read ends).

--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -9,6 +9,7 @@
 from masticward import errors, events, logs
 from masticward.gateway import sources
 from masticward.platform import documents, names
+from masticward.state import body_memory
 from masticward.transport import http1
 from masticward.utils import addresses, identifiers, json_fragments
 
@@ -26,6 +27,8 @@
 GONE_STATUS = 410
 CONFLICT_STATUS = 409
 MISSING_STATUS = 404
+# Of all bodies that are being read at the same time.
+MAX_HELD_BYTES = 24 * 1024 * 1024
 # Of one listing; a faulty store may announce further pages without end.
 MAX_LISTING_BYTES = http1.MAX_BODY_BYTES
 NOTHING = msgspec.Raw(b"null")
@@ -76,6 +79,7 @@
         self.address = addresses.split(address)
         self.host = address.encode()
         self.connections: dict[sources.ObjectKind, http1.Channel] = {}
+        self.memory = body_memory.BodyMemory(MAX_HELD_BYTES)
 
     async def call(
         self,
@@ -84,7 +88,7 @@
         path: str,
         timeout_seconds: float,
         document: typing.Any = None,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytearray]:
         """Make one HTTP call and return its status and body.
 
         Raise StoreUnavailableError if there is no complete response in time.
@@ -106,7 +110,7 @@
             async with asyncio.timeout(timeout_seconds):
                 await exchange.send(method, path.encode(), headers, body)
                 response = await exchange.read_head()
-                data = await exchange.read_body()
+                data = await exchange.read_body(self.memory)
         except (TimeoutError, errors.EndpointError) as error:
             self.failed_calls += 1
             if channel is not None:
@@ -122,7 +126,7 @@
             channel.abort()
         return response.status, data
 
-    async def read(self, kind: sources.ObjectKind, path: str, timeout_seconds: float) -> bytes:
+    async def read(self, kind: sources.ObjectKind, path: str, timeout_seconds: float) -> bytearray:
         """Make a GET call and return its body.
 
         Raise HistoryLostError if the store no longer has the requested changes, and
@@ -219,7 +223,7 @@
     return f"{identifiers.stable_hash(key):016x}"
 
 
-def decode(data: bytes | msgspec.Raw, body_type: type[msgspec.Struct], name: str) -> typing.Any:
+def decode(data: bytearray | msgspec.Raw, body_type: type[msgspec.Struct], name: str) -> typing.Any:
     """Decode a response body; raise StoreUnavailableError if it is malformed.
 
     Parts that are ``msgspec.Raw`` in ``body_type`` may hold what cannot be decoded.
--- a/src/masticward/protocol/gateway_snapshots.py
+++ b/src/masticward/protocol/gateway_snapshots.py
@@ -29,6 +29,6 @@
     return ENCODER.encode(snapshot)
 
 
-def decode(data: bytes) -> Snapshot:
+def decode(data: bytes | bytearray) -> Snapshot:
     """Decode a snapshot from MessagePack. Raises msgspec.DecodeError."""
     return DECODER.decode(data)
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -16,6 +16,7 @@
 import h11
 
 from masticward import errors, events, logs
+from masticward.state import body_memory
 from masticward.transport import chunked
 from masticward.utils import clocks
 
@@ -463,16 +464,24 @@
             return None
         raise errors.EndpointBrokenError("closed within an answer")
 
-    async def read_body(self) -> bytes:
-        """Return the whole body; raise EndpointBrokenError above ``MAX_BODY_BYTES``."""
-        parts = []
-        size = 0
-        while (data := await self.read_data()) is not None:
-            size += len(data)
-            if size > MAX_BODY_BYTES:
-                raise errors.EndpointBrokenError(f"the body exceeds {MAX_BODY_BYTES} bytes")
-            parts.append(data)
-        return b"".join(parts)
+    async def read_body(self, memory: body_memory.BodyMemory | None = None) -> bytearray:
+        """Return the whole body, which takes bytes of ``memory`` until it has been read.
+
+        Raise EndpointBrokenError above ``MAX_BODY_BYTES`` or if the bytes do not fit.
+        """
+        body = bytearray()
+        held_body = body_memory.HeldBody(memory or body_memory.BodyMemory(MAX_BODY_BYTES))
+        try:
+            while (data := await self.read_data()) is not None:
+                if len(body) + len(data) > MAX_BODY_BYTES:
+                    raise errors.EndpointBrokenError(f"the body exceeds {MAX_BODY_BYTES} bytes")
+                held_body.resize(len(body) + len(data))
+                body += data
+        except errors.BodyMemoryError as error:
+            raise errors.EndpointBrokenError(str(error)) from error
+        finally:
+            held_body.release()
+        return body
 
     def expected_length(self, answer: Answer) -> int:
         """Return the length that an answer's head declares for its body, 0 without one."""
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -227,8 +227,29 @@
             writer.close()
 
 
-class ListingTest(EndlessBytesCase):
-    """Guards against a listing of the store whose pages do not end."""
+class StoreTest(EndlessBytesCase):
+    """Guards against a store whose bodies, or the pages of whose listings, do not end."""
+
+    async def test_bodies_that_are_read_at_once_are_bounded_in_their_sum(self) -> None:
+        body = bytes(http1.MAX_BODY_BYTES // 2)
+        head = "HTTP/1.1 200 X\r\nContent-Length: 999999999\r\n\r\n"
+        endless = endless_responses.UnendedResponse(head, body)
+        endless.begins.set()
+        faulty = await self.add_endpoint("store", endless)
+        client = store.Store(faulty.address)
+        with unittest.mock.patch.object(store, "CALL_TIMEOUT_SECONDS", 60.0):
+            calls = [
+                asyncio.ensure_future(client.list_objects(kind)) for kind in sources.ObjectKind
+            ]
+            self.assertGreater(len(calls) * len(body), store.MAX_HELD_BYTES)
+            await self.wait_until(lambda: any(call.done() for call in calls))
+            self.assertLessEqual(client.memory.held_bytes, store.MAX_HELD_BYTES)
+            failed = [call.exception() for call in calls if call.done()]
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+        self.assertIn("no memory", str(failed[0]))
+        self.assertEqual(0, client.memory.held_bytes)
 
     async def test_a_listing_that_does_not_end_is_no_listing(self) -> None:
         pages = endless_responses.EndlessPages()
