A suspension of the process within a turn delays no further turn for long

A turn was billed with all the time until the next read. A process that is suspended for 3.5 s in it would let the next turn wait for 10.5 s, and its reader until the others had used as much. One turn now counts as 50 ms at most.

test_a_suspended_process_delays_no_turn_for_long failed on the code before (1 turn in the second after a suspension of 5 s).

--- a/src/masticward/state/read_turns.py
+++ b/src/masticward/state/read_turns.py
@@ -23,6 +23,8 @@
 # A use lasts from one read to the next. A reader reads less at once while its uses are longer, and
 # more while they are shorter than a quarter of this.
 MAX_USE_SECONDS = 0.001
+# Longest time that one turn counts as; the process may have been suspended.
+MAX_TURN_SECONDS = 0.05
 MIN_READ_BYTES = 1024
 FIRST_READ_BYTES = 16 * 1024
 MAX_READ_BYTES = 64 * 1024
@@ -137,9 +139,10 @@
                 reader.limited = reader.excess_seconds > BURST_SECONDS or self.is_contended(now)
         if reader is self.holder:
             self.holder = None
-            reader.turn_seconds += used
-            self.turn_seconds += used
-            self.next_turn_at = self.running_since + used / TURNS_SHARE
+            billed = min(used, MAX_TURN_SECONDS)
+            reader.turn_seconds += billed
+            self.turn_seconds += billed
+            self.next_turn_at = now + billed / TURNS_SHARE - billed
             self.on_turn_end()
         return used
 
--- a/tests/unit/test_read_turns.py
+++ b/tests/unit/test_read_turns.py
@@ -112,6 +112,15 @@
         self.assertIs(hogs[2].reader, model.turns.grant(model.now))
         self.assertEqual(0, model.turns.waiting_count)
 
+    def test_a_suspended_process_delays_no_turn_for_long(self) -> None:
+        hogs = [read_turn_model.ReaderModel(5.0, *[USE] * 1000), read_turn_model.ReaderModel(USE)]
+        model = read_turn_model.TurnModel(*hogs)
+        model.run(model.now + 5.0)
+        resumed_at = model.now
+        model.run(resumed_at + 1.0)
+        self.assertGreater(hogs[0].turns, 10)
+        self.assertGreater(hogs[1].turns, 10)
+
     def test_the_time_of_a_wait_is_counted(self) -> None:
         model = read_turn_model.TurnModel(read_turn_model.ReaderModel(USE))
         reader = next(iter(model.models))
