Of one sender, 500 datagrams a second are decoded

A sound gateway sends reports at up to 10 a second and changes at up to 50 to each other one, and relayed changes of the store in between.

test_a_sender_is_heard_up_to_a_limit_and_again_in_the_next_second failed on the code before, with the limit's name added there (1,000 decoded instead of 500).

--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -43,6 +43,8 @@
 # A message is sent at least this often, also without changes, so that liveness and the age of the
 # configuration's proof do not depend on the rate of reports.
 MAX_CHANGES_INTERVAL_SECONDS = 0.5
+# Of one sender. Reports, changes and relayed changes together stay far below it.
+MAX_DATAGRAMS_PER_SECOND = 500
 # A log line costs more processor time than the datagram that it is about.
 MIN_UNREADABLE_LOG_INTERVAL_SECONDS = 1.0
 LOGGER = logs.get_logger(__name__)
@@ -120,6 +122,9 @@
         self.unsent_prompts: list[tuple[str, list[tuple[int, int]]]] = []
         # Whether a request was placed since the last message.
         self.has_unsent_request = False
+        # Datagrams by sender in the present second.
+        self.datagram_counts: dict[tuple[str | typing.Any, int], int] = {}
+        self.counts_end_at = 0.0
         # Datagrams that were dropped since the last log line about one.
         self.unreadable_datagrams = 0
         self.next_unreadable_log_at = 0.0
@@ -434,6 +439,9 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
         """Apply a peer's report or changes."""
+        if self.is_flooding(addr):
+            self.note_unreadable(str(addr[0]), "too many datagrams")
+            return
         try:
             message, content = gateway_peers.decode(data)
         except (msgspec.DecodeError, RecursionError) as error:
@@ -447,6 +455,16 @@
         else:
             self.apply_report(message, content, now)
 
+    def is_flooding(self, sender: tuple[str | typing.Any, int]) -> bool:
+        """Count a datagram; return whether its sender has sent too many in the present second."""
+        now = clocks.boot_time()
+        if now >= self.counts_end_at:
+            self.counts_end_at = now + 1.0
+            self.datagram_counts.clear()
+        count = self.datagram_counts.get(sender, 0) + 1
+        self.datagram_counts[sender] = count
+        return count > MAX_DATAGRAMS_PER_SECOND
+
     def note_unreadable(self, sender: str, error: str) -> None:
         """Count a datagram that was dropped; log the latest one, not more often than allowed."""
         self.unreadable_datagrams += 1
--- a/tests/unit/test_gateway_peering.py
+++ b/tests/unit/test_gateway_peering.py
@@ -62,6 +62,27 @@
         self.peering.datagram_received(gateway_peers.encode(message), ("127.0.0.2", 1))
 
 
+class FloodTest(PeeringCase):
+    """Guards against one sender whose datagrams take the processor."""
+
+    def test_a_sender_is_heard_up_to_a_limit_and_again_in_the_next_second(self) -> None:
+        decode = unittest.mock.Mock(side_effect=gateway_peers.decode)
+        with (
+            unittest.mock.patch.object(gateway_peers, "decode", decode),
+            unittest.mock.patch.object(peering, "LOGGER"),
+        ):
+            for self.now, sender, expected in (
+                (100.0, "127.0.0.2", peering.MAX_DATAGRAMS_PER_SECOND),
+                (100.9, "127.0.0.2", 0),
+                (100.9, "127.0.0.3", peering.MAX_DATAGRAMS_PER_SECOND),
+                (101.0, "127.0.0.2", peering.MAX_DATAGRAMS_PER_SECOND),
+            ):
+                decode.reset_mock()
+                for _ in range(2 * peering.MAX_DATAGRAMS_PER_SECOND):
+                    self.peering.datagram_received(b"\xff", (sender, 1))
+                self.assertEqual(expected, decode.call_count)
+
+
 class UnreadableMessagesTest(PeeringCase):
     """Guards against a flood of datagrams whose log lines take the processor."""
 
