--- a/src/masticward/state/read_turns.py
+++ b/src/masticward/state/read_turns.py
@@ -13,9 +13,10 @@
 import itertools
 import math
 
-# A connection may use this part of the process's time ...
+# Part of the process's time that a connection may use without being limited.
 READER_SHARE = 0.01
-# ... and this much at once, unless others wait for turns.
+# Use above that share from which on a connection is limited; the lower value applies while others
+# wait for turns.
 BURST_SECONDS = 0.01
 CONTENDED_BURST_SECONDS = 0.002
 # Part of the process's time for all limited connections together.
--- a/tests/lib/read_turn_model.py
+++ b/tests/lib/read_turn_model.py
@@ -1,7 +1,5 @@
 """Readers of a process with a clock of their own."""
 
-import typing
-
 from masticward.state import read_turns
 
 
@@ -40,11 +38,7 @@
         self.now += seconds
         self.turns.stop(self.now)
 
-    def run(
-        self,
-        until: float,
-        every_turn: typing.Callable[[], object] = lambda: None,
-    ) -> None:
+    def run(self, until: float) -> None:
         """Grant turns until a time."""
         while self.now < until:
             granted = self.turns.grant(self.now)
@@ -52,7 +46,6 @@
                 due_at = self.turns.next_grant_at()
                 assert due_at is not None
                 self.now = max(self.now, due_at)
-                every_turn()
                 continue
             model = self.models[granted]
             self.use(granted, model.next_length)
--- a/tests/unit/test_read_turns.py
+++ b/tests/unit/test_read_turns.py
@@ -69,57 +69,57 @@
 class TurnsTest(unittest.TestCase):
     """Guards against limited connections that together take the process, or starve each other."""
 
-    def run_hogs(self, *hogs: read_turn_model.ReaderModel) -> read_turn_model.TurnModel:
+    def run_readers(self, *models: read_turn_model.ReaderModel) -> read_turn_model.TurnModel:
         """Run readers without end for 10 s."""
-        model = read_turn_model.TurnModel(*hogs)
+        model = read_turn_model.TurnModel(*models)
         model.run(model.now + 10.0)
         return model
 
     def test_all_together_use_their_part_of_the_time(self) -> None:
         for count in (1, 7, 200):
             with self.subTest(count):
-                model = self.run_hogs(*(read_turn_model.ReaderModel(USE) for _ in range(count)))
+                model = self.run_readers(*(read_turn_model.ReaderModel(USE) for _ in range(count)))
                 self.assertAlmostEqual(
                     10.0 * read_turns.TURNS_SHARE, model.turns.turn_seconds, delta=2 * USE
                 )
 
     def test_each_uses_the_same_time_whatever_its_turns_cost(self) -> None:
         costs = ((USE,), (USE / 100,), (USE / 3, USE * 5), (USE * 5,), (USE / 7,))
-        hogs = [read_turn_model.ReaderModel(*cost) for cost in costs]
-        self.run_hogs(*hogs)
-        seconds = [hog.reader.turn_seconds for hog in hogs]
+        models = [read_turn_model.ReaderModel(*cost) for cost in costs]
+        self.run_readers(*models)
+        seconds = [item.reader.turn_seconds for item in models]
         self.assertLessEqual(max(seconds) - min(seconds), USE * 5 + ROUNDING)
 
     def test_a_late_reader_gets_its_part_and_no_more(self) -> None:
         earlier = [read_turn_model.ReaderModel(USE) for _ in range(9)]
-        model = self.run_hogs(*earlier)
-        before = [hog.reader.turn_seconds for hog in earlier]
+        model = self.run_readers(*earlier)
+        before = [item.reader.turn_seconds for item in earlier]
         late = read_turn_model.ReaderModel(USE)
         model.add(late)
         joined = late.reader.turn_seconds
         model.run(model.now + 10.0)
-        gained = [hog.reader.turn_seconds - old for hog, old in zip(earlier, before, strict=True)]
+        gained = [item.reader.turn_seconds - old for item, old in zip(earlier, before, strict=True)]
         self.assertAlmostEqual(late.reader.turn_seconds - joined, min(gained), delta=2 * USE)
 
     def test_a_reader_that_gives_up_leaves_its_turn_to_the_next(self) -> None:
-        hogs = [read_turn_model.ReaderModel(USE) for _ in range(3)]
-        model = read_turn_model.TurnModel(*hogs)
+        models = [read_turn_model.ReaderModel(USE) for _ in range(3)]
+        model = read_turn_model.TurnModel(*models)
         first = model.turns.grant(model.now)
-        self.assertIs(hogs[0].reader, first)
+        self.assertIs(models[0].reader, first)
         self.assertIsNone(model.turns.grant(model.now))
-        model.turns.withdraw(hogs[0].reader, model.now)
-        model.turns.withdraw(hogs[1].reader, model.now)
-        self.assertIs(hogs[2].reader, model.turns.grant(model.now))
+        model.turns.withdraw(models[0].reader, model.now)
+        model.turns.withdraw(models[1].reader, model.now)
+        self.assertIs(models[2].reader, model.turns.grant(model.now))
         self.assertEqual(0, model.turns.waiting_count)
 
     def test_a_suspended_process_delays_no_turn_for_long(self) -> None:
-        hogs = [read_turn_model.ReaderModel(5.0, *[USE] * 1000), read_turn_model.ReaderModel(USE)]
-        model = read_turn_model.TurnModel(*hogs)
+        models = [read_turn_model.ReaderModel(5.0, *[USE] * 1000), read_turn_model.ReaderModel(USE)]
+        model = read_turn_model.TurnModel(*models)
         model.run(model.now + 5.0)
         resumed_at = model.now
         model.run(resumed_at + 1.0)
-        self.assertGreater(hogs[0].turns, 10)
-        self.assertGreater(hogs[1].turns, 10)
+        self.assertGreater(models[0].turns, 10)
+        self.assertGreater(models[1].turns, 10)
 
     def test_the_time_of_a_wait_is_counted(self) -> None:
         model = read_turn_model.TurnModel(read_turn_model.ReaderModel(USE))
