--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -40,8 +40,8 @@
 class Stage(enum.Enum):
     """How far a request is.
 
-    ``UNREAD`` bytes have arrived and were not read, ``WAITING`` requests have no answer so far, and
-    of those in ``WRITING`` the client may lack the end of the answer.
+    Of ``UNREAD`` ones, bytes or the close by the client were not read; ``WAITING`` ones have no
+    answer so far; of ``WRITING`` ones, the client may lack the end of the answer.
     """
 
     UNREAD = "unread"
