Gateway: what a stream holds for a slow client counts toward the answers' memory

Cause: behind each client that does not read its stream, a gateway holds up to 64 KiB in the client's connection, the bytes that were read, and those that wait in the endpoint's connection. Nothing summed that. 506 such streams from endless endpoints took 275 MB (memory_mb 300).

Now these bytes are held in the memory for answers. Sound streams hold less than 16 KiB and have room.

Evidence: the new test fails on the code before (no stream is broken off).

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -559,10 +559,16 @@
                 data = complete_events
                 if len(buffer.incomplete) > MAX_EVENT_BYTES:
                     raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-                call.hold(len(buffer.incomplete))
                 self.record_event_ids(data)
             else:
                 buffer.keep_last(KEPT_EVENT_BYTES)
+            # What a slow client has not read, and what waits behind it.
+            call.hold(
+                self.responder.unsent_bytes
+                + len(data)
+                + len(buffer.incomplete)
+                + call.exchange.channel.protocol.unread_bytes
+            )
             await self.write_to_client(call, data)
             if event_stream.EVENT_FIELD.search(data):
                 next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -85,6 +85,11 @@
         """Whether this answer is the last one on its connection."""
         return self.ends_connection or self.connection.server.closes_connections
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the connection still holds."""
+        return self.connection.channel.unsent_bytes
+
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Write the head; a head without a length is sent in chunks."""
         if self.closes_connection:
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -50,6 +50,15 @@
         data = super().request(route, method, body, extra)
         return data.replace(b"Deadline-Ms: 3000", b"Deadline-Ms: 60000")
 
+    def failed_attempts(self) -> set[str]:
+        """Return the outcomes of the failed attempts."""
+        return {
+            sample.labels["outcome"]
+            for metric in self.program.gateway_metrics.failed_attempts.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total") and sample.value
+        }
+
 
 class HeldAnswersTest(EndlessBytesCase):
     """Guards against the sum of many answers that are held at once."""
@@ -118,6 +127,23 @@
         await self.wait_until(lambda: self.program.answer_memory.held_bytes == 0)
         writer.close()
 
+    async def test_many_streams_that_clients_do_not_read_are_bounded_in_their_sum(self) -> None:
+        head = endless_responses.head(200, endless_responses.EVENTS + endless_responses.CHUNKED)
+        block = endless_responses.chunked(endless_responses.repeated(b"data: x\n\n"))
+        await self.start_beside(endless_responses.EndlessResponse(head, block))
+        listener = self.program.client_server.listener
+        assert listener is not None
+        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        clients = [socket.create_connection(("127.0.0.1", self.port)) for _ in range(CALLERS)]
+        for client in clients:
+            self.addCleanup(client.close)
+            client.sendall(self.request("other-stream"))
+        # Some are broken off for the memory that the others hold.
+        await self.wait_until(lambda: "broken" in self.failed_attempts())
+        self.assertLessEqual(self.unsent_bytes(), MEMORY_BYTES / 4)
+        response = await self.call("book")
+        self.assertEqual((200, b"answer"), (response.status, response.body))
+
     def unsent_bytes(self) -> int:
         """Return the bytes that the gateway's connections to clients hold."""
         connections = self.program.client_server.connections
@@ -141,15 +167,6 @@
         self.assertLess(endless.sent_bytes, DISCARDED_LIMIT_BYTES)
         return response
 
-    def failed_attempts(self) -> set[str]:
-        """Return the outcomes of the failed attempts."""
-        return {
-            sample.labels["outcome"]
-            for metric in self.program.gateway_metrics.failed_attempts.collect()
-            for sample in metric.samples
-            if sample.name.endswith("_total") and sample.value
-        }
-
     async def test_a_refusal_with_an_endless_body_is_not_run(self) -> None:
         response = await self.check_discarded("refusal-body", "book")
         self.assertEqual((200, b"answer"), (response.status, response.body))
