Gateway: the memory for the store's responses belongs to the interface of the store

The platform's adapter may not import state. Since it did, which unit.test_layers reports; that test was not run before the commit. With the memory in gateway.sources the test passes, and every adapter has the bound.

--- a/src/masticward/gateway/sources.py
+++ b/src/masticward/gateway/sources.py
@@ -7,6 +7,10 @@
 import msgspec
 
 from masticward.models import gateway
+from masticward.state import body_memory
+
+# Most bytes of responses that are being read at the same time.
+MAX_HELD_BYTES = 24 * 1024 * 1024
 
 
 class ObjectKind(enum.Enum):
@@ -64,12 +68,13 @@
 
     Every call raises StoreUnavailableError if there is no usable response, HistoryLostError if
     the store no longer has the changes since a revision. ``calls`` and ``failed_calls`` count
-    from the start of the process.
+    from the start of the process. ``memory`` bounds the responses that are being read.
     """
 
     def __init__(self) -> None:
         self.calls = 0
         self.failed_calls = 0
+        self.memory = body_memory.BodyMemory(MAX_HELD_BYTES)
 
     @abc.abstractmethod
     async def list_objects(self, kind: ObjectKind) -> Listing:
--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -9,7 +9,6 @@
 from masticward import errors, events, logs
 from masticward.gateway import sources
 from masticward.platform import documents, names
-from masticward.state import body_memory
 from masticward.transport import http1
 from masticward.utils import addresses, identifiers, json_fragments
 
@@ -27,8 +26,6 @@
 GONE_STATUS = 410
 CONFLICT_STATUS = 409
 MISSING_STATUS = 404
-# Of all bodies that are being read at the same time.
-MAX_HELD_BYTES = 24 * 1024 * 1024
 # Of one listing; a faulty store may announce further pages without end.
 MAX_LISTING_BYTES = http1.MAX_BODY_BYTES
 NOTHING = msgspec.Raw(b"null")
@@ -79,7 +76,6 @@
         self.address = addresses.split(address)
         self.host = address.encode()
         self.connections: dict[sources.ObjectKind, http1.Channel] = {}
-        self.memory = body_memory.BodyMemory(MAX_HELD_BYTES)
 
     async def call(
         self,
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -259,9 +259,9 @@
             calls = [
                 asyncio.ensure_future(client.list_objects(kind)) for kind in sources.ObjectKind
             ]
-            self.assertGreater(len(calls) * len(body), store.MAX_HELD_BYTES)
+            self.assertGreater(len(calls) * len(body), sources.MAX_HELD_BYTES)
             await self.wait_until(lambda: any(call.done() for call in calls))
-            self.assertLessEqual(client.memory.held_bytes, store.MAX_HELD_BYTES)
+            self.assertLessEqual(client.memory.held_bytes, sources.MAX_HELD_BYTES)
             failed = [call.exception() for call in calls if call.done()]
             for call in calls:
                 call.cancel()
