--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -124,6 +124,11 @@
             return Stage.WRITING
         return Stage.ANSWERING if self.started else Stage.WAITING
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the connection still holds."""
+        return self.connection.channel.unsent_bytes
+
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Write the head; a head without a length is sent in chunks."""
         if self.closes_connection:
