A request that the gateway cuts for unread bytes is not logged as a client that left

Both parts were written at the same time: connections with too many unread bytes are reset, and 8106 (info, "client left") stood for any connection that ended while a request was answered. The cut is now 8105 (warning) with cause "cut by reset". ResetLinesTest fails without the change (no 8105).

--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -23,6 +23,7 @@
 CLIENT_LEFT = (events.Event.CLIENT_LEFT, "client left")
 CLIENT_SILENT = (events.Event.CLIENT_SILENT, "client silent")
 CUT_BY_STOP = (events.Event.REQUEST_CUT_BY_STOP, "cut by stop")
+CUT_BY_RESET = (events.Event.STREAM_CUT, "cut by reset")
 BROKEN_OFF = (events.Event.ANSWER_BROKEN_OFF, "cut by error")
 LOGGER = logs.get_logger(__name__)
 
@@ -93,6 +94,9 @@
             if responder.connection.server.aborted or not channel.peer_gone:
                 event, cause = CUT_BY_STOP
                 reason = "the process ended"
+            elif responder.connection.reset_cause:
+                event, cause = CUT_BY_RESET
+                reason = responder.connection.reset_cause
             else:
                 event, cause = CLIENT_SILENT if channel.timed_out else CLIENT_LEFT
                 reason = channel.protocol.end_reason
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -354,6 +354,7 @@
         "method",
         "reading",
         "request",
+        "reset_cause",
         "responder",
         "served",
         "server",
@@ -364,6 +365,8 @@
         self.channel = channel
         self.open_machine(server.handler.limits().head_bytes)
         self.busy = False
+        # Why this process has reset the connection, for log lines; empty if it has not.
+        self.reset_cause = ""
         # Number of requests that were read.
         self.served = 0
         self.method = b""
@@ -443,6 +446,7 @@
 
     def reset(self, cause: str) -> None:
         """Reset the connection and log the cause."""
+        self.reset_cause = cause
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
         self.channel.abort()
 
--- a/tests/functional/test_request_lines.py
+++ b/tests/functional/test_request_lines.py
@@ -262,3 +262,22 @@
         client.sendall(self.make_request("stream"))
         line = await self.line_of(events.Event.CLIENT_SILENT)
         self.assert_fields(line, stage="answering", reason="[Errno 110] Connection timed out")
+
+
+class ResetLinesTest(RequestLinesCase):
+    """Guards against a request that the gateway itself cut and logged as a client that left."""
+
+    async def test_a_reset_for_unread_bytes_is_not_the_clients(self) -> None:
+        await self.add_endpoint("e1", platform_standins.never_respond)
+        await self.start()
+        _, writer = await self.send(self.request("book"))
+        await self.wait_until(lambda: self.attempts() > 0)
+        writer.write(b"x" * 100)
+        server = self.program.client_server
+        await self.wait_until(lambda: server.unread_bytes > 0)
+        server.limit_unread(0)
+        await self.wait_until(lambda: bool(self.lines_of(events.Event.STREAM_CUT)))
+        (line,) = self.lines_of(events.Event.STREAM_CUT)
+        self.assert_fields(line, request_id="q1", cause="cut by reset", reason="unread bytes")
+        self.assertEqual([], self.lines_of(events.Event.CLIENT_LEFT))
+        writer.close()
