Transport: a peer that became silent holds the event loop no more

Callers saw: nothing yet; found in review. A gateway in this state serves no request, so all that it has read end without an answer.

Cause: ETIMEDOUT is a TimeoutError in Python. Channel.read_until took it for the end of its own wait and, because unread bytes were left in the stream, read again. A stream with an error raises it without a suspension, so the loop had no end.

The new test failed on the code before ("10 not less than 10").

Ruled out: resets, which are no TimeoutError; reads of endpoints' answers, where any OSError is a broken answer. Connections that fail while a handler runs are aborted before they are read again.

Why it works: Channel.read raises ConnectionAbortedError instead, which callers handle as they do a reset. Only the connection can raise TimeoutError there; the deadline's one is raised outside.

--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -175,7 +175,11 @@
             await asyncio.sleep(0)
             now = time.perf_counter()
         if not self.fetched:
-            self.fetched = await self.reader.read(self.usage.read_bytes)
+            try:
+                self.fetched = await self.reader.read(self.usage.read_bytes)
+            except TimeoutError as error:
+                # ETIMEDOUT. To callers, a TimeoutError is the end of their own wait.
+                raise ConnectionAbortedError(error.errno, error.strerror) from error
             silent_since, now = now, time.perf_counter()
             self.usage.silent_seconds += now - silent_since
         if self.usage.limited and self.fetched:
--- a/tests/functional/test_http1_exchange.py
+++ b/tests/functional/test_http1_exchange.py
@@ -1,11 +1,14 @@
 """Guards against answers that look whole although the endpoint broke them off."""
 
 import asyncio
+import errno
+import math
 import socket
 import struct
 import threading
 import time
 import unittest
+import unittest.mock
 
 import uvloop
 
@@ -77,6 +80,42 @@
         self.assertFalse(self.is_reusable(b"Transfer-Encoding: chunked\r\n", CHUNKED_BODY + extra))
 
 
+class SilentPeerTest(unittest.TestCase):
+    """Guards against an event loop that is held when a peer with unread bytes has become silent."""
+
+    def test_a_connection_that_timed_out_is_no_wait_that_ended(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        polls = 0
+        has_unread_bytes = http1.Channel.has_unread_bytes
+
+        def count_poll(channel: http1.Channel) -> bool:
+            nonlocal polls
+            polls += 1
+            self.assertLess(polls, 10)
+            return has_unread_bytes(channel)
+
+        async def read() -> None:
+            channel = await http1.connect(listener.getsockname(), 1.0)
+            peer, _ = listener.accept()
+            self.addCleanup(peer.close)
+            size = channel.usage.read_bytes + 1
+            peer.sendall(bytes(size))
+            while channel.protocol.unread_bytes < size:
+                await asyncio.sleep(0.01)
+            try:
+                await channel.read_until(math.inf)
+                channel.protocol.connection_lost(OSError(errno.ETIMEDOUT, "timed out"))
+                self.assertTrue(channel.timed_out)
+                with self.assertRaises(ConnectionError):
+                    await channel.read_until(math.inf)
+            finally:
+                channel.abort()
+
+        with unittest.mock.patch.object(http1.Channel, "has_unread_bytes", count_poll):
+            uvloop.run(read())
+
+
 class InformationalAnswersTest(unittest.TestCase):
     """Guards against a peer that holds the event loop with informational answers without end."""
 
