Own interface: bound the bodies that are read whole

Callers saw: nothing yet; found in review. Operators of similar systems reported machines that ran out of memory because a faulty replica sent bytes without end.

Cause: load reports, lists of instances, the object API and the admin client read bodies with ClientResponse.read, which only time bounds.

Evidence: GET /load of an endpoint that sends without end, with a deadline of 1 s: the process's peak was 700 MB. Both new tests failed on the code before; they got the error of a body that was read whole.

Ruled out: answers to calls, which are passed on in parts; requests of callers, which sanic bounds.

Why it works: the body is read in parts and given up above 16 MiB, as the gateway does. All four callers handle the error as a failed call.

--- a/src/masticward/transport/admin_client.py
+++ b/src/masticward/transport/admin_client.py
@@ -42,6 +42,8 @@
             async with self.session.get(
                 f"http://{admin_address}{path}", timeout=http_calls.client_timeout(deadline)
             ) as response:
-                return result.Success(msgspec.json.decode(await response.read(), type=kind))
+                return result.Success(
+                    msgspec.json.decode(await http_calls.read_body(response), type=kind)
+                )
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
             return result.Failure(errors.AdminPortError(http_calls.describe(error)))
--- a/src/masticward/transport/endpoint.py
+++ b/src/masticward/transport/endpoint.py
@@ -14,7 +14,7 @@
 
 from masticward import errors
 from masticward.models import attempts, work
-from masticward.transport import connection_headers, token_stream
+from masticward.transport import connection_headers, http_calls, token_stream
 from masticward.utils import clocks
 
 ATTEMPT_ID_HEADER = "Masticward-Attempt-Id"
@@ -152,7 +152,7 @@
         timeout = aiohttp.ClientTimeout(total=max(0.001, clocks.remaining_seconds(deadline)))
         try:
             async with self.kept_session.get(f"{self.base_url}/load", timeout=timeout) as response:
-                body = await response.read()
+                body = await http_calls.read_body(response)
                 if response.status != 200:
                     return result.Failure(errors.LoadReportError(f"status {response.status}"))
             return result.Success(msgspec.json.decode(body, type=LoadReport))
--- a/src/masticward/transport/instance_list.py
+++ b/src/masticward/transport/instance_list.py
@@ -76,7 +76,7 @@
                 headers=headers,
                 timeout=http_calls.client_timeout(deadline),
             ) as response:
-                body = await response.read()
+                body = await http_calls.read_body(response)
                 if response.status == http.HTTPStatus.NOT_MODIFIED and self.tag:
                     return result.Success(self.latest)
                 if response.status != http.HTTPStatus.OK:
--- a/src/masticward/transport/object_api.py
+++ b/src/masticward/transport/object_api.py
@@ -44,7 +44,7 @@
     async def from_response(cls, response: aiohttp.ClientResponse) -> "Reply":
         """Read the reply to its end."""
         version = parse_version(response.headers.get("ETag"))
-        return cls(response.status, version, await response.read())
+        return cls(response.status, version, await http_calls.read_body(response))
 
 
 class NameList(msgspec.Struct, frozen=True):
--- a/tests/functional/test_endpoint_calls.py
+++ b/tests/functional/test_endpoint_calls.py
@@ -1,6 +1,7 @@
 """Guards against calls that arrive twice at an endpoint and cut responses taken as whole."""
 
 import asyncio
+import time
 import unittest
 
 import msgspec
@@ -8,7 +9,7 @@
 from masticward import errors
 from masticward.models import attempts
 from masticward.transport import endpoint as endpoint_module
-from masticward.transport import token_stream
+from masticward.transport import http_calls, instance_list, token_stream
 from tests.lib import agent_harness, raw_server
 
 BIG_BODY = b"x" * 8_000_000
@@ -16,6 +17,26 @@
 MARKLESS = CHUNKED + b"Content-Type: text/event-stream\r\n\r\n9\r\ndata: t\n\n\r\n0\r\n\r\n"
 
 
+class LongBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a process that keeps all of a body that a faulty peer sends without end."""
+
+    async def asyncSetUp(self) -> None:
+        body = b"HTTP/1.1 200 OK\r\n\r\n" + bytes(http_calls.MAX_BODY_BYTES + 1)
+        server = raw_server.RawServer({"/load": body, "/v1/instances": body})
+        self.base_url = await server.start()
+        self.addCleanup(server.server.close)
+
+    async def test_a_load_report_is_not_kept_beyond_the_limit(self) -> None:
+        endpoint = endpoint_module.PlainEndpoint(self.base_url)
+        self.addAsyncCleanup(endpoint.close)
+        self.assertIn("exceeds", str((await endpoint.load(time.monotonic() + 60.0)).failure()))
+
+    async def test_a_list_of_instances_is_not_kept_beyond_the_limit(self) -> None:
+        source = instance_list.HttpInstanceList(self.base_url)
+        self.addAsyncCleanup(source.close)
+        self.assertIn("exceeds", str((await source.fetch(time.monotonic() + 60.0)).failure()))
+
+
 class EndpointTest(unittest.IsolatedAsyncioTestCase):
     async def open(self, faults: dict[str, bytes]) -> None:
         self.server = raw_server.RawServer(faults)
