A pipelined request that waits for its turn is not logged as the one before it

Found in review: read_request waited for the turn before it dropped the request of the last answer, so 8107 and 8114 could name a request that had been answered. Not reproduced; the assignment now comes before the wait.

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -571,6 +571,7 @@
             if not data:
                 return None
             self.busy = True
+            self.request = None
             # The limits may have changed since the last request.
             limits = self.server.handler.limits()
             if limits.head_bytes != self.head_bytes:
@@ -578,9 +579,8 @@
             self.machine.receive_data(data)
         else:
             self.busy = True
+            self.request = None
             await self.channel.begin_message()
-        self.busy = True
-        self.request = None
         self.served += 1
         event = await self.next_event(clocks.boot_time() + limits.head_timeout_seconds)
         if not isinstance(event, h11.Request):
