A silent response is kept until another endpoint serves the request

Cause: the silent response was ended once another endpoint had been placed, connected and paid for. Whether that endpoint takes the request is known only from its answer; when it refused, both were lost. Class of fault: something in hand is given up before its replacement is certain.

Change: gateway/overlap.py sends the request to the other endpoint while the first response is read on. The first is closed once the other one has begun its answer (first whole event of a stream, in order), or has had 0.15 s to refuse; what the first sends meanwhile is served, and the other one is closed before it is passed on. A refusal is no run, and the search goes on; the endpoint may be tried again after 1 s. An attempt that breaks off leaves the other one. Both count toward budget, max_attempts, memory and the stop's check. A comment no longer ends the search.

Ruled out: a search that is refused before it is granted; the tests of SilentEndpointTest passed before.

--- /dev/null
+++ b/src/masticward/gateway/attempts.py
@@ -0,0 +1,189 @@
+"""One send of a request to an endpoint, and the load that it adds there."""
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+from masticward.gateway import calls
+from masticward.gateway import fleet as fleet_module
+from masticward.models import gateway
+from masticward.state import placement, run_times
+
+
+class LoadReservation:
+    """The load that one attempt adds to its endpoint."""
+
+    __slots__ = ("choice", "endpoint_id", "fleet", "memory_tokens", "prefilled", "released")
+
+    def __init__(
+        self,
+        fleet: fleet_module.FleetState,
+        endpoint_id: str,
+        choice: placement.Choice,
+        metadata: gateway.RequestMetadata,
+    ) -> None:
+        self.fleet = fleet
+        self.endpoint_id = endpoint_id
+        self.choice = choice
+        self.memory_tokens = metadata.prompt_tokens + metadata.output_tokens
+        self.prefilled = False
+        self.released = False
+
+    def record_first_event(self) -> None:
+        """Mark the prefill as finished, which the first event shows."""
+        if not self.prefilled:
+            self.prefilled = True
+            self.fleet.loads.finish_prefill(self.endpoint_id, self.choice.unread_tokens)
+
+    def release(self) -> None:
+        """Remove the attempt's load from its endpoint, once."""
+        if self.released:
+            return
+        self.released = True
+        remaining_unread_tokens = 0 if self.prefilled else self.choice.unread_tokens
+        self.fleet.loads.finish_request(
+            self.endpoint_id, self.memory_tokens, remaining_unread_tokens
+        )
+
+
+class AttemptGrant:
+    """An endpoint for one attempt, with a connection and the load that is reserved there."""
+
+    __slots__ = ("choice", "connection", "reservation")
+
+    def __init__(
+        self,
+        choice: placement.Choice,
+        connection: calls.Connection,
+        reservation: LoadReservation,
+    ) -> None:
+        self.choice = choice
+        self.connection = connection
+        self.reservation = reservation
+
+
+class Attempt:
+    """A request that is sent to an endpoint, until its response was passed on or given up.
+
+    ``sending`` sends the request and returns once the head of the response was received. Times are
+    in seconds of ``clocks.boot_time``.
+    """
+
+    __slots__ = (
+        "ahead",
+        "answer_begun",
+        "call",
+        "ended",
+        "endpoint",
+        "grant",
+        "received_bytes",
+        "run",
+        "sending",
+        "sent_at",
+        "task",
+    )
+
+    def __init__(
+        self,
+        grant: AttemptGrant,
+        sending: collections.abc.Coroutine[typing.Any, typing.Any, calls.EndpointCall],
+        run: run_times.Run,
+        sent_at: float,
+    ) -> None:
+        self.grant = grant
+        self.endpoint = grant.choice.endpoint
+        self.sending = sending
+        self.run = run
+        self.sent_at = sent_at
+        # Set if the request is sent while another response is read.
+        self.task: asyncio.Task[calls.EndpointCall] | None = None
+        # The response, once its head was received.
+        self.call: calls.EndpointCall | None = None
+        # What was read of the body before it is relayed, and whether that was its end.
+        self.ahead = bytearray()
+        self.ended = False
+        # Whether a whole event or response was received, and the bytes of the body so far.
+        self.answer_begun = False
+        self.received_bytes = 0
+
+    @property
+    def expected_seconds(self) -> float:
+        """Time to the first event, with what this endpoint was slower lately."""
+        return self.grant.choice.expected_seconds * self.grant.choice.slowness
+
+    def turn_wait_seconds(self) -> float:
+        """Return how long received bytes have waited for their turn to be read."""
+        usage = self.grant.connection.channel.usage
+        return usage.total_waited_seconds(time.perf_counter())
+
+    def start(self) -> None:
+        """Send the request in a task of its own."""
+        self.task = asyncio.get_running_loop().create_task(self.sending)
+        self.task.add_done_callback(retrieve_exception)
+
+    async def receive_head(self) -> calls.EndpointCall:
+        """Return the response once its head was received.
+
+        Raise EndpointNotStartedError or EndpointBrokenError as ``EndpointClient.call`` does. A
+        cancellation ends the attempt.
+        """
+        if self.call is None:
+            self.call = await (self.sending if self.task is None else self.task)
+        return self.call
+
+    async def receive_head_beside(self) -> None:
+        """Receive the head of a response that nobody waits for.
+
+        A cancellation doesn't end the attempt, which was started as a task.
+        """
+        assert self.task is not None
+        self.call = await asyncio.shield(self.task)
+
+    async def read_ahead(self) -> None:
+        """Read the next bytes of the body, or its end, and keep them for ``next_data``.
+
+        Raise EndpointBrokenError if the response breaks off or what is kept doesn't fit into the
+        memory.
+        """
+        assert self.call is not None
+        data = await self.call.exchange.read_data()
+        if data is None:
+            self.ended = True
+        else:
+            self.ahead += data
+            self.call.hold(len(self.ahead))
+
+    def next_data(self) -> collections.abc.Awaitable[bytes | None]:
+        """Return an awaitable of the next bytes of the body, None at its end."""
+        assert self.call is not None
+        if self.ahead or self.ended:
+            return self.pop_ahead()
+        return self.call.exchange.read_data()
+
+    async def pop_ahead(self) -> bytes | None:
+        """Return the bytes that were read ahead, None if there are none."""
+        if not self.ahead:
+            return None
+        data = bytes(self.ahead)
+        self.ahead.clear()
+        return data
+
+    def close(self) -> None:
+        """Release the connection, or reset it if the response was not read to its end."""
+        if self.task is not None and not self.task.done():
+            self.grant.connection.channel.abort()
+            self.task.cancel()
+            return
+        if self.call is None and self.task is not None:
+            failed = self.task.cancelled() or self.task.exception() is not None
+            self.call = None if failed else self.task.result()
+        if self.call is not None:
+            self.ahead.clear()
+            self.call.finish()
+
+
+def retrieve_exception(task: asyncio.Task[calls.EndpointCall]) -> None:
+    """Mark the failure of a task as seen; nobody may wait for it any more."""
+    if not task.cancelled():
+        task.exception()
--- a/src/masticward/gateway/crash_detector.py
+++ b/src/masticward/gateway/crash_detector.py
@@ -108,7 +108,9 @@
         else:
             self.pool.release(endpoint, channel, None)
             for request in self.checked[endpoint.id]:
-                self.fleet.quarantine.end_test(request.part_keys, request.request_id)
+                self.fleet.quarantine.end_test(
+                    request.part_keys, request.request_id, endpoint.incarnation
+                )
         finally:
             del self.checked[endpoint.id]
 
--- a/src/masticward/gateway/event_stream.py
+++ b/src/masticward/gateway/event_stream.py
@@ -6,6 +6,12 @@
 MAX_EVENT_END_BYTES = 4
 # A line that is not a comment, in a block of event lines.
 EVENT_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
+EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+
+
+def find_ids(events: bytes) -> list[str]:
+    """Return the IDs of the events in a part of a stream."""
+    return [item.decode("latin-1") for item in EVENT_ID.findall(events)]
 
 
 def is_event_stream(headers: list[tuple[bytes, bytes]]) -> bool:
--- a/src/masticward/gateway/gateway_metrics.py
+++ b/src/masticward/gateway/gateway_metrics.py
@@ -17,6 +17,7 @@
         "failed_attempts",
         "failed_callbacks",
         "first_event",
+        "overlaps",
         "process_metrics",
         "requests",
     )
@@ -41,6 +42,12 @@
             ["outcome"],
             registry=process_metrics.registry,
         )
+        self.overlaps = prometheus_client.Counter(
+            "masticward_gateway_overlaps",
+            "sends to an endpoint beside a silent one, by the attempt that went on",
+            ["kept", "outcome"],
+            registry=process_metrics.registry,
+        )
         self.failed_callbacks = prometheus_client.Counter(
             "masticward_gateway_failed_callbacks",
             "unexpected errors in callbacks of the event loop",
--- /dev/null
+++ b/src/masticward/gateway/overlap.py
@@ -0,0 +1,246 @@
+"""Keeps the response of a silent endpoint until another endpoint serves the request."""
+
+import abc
+import asyncio
+import collections.abc
+import enum
+import typing
+
+from masticward import errors, events, logs
+from masticward.gateway import attempts
+from masticward.utils import clocks
+
+# An endpoint that refuses a request does so within a round trip. A stream must not be at work at
+# two endpoints for 0.4 s, and the timers of a busy process are up to 0.2 s late.
+OVERLAP_SECONDS = 0.15
+# After a search without a result, and for an endpoint that has refused.
+SEARCH_PAUSE_SECONDS = 1.0
+# A response that waits for its turn to be read is looked at again after this time at the earliest.
+MIN_EXCUSE_SECONDS = 0.05
+LOGGER = logs.get_logger(__name__)
+StepT = typing.TypeVar("StepT")
+
+
+class Outcome(enum.Enum):
+    """What decided between a silent response and the attempt beside it."""
+
+    FIRST_CONTINUED = "first continued"
+    FIRST_FAILED = "first failed"
+    SECOND_BEGAN = "second began"
+    SECOND_DID_NOT_REFUSE = "second did not refuse in time"
+    SECOND_REFUSED = "second refused"
+    SECOND_FAILED = "second failed"
+    REQUEST_ENDED = "request ended"
+
+
+# The attempt that goes on; neither does if the request ends.
+KEPT_ATTEMPTS = {
+    Outcome.FIRST_CONTINUED: "first",
+    Outcome.FIRST_FAILED: "second",
+    Outcome.SECOND_BEGAN: "second",
+    Outcome.SECOND_DID_NOT_REFUSE: "second",
+    Outcome.SECOND_REFUSED: "first",
+    Outcome.SECOND_FAILED: "first",
+    Outcome.REQUEST_ENDED: "none",
+}
+
+
+class AttemptOwner(abc.ABC):
+    """The request whose attempts overlap."""
+
+    @abc.abstractmethod
+    def may_retry(self) -> bool:
+        """Return whether the request may be sent once more."""
+
+    @abc.abstractmethod
+    async def acquire_replacement(self) -> attempts.AttemptGrant | None:
+        """Wait for another endpoint with a connection and retry budget; None if there is none."""
+
+    @abc.abstractmethod
+    def send(self, grant: attempts.AttemptGrant) -> attempts.Attempt:
+        """Count, log and return a new attempt; whoever gets it lets it begin."""
+
+    @abc.abstractmethod
+    def rejection(self, attempt: attempts.Attempt) -> str:
+        """Return why the head of an attempt's response doesn't serve the request, "" if it does."""
+
+    @abc.abstractmethod
+    def has_begun(self, attempt: attempts.Attempt) -> bool:
+        """Return whether what was read ahead of an attempt's body is enough to rely on it.
+
+        Raise EndpointBrokenError if it doesn't serve the request.
+        """
+
+    @abc.abstractmethod
+    def end_refused(self, attempt: attempts.Attempt, error: errors.EndpointNotStartedError) -> None:
+        """Record and close an attempt that has not run."""
+
+    @abc.abstractmethod
+    def end_failed(self, attempt: attempts.Attempt, error: errors.EndpointBrokenError) -> None:
+        """Record and close an attempt that may have run."""
+
+    @abc.abstractmethod
+    def end_unused(self, attempt: attempts.Attempt) -> None:
+        """Close an attempt whose response nobody needs."""
+
+    @abc.abstractmethod
+    def report_overlap(self, overlap: "Overlap", outcome: Outcome) -> None:
+        """Count and log how an overlap ended."""
+
+
+class Overlap:
+    """Sends a request to another endpoint while its response is silent, and decides between both.
+
+    The silent response is read on until the other endpoint has begun its own, or has had
+    ``OVERLAP_SECONDS`` to refuse. Whichever sends first serves; the other is closed. Times are in
+    seconds of ``clocks.boot_time``.
+    """
+
+    __slots__ = (
+        "first",
+        "outcome",
+        "owner",
+        "search",
+        "searched_at",
+        "second",
+        "silence",
+        "timeout_seconds",
+        "timer",
+    )
+
+    def __init__(self, owner: AttemptOwner) -> None:
+        self.owner = owner
+        # The attempt whose response is read, and the one beside it.
+        self.first: attempts.Attempt | None = None
+        self.second: attempts.Attempt | None = None
+        # Why the second attempt takes the place of the first one; None as long as it doesn't.
+        self.outcome: Outcome | None = None
+        self.search: asyncio.Task[None] | None = None
+        # When the search began, after a silence of ``timeout_seconds``.
+        self.searched_at = 0.0
+        self.timeout_seconds = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        # Of the present wait for the first response.
+        self.silence: asyncio.Timeout | None = None
+
+    async def wait(
+        self,
+        step: collections.abc.Awaitable[StepT],
+        timeout_seconds: float,
+        first: attempts.Attempt,
+    ) -> StepT:
+        """Await a step of the first attempt's response.
+
+        If the request may run again, another endpoint is looked for after the timeout, and goes on
+        to be looked for in further waits until ``end``. Raise EndpointBrokenError once another
+        attempt takes this one's place. Time in which this process let received bytes wait for their
+        turn is no time of the endpoint.
+        """
+        if self.search is None and not self.owner.may_retry():
+            return await step
+        self.first = first
+        loop = asyncio.get_running_loop()
+        if self.search is None:
+            self.timeout_seconds = timeout_seconds
+            self.timer = loop.call_later(
+                timeout_seconds, self.start_search, first.turn_wait_seconds()
+            )
+        try:
+            async with asyncio.timeout(None) as silence:
+                self.silence = silence
+                if self.outcome is not None:
+                    silence.reschedule(loop.time())
+                return await step
+        except TimeoutError:
+            if not silence.expired():
+                raise
+            raise errors.EndpointBrokenError(
+                f"no response data for {self.timeout_seconds:.2f} s"
+            ) from None
+        finally:
+            self.silence = None
+            if self.search is None and self.timer is not None:
+                self.timer.cancel()
+
+    def start_search(self, excused_seconds: float) -> None:
+        """Look for another endpoint unless bytes of the silent response wait for their turn."""
+        assert self.first is not None
+        loop = asyncio.get_running_loop()
+        waited = self.first.turn_wait_seconds()
+        if waited > excused_seconds:
+            delay = max(MIN_EXCUSE_SECONDS, waited - excused_seconds)
+            self.timer = loop.call_later(delay, self.start_search, waited)
+            return
+        self.searched_at = clocks.boot_time()
+        self.search = loop.create_task(self.find_replacement())
+
+    async def find_replacement(self) -> None:
+        """Send the request to other endpoints until one serves it or none may."""
+        while self.owner.may_retry():
+            try:
+                grant = await self.owner.acquire_replacement()
+                if grant is None:
+                    await asyncio.sleep(SEARCH_PAUSE_SECONDS)
+                    continue
+                self.second = self.owner.send(grant)
+                self.second.start()
+                await self.watch(self.second)
+            except Exception as error:
+                LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
+                return
+            if self.outcome is not None:
+                if self.silence is not None:
+                    self.silence.reschedule(asyncio.get_running_loop().time())
+                return
+
+    async def watch(self, second: attempts.Attempt) -> None:
+        """Decide for the second attempt unless it refuses or fails at once."""
+        outcome = Outcome.SECOND_BEGAN
+        try:
+            async with asyncio.timeout(OVERLAP_SECONDS):
+                await second.receive_head_beside()
+                reason = self.owner.rejection(second)
+                if reason:
+                    raise errors.EndpointBrokenError(reason)
+                while not self.owner.has_begun(second):
+                    await second.read_ahead()
+        except TimeoutError:
+            outcome = Outcome.SECOND_DID_NOT_REFUSE
+        except errors.EndpointNotStartedError as error:
+            self.owner.report_overlap(self, Outcome.SECOND_REFUSED)
+            self.second = None
+            self.owner.end_refused(second, error)
+            return
+        except errors.EndpointBrokenError as error:
+            self.owner.report_overlap(self, Outcome.SECOND_FAILED)
+            self.second = None
+            self.owner.end_failed(second, error)
+            return
+        self.outcome = outcome
+
+    def end(self, outcome: Outcome = Outcome.FIRST_CONTINUED) -> None:
+        """Give up the search and the second attempt."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.search is not None:
+            self.search.cancel()
+            self.search = None
+        self.outcome = None
+        if self.second is not None:
+            self.owner.report_overlap(self, outcome)
+            second, self.second = self.second, None
+            self.owner.end_unused(second)
+
+    async def take_second(self) -> attempts.Attempt | None:
+        """Return the attempt that takes the place of the first one, None without one."""
+        search, self.search = self.search, None
+        if search is not None:
+            search.cancel()
+            # Until it has ended, it may still wait for bytes of the second response.
+            await asyncio.wait({search})
+        if self.second is not None:
+            self.owner.report_overlap(self, self.outcome or Outcome.FIRST_FAILED)
+        self.outcome = None
+        second, self.second = self.second, None
+        return second
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -469,7 +469,9 @@
         if isinstance(placed, placement.Choice):
             memory_tokens = request.metadata.prompt_tokens + request.metadata.output_tokens
             self.fleet.loads.finish_request(placed.endpoint.id, memory_tokens, placed.unread_tokens)
-            self.fleet.quarantine.end_test(request.part_keys, request.metadata.request_id)
+            self.fleet.quarantine.end_test(
+                request.part_keys, request.metadata.request_id, placed.endpoint.incarnation
+            )
 
     def reserve(self, request: WaitingRequest, choice: placement.Choice, now: float) -> None:
         """Add a request to the load of its endpoint before it is sent."""
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -1,17 +1,16 @@
 """Forwards a client's request to endpoints and relays the response."""
 
 import asyncio
-import collections.abc
-import re
-import time
 import typing
 
 from masticward import errors, events, logs
 from masticward.gateway import (
+    attempts,
     calls,
     crash_detector,
     event_stream,
     gateway_metrics,
+    overlap,
     placer,
     request_reports,
     sources,
@@ -19,7 +18,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import placement
-from masticward.transport import http1, http1_server
+from masticward.transport import http1_server
 from masticward.utils import clocks, identifiers
 
 # A response begins at least this long before the client's deadline, to arrive in time.
@@ -39,15 +38,11 @@
 # Longest gap within a response before another endpoint is looked for; the services' specifications
 # allow gaps of 0.3 to 0.4 s.
 READ_TIMEOUT_SECONDS = 1.2
-# A response that waits for its turn to be read is looked at again after this time at the earliest.
-MIN_EXCUSE_SECONDS = 0.05
 # Longest incomplete event of a resumable stream that is held in memory.
 MAX_EVENT_BYTES = 1024 * 1024
 # Of a longer event of another stream, only the last bytes are kept to find its end.
 KEPT_EVENT_BYTES = 64 * 1024
-EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 LOGGER = logs.get_logger(__name__)
-StepT = typing.TypeVar("StepT")
 
 
 class RefusalError(errors.MasticwardError):
@@ -77,26 +72,13 @@
     ``sends`` counts attempts that were sent, ``runs`` those that may have run.
     """
 
-    __slots__ = (
-        "answer_begun",
-        "endpoint_id",
-        "last_event_id",
-        "received_bytes",
-        "response_started",
-        "runs",
-        "sends",
-        "sent_at",
-    )
+    __slots__ = ("endpoint_id", "last_event_id", "response_started", "runs", "sends")
 
     def __init__(self, last_event_id: str | None) -> None:
         self.runs = 0
         self.sends = 0
-        # Of the latest attempt: its endpoint, when it was sent, the bytes of the response's body,
-        # and whether a whole event or response was received.
+        # The endpoint whose response is awaited or read, or was last.
         self.endpoint_id: str | None = None
-        self.sent_at = 0.0
-        self.answer_begun = False
-        self.received_bytes = 0
         self.response_started = False
         self.last_event_id = last_event_id
 
@@ -137,7 +119,7 @@
         raise RefusalError(503, "API keys cannot be verified", STALE_PROOF_RETRY_AFTER_SECONDS)
 
 
-class ProxiedRequest:
+class ProxiedRequest(overlap.AttemptOwner):
     """A client's request, forwarded to one endpoint after another until it is answered."""
 
     def __init__(
@@ -157,10 +139,7 @@
         self.request = request
         self.responder = responder
         self.progress = RequestProgress(metadata.last_event_id)
-        # The connection whose response is read, once it has begun.
-        self.channel: http1.Channel | None = None
-        # The next attempt, granted while the endpoint of the current one was silent.
-        self.replacement: AttemptGrant | None = None
+        self.overlap = overlap.Overlap(self)
         self.service = choose_service(route, metadata.request_id)
         self.deadline = min(metadata.deadline, metadata.arrived_at + route.timeout_seconds)
         # Of the response until its first byte is sent, then ``deadline``.
@@ -197,7 +176,7 @@
                 raise RefusalError(504, "deadline passed after a send") from None
             raise RefusalError(503, "deadline passed", placer.MIN_RETRY_AFTER_SECONDS) from None
         finally:
-            self.discard_replacement()
+            self.overlap.end(overlap.Outcome.REQUEST_ENDED)
 
     def schedule_time_limit(self) -> None:
         """Let the request end at ``response_deadline``."""
@@ -210,39 +189,57 @@
         self.schedule_time_limit()
 
     async def attempt(self) -> bool:
-        """Make one attempt; return False if another should follow."""
-        grant = self.replacement or await self.acquire(self.waiting_request)
-        self.replacement = None
-        endpoint = grant.choice.endpoint
-        self.waiting_request.excluded_endpoint_ids.add(endpoint.id)
+        """Make one attempt, or go on with one that was sent beside it.
+
+        Return False if another should follow.
+        """
+        attempt = await self.overlap.take_second()
+        if attempt is None:
+            attempt = self.send(await self.acquire(self.waiting_request))
+        self.progress.endpoint_id = attempt.endpoint.id
         try:
-            return await self.attempt_at(grant)
+            return await self.serve(attempt)
         except errors.EndpointNotStartedError as error:
-            self.record_not_started(endpoint, error)
+            self.progress.runs -= 1
+            self.record_not_started(attempt.endpoint, error, attempt)
             return False
         except errors.EndpointBrokenError as error:
-            self.fleet.health.record_failure(endpoint.id, clocks.boot_time())
-            self.record_failed_attempt(endpoint, "broken", str(error))
-            if not self.progress.answer_begun:
-                self.dependencies.crash_detector.record_unanswered(
-                    endpoint, self.metadata.request_id, self.waiting_request.part_keys
-                )
-            if self.may_retry():
+            self.record_broken(attempt, error)
+            if self.may_go_on():
                 return False
             if self.progress.response_started:
                 self.record_cut_stream("cut by endpoint", str(error))
                 return True
             raise RefusalError(502, f"endpoint failed: {error}") from error
         except asyncio.CancelledError:
-            if not self.progress.answer_begun:
-                self.dependencies.crash_detector.record_abandoned(
-                    endpoint, self.metadata.request_id, self.waiting_request.part_keys
-                )
+            self.record_abandoned(attempt)
             raise
         finally:
-            self.release(grant.reservation)
+            self.finish(attempt)
+
+    def record_broken(self, attempt: attempts.Attempt, error: errors.EndpointBrokenError) -> None:
+        """Record an attempt whose endpoint gave no whole answer."""
+        self.fleet.health.record_failure(attempt.endpoint.id, clocks.boot_time())
+        self.record_failed_attempt(attempt.endpoint, "broken", str(error), attempt)
+        if not attempt.answer_begun:
+            self.dependencies.crash_detector.record_unanswered(
+                attempt.endpoint, self.metadata.request_id, self.waiting_request.part_keys
+            )
+
+    def record_abandoned(self, attempt: attempts.Attempt) -> None:
+        """Record an attempt that is closed although its endpoint may still answer."""
+        if not attempt.answer_begun:
+            self.dependencies.crash_detector.record_abandoned(
+                attempt.endpoint, self.metadata.request_id, self.waiting_request.part_keys
+            )
 
-    async def acquire(self, waiting_request: placer.WaitingRequest) -> "AttemptGrant":
+    def finish(self, attempt: attempts.Attempt) -> None:
+        """Release what an attempt holds."""
+        attempt.close()
+        self.fleet.run_times.end(attempt.run, clocks.boot_time())
+        self.release(attempt.grant.choice, attempt.grant.reservation)
+
+    async def acquire(self, waiting_request: placer.WaitingRequest) -> attempts.AttemptGrant:
         """Wait for an endpoint to which a connection exists or can be opened.
 
         Raise RefusalError if there is none in time or no attempt may be made.
@@ -252,21 +249,23 @@
             if isinstance(placed, placer.PlacementRefusal):
                 self.log_no_endpoint(placed)
                 raise self.final_refusal(placed.reason, placed.retry_after_seconds)
-            reservation = LoadReservation(self.fleet, placed.endpoint.id, placed, self.metadata)
+            reservation = attempts.LoadReservation(
+                self.fleet, placed.endpoint.id, placed, self.metadata
+            )
             try:
                 connection = await self.connect(placed.endpoint)
             except errors.EndpointNotStartedError as error:
-                self.release(reservation)
+                self.release(placed, reservation)
                 waiting_request.excluded_endpoint_ids.add(placed.endpoint.id)
                 self.dependencies.crash_detector.record_unreachable(placed.endpoint)
                 self.record_not_started(placed.endpoint, error)
             except BaseException:
-                self.release(reservation)
+                self.release(placed, reservation)
                 raise
             else:
                 if connection is not None:
-                    return AttemptGrant(placed, connection, reservation)
-                self.release(reservation)
+                    return attempts.AttemptGrant(placed, connection, reservation)
+                self.release(placed, reservation)
 
     async def connect(self, endpoint: gateway.Endpoint) -> calls.Connection | None:
         """Return a connection for an attempt, which is charged to the retry budget.
@@ -306,12 +305,14 @@
             raise
         return connection
 
-    def release(self, reservation: "LoadReservation") -> None:
+    def release(self, choice: placement.Choice, reservation: attempts.LoadReservation) -> None:
         """Release the load of an attempt, and end its test of suspected parts if it is one."""
         reservation.release()
-        request_id = self.metadata.request_id
-        if not self.dependencies.crash_detector.is_checking(reservation.endpoint_id, request_id):
-            self.fleet.quarantine.end_test(self.waiting_request.part_keys, request_id)
+        endpoint, request_id = choice.endpoint, self.metadata.request_id
+        if not self.dependencies.crash_detector.is_checking(endpoint.id, request_id):
+            self.fleet.quarantine.end_test(
+                self.waiting_request.part_keys, request_id, endpoint.incarnation
+            )
 
     def log_no_endpoint(self, refusal: placer.PlacementRefusal) -> None:
         """Log that the request got no endpoint."""
@@ -330,12 +331,15 @@
         )
 
     def record_not_started(
-        self, endpoint: gateway.Endpoint, error: errors.EndpointNotStartedError
+        self,
+        endpoint: gateway.Endpoint,
+        error: errors.EndpointNotStartedError,
+        attempt: attempts.Attempt | None = None,
     ) -> None:
-        """Record an attempt that the endpoint certainly did not run."""
+        """Record an attempt that the endpoint certainly did not run; None if it was not sent."""
         if error.overloaded:
             self.fleet.health.record_shed(endpoint.id, clocks.boot_time())
-        self.record_failed_attempt(endpoint, "not started", str(error))
+        self.record_failed_attempt(endpoint, "not started", str(error), attempt)
 
     def final_refusal(self, reason: str, retry_after_seconds: float) -> RefusalError:
         """Return the refusal of a request that gets no further attempt."""
@@ -379,8 +383,18 @@
             return False
         return self.route.retryable and self.progress.runs < self.route.max_attempts
 
-    def record_failed_attempt(self, endpoint: gateway.Endpoint, outcome: str, detail: str) -> None:
-        """Count and log a failed attempt."""
+    def may_go_on(self) -> bool:
+        """Return whether the request has another attempt, or may get one."""
+        return self.overlap.second is not None or self.may_retry()
+
+    def record_failed_attempt(
+        self,
+        endpoint: gateway.Endpoint,
+        outcome: str,
+        detail: str,
+        attempt: attempts.Attempt | None,
+    ) -> None:
+        """Count and log a failed attempt; None if it was not sent."""
         now = clocks.boot_time()
         self.dependencies.metrics.failed_attempts.labels(outcome).inc()
         LOGGER.log(
@@ -390,31 +404,24 @@
             outcome=outcome,
             detail=detail,
             runs=self.progress.runs,
-            sent_ms_ago=round((now - self.progress.sent_at) * 1000)
-            if self.progress.sends
-            else None,
+            sent_ms_ago=None if attempt is None else round((now - attempt.sent_at) * 1000),
             left_ms=round((self.metadata.deadline - now) * 1000),
             route=self.route.name,
-            received_bytes=self.progress.received_bytes,
+            received_bytes=0 if attempt is None else attempt.received_bytes,
             shared_parts=[part.id for part in self.metadata.parts[:-1]],
         )
 
-    async def attempt_at(self, grant: "AttemptGrant") -> bool:
-        """Send the request to one endpoint and relay its response.
-
-        Return False if another attempt should follow.
-        """
-        choice, endpoint, reservation = grant.choice, grant.choice.endpoint, grant.reservation
+    def send(self, grant: attempts.AttemptGrant) -> attempts.Attempt:
+        """Count, log and return a new attempt; the request is sent when its head is awaited."""
+        choice, endpoint = grant.choice, grant.choice.endpoint
         now = clocks.boot_time()
         # A stream may use the time up to its end; any other response has to arrive in time.
         streams = self.route.kind is gateway.RequestKind.STREAM
         remaining_seconds = (self.deadline if streams else self.response_deadline) - now
         self.progress.sends += 1
         self.progress.runs += 1
-        self.progress.endpoint_id = endpoint.id
-        self.progress.sent_at = now
-        self.progress.received_bytes = 0
-        self.progress.answer_begun = False
+        self.waiting_request.excluded_endpoint_ids.add(endpoint.id)
+        beside = self.overlap.first if self.overlap.search is not None else None
         LOGGER.log(
             events.Event.ATTEMPT_SENT,
             request_id=self.metadata.request_id,
@@ -428,33 +435,65 @@
             prompt_tokens=self.metadata.prompt_tokens,
             owner=choice.owner_id,
             attempt=self.progress.sends,
+            beside=beside.endpoint.id if beside is not None else None,
             config=self.fleet.configuration.version if self.fleet.configuration else None,
         )
+        sending = self.dependencies.endpoint_client.call(
+            endpoint,
+            self.metadata,
+            self.team,
+            self.request.body,
+            int(remaining_seconds * 1000),
+            self.progress.last_event_id,
+            grant.connection,
+        )
         run = self.fleet.run_times.start(self.route.name, self.metadata.output_tokens, now)
-        try:
-            call = await self.wait_with_timeout(
-                self.dependencies.endpoint_client.call(
-                    endpoint,
-                    self.metadata,
-                    self.team,
-                    self.request.body,
-                    int(remaining_seconds * 1000),
-                    self.progress.last_event_id,
-                    grant.connection,
-                ),
-                self.response_timeout_seconds(choice),
-            )
-            try:
-                if not self.may_retry() and not call.exchange.channel.unsent_bytes:
-                    self.request.drop_body()
-                return await self.relay(call, reservation, now)
-            finally:
-                call.finish()
-        except errors.EndpointNotStartedError:
-            self.progress.runs -= 1
-            raise
-        finally:
-            self.fleet.run_times.end(run, clocks.boot_time())
+        return attempts.Attempt(grant, sending, run, now)
+
+    async def serve(self, attempt: attempts.Attempt) -> bool:
+        """Relay the response of an attempt; return False if another attempt should follow."""
+        call = await self.overlap.wait(
+            attempt.receive_head(), self.response_timeout_seconds(attempt.grant.choice), attempt
+        )
+        reason = self.rejection(attempt)
+        if reason and self.overlap.second is not None:
+            raise errors.EndpointBrokenError(reason)
+        if not reason:
+            self.overlap.end()
+        if not self.may_retry() and not call.exchange.channel.unsent_bytes:
+            self.request.drop_body()
+        return await self.relay(attempt, call)
+
+    def rejection(self, attempt: attempts.Attempt) -> str:
+        """Return why the head of an attempt's response doesn't serve the request, "" if it does."""
+        call = attempt.call
+        if call is None:
+            return "no response"
+        status, response_metadata = call.response.status, call.response_metadata
+        if response_metadata.encoded or (200 <= status < 300 and not response_metadata.signed):
+            return "response was not produced by the endpoint"
+        if self.progress.response_started and not (
+            status == 200 and event_stream.is_event_stream(call.response.headers)
+        ):
+            return f"status {status} to a resumed stream"
+        if status >= 500 or status in NOT_RUN_STATUSES:
+            return f"status {status}"
+        return ""
+
+    def has_begun(self, attempt: attempts.Attempt) -> bool:
+        """Return whether what was read ahead of an attempt's body is enough to rely on it.
+
+        Of a stream that is its first event. Raise EndpointBrokenError if it doesn't follow the last
+        one, or if the stream ends within it.
+        """
+        if self.route.kind is not gateway.RequestKind.STREAM or attempt.call is None:
+            return bool(attempt.ahead) or attempt.ended
+        buffer = event_stream.EventBuffer()
+        complete_events = buffer.feed(bytes(attempt.ahead))
+        self.require_order(event_stream.find_ids(complete_events))
+        if attempt.ended:
+            self.require_whole_event(buffer, attempt.call)
+        return attempt.ended or event_stream.EVENT_FIELD.search(complete_events) is not None
 
     def response_timeout_seconds(self, choice: placement.Choice) -> float:
         """Return the time within which a healthy endpoint begins its response."""
@@ -463,134 +502,115 @@
             return expected_seconds + STREAM_RESPONSE_MARGIN_SECONDS
         return expected_seconds + PLAIN_RESPONSE_MARGIN_SECONDS
 
-    async def wait_with_timeout(
-        self, step: collections.abc.Awaitable[StepT], timeout_seconds: float
-    ) -> StepT:
-        """Await a step of an endpoint's response.
-
-        If the request may run again, a replacement is looked for after the timeout. Raise
-        EndpointBrokenError once there is one. Until then, the endpoint may still continue. Time in
-        which this process let received bytes wait for their turn is no time of the endpoint.
-        """
-        if not self.may_retry():
-            return await step
-        loop = asyncio.get_running_loop()
-        search: asyncio.Task[None] | None = None
-        timer: asyncio.TimerHandle | None = None
-        excused_seconds = self.turn_wait_seconds()
-
-        def start_search() -> None:
-            nonlocal search, timer, excused_seconds
-            waited = self.turn_wait_seconds()
-            if waited > excused_seconds:
-                delay = max(MIN_EXCUSE_SECONDS, waited - excused_seconds)
-                timer = loop.call_later(delay, start_search)
-                excused_seconds = waited
-                return
-            search = loop.create_task(self.find_replacement(silence))
-
-        try:
-            async with asyncio.timeout(None) as silence:
-                timer = loop.call_later(timeout_seconds, start_search)
-                try:
-                    result = await step
-                finally:
-                    timer.cancel()
-                    if search is not None:
-                        search.cancel()
-        except TimeoutError:
-            if not silence.expired():
-                raise
-            raise errors.EndpointBrokenError(
-                f"no response data for {timeout_seconds:.2f} s"
-            ) from None
-        self.discard_replacement()
-        return result
-
-    def turn_wait_seconds(self) -> float:
-        """Return how long bytes of the response have waited for their turn to be read."""
-        if self.channel is None:
-            return 0.0
-        return self.channel.usage.total_waited_seconds(time.perf_counter())
-
-    async def find_replacement(self, silence: asyncio.Timeout) -> None:
-        """Acquire another endpoint in place of a silent one, then end the wait for that one."""
+    async def acquire_replacement(self) -> attempts.AttemptGrant | None:
+        """Wait for another endpoint with a connection and retry budget; None if there is none."""
         waiting_request = placer.WaitingRequest(
             self.metadata, self.route, self.service, self.team, self.response_deadline
         )
         waiting_request.excluded_endpoint_ids = self.waiting_request.excluded_endpoint_ids
         try:
-            self.replacement = await self.acquire(waiting_request)
+            return await self.acquire(waiting_request)
         except RefusalError:
+            return None
+
+    def end_refused(self, attempt: attempts.Attempt, error: errors.EndpointNotStartedError) -> None:
+        """Record and close an attempt that has not run; its endpoint may be tried again later."""
+        self.progress.runs -= 1
+        self.record_not_started(attempt.endpoint, error, attempt)
+        self.finish(attempt)
+        asyncio.get_running_loop().call_later(
+            overlap.SEARCH_PAUSE_SECONDS,
+            self.waiting_request.excluded_endpoint_ids.discard,
+            attempt.endpoint.id,
+        )
+
+    def end_failed(self, attempt: attempts.Attempt, error: errors.EndpointBrokenError) -> None:
+        """Record and close an attempt that may have run."""
+        self.record_broken(attempt, error)
+        self.finish(attempt)
+
+    def end_unused(self, attempt: attempts.Attempt) -> None:
+        """Close an attempt whose response nobody needs."""
+        self.record_abandoned(attempt)
+        self.finish(attempt)
+
+    def report_overlap(self, overlapping: overlap.Overlap, outcome: overlap.Outcome) -> None:
+        """Count and log how an overlap ended."""
+        first, second = overlapping.first, overlapping.second
+        if first is None or second is None:
             return
-        except Exception as error:
-            LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
-            return
-        silence.reschedule(asyncio.get_running_loop().time())
-
-    def discard_replacement(self) -> None:
-        """Release a replacement that is not needed."""
-        if self.replacement is not None:
-            self.replacement.connection.channel.abort()
-            self.release(self.replacement.reservation)
-            self.replacement = None
-
-    async def relay(
-        self, call: calls.EndpointCall, reservation: "LoadReservation", sent_at: float
-    ) -> bool:
+        now = clocks.boot_time()
+        kept = overlap.KEPT_ATTEMPTS[outcome]
+        self.dependencies.metrics.overlaps.labels(kept, outcome.value).inc()
+        LOGGER.log(
+            events.Event.ATTEMPTS_OVERLAPPED,
+            request_id=self.metadata.request_id,
+            kept=kept,
+            outcome=outcome.value,
+            first=first.endpoint.id,
+            second=second.endpoint.id,
+            silent_ms=round((overlapping.timeout_seconds + now - overlapping.searched_at) * 1000),
+            overlap_ms=round((now - second.sent_at) * 1000),
+            left_ms=round((self.metadata.deadline - now) * 1000),
+            last_event_id=self.progress.last_event_id,
+        )
+
+    async def relay(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> bool:
         """Relay a response to the client; return False if another attempt should follow."""
-        response, response_metadata = call.response, call.response_metadata
-        self.channel = call.exchange.channel
+        response = call.response
         succeeded = 200 <= response.status < 300
-        if response_metadata.encoded or (succeeded and not response_metadata.signed):
-            raise errors.EndpointBrokenError("response was not produced by the endpoint")
-        if self.progress.response_started and not (
-            response.status == 200 and event_stream.is_event_stream(response.headers)
+        reason = self.rejection(attempt)
+        if reason and (
+            succeeded or call.response_metadata.encoded or self.progress.response_started
         ):
-            raise errors.EndpointBrokenError(f"status {response.status} to a resumed stream")
+            raise errors.EndpointBrokenError(reason)
         if succeeded and self.route.kind is gateway.RequestKind.STREAM:
-            await self.relay_stream(call, reservation, sent_at)
-            self.record_success(call, sent_at)
+            await self.relay_stream(attempt, call)
+            self.record_success(call, attempt.sent_at)
             return True
         if response.status >= 500 and self.may_retry():
-            self.progress.received_bytes = await call.discard_body()
+            attempt.received_bytes = await call.discard_body()
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
-            self.record_failed_attempt(call.endpoint, "failed", f"status {response.status}")
+            self.record_failed_attempt(
+                call.endpoint, "failed", f"status {response.status}", attempt
+            )
             return False
-        body = await self.read_body(call)
+        body = await self.read_body(attempt, call)
         if response.status >= 500:
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
         if response.status in NOT_RUN_STATUSES and not self.route.retryable:
             raise RefusalError(502, f"status {response.status}, but the request may have run")
         if succeeded:
-            self.record_answer_begun()
+            self.record_answer_begun(attempt)
         headers = self.dependencies.codec.response_headers(response.headers)
+        self.overlap.end()
         self.progress.response_started = True
         self.extend_time_limit()
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
-            self.record_success(call, sent_at)
+            self.record_success(call, attempt.sent_at)
         else:
             self.record_answered(call, clocks.boot_time())
         return True
 
-    def record_answer_begun(self) -> None:
+    def record_answer_begun(self, attempt: attempts.Attempt) -> None:
         """Record that the request has not crashed its endpoint."""
-        self.progress.answer_begun = True
+        attempt.answer_begun = True
         self.fleet.quarantine.record_answer(self.waiting_request.part_keys, clocks.boot_time())
 
-    async def read_body(self, call: calls.EndpointCall) -> bytearray:
+    async def read_body(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> bytearray:
         """Return the whole body of a response that is not streamed.
 
         Raise EndpointBrokenError if it breaks off, is too long or does not fit into the memory.
         """
         call.require_room()
         while (
-            data := await self.wait_with_timeout(call.exchange.read_data(), READ_TIMEOUT_SECONDS)
+            data := await self.overlap.wait(attempt.next_data(), READ_TIMEOUT_SECONDS, attempt)
         ) is not None:
+            self.overlap.end()
             call.hold(len(call.body) + len(data))
             call.body += data
-            self.progress.received_bytes = len(call.body)
+            attempt.received_bytes = len(call.body)
         return call.body
 
     def record_success(self, call: calls.EndpointCall, sent_at: float) -> None:
@@ -611,21 +631,22 @@
             total_ms=round((now - self.metadata.arrived_at) * 1000),
         )
 
-    async def relay_stream(
-        self, call: calls.EndpointCall, reservation: "LoadReservation", sent_at: float
-    ) -> None:
+    async def relay_stream(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> None:
         """Relay events as they arrive; only complete events if the stream may be resumed.
 
         Only a complete event counts as progress, not a byte or a comment. Raise
         EndpointBrokenError if the stream ends within an event.
         """
         buffer = event_stream.EventBuffer()
+        reservation = attempt.grant.reservation
         usage = call.exchange.channel.usage
         next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
         while True:
             waited_seconds = usage.waited_seconds
-            data = await self.wait_with_timeout(
-                call.exchange.read_data(), max(0.0, next_event_until - clocks.boot_time())
+            data = await self.overlap.wait(
+                attempt.next_data(),
+                max(0.0, next_event_until - clocks.boot_time()),
+                attempt,
             )
             next_event_until += usage.waited_seconds - waited_seconds
             if not reservation.prefilled:
@@ -633,15 +654,15 @@
                 now = clocks.boot_time()
                 expected_seconds = reservation.choice.expected_seconds
                 self.fleet.health.record_latency(
-                    call.endpoint.id, now - sent_at, expected_seconds, now
+                    call.endpoint.id, now - attempt.sent_at, expected_seconds, now
                 )
                 self.dependencies.metrics.first_event.observe(now - self.metadata.arrived_at)
             if data is None:
                 break
-            self.progress.received_bytes += len(data)
+            attempt.received_bytes += len(data)
             complete_events = buffer.feed(data)
-            if not self.progress.answer_begun and event_stream.EVENT_FIELD.search(complete_events):
-                self.record_answer_begun()
+            if not attempt.answer_begun and event_stream.EVENT_FIELD.search(complete_events):
+                self.record_answer_begun(attempt)
             if self.route.resumable:
                 data = complete_events
                 if len(buffer.incomplete) > MAX_EVENT_BYTES:
@@ -656,14 +677,16 @@
                 + len(buffer.incomplete)
                 + call.exchange.channel.protocol.unread_bytes
             )
+            has_event = event_stream.EVENT_FIELD.search(data) is not None
+            if has_event:
+                # The other attempt would send this event once more.
+                self.overlap.end()
             await self.write_to_client(call, data)
-            if event_stream.EVENT_FIELD.search(data):
+            if has_event:
                 next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
-        if call.exchange.unframed and not self.progress.received_bytes:
+        if call.exchange.unframed and not attempt.received_bytes:
             raise errors.EndpointBrokenError("the stream ended before its first byte")
-        # The end of a connection may also end an answer without a length, whole or not.
-        if buffer.ends_in_event and event_stream.is_event_stream(call.response.headers):
-            raise errors.EndpointBrokenError("the stream ended within an event")
+        self.require_whole_event(buffer, call)
         if self.route.resumable:
             await self.write_to_client(call, bytes(buffer.incomplete))
         await self.start_response(call)
@@ -684,70 +707,36 @@
             headers = self.dependencies.codec.response_headers(call.response.headers)
             await self.responder.start(call.response.status, headers)
 
+    def require_whole_event(
+        self, buffer: event_stream.EventBuffer, call: calls.EndpointCall
+    ) -> None:
+        """Raise EndpointBrokenError if a stream that has ended did so within an event.
+
+        The end of a connection may also end a response without a length, whole or not.
+        """
+        if buffer.ends_in_event and event_stream.is_event_stream(call.response.headers):
+            raise errors.EndpointBrokenError("the stream ended within an event")
+
     def record_event_ids(self, data: bytes) -> None:
         """Store the ID of the last event in data that is sent to the client.
 
         Raise EndpointBrokenError if a resumed stream does not go on after the last event.
         """
-        event_ids = [item.decode("latin-1") for item in EVENT_ID.findall(data)]
-        if not event_ids:
-            return
+        event_ids = event_stream.find_ids(data)
+        if event_ids:
+            self.require_order(event_ids)
+            self.progress.last_event_id = event_ids[-1]
+
+    def require_order(self, event_ids: list[str]) -> None:
+        """Raise EndpointBrokenError unless events go on after the last one that was sent."""
         previous_id = self.progress.last_event_id
         if (
-            self.progress.response_started
+            event_ids
+            and self.progress.response_started
             and previous_id is not None
             and not event_stream.follows(event_ids[0], previous_id)
         ):
             raise errors.EndpointBrokenError(f"event {event_ids[0]} follows {previous_id}")
-        self.progress.last_event_id = event_ids[-1]
-
-
-class LoadReservation:
-    """The load that one attempt adds to its endpoint."""
-
-    __slots__ = ("choice", "endpoint_id", "fleet", "memory_tokens", "prefilled")
-
-    def __init__(
-        self,
-        fleet: fleet_module.FleetState,
-        endpoint_id: str,
-        choice: placement.Choice,
-        metadata: gateway.RequestMetadata,
-    ) -> None:
-        self.fleet = fleet
-        self.endpoint_id = endpoint_id
-        self.choice = choice
-        self.memory_tokens = metadata.prompt_tokens + metadata.output_tokens
-        self.prefilled = False
-
-    def record_first_event(self) -> None:
-        """Mark the prefill as finished, which the first event shows."""
-        if not self.prefilled:
-            self.prefilled = True
-            self.fleet.loads.finish_prefill(self.endpoint_id, self.choice.unread_tokens)
-
-    def release(self) -> None:
-        """Remove the attempt's load from its endpoint."""
-        remaining_unread_tokens = 0 if self.prefilled else self.choice.unread_tokens
-        self.fleet.loads.finish_request(
-            self.endpoint_id, self.memory_tokens, remaining_unread_tokens
-        )
-
-
-class AttemptGrant:
-    """An endpoint for one attempt, with a connection and the load that is reserved there."""
-
-    __slots__ = ("choice", "connection", "reservation")
-
-    def __init__(
-        self,
-        choice: placement.Choice,
-        connection: calls.Connection,
-        reservation: LoadReservation,
-    ) -> None:
-        self.choice = choice
-        self.connection = connection
-        self.reservation = reservation
 
 
 def choose_service(route: gateway.Route, request_id: str) -> str:
--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -253,8 +253,13 @@
             events.Event.PART_TESTED, parts=tested, endpoint=endpoint_id, request_id=request_id
         )
 
-    def end_test(self, keys: collections.abc.Iterable[str], request_id: str) -> None:
-        """End a test whose request ended without an answer and without a crash."""
+    def end_test(
+        self, keys: collections.abc.Iterable[str], request_id: str, endpoint_id: str
+    ) -> None:
+        """End a test whose request ended at an endpoint without an answer and without a crash.
+
+        The same request may test the parts at another endpoint meanwhile, which goes on.
+        """
         for key in keys:
             part = self.restricted.get(key)
             test = part.own_test if part is not None else None
@@ -262,6 +267,7 @@
                 part is not None
                 and test is not None
                 and test.request_id == request_id
+                and test.endpoint_id == endpoint_id
                 and test.decide_at is None
             ):
                 self.finish_test(part)
--- a/tests/unit/test_deadly_parts.py
+++ b/tests/unit/test_deadly_parts.py
@@ -169,9 +169,12 @@
         self.assertEqual({"e1", "e2", "e3"}, quarantine.endpoints_to_avoid(11.0))
         self.assertFalse(quarantine.may_still_send(["a"], "q1"))
         self.assertTrue(quarantine.may_still_send(["a"], "q2"))
-        quarantine.end_test(["a"], "q1")
+        quarantine.end_test(["a"], "q1", "e3")
         self.assertEqual(part_quarantine.Verdict.WAIT, quarantine.verdict(["a"], ["g1"], 12.0)[0])
-        quarantine.end_test(["a"], "q2")
+        # The same request was at another endpoint before, which ends now.
+        quarantine.end_test(["a"], "q2", "e4")
+        self.assertEqual(part_quarantine.Verdict.WAIT, quarantine.verdict(["a"], ["g1"], 12.0)[0])
+        quarantine.end_test(["a"], "q2", "e3")
         self.assertEqual(part_quarantine.Verdict.TEST, quarantine.verdict(["a"], ["g1"], 12.0)[0])
 
     def test_gateways_test_one_after_the_other(self) -> None:
