Grace period counted from the arrival of the signal

Callers saw (possible; not seen in a record): a request that a stopping gateway began is cut by SIGKILL, without a line that names it.

Cause: the event loop calls a signal's handler when it is done with what is ready. In a late process that is later than the signal, and the plan of the stop, with the moment up to which requests are begun and the one at which open ones are cut, was later by the same time. Above 0.6 s the platform killed the process before its own end.

Change: the interpreter's handler stores when the signal arrived, and the stop is planned from there. A process that does not run at all (no processor, or suspended) still sees the signal late.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import signal
+import types
 import typing
 
 from masticward import errors, events, logs, metrics
@@ -406,13 +407,14 @@
         self.peering.apply_settings(loaded)
         LOGGER.log(events.Event.SETTINGS_RELOADED, needs_restart=needs_restart)
 
-    async def stop(self) -> None:
+    async def stop(self, signalled_at: float | None = None) -> None:
         """Leave the load balancer's rotation, finish open requests, then stop.
 
         Requests that cannot end before the end of the grace period are refused from the start.
-        Those that are still open shortly before it are aborted.
+        Those that are still open shortly before it are aborted. The grace period began at
+        ``signalled_at`` (``clocks.boot_time``), or begins now.
         """
-        started = clocks.boot_time()
+        started = clocks.boot_time() if signalled_at is None else signalled_at
         abort_at = started + self.settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
         LOGGER.log(
             events.Event.PROCESS_STOPPING,
@@ -446,15 +448,38 @@
         )
 
 
+class StopSignal:
+    """Waits for SIGTERM or SIGINT and stores when the first of them arrived."""
+
+    __slots__ = ("arrived_at", "event")
+
+    def __init__(self) -> None:
+        self.event = asyncio.Event()
+        # In seconds of ``clocks.boot_time``.
+        self.arrived_at: float | None = None
+
+    def install(self) -> None:
+        """Handle the signals in the running event loop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.event.set)
+            # A late event loop calls its handlers late; the interpreter calls this one at once.
+            signal.signal(number, self.record_arrival)
+
+    def record_arrival(self, _number: int, _frame: types.FrameType | None) -> None:
+        """Store the time of the first signal."""
+        if self.arrived_at is None:
+            self.arrived_at = clocks.boot_time()
+
+
 async def run_until_signal(program: GatewayProgram) -> int:
     """Run a program until SIGTERM or SIGINT; return its exit code."""
-    stop = asyncio.Event()
+    stop = StopSignal()
+    stop.install()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     # The default action of SIGHUP would end the process.
     loop.add_signal_handler(signal.SIGHUP, program.reload)
     await program.start()
-    await stop.wait()
-    await program.stop()
+    await stop.event.wait()
+    await program.stop(stop.arrived_at)
     return 0
