Stops that are late or killed can be told apart in the logs

An operator saw: a stream that was passed on around SIGTERM lost its connection, and no line of level warning named it. On the log of a process that was killed at the end of its grace ends with 1002, whether it was late, frozen or on time, and names none of the requests that it had.

Change: 1005 tells that a timer or the signal was handled at least 0.2 s late during a stop; 1006, about 1 s before the end, names the open requests (at most 50) and their stages; both are warnings. 1002 has the lateness of the signal and both deadlines, 1003 the longest lateness.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -7,6 +7,7 @@
 import typing
 
 from masticward import errors, events, logs, metrics
+from masticward.daemons import stop_monitor
 from masticward.gateway import (
     calls,
     followers,
@@ -28,7 +29,6 @@
 
 # The platform kills the process at the end of the grace period; the process exits before that.
 STOP_MARGIN_SECONDS = 0.6
-STOP_POLL_INTERVAL_SECONDS = 0.05
 # Requests that arrive in part are refused this long before the end, for the refusal to be read.
 STOP_READING_SECONDS = 0.4
 TICK_INTERVAL_SECONDS = 0.25
@@ -76,6 +76,7 @@
         read_settings: collections.abc.Callable[[], gateway.GatewaySettings],
     ) -> None:
         self.settings = settings
+        self.codec = codec
         self.read_settings = read_settings
         self.metrics = metrics.ProcessMetrics()
         self.fleet = fleet_module.FleetState(settings)
@@ -416,21 +417,27 @@
         """
         started = clocks.boot_time() if signalled_at is None else signalled_at
         abort_at = started + self.settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
+        late_seconds = clocks.boot_time() - started
         LOGGER.log(
             events.Event.PROCESS_STOPPING,
             instance=self.settings.instance_id,
             unfinished=self.client_server.busy,
             connections=len(self.client_server.connections),
+            late_ms=stop_monitor.to_milliseconds(late_seconds),
+            ends_in_ms=stop_monitor.to_milliseconds(abort_at - clocks.boot_time()),
+            grace_ms=stop_monitor.to_milliseconds(self.settings.bounds.stop_grace_seconds),
         )
+        monitor = stop_monitor.StopMonitor(self.client_server, self.codec, abort_at)
+        monitor.record_lateness(late_seconds)
         self.stopping = True
         self.peering.stopping = True
         self.fleet.stopping_at = started
         self.fleet.ends_at = abort_at
         self.client_server.stopping = True
-        await asyncio.sleep(load_shedding.ROTATION_EXIT_SECONDS)
+        await monitor.sleep_until(clocks.boot_time() + load_shedding.ROTATION_EXIT_SECONDS)
         self.client_server.stop_listening()
         while self.client_server.busy and clocks.boot_time() < abort_at:
-            await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
+            await monitor.sleep()
             self.client_server.close_unused()
             reads_end = clocks.boot_time() >= abort_at - STOP_READING_SECONDS
             if reads_end and not self.client_server.reading_stopped:
@@ -444,7 +451,8 @@
             cut=cut.total(),
             cut_by_stage={stage.value: count for stage, count in cut.items()},
             connections=connections,
-            stopping_ms=round((clocks.boot_time() - started) * 1000),
+            stopping_ms=stop_monitor.to_milliseconds(clocks.boot_time() - started),
+            late_ms=stop_monitor.to_milliseconds(monitor.longest_late_seconds),
         )
 
 
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -15,6 +15,8 @@
     PROCESS_STOPPING = (1002, "process_stopping", logging.INFO)
     PROCESS_STOPPED = (1003, "process_stopped", logging.INFO)
     TASK_FAILED = (1004, "task_failed", logging.ERROR)
+    PROCESS_STOP_LATE = (1005, "process_stop_late", logging.WARNING)
+    PROCESS_STOP_NEAR_END = (1006, "process_stop_near_end", logging.WARNING)
 
     ENTRY_LISTENING = (2001, "entry_listening", logging.INFO)
     ENTRY_STOPPED_LISTENING = (2002, "entry_stopped_listening", logging.INFO)
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -326,6 +326,14 @@
             unread_bytes -= connection.unread_bytes
             connection.reset("unread bytes")
 
+    def open_requests(self) -> list[tuple[Request | None, Stage]]:
+        """Return the open requests, None for those without a head, and how far they are."""
+        return [
+            (connection.request, stage)
+            for connection in self.connections
+            if (stage := connection.stage()) is not None
+        ]
+
     def abort(self) -> collections.Counter[Stage]:
         """Reset all connections; return the number of open requests by stage."""
         self.aborted = True
--- a/tests/functional/test_stop_lines.py
+++ b/tests/functional/test_stop_lines.py
@@ -4,9 +4,10 @@
 import os
 import signal
 
+from masticward import events
 from masticward.daemons import gateway as gateway_daemon
 from masticward.utils import clocks
-from tests.functional import test_gateway
+from tests.functional import test_gateway, test_request_lines
 from tests.lib import platform_standins
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -35,3 +36,46 @@
         cut_at = signalled_at + self.grace_s - gateway_daemon.STOP_MARGIN_SECONDS
         self.assertAlmostEqual(cut_at, self.fleet.ends_at, delta=0.1)
         self.assertEqual(0, await running)
+
+
+class StopLinesTest(test_request_lines.RequestLinesCase):
+    """Guards against a process that is killed in its stop and whose log names no open request."""
+
+    grace_s = 4
+
+    async def test_open_requests_are_named_before_the_process_may_be_killed(self) -> None:
+        await self.add_endpoint("e1", platform_standins.never_respond)
+        routes = platform_standins.configuration()["routes"]
+        await self.start(routes=[{**route, "timeout_ms": 9000} for route in routes])
+        data = self.request("stream").replace(b"Ms: 3000", b"Ms: 9000")
+        _, served = await self.send(data)
+        _, half_read = await self.send(data.replace(b"Id: q1", b"Id: q2")[:-1])
+        await self.wait_until(lambda: self.attempts() == 1)
+        await self.wait_until(lambda: self.program.client_server.busy == 2)
+        await self.program.stop()
+        (begun,) = self.lines_of(events.Event.PROCESS_STOPPING)
+        self.assert_fields(begun, grace_ms=4000, unfinished=2)
+        self.assertAlmostEqual(3400, begun["ends_in_ms"], delta=100)
+        (near_end,) = self.lines_of(events.Event.PROCESS_STOP_NEAR_END)
+        self.assertAlmostEqual(1000, near_end["ends_in_ms"], delta=200)
+        self.assert_fields(near_end, unfinished=2, unfinished_by_stage={"waiting": 1, "reading": 1})
+        self.assertEqual({"q1", "q2"}, set(near_end["request_ids"]))
+        (ended,) = self.lines_of(events.Event.PROCESS_STOPPED)
+        self.assert_fields(ended, cut=1)
+        served.close()
+        half_read.close()
+
+    async def test_a_late_stop_has_a_warning_and_one_without_requests_names_none(self) -> None:
+        await self.start()
+        stopping = asyncio.ensure_future(self.program.stop())
+        await asyncio.sleep(0.1)
+        busy_until = clocks.boot_time() + 0.5
+        while clocks.boot_time() < busy_until:
+            pass
+        await stopping
+        (late,) = self.lines_of(events.Event.PROCESS_STOP_LATE)
+        self.assertAlmostEqual(450, late["late_ms"], delta=100)
+        self.assertGreater(late["ends_in_ms"], 0)
+        (ended,) = self.lines_of(events.Event.PROCESS_STOPPED)
+        self.assertEqual(late["late_ms"], ended["late_ms"])
+        self.assertEqual([], self.lines_of(events.Event.PROCESS_STOP_NEAR_END))
