A connection that this process closes, or the kernel gives up, is no client that left

An operator saw: 8106 "client left", an info line, for each request whose connection ended outside of a stop, unless the kernel had timed it out.

Cause: the line was chosen by the error number ETIMEDOUT alone. A connection that this process closed under a request, or whose client became unreachable, was logged like one that the client closed; requests that were being read, or were read and not begun, also when the kernel had timed them out.

Change: the connection stores who ended it. 8106 is left for clients that closed or reset their side. No place that closes a connection under a request outside of a stop is known, except the reset for unread bytes (8105); 8115 with "closed here", an error, would name one.

Test: both new tests failed before. In test_http1_exchange the assertion on timed_out, which is gone, became one on who ended the connection.

--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -8,7 +8,7 @@
 from masticward.gateway import request_path, request_reports
 from masticward.models import gateway
 from masticward.state import load_shedding
-from masticward.transport import http1_server
+from masticward.transport import http1, http1_server
 from masticward.utils import clocks
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
@@ -25,9 +25,25 @@
 CUT_BY_STOP = (events.Event.REQUEST_CUT_BY_STOP, "cut by stop")
 CUT_BY_RESET = (events.Event.STREAM_CUT, "cut by reset")
 BROKEN_OFF = (events.Event.ANSWER_BROKEN_OFF, "cut by error")
+ENDS_BY_CONNECTION = {
+    http1.ConnectionEnd.NONE: CUT_BY_STOP,
+    http1.ConnectionEnd.PEER: CLIENT_LEFT,
+    http1.ConnectionEnd.KERNEL: CLIENT_SILENT,
+    http1.ConnectionEnd.PROCESS: (events.Event.ANSWER_BROKEN_OFF, "closed here"),
+}
 LOGGER = logs.get_logger(__name__)
 
 
+def find_end(connection: http1_server.ServerConnection) -> tuple[events.Event, str, str]:
+    """Return event, cause and reason of a request that ends with its connection or the process."""
+    protocol = connection.channel.protocol
+    if connection.server.aborted or protocol.end is http1.ConnectionEnd.NONE:
+        return *CUT_BY_STOP, "the process ended"
+    if connection.reset_cause:
+        return *CUT_BY_RESET, connection.reset_cause
+    return *ENDS_BY_CONNECTION[protocol.end], protocol.end_reason
+
+
 class ClientRequestHandler(http1_server.RequestHandler):
     """Handles the requests of clients."""
 
@@ -57,10 +73,10 @@
         request: http1_server.Request | None,
         stage: http1_server.Stage,
         reason: str,
-        client_left: bool,
+        end: http1.ConnectionEnd | None,
     ) -> None:
         """Count and log a request whose connection ended before or after it was handled."""
-        event, cause = CLIENT_LEFT if client_left else CUT_BY_STOP
+        event, cause = CUT_BY_STOP if end is None else ENDS_BY_CONNECTION[end]
         self.dependencies.reporter.report_cut(
             event, cause, reason, request_reports.Cut(request, stage)
         )
@@ -90,27 +106,16 @@
         except request_path.RefusalError as refusal:
             await self.refuse(request, responder, metadata, proxied, refusal)
         except asyncio.CancelledError:
-            channel = responder.connection.channel
-            if responder.connection.server.aborted or not channel.peer_gone:
-                event, cause = CUT_BY_STOP
-                reason = "the process ended"
-            elif responder.connection.reset_cause:
-                event, cause = CUT_BY_RESET
-                reason = responder.connection.reset_cause
-            else:
-                event, cause = CLIENT_SILENT if channel.timed_out else CLIENT_LEFT
-                reason = channel.protocol.end_reason
+            event, cause, reason = find_end(responder.connection)
             cut = self.describe_cut(request, responder, metadata, proxied)
             self.dependencies.reporter.report_cut(event, cause, reason, cut)
             raise
         except Exception as error:
             # Without an answer, a client cannot tell whether its request was run.
             if responder.started:
-                channel = responder.connection.channel
-                if not isinstance(error, OSError) or not channel.peer_gone:
-                    event, cause = BROKEN_OFF
-                else:
-                    event, cause = CLIENT_SILENT if channel.timed_out else CLIENT_LEFT
+                event, cause = BROKEN_OFF
+                if isinstance(error, OSError) and responder.connection.channel.peer_gone:
+                    event, cause, _ = find_end(responder.connection)
                 cut = self.describe_cut(request, responder, metadata, proxied)
                 self.dependencies.reporter.report_cut(event, cause, f"{error!r}", cut)
                 raise
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import enum
 import errno
 import os
 import select
@@ -48,9 +49,21 @@
 ACCEPT_PAUSE_SECONDS = 0.05
 # Time in which a client may read a final refusal before its unread bytes reset the connection.
 LINGER_SECONDS = 1.0
+# Errors by which a peer that ends its side makes itself known.
+PEER_ERRORS = (errno.ECONNRESET, errno.EPIPE)
 LOGGER = logs.get_logger(__name__)
 
 
+class ConnectionEnd(enum.Enum):
+    """Who ended a connection."""
+
+    NONE = "none"
+    PEER = "peer"
+    # The peer acknowledged nothing in time, or cannot be reached any more.
+    KERNEL = "kernel"
+    PROCESS = "process"
+
+
 class WatchedProtocol(asyncio.StreamReaderProtocol):
     """Stream protocol that reports the end of the peer's side at once, without a read."""
 
@@ -61,9 +74,9 @@
         # Bytes that were received and not yet read from the stream.
         self.unread_bytes = 0
         self.peer_gone = False
-        # Why the connection ended, for log lines, and the number of the error if there was one.
+        # Why the connection ended, for log lines, and who ended it.
         self.end_reason = ""
-        self.end_errno = 0
+        self.end = ConnectionEnd.NONE
         self.on_peer_gone: collections.abc.Callable[[], object] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -85,28 +98,35 @@
         error = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if self.socket else 0
         if error:
             self.stream_reader.set_exception(ConnectionResetError(error, os.strerror(error)))
-            self.note_gone(os.strerror(error), error)
+            self.note_gone(os.strerror(error), find_end(error))
             return False
         result = super().eof_received()
-        self.note_gone("closed by the peer")
+        self.note_gone("closed by the peer", ConnectionEnd.PEER)
         return result
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that the connection is gone."""
         super().connection_lost(exc)
-        error = exc.errno or 0 if isinstance(exc, OSError) else 0
-        self.note_gone(str(exc) if exc else "closed here", error)
+        if exc is None:
+            self.note_gone("closed here", ConnectionEnd.PROCESS)
+        else:
+            self.note_gone(str(exc), find_end(exc.errno if isinstance(exc, OSError) else None))
 
-    def note_gone(self, reason: str, error: int = 0) -> None:
+    def note_gone(self, reason: str, end: ConnectionEnd) -> None:
         """Store the first reason and call the listener once."""
         if not self.peer_gone:
             self.peer_gone = True
             self.end_reason = reason
-            self.end_errno = error
+            self.end = end
             if self.on_peer_gone is not None:
                 self.on_peer_gone()
 
 
+def find_end(error: int | None) -> ConnectionEnd:
+    """Return who ended a connection with an error; None if it has no number."""
+    return ConnectionEnd.PEER if error in PEER_ERRORS else ConnectionEnd.KERNEL
+
+
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
     """Make a silent peer fail the connection, and limit what the kernel buffers of it."""
     sock: socket.socket | None = transport.get_extra_info("socket")
@@ -153,9 +173,9 @@
         return self.protocol.peer_gone
 
     @property
-    def timed_out(self) -> bool:
-        """Whether the connection ended because the peer acknowledged nothing in time."""
-        return self.protocol.end_errno == errno.ETIMEDOUT
+    def end(self) -> ConnectionEnd:
+        """Who has ended the connection."""
+        return self.protocol.end
 
     @property
     def unsent_bytes(self) -> int:
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -212,11 +212,11 @@
         """Note a request that was not handed on; None if its head could not be read."""
 
     def note_unfinished(  # noqa: B027
-        self, request: Request | None, stage: Stage, reason: str, client_left: bool
+        self, request: Request | None, stage: Stage, reason: str, end: http1.ConnectionEnd | None
     ) -> None:
         """Note a request that no handler answers and whose connection has ended.
 
-        ``request`` is None if its head was not read. If not the client left, the process ended.
+        ``request`` is None if its head was not read, ``end`` if the process ended.
         """
 
 
@@ -345,7 +345,7 @@
                 # Handlers note their own requests when they are cancelled.
                 if connection.responder is None:
                     self.handler.note_unfinished(
-                        connection.request, stage, "the process ended", False
+                        connection.request, stage, "the process ended", None
                     )
             connection.channel.abort()
         return stages
@@ -510,7 +510,9 @@
             return False
         except OSError as error:
             if self.busy and not self.server.aborted:
-                self.server.handler.note_unfinished(self.request, Stage.READING, str(error), True)
+                self.server.handler.note_unfinished(
+                    self.request, Stage.READING, str(error), self.channel.end
+                )
             raise
         except errors.BadRequestError as error:
             await self.refuse(413, str(error))
@@ -538,7 +540,9 @@
         if self.channel.peer_gone:
             if not self.server.aborted:
                 reason = self.channel.protocol.end_reason
-                self.server.handler.note_unfinished(request, Stage.WAITING, reason, True)
+                self.server.handler.note_unfinished(
+                    request, Stage.WAITING, reason, self.channel.end
+                )
             self.channel.abort()
             return
         self.responder = responder
--- a/tests/functional/test_http1_exchange.py
+++ b/tests/functional/test_http1_exchange.py
@@ -107,7 +107,7 @@
             try:
                 await channel.read_until(math.inf)
                 channel.protocol.connection_lost(OSError(errno.ETIMEDOUT, "timed out"))
-                self.assertTrue(channel.timed_out)
+                self.assertIs(http1.ConnectionEnd.KERNEL, channel.end)
                 with self.assertRaises(ConnectionError):
                     await channel.read_until(math.inf)
             finally:
--- a/tests/functional/test_request_lines.py
+++ b/tests/functional/test_request_lines.py
@@ -1,6 +1,7 @@
 """Guards against requests without a whole answer whose cause the logs do not tell."""
 
 import asyncio
+import errno
 import socket
 import typing
 import unittest.mock
@@ -281,3 +282,28 @@
         self.assert_fields(line, request_id="q1", cause="cut by reset", reason="unread bytes")
         self.assertEqual([], self.lines_of(events.Event.CLIENT_LEFT))
         writer.close()
+
+    async def test_a_connection_that_is_closed_here_is_not_the_clients(self) -> None:
+        await self.add_endpoint("e1", platform_standins.never_respond)
+        await self.start()
+        _, writer = await self.send(self.request("book"))
+        await self.wait_until(lambda: self.attempts() > 0)
+        (connection,) = self.program.client_server.connections
+        connection.channel.abort()
+        await self.wait_until(lambda: bool(self.lines_of(events.Event.ANSWER_BROKEN_OFF)))
+        (line,) = self.lines_of(events.Event.ANSWER_BROKEN_OFF)
+        self.assert_fields(line, request_id="q1", cause="closed here", stage="waiting")
+        self.assertEqual([], self.lines_of(events.Event.CLIENT_LEFT))
+        writer.close()
+
+    async def test_an_unreachable_client_is_not_one_that_left(self) -> None:
+        await self.add_endpoint("e1", platform_standins.never_respond)
+        await self.start()
+        _, writer = await self.send(self.request("book"))
+        await self.wait_until(lambda: self.attempts() > 0)
+        (connection,) = self.program.client_server.connections
+        connection.channel.protocol.connection_lost(OSError(errno.EHOSTUNREACH, "no route"))
+        await self.wait_until(lambda: bool(self.lines_of(events.Event.CLIENT_SILENT)))
+        (line,) = self.lines_of(events.Event.CLIENT_SILENT)
+        self.assert_fields(line, request_id="q1", reason="[Errno 113] no route")
+        writer.close()
