The end of an answer that a silent client doesn't take has a line

An operator saw: 8102, an answer that was passed on whole, and a client that lacked its end. If the connection was to be closed after the answer, as in each stop, up to 64 KiB of it wait in the process when the handler has ended. Nothing was logged when the kernel then gave the client up.

Change: 8116 (8106 if the client reset its side) with stage writing. Bytes that the kernel had taken are not covered, nor is a connection that stays open for a next request: the process can't tell whether the client has them.

Test: failed before, as no line came.

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -3,7 +3,6 @@
 import abc
 import asyncio
 import collections
-import contextlib
 import enum
 import math
 
@@ -366,6 +365,7 @@
         "responder",
         "served",
         "server",
+        "unsent_request",
     )
 
     def __init__(self, server: Server, channel: http1.Channel) -> None:
@@ -384,6 +384,8 @@
         self.request: Request | None = None
         # Set while a handler answers.
         self.responder: Responder | None = None
+        # The last request, if its answer was not written out when its handler had ended.
+        self.unsent_request: Request | None = None
 
     def open_machine(self, head_bytes: int) -> None:
         """Start the protocol anew, with a limit on the size of heads."""
@@ -490,8 +492,13 @@
         finally:
             self.channel.protocol.on_peer_gone = None
             self.channel.writer.close()
-            with contextlib.suppress(OSError):
+            try:
                 await self.channel.writer.wait_closed()
+            except OSError as error:
+                if self.unsent_request is not None and not self.server.aborted:
+                    self.server.handler.note_unfinished(
+                        self.unsent_request, Stage.WRITING, str(error), self.channel.end
+                    )
 
     async def serve_request(self) -> bool:
         """Serve one request; returns whether another may follow."""
@@ -533,7 +540,11 @@
         if not responder.ended:
             self.channel.abort()
             return False
-        return self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE
+        if self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE:
+            return True
+        if self.channel.unsent_bytes:
+            self.unsent_request = request
+        return False
 
     async def handle_watched(self, request: Request, responder: Responder) -> None:
         """Run the handler and cancel it when the client leaves."""
--- a/tests/functional/test_request_lines.py
+++ b/tests/functional/test_request_lines.py
@@ -265,6 +265,42 @@
         self.assert_fields(line, stage="answering", reason="[Errno 110] Connection timed out")
 
 
+class UnsentEndTest(RequestLinesCase):
+    """Guards against the end of an answer that is lost after 8102 without a line."""
+
+    async def test_a_client_that_turns_silent_before_the_end_is_sent_is_named(self) -> None:
+        await self.start_with_held_answer(bytes(40_000))
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(("127.0.0.1", self.port))
+        client.sendall(self.request("book", extra="Connection: close\r\n"))
+        await self.wait_until(lambda: self.attempts() > 0)
+        (connection,) = self.program.client_server.connections
+        kernel_socket = connection.channel.protocol.socket
+        assert kernel_socket is not None
+        kernel_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        self.released.set()
+        await self.wait_until(lambda: bool(self.lines_of(events.Event.CLIENT_SILENT)))
+        (line,) = self.lines_of(events.Event.CLIENT_SILENT)
+        self.assert_fields(line, request_id="q1", stage="writing")
+        self.assertEqual(1, len(self.lines_of(events.Event.GATEWAY_REQUEST_ANSWERED)))
+
+    async def start_with_held_answer(self, body: bytes) -> None:
+        """Start a gateway whose endpoint answers once ``released`` is set."""
+        self.released = asyncio.Event()
+
+        async def answer(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            await self.released.wait()
+            writer.write(platform_standins.complete_response(request, body))
+            return True
+
+        await self.add_endpoint("e1", answer)
+        await self.start()
+
+
 class ResetLinesTest(RequestLinesCase):
     """Guards against a request that the gateway itself cut and logged as a client that left."""
 
