A second signal at the end of a stop doesn't kill the process

An operator saw: exit by SIGTERM in place of code 0. Lines that wait for a slow reader of the logs are lost with it: those that name the requests of the stop (8114, 1003).

Cause: the event loop restores the default action of its signals when it is closed, before the process has ended.

Change: the signals are handled by the interpreter's handlers, which stay, and are ignored once the stop is over.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -41,6 +41,7 @@
 RELOAD_INTERVAL_SECONDS = 2.0
 # Keeps a task that fails immediately on each start from using all CPU time.
 TASK_RESTART_DELAY_SECONDS = 0.2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 LOGGER = logs.get_logger(__name__)
 
 
@@ -457,27 +458,30 @@
 
 
 class StopSignal:
-    """Waits for SIGTERM or SIGINT and stores when the first of them arrived."""
+    """Waits for SIGTERM or SIGINT and stores when the first of them arrived.
 
-    __slots__ = ("arrived_at", "event")
+    The event loop's own handlers are called late if it is late, and are removed before the process
+    ends. Those of the interpreter are called at once.
+    """
+
+    __slots__ = ("arrived_at", "event", "loop")
 
     def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
         self.event = asyncio.Event()
         # In seconds of ``clocks.boot_time``.
         self.arrived_at: float | None = None
 
     def install(self) -> None:
-        """Handle the signals in the running event loop."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.event.set)
-            # A late event loop calls its handlers late; the interpreter calls this one at once.
-            signal.signal(number, self.record_arrival)
-
-    def record_arrival(self, _number: int, _frame: types.FrameType | None) -> None:
-        """Store the time of the first signal."""
+        """Handle the signals; to be called in the main thread."""
+        for number in STOP_SIGNALS:
+            signal.signal(number, self.receive)
+
+    def receive(self, _number: int, _frame: types.FrameType | None) -> None:
+        """Store the time of the first signal and wake the event loop up."""
         if self.arrived_at is None:
             self.arrived_at = clocks.boot_time()
+            self.loop.call_soon_threadsafe(self.event.set)
 
 
 async def run_until_signal(program: GatewayProgram) -> int:
--- a/src/masticward/platform/program.py
+++ b/src/masticward/platform/program.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 
 from masticward import errors, events, logs
@@ -43,6 +44,9 @@
         finally:
             # A late process has used up part of the margin for its end.
             writer.close_until = program.fleet.ends_at + gateway_daemon.STOP_MARGIN_SECONDS / 2
+            # A further signal must not end the process before the lines that wait are written.
+            for number in gateway_daemon.STOP_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
 
     return programs.run(run())
 
--- a/tests/functional/test_stop_lines.py
+++ b/tests/functional/test_stop_lines.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import os
+import pathlib
 import signal
+import subprocess
+import sys
+import tempfile
+import time
 
 from masticward import events
 from masticward.daemons import gateway as gateway_daemon
 from masticward.utils import clocks
 from tests.functional import test_gateway, test_request_lines
-from tests.lib import platform_standins
+from tests.lib import loops, platform_standins
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SCRIPT = ROOT / "deploy" / "gateway.py"
+LAUNCHER = ROOT / "tests" / "lib" / "launch.py"
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -38,6 +46,39 @@
         self.assertEqual(0, await running)
 
 
+class RepeatedSignalTest(loops.UvloopTestCase):
+    """Guards against a second signal that ends the process before its last log lines are out."""
+
+    async def test_signals_until_the_end_do_not_kill_the_process(self) -> None:
+        store = platform_standins.StoreStandin()
+        await store.start()
+        self.addAsyncCleanup(store.stop)
+        directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        settings = directory / "node.yaml"
+        settings.write_text(
+            platform_standins.SETTINGS.format(
+                ip="127.0.0.1", store=store.address, revoke_ms=5000, grace_s=8
+            )
+        )
+        log = directory / "log"
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                [sys.executable, str(LAUNCHER), str(SCRIPT)],
+                env={**os.environ, "MASTICWARD_SETTINGS": str(settings)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        self.addCleanup(process.kill)
+        deadline = time.monotonic() + 20.0
+        while b'"number":8001' not in log.read_bytes() and time.monotonic() < deadline:
+            await asyncio.sleep(0.05)
+        while process.poll() is None and time.monotonic() < deadline:
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.005)
+        self.assertEqual(0, process.wait(timeout=5))
+        self.assertIn(b'"number":1003', log.read_bytes())
+
+
 class StopLinesTest(test_request_lines.RequestLinesCase):
     """Guards against a process that is killed in its stop and whose log names no open request."""
 
