A stop waits for a request that arrives while an answer ends

Callers saw (possible; not seen in a record): on an open connection a request that arrived with the end of the answer before it is reset, if the stop looks for open requests in the one pass of the event loop in which it is in the kernel only.

Cause: the connection counted as unused from the end of the answer until the first read. close_if_idle and close_unused count such a connection already.

Change: the end of an answer uses the same decision.

Test: failed before, with no open request counted.

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -472,9 +472,10 @@
                 self.machine.start_next_cycle()
                 self.busy = False
                 listener = self.server.listener
-                if listener is not None and listener.closed and not self.has_unread_request():
-                    self.close("stopping")
-                    return
+                if listener is not None and listener.closed:
+                    self.close_unless_request_arrived()
+                    if not self.busy:
+                        return
             closing = self.channel.peer_gone or self.channel.transport.is_closing()
             if not closing and self.has_unread_request():
                 LOGGER.log(
--- a/tests/functional/test_stop_lines.py
+++ b/tests/functional/test_stop_lines.py
@@ -8,9 +8,11 @@
 import sys
 import tempfile
 import time
+import unittest.mock
 
 from masticward import events
 from masticward.daemons import gateway as gateway_daemon
+from masticward.transport import http1_server
 from masticward.utils import clocks
 from tests.functional import test_gateway, test_request_lines
 from tests.lib import loops, platform_standins
@@ -46,6 +48,43 @@
         self.assertEqual(0, await running)
 
 
+class UnreadRequestTest(test_gateway.GatewayCase):
+    """Guards against a stop that ends before it has read a request that has arrived."""
+
+    async def test_a_request_that_follows_an_answer_keeps_the_process(self) -> None:
+        released = asyncio.Event()
+
+        async def answer(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            await released.wait()
+            return await platform_standins.send_complete_response(request, writer)
+
+        await self.add_endpoint("e1", answer)
+        await self.start()
+        reader, writer = await self.send(self.request("book"))
+        await self.wait_until(lambda: self.attempts() == 1)
+        server = self.program.client_server
+        (connection,) = server.connections
+        # The head of an answer that has begun before the stop says nothing of its end.
+        with unittest.mock.patch.object(
+            http1_server.Responder, "closes_connection", new_callable=unittest.mock.PropertyMock
+        ) as closes_connection:
+            closes_connection.return_value = False
+            server.stop_listening()
+            # The kernel has bytes that the event loop has not seen yet.
+            with unittest.mock.patch.object(
+                http1_server.ServerConnection, "has_unread_request", return_value=True
+            ):
+                released.set()
+                self.assertEqual(200, (await self.read(reader)).status)
+                await self.wait_until(lambda: connection.reading is not None)
+            self.assertEqual(1, server.busy)
+        writer.write(self.request("book"))
+        self.assertEqual(200, (await self.read(reader)).status)
+        writer.close()
+
+
 class RepeatedSignalTest(loops.UvloopTestCase):
     """Guards against a second signal that ends the process before its last log lines are out."""
 
