--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections.abc
 import signal
+import types
 import typing
 
 from masticward import errors, events, logs, metrics
+from masticward.daemons import stop_monitor
 from masticward.gateway import (
     calls,
     followers,
@@ -27,7 +29,6 @@
 
 # The platform kills the process at the end of the grace period; the process exits before that.
 STOP_MARGIN_SECONDS = 0.6
-STOP_POLL_INTERVAL_SECONDS = 0.05
 # Requests that arrive in part are refused this long before the end, for the refusal to be read.
 STOP_READING_SECONDS = 0.4
 TICK_INTERVAL_SECONDS = 0.25
@@ -40,6 +41,7 @@
 RELOAD_INTERVAL_SECONDS = 2.0
 # Keeps a task that fails immediately on each start from using all CPU time.
 TASK_RESTART_DELAY_SECONDS = 0.2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 LOGGER = logs.get_logger(__name__)
 
 
@@ -75,6 +77,7 @@
         read_settings: collections.abc.Callable[[], gateway.GatewaySettings],
     ) -> None:
         self.settings = settings
+        self.codec = codec
         self.read_settings = read_settings
         self.metrics = metrics.ProcessMetrics()
         self.fleet = fleet_module.FleetState(settings)
@@ -406,29 +409,36 @@
         self.peering.apply_settings(loaded)
         LOGGER.log(events.Event.SETTINGS_RELOADED, needs_restart=needs_restart)
 
-    async def stop(self) -> None:
+    async def stop(self, signalled_at: float | None = None) -> None:
         """Leave the load balancer's rotation, finish open requests, then stop.
 
         Requests that cannot end before the end of the grace period are refused from the start.
-        Those that are still open shortly before it are aborted.
+        Those that are still open shortly before it are aborted. The grace period began at
+        ``signalled_at`` (``clocks.boot_time``), or begins now.
         """
-        started = clocks.boot_time()
+        started = clocks.boot_time() if signalled_at is None else signalled_at
         abort_at = started + self.settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
+        late_seconds = clocks.boot_time() - started
         LOGGER.log(
             events.Event.PROCESS_STOPPING,
             instance=self.settings.instance_id,
             unfinished=self.client_server.busy,
             connections=len(self.client_server.connections),
+            late_ms=stop_monitor.to_milliseconds(late_seconds),
+            ends_in_ms=stop_monitor.to_milliseconds(abort_at - clocks.boot_time()),
+            grace_ms=stop_monitor.to_milliseconds(self.settings.bounds.stop_grace_seconds),
         )
+        monitor = stop_monitor.StopMonitor(self.client_server, self.codec, abort_at)
+        monitor.record_lateness(late_seconds)
         self.stopping = True
         self.peering.stopping = True
         self.fleet.stopping_at = started
         self.fleet.ends_at = abort_at
         self.client_server.stopping = True
-        await asyncio.sleep(load_shedding.ROTATION_EXIT_SECONDS)
+        await monitor.sleep_until(clocks.boot_time() + load_shedding.ROTATION_EXIT_SECONDS)
         self.client_server.stop_listening()
         while self.client_server.busy and clocks.boot_time() < abort_at:
-            await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
+            await monitor.sleep()
             self.client_server.close_unused()
             reads_end = clocks.boot_time() >= abort_at - STOP_READING_SECONDS
             if reads_end and not self.client_server.reading_stopped:
@@ -442,19 +452,46 @@
             cut=cut.total(),
             cut_by_stage={stage.value: count for stage, count in cut.items()},
             connections=connections,
-            stopping_ms=round((clocks.boot_time() - started) * 1000),
+            stopping_ms=stop_monitor.to_milliseconds(clocks.boot_time() - started),
+            late_ms=stop_monitor.to_milliseconds(monitor.longest_late_seconds),
         )
 
 
+class StopSignal:
+    """Waits for SIGTERM or SIGINT and stores when the first of them arrived.
+
+    The event loop's own handlers are called late if it is late, and are removed before the process
+    ends. Those of the interpreter are called at once.
+    """
+
+    __slots__ = ("arrived_at", "event", "loop")
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.event = asyncio.Event()
+        # In seconds of ``clocks.boot_time``.
+        self.arrived_at: float | None = None
+
+    def install(self) -> None:
+        """Handle the signals; to be called in the main thread."""
+        for number in STOP_SIGNALS:
+            signal.signal(number, self.receive)
+
+    def receive(self, _number: int, _frame: types.FrameType | None) -> None:
+        """Store the time of the first signal and wake the event loop up."""
+        if self.arrived_at is None:
+            self.arrived_at = clocks.boot_time()
+            self.loop.call_soon_threadsafe(self.event.set)
+
+
 async def run_until_signal(program: GatewayProgram) -> int:
     """Run a program until SIGTERM or SIGINT; return its exit code."""
-    stop = asyncio.Event()
+    stop = StopSignal()
+    stop.install()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     # The default action of SIGHUP would end the process.
     loop.add_signal_handler(signal.SIGHUP, program.reload)
     await program.start()
-    await stop.wait()
-    await program.stop()
+    await stop.event.wait()
+    await program.stop(stop.arrived_at)
     return 0
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -3,7 +3,6 @@
 import abc
 import asyncio
 import collections
-import contextlib
 import enum
 import math
 
@@ -212,11 +211,11 @@
         """Note a request that was not handed on; None if its head could not be read."""
 
     def note_unfinished(  # noqa: B027
-        self, request: Request | None, stage: Stage, reason: str, client_left: bool
+        self, request: Request | None, stage: Stage, reason: str, end: http1.ConnectionEnd | None
     ) -> None:
         """Note a request that no handler answers and whose connection has ended.
 
-        ``request`` is None if its head was not read. If not the client left, the process ended.
+        ``request`` is None if its head was not read, ``end`` if the process ended.
         """
 
 
@@ -326,6 +325,14 @@
             unread_bytes -= connection.unread_bytes
             connection.reset("unread bytes")
 
+    def open_requests(self) -> list[tuple[Request | None, Stage]]:
+        """Return the open requests, None for those without a head, and how far they are."""
+        return [
+            (connection.request, stage)
+            for connection in self.connections
+            if (stage := connection.stage()) is not None
+        ]
+
     def abort(self) -> collections.Counter[Stage]:
         """Reset all connections; return the number of open requests by stage."""
         self.aborted = True
@@ -337,7 +344,7 @@
                 # Handlers note their own requests when they are cancelled.
                 if connection.responder is None:
                     self.handler.note_unfinished(
-                        connection.request, stage, "the process ended", False
+                        connection.request, stage, "the process ended", None
                     )
             connection.channel.abort()
         return stages
@@ -358,6 +365,7 @@
         "responder",
         "served",
         "server",
+        "unsent_request",
     )
 
     def __init__(self, server: Server, channel: http1.Channel) -> None:
@@ -376,6 +384,8 @@
         self.request: Request | None = None
         # Set while a handler answers.
         self.responder: Responder | None = None
+        # The last request, if its answer was not written out when its handler had ended.
+        self.unsent_request: Request | None = None
 
     def open_machine(self, head_bytes: int) -> None:
         """Start the protocol anew, with a limit on the size of heads."""
@@ -462,9 +472,10 @@
                 self.machine.start_next_cycle()
                 self.busy = False
                 listener = self.server.listener
-                if listener is not None and listener.closed and not self.has_unread_request():
-                    self.close("stopping")
-                    return
+                if listener is not None and listener.closed:
+                    self.close_unless_request_arrived()
+                    if not self.busy:
+                        return
             closing = self.channel.peer_gone or self.channel.transport.is_closing()
             if not closing and self.has_unread_request():
                 LOGGER.log(
@@ -482,8 +493,13 @@
         finally:
             self.channel.protocol.on_peer_gone = None
             self.channel.writer.close()
-            with contextlib.suppress(OSError):
+            try:
                 await self.channel.writer.wait_closed()
+            except OSError as error:
+                if self.unsent_request is not None and not self.server.aborted:
+                    self.server.handler.note_unfinished(
+                        self.unsent_request, Stage.WRITING, str(error), self.channel.end
+                    )
 
     async def serve_request(self) -> bool:
         """Serve one request; returns whether another may follow."""
@@ -502,7 +518,9 @@
             return False
         except OSError as error:
             if self.busy and not self.server.aborted:
-                self.server.handler.note_unfinished(self.request, Stage.READING, str(error), True)
+                self.server.handler.note_unfinished(
+                    self.request, Stage.READING, str(error), self.channel.end
+                )
             raise
         except errors.BadRequestError as error:
             await self.refuse(413, str(error))
@@ -523,14 +541,20 @@
         if not responder.ended:
             self.channel.abort()
             return False
-        return self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE
+        if self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE:
+            return True
+        if self.channel.unsent_bytes:
+            self.unsent_request = request
+        return False
 
     async def handle_watched(self, request: Request, responder: Responder) -> None:
         """Run the handler and cancel it when the client leaves."""
         if self.channel.peer_gone:
             if not self.server.aborted:
                 reason = self.channel.protocol.end_reason
-                self.server.handler.note_unfinished(request, Stage.WAITING, reason, True)
+                self.server.handler.note_unfinished(
+                    request, Stage.WAITING, reason, self.channel.end
+                )
             self.channel.abort()
             return
         self.responder = responder
