Soak: sound endpoints that pause and refuse, and a report of every request cut by a stop

Streams that may be resumed and idempotent requests go to a service whose endpoints pause for 1 to 3.5 s, before a response or between events, and refuse to run a request now and then (503, not run). Both are sound behaviour, so that no disturbance is noted and planned work may lose none of them.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,9 @@
 # Callers that only send stories, from this number on.
 STORY_CLIENTS = 4
 FIRST_STORY_CLIENT = 1000
+# Callers whose endpoints pause and refuse.
+SERIAL_CLIENTS = 10
+FIRST_SERIAL_CLIENT = 2000
 DEADLINE_SECONDS = 2.5
 # What a caller waits beyond its deadline before it leaves.
 PATIENCE_SECONDS = 1.5
@@ -20,16 +23,19 @@
 DRAFT_DEADLINE_SECONDS = 9.0
 # Stories may last longer than the time that their callers or the route give them.
 STORY_DEADLINES_SECONDS = (1.0, 3.0, 5.0, 10.0)
+DEADLINES_SECONDS = {"draft": DRAFT_DEADLINE_SECONDS, "serial": 10.0}
 ROUTES = ("book", "status", "moving", "plan", "note", "draft")
-KEYED_ROUTES = ("plan", "note", "draft", "story")
+SERIAL_ROUTES = ("serial", "serial", "lookup")
+KEYED_ROUTES = ("plan", "note", "draft", "story", "serial")
 # Shares of requests that wait on their connection before they are sent, that are sent in two
 # parts, whose bodies have no length, and of stories that are sent slowly.
 HELD_SHARE = 0.1
+HELD_SERIAL_SHARE = 0.3
 PARTED_SHARE = 0.1
 SLOW_UPLOAD_SHARE = 0.3
 SLOW_UPLOAD_PARTS = 8
 CHUNKED_SHARE = 0.3
-METHODS = {"status": b"GET", "moving": b"GET"}
+METHODS = {"status": b"GET", "moving": b"GET", "lookup": b"GET"}
 
 
 class Outcome(enum.Enum):
@@ -78,7 +84,7 @@
         # Number of events that a stream is asked for.
         self.events = endpoints.STREAM_EVENTS
         # Time that the caller gives the request.
-        self.deadline_seconds = DRAFT_DEADLINE_SECONDS if route == "draft" else DEADLINE_SECONDS
+        self.deadline_seconds = DEADLINES_SECONDS.get(route, DEADLINE_SECONDS)
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
         self.body = b""
@@ -97,7 +103,7 @@
     @property
     def repeatable(self) -> bool:
         """Whether the route allows more than one run."""
-        return self.route in ("status", "moving", "note")
+        return self.route in ("status", "moving", "note", "serial", "lookup")
 
 
 class Callers:
@@ -116,6 +122,8 @@
             self.add(number)
         for number in range(FIRST_STORY_CLIENT, FIRST_STORY_CLIENT + STORY_CLIENTS):
             self.add(number, ("story",))
+        for number in range(FIRST_SERIAL_CLIENT, FIRST_SERIAL_CLIENT + SERIAL_CLIENTS):
+            self.add(number, SERIAL_ROUTES)
 
     def add(self, number: int, routes: tuple[str, ...] = ROUTES) -> None:
         """Start one more caller."""
@@ -138,7 +146,7 @@
     async def stop(self) -> None:
         """Let the callers finish what they have sent."""
         self.stopping = True
-        longest_seconds = max(DRAFT_DEADLINE_SECONDS, *STORY_DEADLINES_SECONDS)
+        longest_seconds = max(*DEADLINES_SECONDS.values(), *STORY_DEADLINES_SECONDS)
         await asyncio.wait(self.tasks, timeout=longest_seconds + PATIENCE_SECONDS + 1.0)
         for task in self.tasks:
             task.cancel()
@@ -184,7 +192,8 @@
             call.detail = str(error)
             call.ended_at = time.monotonic()
             return None
-        if seeded.random() < HELD_SHARE:
+        held_share = HELD_SERIAL_SHARE if call.route in SERIAL_ROUTES else HELD_SHARE
+        if seeded.random() < held_share:
             # Connections stay open unused, and the first request may come at any moment of a stop.
             await asyncio.sleep(seeded.uniform(0.5, 6.0))
             if channel.peer_gone:
@@ -252,6 +261,8 @@
             call.events = seeded.randint(4, endpoints.MAX_DRAFT_EVENTS)
         if call.route == "story":
             call.events = seeded.randint(4, endpoints.MAX_STORY_EVENTS)
+        if call.route == "serial":
+            call.events = seeded.randint(4, endpoints.MAX_SERIAL_EVENTS)
         if call.route in KEYED_ROUTES:
             call.team = seeded.choice(world.TEAMS)
             keys = self.fleet.keys[call.team]
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -17,6 +17,15 @@
 MAX_STORY_EVENTS = 80
 MAX_STORY_EVENT_SECONDS = 0.3
 TOKENS_PER_EVENT = 5
+# Endpoints of this service are sound, but pause now and then before a response, or between the
+# events of a serial, and now and then refuse to run a request.
+SERIAL_SERVICE = "serial"
+SERIAL_ENDPOINTS = 3
+MAX_SERIAL_EVENTS = 24
+SERIAL_EVENT_SECONDS = 0.3
+SERIAL_PAUSE_SECONDS = (1.0, 3.5)
+SERIAL_PAUSE_SHARE = 0.08
+SERIAL_REFUSAL_SHARE = 0.15
 
 
 class Arrival:
@@ -140,8 +149,18 @@
             return await platform_standins.shed_request(request, writer)
         if chance() < self.mute:
             return await platform_standins.never_respond(request, writer)
-        stream = request.target.startswith(("/plan/", "/note/", "/draft/", "/story/"))
+        stream = request.target.startswith(("/plan/", "/note/", "/draft/", "/story/", "/serial/"))
         await asyncio.sleep(self.random.uniform(0.005, 0.04) * self.slow)
+        if self.service == SERIAL_SERVICE and chance() < SERIAL_REFUSAL_SHARE:
+            arrival.run = False
+            writer.write(
+                b"HTTP/1.1 503 Service Unavailable\r\nX-Masticward-Not-Executed: 1\r\n"
+                b"X-Masticward-Request-Id: %b\r\nContent-Length: 0\r\n\r\n"
+                % request.request_id.encode()
+            )
+            return True
+        if self.service == SERIAL_SERVICE and chance() < SERIAL_PAUSE_SHARE:
+            await asyncio.sleep(self.random.uniform(*SERIAL_PAUSE_SECONDS))
         if chance() < self.answer_lost:
             return False
         if chance() < self.fails:
@@ -170,6 +189,9 @@
         events = int(counts.partition(",")[2]) // TOKENS_PER_EVENT
         draft = request.target.startswith("/draft/")
         story = random.Random(request.request_id) if request.target.startswith("/story/") else None
+        serial = None
+        if request.target.startswith("/serial/"):
+            serial = random.Random(f"{request.request_id} from {first}")
         interval_seconds = (DRAFT_EVENT_SECONDS if draft else EVENT_SECONDS) * self.slow
         for number in range(first, events + 1):
             event = f"id: {number}\ndata: {request.request_id}\n\n".encode()
@@ -180,6 +202,15 @@
             await writer.drain()
             if story is not None:
                 interval_seconds = story.uniform(0.0, MAX_STORY_EVENT_SECONDS) * self.slow
+            if serial is not None:
+                interval_seconds = serial_interval_seconds(serial) * self.slow
             await asyncio.sleep(interval_seconds)
         writer.write(b"0\r\n\r\n")
         return True
+
+
+def serial_interval_seconds(seeded: random.Random) -> float:
+    """Return the time to the next event of a serial, now and then a pause."""
+    if seeded.random() < SERIAL_PAUSE_SHARE:
+        return seeded.uniform(*SERIAL_PAUSE_SECONDS)
+    return seeded.uniform(0.0, SERIAL_EVENT_SECONDS)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,6 +1,7 @@
 """Checks of what callers and endpoints saw against what the pages promise."""
 
 import collections
+import itertools
 
 from tests.soak import callers, endpoints, world
 
@@ -12,12 +13,16 @@
 # A stopping gateway closes the connection of a request that it doesn't pass on within this time.
 LOSS_SECONDS = 0.2
 # The rules excuse a request that was sent up to this long after a SIGTERM and on which an endpoint
-# still worked in the last part of the grace. Only stories can be so long.
+# still worked in the last part of the grace. Only streams of these routes can be so long.
+LONG_ROUTES = ("story", "serial")
 LATE_REQUEST_SECONDS = 3.0
 LAST_WORK_SECONDS = world.GRACE_SECONDS * 5 / 6
+# Two endpoints may be at work on one stream for no longer.
+TWICE_SECONDS = 0.4
 # A gateway may have sent requests before it reads that an endpoint wants nothing.
 PAUSE_SLACK_SECONDS = 0.5
 MOST_IN_PAUSE = 2
+LIMIT_REACHED = "time limit reached"
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5
 
@@ -47,7 +52,9 @@
         found = list(self.fleet.findings)
         for check in (
             self.whole_and_own_answers,
+            self.parts_of_cut_answers,
             self.at_most_once,
+            self.one_endpoint_at_work,
             self.true_refusals,
             self.own_team,
             self.revoked_keys,
@@ -77,6 +84,35 @@
                 found.append(f"{call.request_id} got a success without proof")
         return found
 
+    def parts_of_cut_answers(self) -> list[str]:
+        """What came of a success that was cut or left is the beginning of its whole answer."""
+        return [
+            f"{call.request_id} got {call.body[-80:]!r} before it was cut"
+            for call in self.calls
+            if call.outcome is not callers.Outcome.ANSWERED
+            and call.status == 200
+            and not callers.expected_body(call).startswith(call.body)
+        ]
+
+    def one_endpoint_at_work(self) -> list[str]:
+        """A stream that goes on at another endpoint ends at the one before within the bound."""
+        found = []
+        for request_id, runs in self.runs.items():
+            call = self.by_id[request_id]
+            if call.route not in callers.KEYED_ROUTES:
+                continue
+            for before, after in itertools.pairwise(runs):
+                over_at = after.at + TWICE_SECONDS
+                if (
+                    min(before.ended_at, after.ended_at) > over_at
+                    and call.gateway.calm(after.at, over_at)
+                    and before.endpoint.calm(after.at, over_at)
+                    and after.endpoint.calm(after.at, over_at)
+                ):
+                    both = min(before.ended_at, after.ended_at) - after.at
+                    found.append(f"{request_id} ran at two endpoints for {both:.2f} s")
+        return found
+
     def at_most_once(self) -> list[str]:
         """What must not be repeated runs once; the others run twice at most."""
         return [
@@ -227,9 +263,8 @@
         """
         found = []
         for call in self.calls:
-            if call.outcome is not callers.Outcome.CUT or call.limit_reached:
+            if call.outcome is not callers.Outcome.CUT:
                 continue
-            runs = self.runs.get(call.request_id, [])
             for stop_at in call.gateway.stops:
                 if (
                     not stop_at - call.deadline_seconds
@@ -237,10 +272,7 @@
                     < (stop_at + world.GRACE_SECONDS)
                 ):
                     continue
-                calm = call.gateway.calm(call.sent_at, call.ended_at)
-                sound = all(run.endpoint.calm(run.at, call.ended_at) for run in runs)
-                held = call.sent_whole_at and call.ended_at > call.sent_whole_at + LOSS_SECONDS
-                if (runs or held) and calm and sound and not self.outlasts_stop(call, stop_at):
+                if not self.excuse(call, stop_at):
                     sent, ended = call.sent_whole_at - stop_at, call.ended_at - stop_at
                     found.append(
                         f"{call.request_id} was sent {sent:.2f} s after a SIGTERM and cut "
@@ -248,10 +280,26 @@
                     )
         return found
 
+    def excuse(self, call: callers.Call, stop_at: float | None) -> str:
+        """Return why a cut request does not count as lost, around a stop or not, "" if it does."""
+        runs = self.runs.get(call.request_id, [])
+        held = call.sent_whole_at and call.ended_at > call.sent_whole_at + LOSS_SECONDS
+        if call.limit_reached:
+            return LIMIT_REACHED
+        if not runs and not held:
+            return "not passed on"
+        if not call.gateway.calm(call.sent_at, call.ended_at):
+            return "gateway disturbed"
+        if not all(run.endpoint.calm(run.at, call.ended_at) for run in runs):
+            return "endpoint disturbed"
+        if stop_at is not None and self.outlasts_stop(call, stop_at):
+            return "at work at the end of the grace"
+        return ""
+
     def outlasts_stop(self, call: callers.Call, stop_at: float) -> bool:
-        """Whether a story was at work in the last part of the grace, and sent early enough."""
+        """Whether a long one was at work in the last part of the grace, and sent early enough."""
         return (
-            call.route == "story"
+            call.route in LONG_ROUTES
             and call.sent_whole_at <= stop_at + LATE_REQUEST_SECONDS
             and any(
                 run.at < stop_at + LAST_WORK_SECONDS <= run.ended_at
@@ -285,7 +333,7 @@
     def repeat_budget(self) -> list[str]:
         """Repeated sends to a service stay within the budget of the whole fleet."""
         found = []
-        for service in ("llm", "app", "moved"):
+        for service in world.SERVICES:
             first: set[str] = set()
             repeats: list[float] = []
             for arrival in self.arrivals:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,13 +8,14 @@
 import asyncio
 import collections
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
 import time
 import typing
 
-from tests.soak import callers, faults, promises, world
+from tests.soak import callers, faults, promises, stops, world
 
 # Mean time between two faults; they last for up to nine seconds, so that several overlap.
 FAULT_GAP_SECONDS = 0.8
@@ -24,6 +25,7 @@
 # Part of the calm requests at the end that must be answered with success.
 SERVED_SHARE = 0.9
 FINDINGS_SHOWN = 12
+COUNTS_PATTERN = re.compile(r"^stops (\d+): (\d+) lost, (\d+) cut otherwise, (\d+) excused$", re.M)
 
 
 class Result(typing.NamedTuple):
@@ -32,6 +34,8 @@
     seed: int
     findings: list[str]
     summary: str
+    # What became of the requests that were cut.
+    cuts: stops.CutReport
 
 
 async def play_seed(
@@ -39,12 +43,14 @@
     seconds: float,
     kinds: tuple[type[faults.Fault], ...] = faults.ALL_KINDS,
     gateway_count: int = world.GATEWAYS,
+    checkout: pathlib.Path = world.ROOT,
 ) -> Result:
     """Play one seed for a time and check it."""
-    fleet = world.World(seed, gateway_count)
+    fleet = world.World(seed, gateway_count, checkout)
     load = callers.Callers(fleet)
     findings: list[str] = ["it was not played to its end"]
     played: collections.Counter[str] = collections.Counter()
+    cuts = stops.CutReport()
     try:
         await fleet.start()
         load.start()
@@ -60,7 +66,9 @@
         findings = [f"fault failed: {task.exception()!r}" for task in running if task.exception()]
         findings += await check_recovery(fleet, load)
         await load.stop()
-        findings += promises.Promises(fleet, load.calls).check()
+        checks = promises.Promises(fleet, load.calls)
+        findings += checks.check()
+        cuts.add(fleet, checks)
         findings += failed_tasks(fleet)
     finally:
         await load.stop()
@@ -69,7 +77,7 @@
         findings.insert(0, f"logs are in {fleet.directory}")
     outcomes = collections.Counter(f"{call.outcome.value} {call.status}" for call in load.calls)
     summary = f"{len(load.calls)} calls {dict(outcomes)}; {dict(played)}"
-    return Result(seed, findings, f"{summary}; longest stall {fleet.longest_stall:.2f} s")
+    return Result(seed, findings, f"{summary}; longest stall {fleet.longest_stall:.2f} s", cuts)
 
 
 async def check_recovery(fleet: world.World, load: callers.Callers) -> list[str]:
@@ -112,18 +120,36 @@
         "--planned", action="store_true", help="only stops, reloads and changes of configuration"
     )
     parser.add_argument("--gateways", type=int, default=world.GATEWAYS, help="in each seed")
+    parser.add_argument(
+        "--checkout",
+        type=pathlib.Path,
+        default=world.ROOT,
+        help="directory of the sources whose gateways are played",
+    )
     parser.add_argument("--jobs", type=int, default=1, help="seeds that play at the same time")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     seeds = list(range(int(first), int(last or first) + 1))
     if len(seeds) == 1:
         kinds = faults.PLANNED_KINDS if arguments.planned else faults.ALL_KINDS
-        result = asyncio.run(play_seed(seeds[0], arguments.seconds, kinds, arguments.gateways))
+        result = asyncio.run(
+            play_seed(
+                seeds[0],
+                arguments.seconds,
+                kinds,
+                arguments.gateways,
+                arguments.checkout.resolve(),
+            )
+        )
         print(f"seed {result.seed}: {'BROKEN' if result.findings else 'held'}; {result.summary}")
         for item in result.findings[:FINDINGS_SHOWN]:
             print(f"  {item}")
+        for line in result.cuts.lines:
+            print(f"  {line}")
+        print(result.cuts.summary)
         sys.exit(1 if result.findings else 0)
     options = ["--seconds", str(arguments.seconds), "--gateways", str(arguments.gateways)]
+    options += ["--checkout", str(arguments.checkout)]
     if arguments.planned:
         options.append("--planned")
     sys.exit(0 if play_many(seeds, options, arguments.jobs) else 1)
@@ -134,6 +160,7 @@
     waiting = list(seeds)
     playing: dict[int, subprocess.Popen[bytes]] = {}
     held = True
+    counts = [0, 0, 0, 0]
     with tempfile.TemporaryDirectory(prefix="masticward-soak-output-") as directory:
         while waiting or playing:
             while waiting and len(playing) < jobs:
@@ -144,6 +171,9 @@
                 held = playing.pop(seed).returncode == 0 and held
                 output = output_path(directory, seed).read_text(errors="replace")
                 print(output.rstrip(), flush=True)
+                for found in COUNTS_PATTERN.findall(output):
+                    counts = [sum(pair) for pair in zip(counts, map(int, found), strict=True)]
+    print("all seeds: " + stops.SUMMARY.format(*counts))
     return held
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,6 +20,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 LAUNCHER = ROOT / "tests" / "lib" / "launch.py"
+# Services with the number of their endpoints at the start.
+SERVICES = {"llm": 4, "app": 3, "moved": 2, endpoints.SERIAL_SERVICE: endpoints.SERIAL_ENDPOINTS}
+ENGINE_SERVICES = ("llm", endpoints.SERIAL_SERVICE)
 ZONES = ("z1", "z2", "z3")
 GATEWAYS = 3
 TEAMS = ("team-a", "team-b", "team-c")
@@ -38,6 +41,8 @@
     "note": 4.0,
     "draft": 10.0,
     "story": 8.0,
+    "serial": 10.0,
+    "lookup": 4.0,
 }
 REPEAT_RATIO = 0.2
 REPEAT_SLACK = 58
@@ -132,8 +137,12 @@
 class World:
     """Everything that one seed plays with."""
 
-    def __init__(self, seed: int, gateway_count: int = GATEWAYS) -> None:
+    def __init__(
+        self, seed: int, gateway_count: int = GATEWAYS, checkout: pathlib.Path = ROOT
+    ) -> None:
         self.gateway_count = gateway_count
+        # Whose gateways are played.
+        self.checkout = checkout
         self.random = random.Random(seed)
         self.seed = seed
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix=f"masticward-soak-{seed}-"))
@@ -159,7 +168,7 @@
         """Start stand-ins and gateways, and wait until all gateways are ready."""
         await self.store.start()
         self.publish()
-        for service, count in (("llm", 4), ("app", 3), ("moved", 2)):
+        for service, count in SERVICES.items():
             for number in range(count):
                 await self.add_endpoint(service, ZONES[number % len(ZONES)])
         ports = [free_port() for _ in range(3)]
@@ -201,11 +210,12 @@
         gateway.starts += 1
         gateway.expected_exit = False
         environment = {name: value for name, value in os.environ.items() if name[:3] != "UV_"}
+        environment["PYTHONPATH"] = str(self.checkout / "src")
         environment["MASTICWARD_SETTINGS"] = str(self.directory / f"{gateway.name}.yaml")
         log_path = self.directory / f"{gateway.name}.{gateway.starts}.log"
         with log_path.open("wb") as log:
             gateway.process = subprocess.Popen(
-                [sys.executable, str(LAUNCHER), str(ROOT / "deploy" / "gateway.py")],
+                [sys.executable, str(LAUNCHER), str(self.checkout / "deploy" / "gateway.py")],
                 env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -286,7 +296,7 @@
             service=endpoint.service,
             zone=endpoint.zone,
             state=state,
-            slots=64 if endpoint.service == "llm" else 6,
+            slots=64 if endpoint.service in ENGINE_SERVICES else 6,
             cold_remaining_ms=remaining * 1000,
         )
 
@@ -325,6 +335,15 @@
                 route("note", "stream", "llm", public=False, resumable=True, max_attempts=2),
                 route("draft", "stream", "llm", public=False),
                 route("story", "stream", "llm", public=False),
+                route(
+                    "serial",
+                    "stream",
+                    endpoints.SERIAL_SERVICE,
+                    public=False,
+                    resumable=True,
+                    max_attempts=2,
+                ),
+                route("lookup", "idempotent", endpoints.SERIAL_SERVICE, max_attempts=2),
             ],
             services=[
                 {
@@ -334,6 +353,11 @@
                     "cold_per_s": COLD_PER_SECOND,
                     "engine": {"slots": 64, "kv_capacity_tokens": 500_000},
                 },
+                {
+                    "name": endpoints.SERIAL_SERVICE,
+                    "max_connections": 200,
+                    "engine": {"slots": 64, "kv_capacity_tokens": 500_000},
+                },
                 {"name": "app", "max_connections": 100},
                 {"name": "moved", "max_connections": 100},
             ],
