--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -173,7 +173,8 @@
                 print(output.rstrip(), flush=True)
                 for found in COUNTS_PATTERN.findall(output):
                     counts = [sum(pair) for pair in zip(counts, map(int, found), strict=True)]
-    print("all seeds: " + stops.SUMMARY.format(*counts))
+    if any(counts):
+        print("all seeds: " + stops.SUMMARY.format(*counts))
     return held
 
 
