Soak: a request that one stop cut with an excuse is not counted for the next stop

stops_cut_nothing compared each cut request with every SIGTERM whose time window holds its sending, also with one that came after the request had ended. The gateway was started again and got its next SIGTERM 1.85 s after the cut, for which the request was reported. Only a request with that excuse is left out, and only for stops that came after its end; a unit test shows both sides.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -265,7 +265,15 @@
         for call in self.calls:
             if call.outcome is not callers.Outcome.CUT:
                 continue
+            outlasted = any(
+                self.outlasts_stop(call, stop_at)
+                for stop_at in call.gateway.stops
+                if stop_at < call.ended_at
+            )
             for stop_at in call.gateway.stops:
+                # The stop that cut it excuses it for the next one of the restarted gateway.
+                if outlasted and call.ended_at < stop_at:
+                    continue
                 if (
                     not stop_at - call.deadline_seconds
                     < call.sent_at
--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -63,6 +63,17 @@
             self.assertEqual(1, len(checks.parts_of_cut_answers()))
 
 
+class NextStopTest(PromisesCase):
+    def test_what_one_stop_excuses_is_not_lost_at_the_next_one(self) -> None:
+        call = self.cut_call(-0.3, 7.4)
+        self.gateway.stops.append(STOP_AT + 9.2)
+        self.add_run("e1", -0.3, 7.4)
+        self.assertEqual([], promises.Promises(self.fleet, [call]).stops_cut_nothing())
+        self.fleet.endpoints["e1"].arrivals[0].ended_at = STOP_AT + 6.0
+        found = promises.Promises(self.fleet, [call]).stops_cut_nothing()
+        self.assertEqual(2, len(found))
+
+
 class CutReportTest(PromisesCase):
     def test_a_request_cut_by_a_stop_is_lost_and_its_log_lines_are_named(self) -> None:
         (self.fleet.directory / "g0.1.log").write_text(
