--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -282,6 +282,14 @@
         )
         self.assertEqual([200] * 3, [response and response.status for response in responses])
 
+    async def test_a_late_stream_that_outlasts_all_recent_ones_is_not_cut(self) -> None:
+        # A gateway that has served short streams only expects a short one, but this one pauses.
+        self.event_interval_seconds = 0.05
+        self.assertEqual(200, (await self.call("stream")).status)
+        connection = await self.connect()
+        self.event_interval_seconds = 0.375
+        await self.play(self.send_halves(*connection, 3.1))
+
     async def test_an_unused_connection_is_closed_instead_of_cut_later(self) -> None:
         # A long stream keeps the process alive; the unused connection stayed open, and its first
         # request was begun late and cut.
