A late request of a stopping gateway is begun only if its own time ends before the process

Cause: fleet.can_finish compares with 1.5 times the slowest recent request of the route. A stream may take longer than all recent ones, in particular at a gateway that has served few.

In test_run_times the calls have one more argument.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -209,11 +209,26 @@
         return configuration.team_of_key.get(api_key)
 
     def can_finish(
-        self, route: gateway.Route, output_tokens: int, response_deadline: float, now: float
+        self,
+        route: gateway.Route,
+        output_tokens: int,
+        response_deadline: float,
+        now: float,
+        received_at: float,
     ) -> bool:
-        """Return whether a request that is sent now will be answered before the process ends."""
+        """Return whether a request that is sent now will be answered before the process ends.
+
+        That is expected of one like the recent ones of its route. Of one that was received whole
+        after this process has left the load balancer's rotation it must be certain: its client
+        reaches another gateway at once.
+        """
         if response_deadline <= self.ends_at:
             return True
+        if (
+            self.stopping_at is not None
+            and received_at > self.stopping_at + load_shedding.ROTATION_EXIT_SECONDS
+        ):
+            return False
         expected_seconds = self.run_times.expected_seconds(route.name, output_tokens, now)
         if expected_seconds is None:
             return False
--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -144,7 +144,7 @@
         """Raise RefusalError if the process ends before the request can be answered."""
         now = clocks.boot_time()
         deadline = min(metadata.deadline, metadata.arrived_at + route.timeout_seconds)
-        if self.fleet.can_finish(route, metadata.output_tokens, deadline, now):
+        if self.fleet.can_finish(route, metadata.output_tokens, deadline, now, now):
             return
         delay = STOPPING_RETRY_JITTER_SECONDS * random.random()
         if self.available_peers() < MIN_PEERS_FOR_RETRY:
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -138,6 +138,8 @@
         self.team = team
         self.request = request
         self.responder = responder
+        # When the whole request was received.
+        self.received_at = clocks.boot_time()
         self.progress = RequestProgress(metadata.last_event_id)
         self.overlap = overlap.Overlap(self)
         self.service = choose_service(route, metadata.request_id)
@@ -293,7 +295,7 @@
             if self.response_deadline - now < MIN_ATTEMPT_SECONDS:
                 raise self.final_refusal("deadline passed", placer.MIN_RETRY_AFTER_SECONDS)
             if not self.fleet.can_finish(
-                self.route, self.metadata.output_tokens, self.deadline, now
+                self.route, self.metadata.output_tokens, self.deadline, now, self.received_at
             ):
                 raise self.final_refusal(STOPPING_REASON, placer.MIN_RETRY_AFTER_SECONDS)
             if self.progress.sends and not self.fleet.budget(self.service).take(
--- a/tests/unit/test_run_times.py
+++ b/tests/unit/test_run_times.py
@@ -50,17 +50,24 @@
             self.fleet.run_times.end(self.fleet.run_times.start(route.name, 0, 0.0), seconds)
 
     def test_every_request_is_begun_while_the_gateway_runs(self) -> None:
-        self.assertTrue(self.fleet.can_finish(self.plan, 0, 1e9, 5.0))
+        self.assertTrue(self.fleet.can_finish(self.plan, 0, 1e9, 5.0, 5.0))
 
     def test_long_requests_are_refused_before_short_ones(self) -> None:
         self.fleet.ends_at = 10.0
         begun = {
-            route.name: [now for now in range(11) if self.fleet.can_finish(route, 0, 1e9, now)]
+            route.name: [now for now in range(11) if self.fleet.can_finish(route, 0, 1e9, now, 0.0)]
             for route in (self.plan, self.book)
         }
         self.assertEqual({"r1": list(range(7)), "r2": list(range(10))}, begun)
 
     def test_a_request_whose_own_time_ends_before_is_begun(self) -> None:
         self.fleet.ends_at = 10.0
-        self.assertTrue(self.fleet.can_finish(self.plan, 0, 10.0, 9.0))
-        self.assertFalse(self.fleet.can_finish(self.plan, 0, 10.5, 9.0))
+        self.assertTrue(self.fleet.can_finish(self.plan, 0, 10.0, 9.0, 9.0))
+        self.assertFalse(self.fleet.can_finish(self.plan, 0, 10.5, 9.0, 9.0))
+
+    def test_a_late_request_is_begun_only_if_its_own_time_ends_before(self) -> None:
+        # It may take longer than all recent ones, and its client reaches other gateways.
+        self.fleet.stopping_at, self.fleet.ends_at = 1.0, 10.0
+        self.assertTrue(self.fleet.can_finish(self.book, 0, 1e9, 4.0, 3.7))
+        self.assertFalse(self.fleet.can_finish(self.book, 0, 1e9, 4.0, 3.9))
+        self.assertTrue(self.fleet.can_finish(self.book, 0, 10.0, 4.0, 3.9))
