A silent stream is kept if the other ends before its first byte

Seen by callers: a stream that had paused was reset. Its replacement had closed the connection after a head without a length, which relay_stream takes as broken, while has_begun took the end as a whole rest of the stream; the silent response was given up for it. Now both judge it alike.

Evidence: test_a_silent_response_is_kept_if_the_other_ends_without_a_byte_or_by_an_error, which failed before: the response was not ended.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -26,6 +26,7 @@
 # Shortest remaining time with which an attempt is made.
 MIN_ATTEMPT_SECONDS = 0.02
 STALE_PROOF_RETRY_AFTER_SECONDS = 0.5
+ENDED_UNBEGUN = "the stream ended before its first byte"
 STOPPING_REASON = "the gateway stops before the request can end"
 # Clients take these as "not run" and send the request again.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -492,6 +493,8 @@
         complete_events = buffer.feed(bytes(attempt.ahead))
         self.require_order(event_stream.find_ids(complete_events))
         if attempt.ended:
+            if attempt.call.exchange.unframed and not attempt.ahead:
+                raise errors.EndpointBrokenError(ENDED_UNBEGUN)
             self.require_whole_event(buffer, attempt.call)
         return attempt.ended or event_stream.EVENT_FIELD.search(complete_events) is not None
 
@@ -685,7 +688,7 @@
             if has_event:
                 next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
         if call.exchange.unframed and not attempt.received_bytes:
-            raise errors.EndpointBrokenError("the stream ended before its first byte")
+            raise errors.EndpointBrokenError(ENDED_UNBEGUN)
         self.require_whole_event(buffer, call)
         self.overlap.end()
         if self.route.resumable:
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -115,6 +115,16 @@
         self.check(model, 2, TWICE_SECONDS)
         self.assertEqual({("first", "first continued"): 1.0}, model.outcomes())
 
+    def test_a_silent_response_is_kept_if_the_other_ends_without_a_byte_or_by_an_error(
+        self,
+    ) -> None:
+        pauses = [0.0, 0.0, 0.0, 0.0, 0.0, 1.8]
+        for other in (Script(unframed=True),):
+            model = play([Script(pauses), other])
+            self.check(model, 2, TWICE_SECONDS)
+            self.assertTrue(model.responder.ended)
+            self.assertEqual({("first", "second failed"): 1.0}, model.outcomes())
+
 
 if __name__ == "__main__":
     unittest.main()
