A second attempt that meets an unexpected error is closed at once

Seen by callers: nothing, unless the first response broke off later: then the stored error ended the request. The second attempt stayed beside the first one, without a bound on the time, and counted as open.

Cause: the search ended with the error and left the attempt behind. It is closed and counted as failed now; the silent response is read on.

Evidence: the second part of test_a_silent_response_is_kept_if_the_other_ends_without_a_byte_or_by_an_error failed before: 'first continued' in place of 'second failed'.

--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -187,6 +187,7 @@
                 await self.watch(self.second)
             except Exception as error:
                 LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
+                self.end_second(Outcome.SECOND_FAILED)
                 return
             if self.outcome is not None:
                 if self.silence is not None:
@@ -227,6 +228,10 @@
             self.search.cancel()
             self.search = None
         self.outcome = None
+        self.end_second(outcome)
+
+    def end_second(self, outcome: Outcome) -> None:
+        """Close the second attempt if there is one."""
         if self.second is not None:
             self.owner.report_overlap(self, outcome)
             second, self.second = self.second, None
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -119,7 +119,7 @@
         self,
     ) -> None:
         pauses = [0.0, 0.0, 0.0, 0.0, 0.0, 1.8]
-        for other in (Script(unframed=True),):
+        for other in (Script(unframed=True), Script([0.05], "bug")):
             model = play([Script(pauses), other])
             self.check(model, 2, TWICE_SECONDS)
             self.assertTrue(model.responder.ended)
