8104 and 8117 tell the whole silence of an endpoint

Seen by operators: silent_ms of 8117 and "no response data for ... s" of 8104 had the time of the last wait alone. After a comment of the endpoint that was the rest of the 1.2 s, down to 0. Waits get the moment since which the response is silent in place of the time that is left.

Evidence: test_the_silence_that_is_logged_includes_that_before_a_comment failed before with silent_ms 200 for 1.35 s.

--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -101,10 +101,9 @@
         "outcome",
         "owner",
         "search",
-        "searched_at",
         "second",
         "silence",
-        "timeout_seconds",
+        "silent_since",
         "timer",
     )
 
@@ -116,9 +115,8 @@
         # Why the second attempt takes the place of the first one; None as long as it doesn't.
         self.outcome: Outcome | None = None
         self.search: asyncio.Task[None] | None = None
-        # When the search began, after a silence of ``timeout_seconds``.
-        self.searched_at = 0.0
-        self.timeout_seconds = 0.0
+        # Since when the first response is silent.
+        self.silent_since = 0.0
         self.timer: asyncio.TimerHandle | None = None
         # Of the present wait for the first response.
         self.silence: asyncio.Timeout | None = None
@@ -126,24 +124,27 @@
     async def wait(
         self,
         step: collections.abc.Awaitable[StepT],
+        silent_since: float,
         timeout_seconds: float,
         first: attempts.Attempt,
     ) -> StepT:
         """Await a step of the first attempt's response.
 
-        If the request may run again, another endpoint is looked for after the timeout, and goes on
-        to be looked for in further waits until ``end``. Raise EndpointBrokenError once another
-        attempt takes this one's place. Time in which this process let received bytes wait for their
-        turn is no time of the endpoint.
+        If the request may run again, another endpoint is looked for after a silence of the timeout,
+        and goes on to be looked for in further waits until ``end``. Raise EndpointBrokenError once
+        another attempt takes this one's place. Time in which this process let received bytes wait
+        for their turn is no time of the endpoint.
         """
         if self.search is None and not self.owner.may_retry():
             return await step
         self.first = first
         loop = asyncio.get_running_loop()
         if self.search is None:
-            self.timeout_seconds = timeout_seconds
+            self.silent_since = silent_since
             self.timer = loop.call_later(
-                timeout_seconds, self.start_search, first.turn_wait_seconds()
+                max(0.0, silent_since + timeout_seconds - clocks.boot_time()),
+                self.start_search,
+                first.turn_wait_seconds(),
             )
         try:
             async with asyncio.timeout(None) as silence:
@@ -154,8 +155,9 @@
         except TimeoutError:
             if not silence.expired():
                 raise
+            silent_seconds = clocks.boot_time() - self.silent_since
             raise errors.EndpointBrokenError(
-                f"no response data for {self.timeout_seconds:.2f} s"
+                f"no response data for {silent_seconds:.2f} s"
             ) from None
         finally:
             self.silence = None
@@ -171,7 +173,6 @@
             delay = max(MIN_EXCUSE_SECONDS, waited - excused_seconds)
             self.timer = loop.call_later(delay, self.start_search, waited)
             return
-        self.searched_at = clocks.boot_time()
         self.search = loop.create_task(self.find_replacement())
 
     async def find_replacement(self) -> None:
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -454,7 +454,10 @@
     async def serve(self, attempt: attempts.Attempt) -> bool:
         """Relay the response of an attempt; return False if another attempt should follow."""
         call = await self.overlap.wait(
-            attempt.receive_head(), self.response_timeout_seconds(attempt.grant.choice), attempt
+            attempt.receive_head(),
+            clocks.boot_time(),
+            self.response_timeout_seconds(attempt.grant.choice),
+            attempt,
         )
         reason = self.rejection(attempt)
         if reason and self.overlap.second is not None:
@@ -552,7 +555,7 @@
             outcome=outcome.value,
             first=first.endpoint.id,
             second=second.endpoint.id,
-            silent_ms=round((overlapping.timeout_seconds + now - overlapping.searched_at) * 1000),
+            silent_ms=round((now - overlapping.silent_since) * 1000),
             overlap_ms=round((now - second.sent_at) * 1000),
             left_ms=round((self.metadata.deadline - now) * 1000),
             last_event_id=self.progress.last_event_id,
@@ -608,7 +611,9 @@
         """
         call.require_room()
         while (
-            data := await self.overlap.wait(attempt.next_data(), READ_TIMEOUT_SECONDS, attempt)
+            data := await self.overlap.wait(
+                attempt.next_data(), clocks.boot_time(), READ_TIMEOUT_SECONDS, attempt
+            )
         ) is not None:
             self.overlap.end()
             call.hold(len(call.body) + len(data))
@@ -643,15 +648,13 @@
         buffer = event_stream.EventBuffer()
         reservation = attempt.grant.reservation
         usage = call.exchange.channel.usage
-        next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
+        silent_since = clocks.boot_time()
         while True:
             waited_seconds = usage.waited_seconds
             data = await self.overlap.wait(
-                attempt.next_data(),
-                max(0.0, next_event_until - clocks.boot_time()),
-                attempt,
+                attempt.next_data(), silent_since, READ_TIMEOUT_SECONDS, attempt
             )
-            next_event_until += usage.waited_seconds - waited_seconds
+            silent_since += usage.waited_seconds - waited_seconds
             if not reservation.prefilled:
                 reservation.record_first_event()
                 now = clocks.boot_time()
@@ -686,7 +689,7 @@
                 self.overlap.end()
             await self.write_to_client(call, data)
             if has_event:
-                next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
+                silent_since = clocks.boot_time()
         if call.exchange.unframed and not attempt.received_bytes:
             raise errors.EndpointBrokenError(ENDED_UNBEGUN)
         self.require_whole_event(buffer, call)
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -14,7 +14,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from masticward.gateway import overlap
+from masticward.gateway import overlap, request_path
 from masticward.utils import clocks
 from tests.lib import overlap_model
 
@@ -125,6 +125,12 @@
             self.assertTrue(model.responder.ended)
             self.assertEqual({("first", "second failed"): 1.0}, model.outcomes())
 
+    def test_the_silence_that_is_logged_includes_that_before_a_comment(self) -> None:
+        with unittest.mock.patch.object(request_path, "LOGGER") as logger:
+            play([Script([0.0, 0.0, 2.3], comments=True), Script([60.0])])
+        reports = [call.kwargs for call in logger.log.call_args_list if "silent_ms" in call.kwargs]
+        self.assertGreater(reports[0]["silent_ms"], 1200)
+
 
 if __name__ == "__main__":
     unittest.main()
