A silent response is closed when the other takes its place, not when it is next read

Seen by replicas: a stream was at work at two endpoints for longer than 0.4 s (TWICE) if its client took a comment of the silent endpoint slowly, or if the passes of a late event loop added up.

Cause: the decision was seen only by the next wait for the first response, up to four passes later or after a write to a slow client. It closes the connection now, and nothing of the first response is passed on after it.

--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -169,10 +169,14 @@
         self.ahead.clear()
         return data
 
+    def abort(self) -> None:
+        """Reset the connection; ``close`` has to follow."""
+        self.grant.connection.channel.abort()
+
     def close(self) -> None:
         """Release the connection, or reset it if the response was not read to its end."""
         if self.task is not None and not self.task.done():
-            self.grant.connection.channel.abort()
+            self.abort()
             self.task.cancel()
             return
         if self.call is None and self.task is not None:
--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -123,46 +123,43 @@
 
     async def wait(
         self,
-        step: collections.abc.Awaitable[StepT],
+        receive: collections.abc.Callable[[], collections.abc.Awaitable[StepT]],
         silent_since: float,
         timeout_seconds: float,
         first: attempts.Attempt,
     ) -> StepT:
-        """Await a step of the first attempt's response.
+        """Receive the next step of the first attempt's response.
 
         If the request may run again, another endpoint is looked for after a silence of the timeout,
         and goes on to be looked for in further waits until ``end``. Raise EndpointBrokenError once
         another attempt takes this one's place. Time in which this process let received bytes wait
         for their turn is no time of the endpoint.
         """
-        if self.search is None and not self.owner.may_retry():
-            return await step
-        self.first = first
-        loop = asyncio.get_running_loop()
         if self.search is None:
+            if not self.owner.may_retry():
+                return await receive()
+            self.first = first
             self.silent_since = silent_since
-            self.timer = loop.call_later(
+            self.timer = asyncio.get_running_loop().call_later(
                 max(0.0, silent_since + timeout_seconds - clocks.boot_time()),
                 self.start_search,
                 first.turn_wait_seconds(),
             )
         try:
-            async with asyncio.timeout(None) as silence:
-                self.silence = silence
-                if self.outcome is not None:
-                    silence.reschedule(loop.time())
-                return await step
+            if self.outcome is None:
+                async with asyncio.timeout(None) as self.silence:
+                    received = await receive()
+                if self.outcome is None:
+                    return received
         except TimeoutError:
-            if not silence.expired():
+            if self.outcome is None:
                 raise
-            silent_seconds = clocks.boot_time() - self.silent_since
-            raise errors.EndpointBrokenError(
-                f"no response data for {silent_seconds:.2f} s"
-            ) from None
         finally:
             self.silence = None
             if self.search is None and self.timer is not None:
                 self.timer.cancel()
+        silent_seconds = clocks.boot_time() - self.silent_since
+        raise errors.EndpointBrokenError(f"no response data for {silent_seconds:.2f} s")
 
     def start_search(self, excused_seconds: float) -> None:
         """Look for another endpoint unless bytes of the silent response wait for their turn."""
@@ -177,8 +174,8 @@
 
     async def find_replacement(self) -> None:
         """Send the request to other endpoints until one serves it or none may."""
-        while self.owner.may_retry():
-            try:
+        try:
+            while self.outcome is None and self.owner.may_retry():
                 grant = await self.owner.acquire_replacement()
                 if grant is None:
                     await asyncio.sleep(SEARCH_PAUSE_SECONDS)
@@ -186,14 +183,9 @@
                 self.second = self.owner.send(grant)
                 self.second.start()
                 await self.watch(self.second)
-            except Exception as error:
-                LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
-                self.end_second(Outcome.SECOND_FAILED)
-                return
-            if self.outcome is not None:
-                if self.silence is not None:
-                    self.silence.reschedule(asyncio.get_running_loop().time())
-                return
+        except Exception as error:
+            LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
+            self.end_second(Outcome.SECOND_FAILED)
 
     async def watch(self, second: attempts.Attempt) -> None:
         """Decide for the second attempt unless it refuses or fails at once."""
@@ -218,7 +210,16 @@
             self.second = None
             self.owner.end_failed(second, error)
             return
+        self.decide(outcome)
+
+    def decide(self, outcome: Outcome) -> None:
+        """Let the second attempt take the place of the first, which is read no further."""
+        assert self.first is not None
         self.outcome = outcome
+        if self.silence is not None:
+            self.silence.reschedule(asyncio.get_running_loop().time())
+        # Whoever waits for the first response may go on late.
+        self.first.abort()
 
     def end(self, outcome: Outcome = Outcome.FIRST_CONTINUED) -> None:
         """Give up the search and the second attempt."""
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -454,7 +454,7 @@
     async def serve(self, attempt: attempts.Attempt) -> bool:
         """Relay the response of an attempt; return False if another attempt should follow."""
         call = await self.overlap.wait(
-            attempt.receive_head(),
+            attempt.receive_head,
             clocks.boot_time(),
             self.response_timeout_seconds(attempt.grant.choice),
             attempt,
@@ -612,7 +612,7 @@
         call.require_room()
         while (
             data := await self.overlap.wait(
-                attempt.next_data(), clocks.boot_time(), READ_TIMEOUT_SECONDS, attempt
+                attempt.next_data, clocks.boot_time(), READ_TIMEOUT_SECONDS, attempt
             )
         ) is not None:
             self.overlap.end()
@@ -652,7 +652,7 @@
         while True:
             waited_seconds = usage.waited_seconds
             data = await self.overlap.wait(
-                attempt.next_data(), silent_since, READ_TIMEOUT_SECONDS, attempt
+                attempt.next_data, silent_since, READ_TIMEOUT_SECONDS, attempt
             )
             silent_since += usage.waited_seconds - waited_seconds
             if not reservation.prefilled:
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -110,6 +110,15 @@
         model = play(scripts, blocks, leaves_after, max_attempts=3, write_seconds=write_seconds)
         self.check(model, 3, TWICE_SECONDS)
 
+    def test_a_silent_response_is_closed_in_time_although_a_slow_client_takes_a_comment(
+        self,
+    ) -> None:
+        # The comment is being written when the second attempt has had its time to refuse.
+        commenting = Script([0.0, 0.01, 4.54], comments=True)
+        model = play([commenting, Script([60.0])], write_seconds=0.5)
+        self.assertEqual(2, len(model.client.sent))
+        self.check(model, 2, TWICE_SECONDS)
+
     def test_a_response_of_which_the_end_alone_was_missing_counts_as_continued(self) -> None:
         model = play([Script([0.0, 0.0, 0.0, 0.0, 0.0, 1.3]), Script([60.0])])
         self.check(model, 2, TWICE_SECONDS)
