A late process gives up no silent response for an answer that it has not read

Seen by callers: a stream that had paused was reset although its replacement had refused in time: nothing ran in the process for 0.25 s, and the timer of the overlap came before the bytes of the refusal. Seen by replicas: with passes of the loop of 0.1 s, two endpoints were at work for 0.42 s (TWICE), with 0.3 s for 0.9 s. Seen in the log: a second attempt, counted as a run and charged to the budget, beside a response whose next event had arrived while the process was late.

Cause: times were taken by the loop's timers alone. Now the overlap counts from the moment at which the request has left the process; at its end, bytes of the second response that have arrived are read first, for 0.05 s more, until 0.3 s after the send; past that the second attempt is closed and the first one kept. No second attempt begins in a process whose passes take over 0.05 s: it cannot tell silence from bytes that it has not read, and cannot end an overlap in time.

Ruled out: closing the first response in doubt. The second has had no time to refuse by then, so both may be lost.

Evidence (virtual time): test_a_response_that_pauses_is_served_if_all_replacements_refuse, test_both_are_open_for_less_than_the_limit_however_long_a_pass_of_the_loop_takes and test_an_event_that_arrived_while_the_process_was_late_is_no_silence failed before and pass now.

--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -117,6 +117,12 @@
         usage = self.grant.connection.channel.usage
         return usage.total_waited_seconds(time.perf_counter())
 
+    def has_unseen_data(self) -> bool:
+        """Return whether any of the response has arrived that its reader has not seen."""
+        if self.task is not None and self.call is None and self.task.done():
+            return True
+        return self.grant.connection.channel.has_unread_bytes()
+
     def start(self) -> None:
         """Send the request in a task of its own."""
         self.task = asyncio.get_running_loop().create_task(self.sending)
--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -13,10 +13,17 @@
 # An endpoint that refuses a request does so within a round trip. A stream must not be at work at
 # two endpoints for 0.4 s, and the timers of a busy process are up to 0.2 s late.
 OVERLAP_SECONDS = 0.15
+# Time in which a late process reads what has arrived meanwhile, and the time since the request was
+# sent from which on it does not take that time.
+LATE_READ_SECONDS = 0.05
+MAX_OVERLAP_SECONDS = 0.3
+# A process whose event loop takes longer for a pass cannot end an overlap in time, and has not read
+# what an endpoint has sent.
+MAX_PASS_SECONDS = 0.05
 # After a search without a result, and for an endpoint that has refused.
 SEARCH_PAUSE_SECONDS = 1.0
-# A response that waits for its turn to be read is looked at again after this time at the earliest.
-MIN_EXCUSE_SECONDS = 0.05
+# A response whose bytes may not have been read is looked at again after this time at the earliest.
+RECHECK_SECONDS = 0.05
 LOGGER = logs.get_logger(__name__)
 StepT = typing.TypeVar("StepT")
 
@@ -30,6 +37,7 @@
     SECOND_DID_NOT_REFUSE = "second did not refuse in time"
     SECOND_REFUSED = "second refused"
     SECOND_FAILED = "second failed"
+    SECOND_NOT_READ = "second was not read in time"
     REQUEST_ENDED = "request ended"
 
 
@@ -41,6 +49,7 @@
     Outcome.SECOND_DID_NOT_REFUSE: "second",
     Outcome.SECOND_REFUSED: "first",
     Outcome.SECOND_FAILED: "first",
+    Outcome.SECOND_NOT_READ: "first",
     Outcome.REQUEST_ENDED: "none",
 }
 
@@ -167,7 +176,7 @@
         loop = asyncio.get_running_loop()
         waited = self.first.turn_wait_seconds()
         if waited > excused_seconds:
-            delay = max(MIN_EXCUSE_SECONDS, waited - excused_seconds)
+            delay = max(RECHECK_SECONDS, waited - excused_seconds)
             self.timer = loop.call_later(delay, self.start_search, waited)
             return
         self.search = loop.create_task(self.find_replacement())
@@ -176,6 +185,8 @@
         """Send the request to other endpoints until one serves it or none may."""
         try:
             while self.outcome is None and self.owner.may_retry():
+                while await measure_pass() > MAX_PASS_SECONDS:
+                    await asyncio.sleep(RECHECK_SECONDS)
                 grant = await self.owner.acquire_replacement()
                 if grant is None:
                     await asyncio.sleep(SEARCH_PAUSE_SECONDS)
@@ -189,28 +200,48 @@
 
     async def watch(self, second: attempts.Attempt) -> None:
         """Decide for the second attempt unless it refuses or fails at once."""
-        outcome = Outcome.SECOND_BEGAN
+        # The request is written in the next pass of the loop, and has left the process after it.
+        if await measure_pass() + await measure_pass() > 2 * MAX_PASS_SECONDS:
+            self.end_second(Outcome.SECOND_NOT_READ)
+            return
+        latest = second.sent_at + MAX_OVERLAP_SECONDS
+        until = min(latest, clocks.boot_time() + OVERLAP_SECONDS)
         try:
-            async with asyncio.timeout(OVERLAP_SECONDS):
-                await second.receive_head_beside()
-                reason = self.owner.rejection(second)
-                if reason:
-                    raise errors.EndpointBrokenError(reason)
-                while not self.owner.has_begun(second):
-                    await second.read_ahead()
-        except TimeoutError:
-            outcome = Outcome.SECOND_DID_NOT_REFUSE
+            while not await self.begins(second, until):
+                now = clocks.boot_time()
+                if not second.has_unseen_data():
+                    self.decide(Outcome.SECOND_DID_NOT_REFUSE)
+                    return
+                if now >= latest:
+                    self.end_second(Outcome.SECOND_NOT_READ)
+                    return
+                until = now + LATE_READ_SECONDS
+            self.decide(Outcome.SECOND_BEGAN)
         except errors.EndpointNotStartedError as error:
             self.owner.report_overlap(self, Outcome.SECOND_REFUSED)
             self.second = None
             self.owner.end_refused(second, error)
-            return
         except errors.EndpointBrokenError as error:
             self.owner.report_overlap(self, Outcome.SECOND_FAILED)
             self.second = None
             self.owner.end_failed(second, error)
-            return
-        self.decide(outcome)
+
+    async def begins(self, second: attempts.Attempt, until: float) -> bool:
+        """Return whether the second response begins until then.
+
+        Raise EndpointNotStartedError or EndpointBrokenError if it doesn't serve the request.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, until - clocks.boot_time())):
+                await second.receive_head_beside()
+                reason = self.owner.rejection(second)
+                if reason:
+                    raise errors.EndpointBrokenError(reason)
+                while not self.owner.has_begun(second):
+                    await second.read_ahead()
+        except TimeoutError:
+            return False
+        return True
 
     def decide(self, outcome: Outcome) -> None:
         """Let the second attempt take the place of the first, which is read no further."""
@@ -251,3 +282,10 @@
         self.outcome = None
         second, self.second = self.second, None
         return second
+
+
+async def measure_pass() -> float:
+    """Return how long the event loop takes for a pass, in seconds."""
+    started_at = clocks.boot_time()
+    await asyncio.sleep(0)
+    return clocks.boot_time() - started_at
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -110,6 +110,23 @@
         model = play(scripts, blocks, leaves_after, max_attempts=3, write_seconds=write_seconds)
         self.check(model, 3, TWICE_SECONDS)
 
+    @SETTINGS
+    @hypothesis.given(
+        st.lists(st.sampled_from([0.01, 0.3, 1.3, 2.0]), min_size=6, max_size=6),
+        st.lists(st.tuples(st.floats(0.0, 4.0), st.floats(0.0, 0.3)), max_size=4),
+        st.booleans(),
+    )
+    # The refusal arrives while nothing runs for 0.25 s.
+    @hypothesis.example([0.01, 0.01, 2.0, 0.01, 0.01, 0.01], [(1.24, 0.25)], False)
+    def test_a_response_that_pauses_is_served_if_all_replacements_refuse(
+        self, pauses: list[float], blocks: list[tuple[float, float]], comments: bool
+    ) -> None:
+        hypothesis.assume(sum(pauses) < 6.0)
+        refusing = Script([0.03], "refuse")
+        model = play([Script(pauses, comments=comments), refusing], blocks)
+        self.check(model, 2, TWICE_SECONDS)
+        self.assertTrue(model.responder.ended)
+
     def test_a_silent_response_is_closed_in_time_although_a_slow_client_takes_a_comment(
         self,
     ) -> None:
@@ -119,6 +136,20 @@
         self.assertEqual(2, len(model.client.sent))
         self.check(model, 2, TWICE_SECONDS)
 
+    def test_both_are_open_for_less_than_the_limit_however_long_a_pass_of_the_loop_takes(
+        self,
+    ) -> None:
+        for pass_seconds in (0.02, 0.05, 0.1, 0.15, 0.3):
+            model = play([Script([0.0, 0.0, 60.0]), Script([60.0])], pass_seconds=pass_seconds)
+            self.check(model, 2, TWICE_SECONDS)
+            # A process that is so late sends to no second endpoint.
+            self.assertEqual(2 if pass_seconds < 0.06 else 1, len(model.client.sent))
+
+    def test_an_event_that_arrived_while_the_process_was_late_is_no_silence(self) -> None:
+        model = play([Script([0.01, 0.01, 1.25]), Script([60.0])], [(1.15, 0.2)])
+        self.check(model, 2, TWICE_SECONDS)
+        self.assertEqual(1, model.request.progress.sends)
+
     def test_a_response_of_which_the_end_alone_was_missing_counts_as_continued(self) -> None:
         model = play([Script([0.0, 0.0, 0.0, 0.0, 0.0, 1.3]), Script([60.0])])
         self.check(model, 2, TWICE_SECONDS)
