Requests whose endpoints are all excluded delay no others

Seen by callers: with 60 requests that wait for another endpoint than their silent one, a request that an idle engine could serve was not placed, or was refused for the tokens ahead of it. Requests within their time come first and were not affected.

Cause: a request that may use none of the candidates counted toward the failed choices of a scan and its prompt toward the tokens ahead of others, although they don't wait for the same thing.

--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -173,6 +173,13 @@
             placement.prefill_window_seconds(excess_by_team.get(request.team)),
         )
 
+    def excludes_all(self, request: WaitingRequest) -> bool:
+        """Return whether there are candidates, but none that a request may use."""
+        excluded_ids = request.excluded_endpoint_ids
+        return bool(self.candidates and excluded_ids) and all(
+            item.id in excluded_ids for item in self.candidates
+        )
+
     def may_have_capacity(self, excess: float | None) -> bool:
         """Return whether some endpoint could take a request of a team with this excess.
 
@@ -292,8 +299,12 @@
                     continue
             is_test = verdict is part_quarantine.Verdict.TEST
             choice = None
-            if failed_choices < MAX_FAILED_CHOICES and pool.may_have_capacity(
-                excess_by_team.get(request.team)
+            # Others don't wait for what it may not use.
+            delays_others = not pool.excludes_all(request)
+            if (
+                delays_others
+                and failed_choices < MAX_FAILED_CHOICES
+                and pool.may_have_capacity(excess_by_team.get(request.team))
             ):
                 choice = pool.choose(request, excess_by_team, is_test)
             if choice is not None and choice.has_capacity:
@@ -309,7 +320,7 @@
                 request.future.set_result(choice)
                 pool.update(choice.endpoint)
                 continue
-            failed_choices += 1
+            failed_choices += delays_others
             if choice is not None:
                 request.unread_tokens = choice.unread_tokens
             cannot_be_in_time = opens_at > request.refuse_at or (
@@ -329,7 +340,8 @@
                     )
                 )
                 continue
-            tokens_ahead += request.unread_tokens
+            if delays_others:
+                tokens_ahead += request.unread_tokens
 
     def hold_back(
         self,
--- a/tests/unit/test_gateway_waiting.py
+++ b/tests/unit/test_gateway_waiting.py
@@ -33,16 +33,24 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
     async def submit(
-        self, team: str, max_wait_seconds: float = 5.0
+        self,
+        team: str,
+        max_wait_seconds: float = 5.0,
+        age_seconds: float = 0.0,
+        excluded_endpoint_id: str | None = None,
     ) -> asyncio.Task[placement.Choice | placer.PlacementRefusal]:
         """Start a task that waits with a request without shared prompt parts."""
         self.request_count += 1
         metadata = builders.make_metadata(
-            f"q{self.request_count}", f"doc{self.request_count}", arrived_at=self.now
+            f"q{self.request_count}",
+            f"doc{self.request_count}",
+            arrived_at=self.now - age_seconds,
         )
         request = placer.WaitingRequest(
             metadata, builders.make_route(), "llm", team, refuse_at=self.now + max_wait_seconds
         )
+        if excluded_endpoint_id is not None:
+            request.excluded_endpoint_ids.add(excluded_endpoint_id)
         task = asyncio.get_running_loop().create_task(self.placer.place(request))
         self.tasks.append(task)
         await asyncio.sleep(0)
@@ -177,6 +185,15 @@
         await asyncio.sleep(0)
         self.assertEqual(1, self.served([small]))
 
+    async def test_requests_that_may_use_no_engine_that_is_left_delay_no_others(self) -> None:
+        # Guards against refusals because requests wait for another engine than their silent one.
+        for _ in range(placer.MAX_FAILED_CHOICES):
+            await self.submit("a", age_seconds=2.0, excluded_endpoint_id="e1")
+        late = await self.submit("a", age_seconds=1.0)
+        self.placer.process_queue("llm")
+        await asyncio.sleep(0)
+        self.assertEqual((1, 0), (self.served([late]), self.refused(self.tasks)))
+
     async def test_above_capacity_requests_that_can_be_in_time_precede_late_ones(self) -> None:
         # By age alone, every request would be late while the load stays above capacity.
         await self.submit("other")
