--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -117,11 +117,11 @@
         usage = self.grant.connection.channel.usage
         return usage.total_waited_seconds(time.perf_counter())
 
-    def has_unseen_data(self) -> bool:
-        """Return whether any of the response has arrived that its reader has not seen."""
-        if self.task is not None and self.call is None and self.task.done():
-            return True
-        return self.grant.connection.channel.has_unread_bytes()
+    def has_unread_head(self) -> bool:
+        """Return whether bytes of a response have arrived whose head was not received."""
+        if self.call is not None or self.task is None:
+            return False
+        return self.task.done() or self.grant.connection.channel.has_unread_bytes()
 
     def start(self) -> None:
         """Send the request in a task of its own."""
--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -209,7 +209,7 @@
         try:
             while not await self.begins(second, until):
                 now = clocks.boot_time()
-                if not second.has_unseen_data():
+                if not second.has_unread_head():
                     self.decide(Outcome.SECOND_DID_NOT_REFUSE)
                     return
                 if now >= latest:
