A search for a replacement without budget or time takes no endpoint

Seen by replicas and in the fleet's figures: while an endpoint was silent and the retry budget used up, or the process stopped too soon for another run, the request was placed once a second: a connection was opened and reset, and its tokens were charged to the team and reported to the peers each time.

Cause: budget and time were checked after the placement, when the connection is there. The search looks at both first; they are still taken and checked at the send.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -510,6 +510,8 @@
 
     async def acquire_replacement(self) -> attempts.AttemptGrant | None:
         """Wait for another endpoint with a connection and retry budget; None if there is none."""
+        if not self.allows_send(clocks.boot_time()):
+            return None
         waiting_request = placer.WaitingRequest(
             self.metadata, self.route, self.service, self.team, self.response_deadline
         )
@@ -519,6 +521,14 @@
         except RefusalError:
             return None
 
+    def allows_send(self, now: float) -> bool:
+        """Return whether time and retry budget allow another attempt now."""
+        return (
+            self.response_deadline - now >= MIN_ATTEMPT_SECONDS
+            and self.fleet.can_finish(self.route, self.metadata.output_tokens, self.deadline, now)
+            and self.fleet.budget(self.service).allows(now, self.fleet.known_gateway_count)
+        )
+
     def end_refused(self, attempt: attempts.Attempt, error: errors.EndpointNotStartedError) -> None:
         """Record and close an attempt that has not run; its endpoint may be tried again later."""
         self.progress.runs -= 1
--- a/src/masticward/state/retry_window.py
+++ b/src/masticward/state/retry_window.py
@@ -34,13 +34,17 @@
 
     def take(self, now: float, gateway_count: int) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
-        self.expire(now)
-        share = self.slack * SLACK_FRACTION / max(MIN_GATEWAYS, gateway_count)
-        if len(self.retries) + 1 > self.ratio * len(self.requests) + share:
+        if not self.allows(now, gateway_count):
             return False
         self.retries.append(now)
         return True
 
+    def allows(self, now: float, gateway_count: int) -> bool:
+        """Return whether the budget allows a retry now."""
+        self.expire(now)
+        share = self.slack * SLACK_FRACTION / max(MIN_GATEWAYS, gateway_count)
+        return len(self.retries) + 1 <= self.ratio * len(self.requests) + share
+
     def expire(self, now: float) -> None:
         """Remove requests and retries that are older than the window."""
         for times in (self.requests, self.retries):
--- a/tests/lib/overlap_model.py
+++ b/tests/lib/overlap_model.py
@@ -10,7 +10,7 @@
 from masticward.gateway import calls, gateway_metrics, placer, request_path
 from masticward.models import gateway
 from masticward.platform import headers
-from masticward.state import body_memory, read_turns
+from masticward.state import body_memory, read_turns, retry_window
 from masticward.transport import http1, http1_server
 from tests.lib import gateway_builders as builders
 
@@ -220,11 +220,16 @@
     """One resumable stream through a gateway with four plain endpoints."""
 
     def __init__(
-        self, scripts: collections.abc.Sequence[Script], max_attempts: int, write_seconds: float
+        self,
+        scripts: collections.abc.Sequence[Script],
+        max_attempts: int,
+        write_seconds: float,
+        retry_slack: float,
     ) -> None:
         now = asyncio.get_running_loop().time()
         endpoints = [builders.make_endpoint(f"e{number}", service="app") for number in range(4)]
         self.fleet = builders.make_fleet(*endpoints, now=now)
+        self.fleet.budgets["app"] = retry_window.WindowedRetryBudget(0.0, retry_slack, 10.0)
         self.client = ScriptedClient(scripts)
         self.metrics = gateway_metrics.GatewayMetrics(metrics.ProcessMetrics())
         self.placer = placer.Placer(self.fleet, lambda *_: None)
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -40,12 +40,13 @@
     pass_seconds: float = 0.0,
     max_attempts: int = 2,
     write_seconds: float = 0.0,
+    retry_slack: float = 100.0,
 ) -> overlap_model.Model:
     """Serve a request; ``blocks`` has seconds after its start and for how long nothing runs."""
     loop = overlap_model.VirtualLoop(pass_seconds)
 
     async def run() -> overlap_model.Model:
-        model = overlap_model.Model(scripts, max_attempts, write_seconds)
+        model = overlap_model.Model(scripts, max_attempts, write_seconds, retry_slack)
         for after, seconds in blocks:
             loop.call_later(after, loop.block, seconds)
         task = loop.create_task(model.serve())
@@ -171,6 +172,11 @@
         reports = [call.kwargs for call in logger.log.call_args_list if "silent_ms" in call.kwargs]
         self.assertGreater(reports[0]["silent_ms"], 1200)
 
+    def test_a_search_without_budget_takes_no_connection_and_no_endpoint(self) -> None:
+        model = play([Script([0.0, 0.0, 5.0])], retry_slack=0.0)
+        self.assertTrue(model.responder.ended)
+        self.assertEqual(1, len(model.client.connections))
+
 
 if __name__ == "__main__":
     unittest.main()
