--- a/tests/lib/overlap_model.py
+++ b/tests/lib/overlap_model.py
@@ -20,12 +20,17 @@
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Jumps to the next timer instead of waiting for it; each pass takes ``pass_seconds``."""
+    """Jumps to the next timer instead of waiting for it; each pass takes ``pass_seconds``.
+
+    ``on_pass`` is called with the number of each pass.
+    """
 
     def __init__(self, pass_seconds: float) -> None:
         super().__init__()
         self.now = 1000.0
         self.pass_seconds = pass_seconds
+        self.passes = 0
+        self.on_pass: collections.abc.Callable[[int], object] = lambda _: None
         selector: typing.Any = self._selector  # type: ignore[attr-defined]
         self.poll = selector.select
         selector.select = self.select
@@ -41,6 +46,8 @@
         if timeout is None:
             raise AssertionError("nothing is left to wait for")
         self.now += max(0.0, timeout) + self.pass_seconds
+        self.passes += 1
+        self.on_pass(self.passes)
         return self.poll(0)
 
 
@@ -234,6 +241,8 @@
         self.metrics = gateway_metrics.GatewayMetrics(metrics.ProcessMetrics())
         self.placer = placer.Placer(self.fleet, lambda *_: None)
         self.responder = FakeResponder(write_seconds)
+        # Passes of the loop until the request had ended.
+        self.passes = 0
         client: typing.Any = self.client
         responder: typing.Any = self.responder
         self.request = request_path.ProxiedRequest(
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -37,6 +37,7 @@
     scripts: collections.abc.Sequence[overlap_model.Script],
     blocks: collections.abc.Sequence[tuple[float, float]] = (),
     leaves_after: float = math.inf,
+    leaves_in_pass: int = 0,
     pass_seconds: float = 0.0,
     max_attempts: int = 2,
     write_seconds: float = 0.0,
@@ -50,11 +51,13 @@
         for after, seconds in blocks:
             loop.call_later(after, loop.block, seconds)
         task = loop.create_task(model.serve())
+        loop.on_pass = lambda number: number == leaves_in_pass and task.cancel()
         await asyncio.wait({task}, timeout=min(60.0, leaves_after))
         task.cancel()
         await asyncio.wait({task})
         if not task.cancelled():
             task.result()
+        model.passes = loop.passes
         return model
 
     with unittest.mock.patch.object(clocks, "boot_time", loop.time):
@@ -128,6 +131,16 @@
         self.check(model, 2, TWICE_SECONDS)
         self.assertTrue(model.responder.ended)
 
+    def test_a_client_that_leaves_in_any_pass_of_the_loop_leaves_nothing_behind(self) -> None:
+        for scripts in (
+            [Script([0.0, 0.0, 60.0]), Script([0.03], "refuse"), Script([0.05], "bug"), Script()],
+            [Script([0.0, 0.0, 1.25], "break", 2), Script([0.3])],
+            [Script([1.3], "fail"), Script([60.0]), Script([0.0, 0.1])],
+        ):
+            for number in range(1, play(scripts, max_attempts=3).passes + 1):
+                model = play(scripts, leaves_in_pass=number, max_attempts=3)
+                self.check(model, 3, overlap.OVERLAP_SECONDS + overlap.LATE_READ_SECONDS)
+
     def test_a_silent_response_is_closed_in_time_although_a_slow_client_takes_a_comment(
         self,
     ) -> None:
