--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -117,6 +117,12 @@
         usage = self.grant.connection.channel.usage
         return usage.total_waited_seconds(time.perf_counter())
 
+    def has_unread_head(self) -> bool:
+        """Return whether bytes of a response have arrived whose head was not received."""
+        if self.call is not None or self.task is None:
+            return False
+        return self.task.done() or self.grant.connection.channel.has_unread_bytes()
+
     def start(self) -> None:
         """Send the request in a task of its own."""
         self.task = asyncio.get_running_loop().create_task(self.sending)
@@ -169,10 +175,14 @@
         self.ahead.clear()
         return data
 
+    def abort(self) -> None:
+        """Reset the connection; ``close`` has to follow."""
+        self.grant.connection.channel.abort()
+
     def close(self) -> None:
         """Release the connection, or reset it if the response was not read to its end."""
         if self.task is not None and not self.task.done():
-            self.grant.connection.channel.abort()
+            self.abort()
             self.task.cancel()
             return
         if self.call is None and self.task is not None:
--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -13,10 +13,17 @@
 # An endpoint that refuses a request does so within a round trip. A stream must not be at work at
 # two endpoints for 0.4 s, and the timers of a busy process are up to 0.2 s late.
 OVERLAP_SECONDS = 0.15
+# Time in which a late process reads what has arrived meanwhile, and the time since the request was
+# sent from which on it does not take that time.
+LATE_READ_SECONDS = 0.05
+MAX_OVERLAP_SECONDS = 0.3
+# A process whose event loop takes longer for a pass cannot end an overlap in time, and has not read
+# what an endpoint has sent.
+MAX_PASS_SECONDS = 0.05
 # After a search without a result, and for an endpoint that has refused.
 SEARCH_PAUSE_SECONDS = 1.0
-# A response that waits for its turn to be read is looked at again after this time at the earliest.
-MIN_EXCUSE_SECONDS = 0.05
+# A response whose bytes may not have been read is looked at again after this time at the earliest.
+RECHECK_SECONDS = 0.05
 LOGGER = logs.get_logger(__name__)
 StepT = typing.TypeVar("StepT")
 
@@ -30,6 +37,7 @@
     SECOND_DID_NOT_REFUSE = "second did not refuse in time"
     SECOND_REFUSED = "second refused"
     SECOND_FAILED = "second failed"
+    SECOND_NOT_READ = "second was not read in time"
     REQUEST_ENDED = "request ended"
 
 
@@ -41,6 +49,7 @@
     Outcome.SECOND_DID_NOT_REFUSE: "second",
     Outcome.SECOND_REFUSED: "first",
     Outcome.SECOND_FAILED: "first",
+    Outcome.SECOND_NOT_READ: "first",
     Outcome.REQUEST_ENDED: "none",
 }
 
@@ -101,10 +110,9 @@
         "outcome",
         "owner",
         "search",
-        "searched_at",
         "second",
         "silence",
-        "timeout_seconds",
+        "silent_since",
         "timer",
     )
 
@@ -116,51 +124,51 @@
         # Why the second attempt takes the place of the first one; None as long as it doesn't.
         self.outcome: Outcome | None = None
         self.search: asyncio.Task[None] | None = None
-        # When the search began, after a silence of ``timeout_seconds``.
-        self.searched_at = 0.0
-        self.timeout_seconds = 0.0
+        # Since when the first response is silent.
+        self.silent_since = 0.0
         self.timer: asyncio.TimerHandle | None = None
         # Of the present wait for the first response.
         self.silence: asyncio.Timeout | None = None
 
     async def wait(
         self,
-        step: collections.abc.Awaitable[StepT],
+        receive: collections.abc.Callable[[], collections.abc.Awaitable[StepT]],
+        silent_since: float,
         timeout_seconds: float,
         first: attempts.Attempt,
     ) -> StepT:
-        """Await a step of the first attempt's response.
+        """Receive the next step of the first attempt's response.
 
-        If the request may run again, another endpoint is looked for after the timeout, and goes on
-        to be looked for in further waits until ``end``. Raise EndpointBrokenError once another
-        attempt takes this one's place. Time in which this process let received bytes wait for their
-        turn is no time of the endpoint.
+        If the request may run again, another endpoint is looked for after a silence of the timeout,
+        and goes on to be looked for in further waits until ``end``. Raise EndpointBrokenError once
+        another attempt takes this one's place. Time in which this process let received bytes wait
+        for their turn is no time of the endpoint.
         """
-        if self.search is None and not self.owner.may_retry():
-            return await step
-        self.first = first
-        loop = asyncio.get_running_loop()
         if self.search is None:
-            self.timeout_seconds = timeout_seconds
-            self.timer = loop.call_later(
-                timeout_seconds, self.start_search, first.turn_wait_seconds()
+            if not self.owner.may_retry():
+                return await receive()
+            self.first = first
+            self.silent_since = silent_since
+            self.timer = asyncio.get_running_loop().call_later(
+                max(0.0, silent_since + timeout_seconds - clocks.boot_time()),
+                self.start_search,
+                first.turn_wait_seconds(),
             )
         try:
-            async with asyncio.timeout(None) as silence:
-                self.silence = silence
-                if self.outcome is not None:
-                    silence.reschedule(loop.time())
-                return await step
+            if self.outcome is None:
+                async with asyncio.timeout(None) as self.silence:
+                    received = await receive()
+                if self.outcome is None:
+                    return received
         except TimeoutError:
-            if not silence.expired():
+            if self.outcome is None:
                 raise
-            raise errors.EndpointBrokenError(
-                f"no response data for {self.timeout_seconds:.2f} s"
-            ) from None
         finally:
             self.silence = None
             if self.search is None and self.timer is not None:
                 self.timer.cancel()
+        silent_seconds = clocks.boot_time() - self.silent_since
+        raise errors.EndpointBrokenError(f"no response data for {silent_seconds:.2f} s")
 
     def start_search(self, excused_seconds: float) -> None:
         """Look for another endpoint unless bytes of the silent response wait for their turn."""
@@ -168,16 +176,17 @@
         loop = asyncio.get_running_loop()
         waited = self.first.turn_wait_seconds()
         if waited > excused_seconds:
-            delay = max(MIN_EXCUSE_SECONDS, waited - excused_seconds)
+            delay = max(RECHECK_SECONDS, waited - excused_seconds)
             self.timer = loop.call_later(delay, self.start_search, waited)
             return
-        self.searched_at = clocks.boot_time()
         self.search = loop.create_task(self.find_replacement())
 
     async def find_replacement(self) -> None:
         """Send the request to other endpoints until one serves it or none may."""
-        while self.owner.may_retry():
-            try:
+        try:
+            while self.outcome is None and self.owner.may_retry():
+                while await measure_pass() > MAX_PASS_SECONDS:
+                    await asyncio.sleep(RECHECK_SECONDS)
                 grant = await self.owner.acquire_replacement()
                 if grant is None:
                     await asyncio.sleep(SEARCH_PAUSE_SECONDS)
@@ -185,38 +194,63 @@
                 self.second = self.owner.send(grant)
                 self.second.start()
                 await self.watch(self.second)
-            except Exception as error:
-                LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
-                return
-            if self.outcome is not None:
-                if self.silence is not None:
-                    self.silence.reschedule(asyncio.get_running_loop().time())
-                return
+        except Exception as error:
+            LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
+            self.end_second(Outcome.SECOND_FAILED)
 
     async def watch(self, second: attempts.Attempt) -> None:
         """Decide for the second attempt unless it refuses or fails at once."""
-        outcome = Outcome.SECOND_BEGAN
+        # The request is written in the next pass of the loop, and has left the process after it.
+        if await measure_pass() + await measure_pass() > 2 * MAX_PASS_SECONDS:
+            self.end_second(Outcome.SECOND_NOT_READ)
+            return
+        latest = second.sent_at + MAX_OVERLAP_SECONDS
+        until = min(latest, clocks.boot_time() + OVERLAP_SECONDS)
         try:
-            async with asyncio.timeout(OVERLAP_SECONDS):
-                await second.receive_head_beside()
-                reason = self.owner.rejection(second)
-                if reason:
-                    raise errors.EndpointBrokenError(reason)
-                while not self.owner.has_begun(second):
-                    await second.read_ahead()
-        except TimeoutError:
-            outcome = Outcome.SECOND_DID_NOT_REFUSE
+            while not await self.begins(second, until):
+                now = clocks.boot_time()
+                if not second.has_unread_head():
+                    self.decide(Outcome.SECOND_DID_NOT_REFUSE)
+                    return
+                if now >= latest:
+                    self.end_second(Outcome.SECOND_NOT_READ)
+                    return
+                until = now + LATE_READ_SECONDS
+            self.decide(Outcome.SECOND_BEGAN)
         except errors.EndpointNotStartedError as error:
             self.owner.report_overlap(self, Outcome.SECOND_REFUSED)
             self.second = None
             self.owner.end_refused(second, error)
-            return
         except errors.EndpointBrokenError as error:
             self.owner.report_overlap(self, Outcome.SECOND_FAILED)
             self.second = None
             self.owner.end_failed(second, error)
-            return
+
+    async def begins(self, second: attempts.Attempt, until: float) -> bool:
+        """Return whether the second response begins until then.
+
+        Raise EndpointNotStartedError or EndpointBrokenError if it doesn't serve the request.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, until - clocks.boot_time())):
+                await second.receive_head_beside()
+                reason = self.owner.rejection(second)
+                if reason:
+                    raise errors.EndpointBrokenError(reason)
+                while not self.owner.has_begun(second):
+                    await second.read_ahead()
+        except TimeoutError:
+            return False
+        return True
+
+    def decide(self, outcome: Outcome) -> None:
+        """Let the second attempt take the place of the first, which is read no further."""
+        assert self.first is not None
         self.outcome = outcome
+        if self.silence is not None:
+            self.silence.reschedule(asyncio.get_running_loop().time())
+        # Whoever waits for the first response may go on late.
+        self.first.abort()
 
     def end(self, outcome: Outcome = Outcome.FIRST_CONTINUED) -> None:
         """Give up the search and the second attempt."""
@@ -227,6 +261,10 @@
             self.search.cancel()
             self.search = None
         self.outcome = None
+        self.end_second(outcome)
+
+    def end_second(self, outcome: Outcome) -> None:
+        """Close the second attempt if there is one."""
         if self.second is not None:
             self.owner.report_overlap(self, outcome)
             second, self.second = self.second, None
@@ -244,3 +282,10 @@
         self.outcome = None
         second, self.second = self.second, None
         return second
+
+
+async def measure_pass() -> float:
+    """Return how long the event loop takes for a pass, in seconds."""
+    started_at = clocks.boot_time()
+    await asyncio.sleep(0)
+    return clocks.boot_time() - started_at
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -26,6 +26,7 @@
 # Shortest remaining time with which an attempt is made.
 MIN_ATTEMPT_SECONDS = 0.02
 STALE_PROOF_RETRY_AFTER_SECONDS = 0.5
+ENDED_UNBEGUN = "the stream ended before its first byte"
 STOPPING_REASON = "the gateway stops before the request can end"
 # Clients take these as "not run" and send the request again.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -294,9 +295,7 @@
                     raise RefusalError(401, "API key revoked")
             if self.response_deadline - now < MIN_ATTEMPT_SECONDS:
                 raise self.final_refusal("deadline passed", placer.MIN_RETRY_AFTER_SECONDS)
-            if not self.fleet.can_finish(
-                self.route, self.metadata.output_tokens, self.deadline, now, self.received_at
-            ):
+            if not self.can_finish(now):
                 raise self.final_refusal(STOPPING_REASON, placer.MIN_RETRY_AFTER_SECONDS)
             if self.progress.sends and not self.fleet.budget(self.service).take(
                 now, self.fleet.known_gateway_count
@@ -455,7 +454,10 @@
     async def serve(self, attempt: attempts.Attempt) -> bool:
         """Relay the response of an attempt; return False if another attempt should follow."""
         call = await self.overlap.wait(
-            attempt.receive_head(), self.response_timeout_seconds(attempt.grant.choice), attempt
+            attempt.receive_head,
+            clocks.boot_time(),
+            self.response_timeout_seconds(attempt.grant.choice),
+            attempt,
         )
         reason = self.rejection(attempt)
         if reason and self.overlap.second is not None:
@@ -494,6 +496,8 @@
         complete_events = buffer.feed(bytes(attempt.ahead))
         self.require_order(event_stream.find_ids(complete_events))
         if attempt.ended:
+            if attempt.call.exchange.unframed and not attempt.ahead:
+                raise errors.EndpointBrokenError(ENDED_UNBEGUN)
             self.require_whole_event(buffer, attempt.call)
         return attempt.ended or event_stream.EVENT_FIELD.search(complete_events) is not None
 
@@ -506,6 +510,8 @@
 
     async def acquire_replacement(self) -> attempts.AttemptGrant | None:
         """Wait for another endpoint with a connection and retry budget; None if there is none."""
+        if not self.allows_send(clocks.boot_time()):
+            return None
         waiting_request = placer.WaitingRequest(
             self.metadata, self.route, self.service, self.team, self.response_deadline
         )
@@ -515,6 +521,20 @@
         except RefusalError:
             return None
 
+    def can_finish(self, now: float) -> bool:
+        """Return whether an attempt that is made now ends before the process does."""
+        return self.fleet.can_finish(
+            self.route, self.metadata.output_tokens, self.deadline, now, self.received_at
+        )
+
+    def allows_send(self, now: float) -> bool:
+        """Return whether time and retry budget allow another attempt now."""
+        return (
+            self.response_deadline - now >= MIN_ATTEMPT_SECONDS
+            and self.can_finish(now)
+            and self.fleet.budget(self.service).allows(now, self.fleet.known_gateway_count)
+        )
+
     def end_refused(self, attempt: attempts.Attempt, error: errors.EndpointNotStartedError) -> None:
         """Record and close an attempt that has not run; its endpoint may be tried again later."""
         self.progress.runs -= 1
@@ -551,7 +571,7 @@
             outcome=outcome.value,
             first=first.endpoint.id,
             second=second.endpoint.id,
-            silent_ms=round((overlapping.timeout_seconds + now - overlapping.searched_at) * 1000),
+            silent_ms=round((now - overlapping.silent_since) * 1000),
             overlap_ms=round((now - second.sent_at) * 1000),
             left_ms=round((self.metadata.deadline - now) * 1000),
             last_event_id=self.progress.last_event_id,
@@ -607,7 +627,9 @@
         """
         call.require_room()
         while (
-            data := await self.overlap.wait(attempt.next_data(), READ_TIMEOUT_SECONDS, attempt)
+            data := await self.overlap.wait(
+                attempt.next_data, clocks.boot_time(), READ_TIMEOUT_SECONDS, attempt
+            )
         ) is not None:
             self.overlap.end()
             call.hold(len(call.body) + len(data))
@@ -642,15 +664,13 @@
         buffer = event_stream.EventBuffer()
         reservation = attempt.grant.reservation
         usage = call.exchange.channel.usage
-        next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
+        silent_since = clocks.boot_time()
         while True:
             waited_seconds = usage.waited_seconds
             data = await self.overlap.wait(
-                attempt.next_data(),
-                max(0.0, next_event_until - clocks.boot_time()),
-                attempt,
+                attempt.next_data, silent_since, READ_TIMEOUT_SECONDS, attempt
             )
-            next_event_until += usage.waited_seconds - waited_seconds
+            silent_since += usage.waited_seconds - waited_seconds
             if not reservation.prefilled:
                 reservation.record_first_event()
                 now = clocks.boot_time()
@@ -685,10 +705,11 @@
                 self.overlap.end()
             await self.write_to_client(call, data)
             if has_event:
-                next_event_until = clocks.boot_time() + READ_TIMEOUT_SECONDS
+                silent_since = clocks.boot_time()
         if call.exchange.unframed and not attempt.received_bytes:
-            raise errors.EndpointBrokenError("the stream ended before its first byte")
+            raise errors.EndpointBrokenError(ENDED_UNBEGUN)
         self.require_whole_event(buffer, call)
+        self.overlap.end()
         if self.route.resumable:
             await self.write_to_client(call, bytes(buffer.incomplete))
         await self.start_response(call)
