An endpoint's failure is kept until another attempt is granted

What callers saw: on a route that may run again, an endpoint's own failure (5xx with its proof) was replaced by the gateway's 502, or 504 at the deadline, if no other endpoint or retry budget was granted or the next attempt broke off.

Cause: the answer was read and discarded before it was known whether another attempt follows.

Ruled out: passing it on at once instead of a further attempt, which would end requests that another endpoint serves.

Change: a whole answer of up to 16 KiB that arrives within the time that discarding takes is kept, its bytes count as answers' memory until a response begins or the request ends, and it is passed on unchanged if the request would otherwise end with 502 or 504. Statuses that promise no run and answers without proof are not kept.

--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -231,13 +231,16 @@
         except errors.BodyMemoryError as error:
             raise errors.EndpointBrokenError(str(error)) from error
 
-    async def discard_body(self) -> int:
-        """Read a body that nobody gets if it is short; return the bytes that were read.
+    async def discard_body(self, kept: "KeptAnswer | None" = None) -> int:
+        """Read a body if it is short; return the bytes that were read.
 
-        The connection of a longer one cannot be used again. Raise EndpointBrokenError if it
-        breaks off.
+        The connection of a longer one cannot be used again. ``kept`` gets the body. Raise
+        EndpointBrokenError if it breaks off.
         """
-        return await self.exchange.discard_body(clocks.boot_time() + DISCARD_SECONDS)
+        deadline = clocks.boot_time() + DISCARD_SECONDS
+        if kept is None:
+            return await self.exchange.discard_body(deadline)
+        return await self.exchange.discard_body(deadline, kept.add)
 
     def finish(self) -> None:
         """Release the connection if its response was read completely, otherwise reset it.
@@ -255,6 +258,45 @@
             self.exchange.channel.abort()
 
 
+class KeptAnswer:
+    """An endpoint's answer that a client gets if no further attempt is granted.
+
+    Only a small body is kept. It takes memory until ``release``.
+    """
+
+    __slots__ = ("body", "call", "fits", "held_body")
+
+    def __init__(self, call: EndpointCall) -> None:
+        self.call = call
+        self.body = bytearray()
+        self.held_body = body_memory.HeldBody(call.held_body.memory)
+        self.fits = True
+
+    @property
+    def whole(self) -> bool:
+        """Whether the body was read to its end and kept."""
+        return self.fits and self.call.exchange.ended
+
+    def add(self, data: bytes) -> None:
+        """Keep the next bytes of the body, or none if it becomes too large."""
+        size = len(self.body) + len(data)
+        self.fits = self.fits and size <= body_memory.SMALL_ANSWER_BYTES
+        if self.fits:
+            try:
+                self.held_body.resize(size)
+            except errors.BodyMemoryError:
+                self.fits = False
+        if self.fits:
+            self.body += data
+        else:
+            self.release()
+
+    def release(self) -> None:
+        """Drop the body and give its memory back."""
+        self.body.clear()
+        self.held_body.release()
+
+
 class EndpointClient:
     """Sends requests to endpoints."""
 
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -140,6 +140,8 @@
         self.responder = responder
         self.progress = RequestProgress(metadata.last_event_id)
         self.overlap = overlap.Overlap(self)
+        # The latest failure of an endpoint, which is passed on if no further attempt is granted.
+        self.kept_failure: calls.KeptAnswer | None = None
         self.service = choose_service(route, metadata.request_id)
         self.deadline = min(metadata.deadline, metadata.arrived_at + route.timeout_seconds)
         # Of the response until its first byte is sent, then ``deadline``.
@@ -165,28 +167,43 @@
                 while not await self.attempt():
                     pass
         except RefusalError as refusal:
-            if not self.progress.response_started:
+            if self.progress.response_started:
+                self.record_cut_stream("cut by endpoint", refusal.reason)
+                return
+            if refusal.status != 502 or self.kept_failure is None:
                 raise
-            self.record_cut_stream("cut by endpoint", refusal.reason)
+            await self.send_failure(self.kept_failure)
         except TimeoutError:
             if self.progress.response_started:
                 self.record_cut_stream(*self.deadline_cause())
                 return
+            if self.kept_failure is not None:
+                await self.send_failure(self.kept_failure)
+                return
             if self.progress.runs:
                 raise RefusalError(504, "deadline passed after a send") from None
             raise RefusalError(503, "deadline passed", placer.MIN_RETRY_AFTER_SECONDS) from None
         finally:
             self.overlap.end(overlap.Outcome.REQUEST_ENDED)
+            self.drop_failure()
 
     def schedule_time_limit(self) -> None:
         """Let the request end at ``response_deadline``."""
         remaining_seconds = self.response_deadline - clocks.boot_time()
         self.time_limit.reschedule(asyncio.get_running_loop().time() + remaining_seconds)
 
-    def extend_time_limit(self) -> None:
+    def begin_response(self) -> None:
         """Give a response whose first byte is sent the client's whole time."""
+        self.progress.response_started = True
         self.response_deadline = self.deadline
         self.schedule_time_limit()
+        self.drop_failure()
+
+    def drop_failure(self) -> None:
+        """Give back the memory of a failure that is not passed on."""
+        if self.kept_failure is not None:
+            self.kept_failure.release()
+            self.kept_failure = None
 
     async def attempt(self) -> bool:
         """Make one attempt, or go on with one that was sent beside it.
@@ -569,7 +586,7 @@
             self.record_success(call, attempt.sent_at)
             return True
         if response.status >= 500 and self.may_retry():
-            attempt.received_bytes = await call.discard_body()
+            await self.discard_failure(attempt, call)
             self.fleet.health.record_failure(call.endpoint.id, clocks.boot_time())
             self.record_failed_attempt(
                 call.endpoint, "failed", f"status {response.status}", attempt
@@ -584,8 +601,7 @@
             self.record_answer_begun(attempt)
         headers = self.dependencies.codec.response_headers(response.headers)
         self.overlap.end()
-        self.progress.response_started = True
-        self.extend_time_limit()
+        self.begin_response()
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
             self.record_success(call, attempt.sent_at)
@@ -593,6 +609,33 @@
             self.record_answered(call, clocks.boot_time())
         return True
 
+    async def discard_failure(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> None:
+        """Read a failure after which another attempt may follow; keep one that may be passed on."""
+        failure = calls.KeptAnswer(call)
+        try:
+            attempt.received_bytes = await call.discard_body(failure)
+        except BaseException:
+            failure.release()
+            raise
+        if (
+            not failure.whole
+            or not call.response_metadata.signed
+            or call.response.status in NOT_RUN_STATUSES
+        ):
+            failure.release()
+            return
+        self.drop_failure()
+        self.kept_failure = failure
+
+    async def send_failure(self, failure: calls.KeptAnswer) -> None:
+        """Pass on an endpoint's failure that was kept."""
+        self.overlap.end(overlap.Outcome.REQUEST_ENDED)
+        self.progress.response_started = True
+        response = failure.call.response
+        headers = self.dependencies.codec.response_headers(response.headers)
+        await self.responder.send(response.status, headers, failure.body)
+        self.record_answered(failure.call, clocks.boot_time())
+
     def record_answer_begun(self, attempt: attempts.Attempt) -> None:
         """Record that the request has not crashed its endpoint."""
         attempt.answer_begun = True
@@ -702,8 +745,7 @@
     async def start_response(self, call: calls.EndpointCall) -> None:
         """Write the head of a stream's response to the client unless that was done."""
         if not self.progress.response_started:
-            self.progress.response_started = True
-            self.extend_time_limit()
+            self.begin_response()
             headers = self.dependencies.codec.response_headers(call.response.headers)
             await self.responder.start(call.response.status, headers)
 
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -568,7 +568,11 @@
             (int(value) for name, value in answer.headers if name.lower() == b"content-length"), 0
         )
 
-    async def discard_body(self, deadline: float) -> int:
+    async def discard_body(
+        self,
+        deadline: float,
+        on_data: collections.abc.Callable[[bytes], None] = lambda data: None,
+    ) -> int:
         """Read the rest of the body without keeping it; return its bytes that were read.
 
         At most ``MAX_DISCARDED_BYTES`` are received, until a deadline in seconds of
@@ -585,6 +589,7 @@
                         if data is None:
                             return size
                         size += len(data)
+                        on_data(data)
             except TimeoutError:
                 # The loop may be late; what has arrived until the deadline counts. Bytes that wait
                 # for their turn are not worth the wait.
