A quarantine that is decided while an earlier decision is stored is stored too

What callers saw: nothing at once. After a restart of all gateways, a part that ends endpoints was sent again, or requests with a sound part were refused, until the fleet had decided anew.

Cause: the keeper marked a part as stored after the call, also if the part had been cleared or quarantined while the call ran. The later decision was given up.

Change: the mark goes only if the decision is still the one that was stored.

Measured: the test of both orders failed before ({} expected, the cleared quarantine was still stored) and passes.

--- a/src/masticward/gateway/quarantine_keeper.py
+++ b/src/masticward/gateway/quarantine_keeper.py
@@ -60,12 +60,22 @@
         quarantine = self.fleet.quarantine
         while quarantine.decided:
             key = next(iter(quarantine.decided))
-            part = quarantine.parts.get(key)
-            if part is None or not part.was_quarantined:
+            decision = self.find_decision(key)
+            if decision is None:
                 await self.source.delete_quarantine(key)
             else:
-                seconds = part.quarantined_until - clocks.boot_time()
+                quarantines, until = decision
+                expires_at = time.time() + until - clocks.boot_time()
                 await self.source.save_quarantine(
-                    sources.StoredQuarantine(key, part.quarantines, time.time() + seconds)
+                    sources.StoredQuarantine(key, quarantines, expires_at)
                 )
-            quarantine.decided.discard(key)
+            # Another decision that was made meanwhile is stored next.
+            if self.find_decision(key) == decision:
+                quarantine.decided.discard(key)
+
+    def find_decision(self, key: str) -> tuple[int, float] | None:
+        """Return the number of a part's quarantines and the end of the last; None if cleared."""
+        part = self.fleet.quarantine.parts.get(key)
+        if part is None or not part.was_quarantined:
+            return None
+        return part.quarantines, part.quarantined_until
