Stored quarantines are restored although an old one cannot be deleted

What callers saw: after a restart of all gateways beside a store that fails, a part in quarantine could be sent again.

Cause: the listing counted as loaded before its quarantines were restored. A failed delete of one that was too old ended the loop, and the rest of the listing was given up.

Change: old entries are queued as decisions, so that they are deleted, with retries, after all others are restored.

Measured: the test timed out before (the second quarantine was never restored) and passes.

--- a/src/masticward/gateway/quarantine_keeper.py
+++ b/src/masticward/gateway/quarantine_keeper.py
@@ -40,7 +40,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def load(self) -> None:
-        """Restore the stored quarantines; delete those that are too old to matter."""
+        """Restore the stored quarantines; have those deleted that are too old to matter."""
         listing = await self.source.list_objects(sources.ObjectKind.QUARANTINES)
         self.loaded = True
         for item in listing.items:
@@ -49,7 +49,7 @@
                 continue
             seconds = stored.expires_at - time.time()
             if seconds <= -part_quarantine.QUARANTINE_MEMORY_SECONDS:
-                await self.source.delete_quarantine(stored.key)
+                self.fleet.quarantine.decided.add(stored.key)
                 continue
             self.fleet.quarantine.restore(
                 stored.key, stored.quarantines, seconds, clocks.boot_time()
--- a/tests/unit/test_quarantine_keeper.py
+++ b/tests/unit/test_quarantine_keeper.py
@@ -1,10 +1,12 @@
 """Stored quarantines while the store is slow or fails."""
 
 import asyncio
+import time
 import unittest
 
 from masticward import errors
 from masticward.gateway import quarantine_keeper, sources
+from masticward.state import part_quarantine
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
 
@@ -78,3 +80,20 @@
         await self.store_beside("quarantined")
         self.assertEqual({"a"}, set(self.store.stored))
         self.assertEqual(set(), self.quarantine.decided)
+
+    async def test_a_failed_delete_of_an_old_quarantine_keeps_none_from_being_restored(
+        self,
+    ) -> None:
+        """Guards against deadly parts that are sent again after a restart beside a bad store."""
+        age = part_quarantine.QUARANTINE_MEMORY_SECONDS + 1.0
+        for key, seconds in (("old", -age), ("new", 30.0)):
+            stored = sources.StoredQuarantine(key, 1, time.time() + seconds)
+            self.store.stored[key] = stored
+        self.store.failures = 1
+        self.store.released.set()
+        running = asyncio.create_task(self.keeper.run())
+        async with asyncio.timeout(5.0):
+            while set(self.store.stored) != {"new"}:
+                await asyncio.sleep(0.01)
+        running.cancel()
+        self.assertTrue(self.quarantine.parts["new"].is_quarantined(clocks.boot_time()))
