A crash after the timeout of a part's test is the outcome of the test

What callers saw: requests with a part that ends its endpoint later than 5 s after they were sent ended one endpoint after the other: the part stayed suspected and was never quarantined.

Cause: after 5 s the test was dropped, so that another gateway may test. A crash on its request counted as one without a test.

Ruled out: keeping the test open until its request ends, which would hold back all requests with a sound part behind one endpoint that hangs.

Change: a test that is overdue goes on beside the next one for up to 30 s; its endpoint gets no other test. If its request ends without a crash, it is dropped.

Measured: the new test failed before (the part was not quarantined after the crash) and passes; the rest of test_deadly_parts passes unchanged.

--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -30,6 +30,8 @@
 TEST_DELAY_SECONDS = 0.25
 # Longest time to the beginning of an answer to a test; afterwards another gateway may test.
 TEST_TIMEOUT_SECONDS = 5.0
+# The endpoint may still crash on that request, which then is the outcome of the test.
+OVERDUE_TEST_SECONDS = 30.0
 # After each delay twice as many gateways may test a part, in the order of a hash. The first ones
 # may have no request with the part.
 TEST_RANK_DELAY_SECONDS = 0.5
@@ -105,6 +107,7 @@
         "cleared_quarantines",
         "crashes",
         "key",
+        "overdue_tests",
         "own_test",
         "peer_tests",
         "quarantined_until",
@@ -129,6 +132,8 @@
         self.rank = 0
         self.ranked_gateways: list[str] | None = None
         self.own_test: OwnTest | None = None
+        # By endpoint: own tests after which another one may follow, although they may still fail.
+        self.overdue_tests: dict[str, OwnTest] = {}
         # By gateway: the endpoint of its test, and until when the test may last.
         self.peer_tests: dict[str, tuple[str, float]] = {}
 
@@ -159,6 +164,13 @@
         )
 
 
+def find_test(part: Part, endpoint_id: str) -> OwnTest | None:
+    """Return the own test of a part at an endpoint, None if there is none."""
+    if part.own_test is not None and part.own_test.endpoint_id == endpoint_id:
+        return part.own_test
+    return part.overdue_tests.get(endpoint_id)
+
+
 def part_key(part_id: str) -> str:
     """Return the key of a part: its ID, or a hash if the ID is long."""
     if len(part_id) <= MAX_ID_LENGTH:
@@ -224,6 +236,7 @@
         endpoint_ids: set[str] = set()
         for part in self.restricted.values():
             endpoint_ids.update(part.crashes)
+            endpoint_ids.update(part.overdue_tests)
             if part.own_test is not None:
                 endpoint_ids.add(part.own_test.endpoint_id)
             endpoint_ids.update(item for item, until in part.peer_tests.values() if until > now)
@@ -262,20 +275,22 @@
         """
         for key in keys:
             part = self.restricted.get(key)
-            test = part.own_test if part is not None else None
+            test = find_test(part, endpoint_id) if part is not None else None
             if (
                 part is not None
                 and test is not None
                 and test.request_id == request_id
-                and test.endpoint_id == endpoint_id
                 and test.decide_at is None
             ):
-                self.finish_test(part)
+                self.finish_test(part, test)
 
-    def finish_test(self, part: Part) -> None:
-        """Allow the next test of a part."""
-        part.own_test = None
-        self.changed.add(part.key)
+    def finish_test(self, part: Part, test: OwnTest) -> None:
+        """Drop a test of a part, and allow the next one."""
+        if part.own_test is test:
+            part.own_test = None
+            self.changed.add(part.key)
+        else:
+            part.overdue_tests.pop(test.endpoint_id, None)
 
     def record_answer(self, keys: collections.abc.Iterable[str], now: float) -> None:
         """Clear parts of all crashes so far: an endpoint has begun to answer a request."""
@@ -303,8 +318,8 @@
             if endpoint_id not in part.crashes:
                 self.add_crash(part, endpoint_id, now + CRASH_MEMORY_SECONDS, now)
                 self.parts.move_to_end(key)
-            test = part.own_test
-            if test is not None and test.endpoint_id == endpoint_id and test.decide_at is None:
+            test = find_test(part, endpoint_id)
+            if test is not None and test.decide_at is None:
                 test.decide_at = now + VERDICT_DELAY_SECONDS
             self.changed.add(key)
             self.update(part, now)
@@ -338,20 +353,26 @@
         else:
             del self.restricted[part.key]
             part.own_test = None
+            part.overdue_tests.clear()
             part.peer_tests.clear()
             LOGGER.log(events.Event.PART_CLEARED, part=part.key, quarantines=part.quarantines)
 
     def advance(self, now: float) -> None:
         """Decide on tests whose endpoint crashed; end those that lasted too long."""
         for part in list(self.restricted.values()):
-            test = part.own_test
-            if test is None:
-                continue
-            if test.decide_at is None:
-                if now >= test.ends_at:
-                    self.finish_test(part)
-            elif now >= test.decide_at:
-                self.decide(part, test, now)
+            tests = list(part.overdue_tests.values())
+            if part.own_test is not None:
+                tests.append(part.own_test)
+            for test in tests:
+                if test.decide_at is not None:
+                    if now >= test.decide_at:
+                        self.decide(part, test, now)
+                elif now >= test.ends_at:
+                    overdue = part.own_test is test
+                    self.finish_test(part, test)
+                    if overdue:
+                        test.ends_at = now + OVERDUE_TEST_SECONDS
+                        part.overdue_tests[test.endpoint_id] = test
 
     def decide(self, part: Part, test: OwnTest, now: float) -> None:
         """Judge a part whose test crashed the endpoint."""
@@ -366,7 +387,7 @@
         crash = part.crashes.get(test.endpoint_id)
         if crash is not None and not crash.cleared:
             crash.outcome = TestOutcome.AMBIGUOUS if others else TestOutcome.FAILED
-        self.finish_test(part)
+        self.finish_test(part, test)
         failed_tests = part.count_outcomes(TestOutcome.FAILED)
         if was_answered:
             guilty = failed_tests >= FAILED_TESTS_OF_ANSWERED_PART
--- a/tests/unit/test_deadly_parts.py
+++ b/tests/unit/test_deadly_parts.py
@@ -244,3 +244,27 @@
                 for report in sender.build_reports(now):
                     receiver.merge(report, sender.own_id, now)
         self.assertEqual(({}, {}), (dict(quarantine.parts), dict(peer.parts)))
+
+    def test_a_crash_after_the_timeout_of_a_test_is_its_outcome(self) -> None:
+        """Guards against parts that crash their endpoints late, one after the other."""
+        for answered in (False, True):
+            with self.subTest(answered=answered):
+                quarantine = part_quarantine.PartQuarantine("g1")
+                for endpoint_id in ("e1", "e2"):
+                    quarantine.record_crash(endpoint_id, ["a"], 10.0)
+                quarantine.start_test(["a"], "e3", "q1", 11.0)
+                now = 11.0 + part_quarantine.TEST_TIMEOUT_SECONDS
+                quarantine.advance(now)
+                # Another test may follow meanwhile, at another endpoint.
+                self.assertEqual(
+                    part_quarantine.Verdict.TEST, quarantine.verdict(["a"], ["g1"], now)[0]
+                )
+                self.assertIn("e3", quarantine.endpoints_to_avoid(now))
+                quarantine.start_test(["a"], "e4", "q2", now)
+                if answered:
+                    quarantine.end_test(["a"], "q1", "e3")
+                quarantine.record_crash("e3", ["a"], now + 1.0)
+                quarantine.advance(now + 1.0 + part_quarantine.VERDICT_DELAY_SECONDS)
+                part = quarantine.restricted["a"]
+                self.assertEqual(not answered, part.is_quarantined(now + 2.0))
+                self.assertEqual("e4", part.own_test.endpoint_id if part.own_test else "")
