A crash after the client of a part's test has left is the outcome of the test

What callers saw: a part that ends its endpoints after its clients have left (within the 2 s for which cancelled requests are remembered) stayed suspected, and each further test ended another endpoint.

Cause: the cancelled request ended its test at once. The crash that followed counted as one without a test.

Change: the next test may follow as before, and a crash of the endpoint within these 2 s is the outcome of the first one.

Measured: the new test failed before (the part was not quarantined) and passes; the rest of test_deadly_parts passes.

--- a/src/masticward/gateway/crash_detector.py
+++ b/src/masticward/gateway/crash_detector.py
@@ -79,8 +79,10 @@
             requests = self.abandoned.setdefault(
                 endpoint.id, collections.deque(maxlen=MAX_ABANDONED_REQUESTS)
             )
-            requests.append(
-                UnansweredRequest(request_id, part_keys, clocks.boot_time() + ABANDONED_SECONDS)
+            expires_at = clocks.boot_time() + ABANDONED_SECONDS
+            requests.append(UnansweredRequest(request_id, part_keys, expires_at))
+            self.fleet.quarantine.abandon_test(
+                part_keys, request_id, endpoint.incarnation, expires_at
             )
 
     def record_unreachable(self, endpoint: gateway.Endpoint) -> None:
--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -91,13 +91,15 @@
 class OwnTest:
     """A test of a part by this gateway; ``decide_at`` is set once the endpoint has crashed."""
 
-    __slots__ = ("decide_at", "endpoint_id", "ends_at", "request_id")
+    __slots__ = ("abandoned", "decide_at", "endpoint_id", "ends_at", "request_id")
 
     def __init__(self, endpoint_id: str, request_id: str, ends_at: float) -> None:
         self.endpoint_id = endpoint_id
         self.request_id = request_id
         self.ends_at = ends_at
         self.decide_at: float | None = None
+        # Whether its request was cancelled, so that only a crash shows its outcome.
+        self.abandoned = False
 
 
 class Part:
@@ -281,9 +283,36 @@
                 and test is not None
                 and test.request_id == request_id
                 and test.decide_at is None
+                and not test.abandoned
             ):
                 self.finish_test(part, test)
 
+    def abandon_test(
+        self,
+        keys: collections.abc.Iterable[str],
+        request_id: str,
+        endpoint_id: str,
+        crashes_until: float,
+    ) -> None:
+        """Allow the next test after one whose request was cancelled.
+
+        A crash of its endpoint until ``crashes_until`` still is its outcome.
+        """
+        for key in keys:
+            part = self.restricted.get(key)
+            test = part.own_test if part is not None else None
+            if (
+                part is not None
+                and test is not None
+                and test.request_id == request_id
+                and test.endpoint_id == endpoint_id
+                and test.decide_at is None
+            ):
+                self.finish_test(part, test)
+                test.abandoned = True
+                test.ends_at = crashes_until
+                part.overdue_tests[endpoint_id] = test
+
     def finish_test(self, part: Part, test: OwnTest) -> None:
         """Drop a test of a part, and allow the next one."""
         if part.own_test is test:
--- a/tests/unit/test_deadly_parts.py
+++ b/tests/unit/test_deadly_parts.py
@@ -3,10 +3,13 @@
 import random
 import unittest
 
+from masticward.gateway import crash_detector
 from masticward.models import part_reports
 from masticward.protocol import gateway_peers
 from masticward.state import part_quarantine
+from masticward.utils import clocks
 from tests.lib import crash_model
+from tests.lib import gateway_builders as builders
 
 CONTACT_SECONDS = 3.0
 MAX_SENDS_AFTER_CONTACT = 3
@@ -268,3 +271,23 @@
                 part = quarantine.restricted["a"]
                 self.assertEqual(not answered, part.is_quarantined(now + 2.0))
                 self.assertEqual("e4", part.own_test.endpoint_id if part.own_test else "")
+
+    def test_a_crash_after_the_client_of_a_test_has_left_is_its_outcome(self) -> None:
+        """Guards against parts that crash endpoints without end because their clients leave."""
+        detector = crash_detector.CrashDetector(
+            builders.make_fleet(now=clocks.boot_time()),
+            None,  # type: ignore[arg-type]
+        )
+        quarantine, now = detector.fleet.quarantine, clocks.boot_time()
+        endpoint = builders.make_endpoint("e3")
+        for endpoint_id in ("e1", "e2"):
+            quarantine.record_crash(endpoint_id, ["a"], now)
+        quarantine.start_test(["a"], endpoint.incarnation, "q1", now)
+        detector.record_abandoned(endpoint, "q1", ["a"])
+        quarantine.end_test(["a"], "q1", endpoint.incarnation)
+        # Requests with the part are held back no longer than before.
+        verdict, _ = quarantine.verdict(["a"], ["g1"], now + 1.0)
+        self.assertEqual(part_quarantine.Verdict.TEST, verdict)
+        detector.record_unreachable(endpoint)
+        quarantine.advance(clocks.boot_time() + part_quarantine.VERDICT_DELAY_SECONDS)
+        self.assertTrue(quarantine.restricted["a"].is_quarantined(clocks.boot_time()))
