Evidence against a part is kept while a test of the part is open

What callers saw: a part that ends its endpoints was sent freely once more if its test began shortly before the crashes that it was suspected for were 60 s old.

Cause: the crashes expired, the part counted as sound, and its open test was dropped before its outcome.

Change: evidence does not expire while a test, the own one or a peer's, is open, which is 5 s at most for each test.

Measured: the new test failed before (the part was not quarantined after its test crashed) and passes; the rest of test_deadly_parts passes.

--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -445,12 +445,15 @@
     def expire(self, now: float) -> None:
         """Drop evidence and parts that are too old to matter."""
         for part in list(self.parts.values()):
-            for endpoint_id, crash in list(part.crashes.items()):
-                if now >= crash.expires_at:
-                    del part.crashes[endpoint_id]
             part.peer_tests = {
                 gateway: test for gateway, test in part.peer_tests.items() if test[1] > now
             }
+            if part.is_tested(now):
+                # The evidence is the reason for a test whose outcome is open.
+                continue
+            for endpoint_id, crash in list(part.crashes.items()):
+                if now >= crash.expires_at:
+                    del part.crashes[endpoint_id]
             remembered = now < part.quarantined_until + QUARANTINE_MEMORY_SECONDS
             if not remembered:
                 part.cleared_quarantines = part.quarantines
--- a/tests/unit/test_deadly_parts.py
+++ b/tests/unit/test_deadly_parts.py
@@ -291,3 +291,22 @@
         detector.record_unreachable(endpoint)
         quarantine.advance(clocks.boot_time() + part_quarantine.VERDICT_DELAY_SECONDS)
         self.assertTrue(quarantine.restricted["a"].is_quarantined(clocks.boot_time()))
+
+    def test_evidence_stays_until_the_outcome_of_a_test_is_known(self) -> None:
+        """Guards against tests that are given up because the crashes before them expire."""
+        for crashes in (True, False):
+            with self.subTest(crashes=crashes):
+                quarantine = part_quarantine.PartQuarantine("g1")
+                for endpoint_id in ("e1", "e2"):
+                    quarantine.record_crash(endpoint_id, ["a"], 10.0)
+                now = 10.0 + part_quarantine.CRASH_MEMORY_SECONDS
+                quarantine.start_test(["a"], "e3", "q1", now - 1.0)
+                quarantine.expire(now)
+                if crashes:
+                    quarantine.record_crash("e3", ["a"], now + 1.0)
+                else:
+                    quarantine.end_test(["a"], "q1", "e3")
+                quarantine.expire(now + 1.1)
+                quarantine.advance(now + 1.2)
+                part = quarantine.restricted.get("a")
+                self.assertEqual(crashes, part is not None and part.is_quarantined(now + 2.0))
