A reader that takes over after an outage of the store keeps missing endpoints

What callers saw: in a fleet of more than eight gateways, all endpoints whose entries had expired in an outage of the store could be out of use for up to 2 s after it, although they were alive: requests waited or were refused.

Cause: readers whose calls fail are replaced. One that took over and whose first call succeeded knew of no outage, had no grace period and relayed the removals to all.

Ruled out: a grace period for each new reader, which would keep endpoints that have left.

Change: a process that begins to read the store takes it as unavailable if the fleet's latest proof is older than 3 s; readers renew it after 2 s at most while the store responds.

Measured: the new test failed before (all gateways but the former readers had dropped the endpoint) and passes. A second one shows that a new reader without an outage drops a removed endpoint at once, as before.

--- a/src/masticward/gateway/followers.py
+++ b/src/masticward/gateway/followers.py
@@ -26,6 +26,8 @@
 # The store entry of an endpoint expires after three missed heartbeats, at the earliest 2.4 s after
 # the start of an outage. Shorter outages need neither a new listing nor a grace period.
 MIN_OUTAGE_SECONDS = 2.0
+# While the store responds, readers renew the fleet's proof before it is that old.
+MAX_PROOF_AGE_SECONDS = 3.0
 LOGGER = logs.get_logger(__name__)
 
 
@@ -62,11 +64,24 @@
     def set_active(self, active: bool) -> None:
         """Start or stop to watch; a watch in progress is completed."""
         if active:
+            if not self.active.is_set():
+                self.assume_outage()
             self.active.set()
         elif self.active.is_set():
             self.active.clear()
             self.store_unavailable = False
 
+    def assume_outage(self) -> None:
+        """Take the store as unavailable until now if no gateway has had a response lately.
+
+        This process has not called the store itself, and its first call may be the first one that
+        succeeds after an outage.
+        """
+        proven_at = self.fleet.configuration_proven_at
+        if clocks.boot_time() - proven_at > MAX_PROOF_AGE_SECONDS:
+            self.store_unavailable = True
+            self.unavailable_since = max(self.last_response_at, proven_at)
+
     async def run(self) -> None:
         """List and watch the objects until cancelled."""
         retry_seconds = MIN_RETRY_SECONDS
--- a/tests/unit/test_store_readers.py
+++ b/tests/unit/test_store_readers.py
@@ -195,6 +195,7 @@
         for _ in range(rounds):
             self.now += 0.4
             for item in self.gateways:
+                item.fleet.pauses.tick(self.now)
                 if item.ip not in self.network.cut_ips:
                     item.peering.update_liveness()
                     item.peering.send_reports()
@@ -330,3 +331,31 @@
         self.assertEqual([{"e0"}] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
         await self.change("e0", None)
         self.assertEqual([set()] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+
+    async def test_a_reader_that_is_new_after_an_outage_keeps_missing_endpoints(self) -> None:
+        """Guards against a whole fleet that gives up its endpoints when a reader takes over."""
+        readers = self.readers()
+        for item in self.gateways:
+            item.fleet.configuration_proven_at = self.now
+        for number, item in enumerate(self.gateways):
+            if item in readers:
+                self.tasks[number].cancel()
+        await self.pass_time(8)
+        for item in readers:
+            item.fleet.store_failed_at = self.now
+        await self.change("e0", None)
+        await self.pass_time(2)
+        self.assertFalse(any(item.fleet.reads_store for item in readers))
+        self.assertEqual([{"e0"}] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+        self.assertTrue(any(item.fleet.table.missing for item in self.readers()))
+
+    async def test_a_reader_that_is_new_without_an_outage_keeps_no_missing_endpoint(self) -> None:
+        """Guards against requests to endpoints that have left."""
+        await self.pass_time(10)
+        for item in self.gateways:
+            item.fleet.configuration_proven_at = self.now
+        for item in self.readers():
+            item.fleet.store_failed_at = self.now
+        await self.pass_time(2)
+        await self.change("e0", None)
+        self.assertEqual([set()] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
