A listing that is not whole is an error

What callers saw: nothing yet; the store at hand sends no such page. With one, all endpoints that the pages before it lack were out of use at once, and evacuated zones were taken back.

Cause: a page without objects ended a listing as complete although further pages were announced.

Change: such a page fails the call, and what was listed before stays in force.

Measured: the new test failed before (no endpoint was left) and passes; the rest of test_odd_entries passes.

--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -159,7 +159,7 @@
                 if listed is not None:
                     items.append(listed)
                     after = listed.name
-            if not body.has_more or not body.items:
+            if not body.has_more:
                 return sources.Listing(tuple(items), revision, True)
             if after == previous:
                 raise errors.StoreUnavailableError(name, "no object of a page has a readable name")
--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -92,6 +92,21 @@
         self.store.put_endpoint("e1", self.endpoints[0].address, state="draining")
         await self.wait_for_endpoints("e2")
 
+    async def test_a_listing_that_is_not_whole_removes_nothing(self) -> None:
+        """Guards against endpoints that are given up, and zones that are taken back."""
+        await self.add_endpoint("e1")
+        self.store.put("evacuations", "z9", {})
+        await self.start()
+        await self.wait_until(lambda: self.fleet.table.evacuated_zones == {"z9"})
+        self.store.empty_pages = {"servers", "evacuations"}
+        self.store.calls.clear()
+        self.program.snapshots.request_listings()
+        for kind in self.store.empty_pages:
+            await self.wait_until(lambda kind=kind: f"GET /objects/{kind}" in self.store.calls)
+        await asyncio.sleep(0.1)
+        self.assertEqual({"e1"}, set(self.fleet.table.endpoints))
+        self.assertEqual({"z9"}, self.fleet.table.evacuated_zones)
+
     async def test_a_gateway_starts_beside_odd_objects_of_all_kinds(self) -> None:
         await self.add_endpoint("e1")
         for number, text in enumerate(ODD_ENTRIES.values()):
--- a/tests/lib/platform_standins.py
+++ b/tests/lib/platform_standins.py
@@ -312,6 +312,8 @@
         self.unavailable = False
         # Watches of these kinds keep their connection open without a response.
         self.hanging_watches: set[str] = set()
+        # Listings of these kinds have an empty page, with further ones announced.
+        self.empty_pages: set[str] = set()
         self.oldest_revision = 0
         self.calls: list[str] = []
 
@@ -372,6 +374,8 @@
             await asyncio.sleep(60.0)
         if "watch" in query:
             return await self.watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
+        if kind in self.empty_pages:
+            return 200, {"items": [], "has_more": True, "current_rev": self.revision}
         items = [item for (item_kind, _), item in sorted(self.objects.items()) if item_kind == kind]
         return 200, {"items": items, "has_more": False, "current_rev": self.revision}
 
