A late answer of the store does not replace newer objects that a peer has sent

What callers saw: in a fleet of more than eight gateways, a gateway could give up new endpoints, and send to ones that had left, for about a second after a slow call to the store.

Change: an answer that is older than what came during the call is dropped; a listing is requested anew.

Ruled out: dropping every answer with a lower revision, with which a peer's wrong revision would hold for good.

Measured: the new test (a late listing and a late watch) failed before: the new endpoint was gone. It passes, as does the rest of test_store_readers.

--- a/src/masticward/gateway/followers.py
+++ b/src/masticward/gateway/followers.py
@@ -88,7 +88,7 @@
         while True:
             await self.wait_for_turn()
             requested_at = clocks.boot_time()
-            revision = self.fleet.revisions.get(self.kind)
+            revision = known_revision = self.fleet.revisions.get(self.kind)
             if self.relist_requested.is_set():
                 revision = None
             try:
@@ -114,6 +114,10 @@
                 continue
             retry_seconds = MIN_RETRY_SECONDS
             self.record_response()
+            if self.is_overtaken(listing, known_revision):
+                if listing.complete:
+                    self.relist_requested.set()
+                continue
             self.apply_listing(listing, requested_at)
             if self.fleet.relays_changes and listing.items and not listing.complete:
                 await asyncio.sleep(WATCH_PAUSE_SECONDS)
@@ -181,6 +185,15 @@
                 self.fleet.table.start_relist_grace(now)
         self.last_response_at = now
 
+    def is_overtaken(self, listing: sources.Listing, known_revision: int | None) -> bool:
+        """Return whether a peer has sent newer objects since the store was called.
+
+        ``known_revision`` is the revision of the objects at that time. The store's own answer
+        counts if nothing has come since.
+        """
+        revision = self.fleet.revisions.get(self.kind)
+        return revision is not None and revision != known_revision and listing.revision < revision
+
     def apply_listing(self, listing: sources.Listing, requested_at: float) -> None:
         """Apply a listing or the changes of a watch to the fleet state."""
         self.watched_revision = listing.revision
--- a/tests/unit/test_store_readers.py
+++ b/tests/unit/test_store_readers.py
@@ -359,3 +359,42 @@
         await self.pass_time(2)
         await self.change("e0", None)
         self.assertEqual([set()] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+
+    async def test_an_answer_of_the_store_does_not_replace_newer_objects_of_a_peer(self) -> None:
+        """Guards against endpoints that are given up, or come back, when an answer is late."""
+        released = asyncio.Event()
+        originals = self.store.list_objects, self.store.watch
+
+        async def list_late(kind: sources.ObjectKind) -> sources.Listing:
+            listing = await originals[0](kind)
+            await released.wait()
+            return listing
+
+        async def watch_late(
+            kind: sources.ObjectKind, revision: int, wait_seconds: float
+        ) -> sources.Listing:
+            listing = await originals[1](kind, revision, wait_seconds)
+            await released.wait()
+            return listing
+
+        lists, watches = [item for item in self.gateways if not item.fleet.reads_store][:2]
+        with (
+            unittest.mock.patch.object(self.store, "list_objects", list_late),
+            unittest.mock.patch.object(self.store, "watch", watch_late),
+        ):
+            lists.follower.relist_requested.set()
+            # This one reads the store until its watch ends.
+            watches.follower.set_active(True)
+            await self.settle()
+            watches.follower.set_active(False)
+        await self.change("e1", builders.make_endpoint("e1"))
+        await self.change("e1", None)
+        await self.change("n1", builders.make_endpoint("n1"))
+        for item in (lists, watches):
+            self.assertEqual({"e0", "n1"}, item.endpoint_ids)
+        released.set()
+        await self.settle()
+        for item in (lists, watches):
+            self.assertEqual({"e0", "n1"}, item.endpoint_ids)
+        await self.change("n2", builders.make_endpoint("n2"))
+        self.assertEqual([{"e0", "n1", "n2"}] * GATEWAYS, [i.endpoint_ids for i in self.gateways])
