A live peer keeps its address until it reports another one

What callers saw: nothing certain. A gateway could count as lost for up to half a second, with its load and its share of fleet-wide bounds, although its datagrams came.

Cause: an address for the same ID in another gateway's list of members, in the store or in a late datagram of an earlier incarnation replaced the one at which the peer had just been heard.

Change: hearsay replaces only the address of a peer that was not heard within the liveness timeout; a peer's own report is checked for its incarnation and order before its address is taken.

Measured: the new test failed before (the address of the earlier incarnation was taken) and passes; the rest of test_gateway_peering passes.

--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -270,16 +270,26 @@
     def add_peer(self, instance_id: str, ip: str) -> Peer | None:
         """Return the peer with this ID, creating it if needed.
 
-        Return None for this process and for an address to which nothing can be sent.
+        Return None for this process and for an address to which nothing can be sent. A peer that
+        was heard lately keeps its address: what others say of it may be out of date.
         """
         if instance_id == self.fleet.settings.instance_id or not addresses.is_ip(ip):
             return None
         peer = self.peers.get(instance_id)
-        if peer is None or peer.ip != ip:
-            peer = self.peers[instance_id] = Peer(instance_id, ip)
-            self.fleet.known_gateway_count = len(self.peers) + 1
+        if peer is None or (peer.ip != ip and not self.was_heard_lately(peer)):
+            peer = self.put_peer(instance_id, ip)
         return peer
 
+    def put_peer(self, instance_id: str, ip: str) -> Peer:
+        """Create a peer, or replace one that has another address."""
+        peer = self.peers[instance_id] = Peer(instance_id, ip)
+        self.fleet.known_gateway_count = len(self.peers) + 1
+        return peer
+
+    def was_heard_lately(self, peer: Peer) -> bool:
+        """Return whether a datagram of the peer has come within the liveness timeout."""
+        return clocks.boot_time() - peer.received_at <= LIVENESS_TIMEOUT_SECONDS
+
     def update_liveness(self) -> None:
         """Update the list of live gateways and drop the loads of peers that are not live."""
         now = clocks.boot_time()
@@ -560,11 +570,12 @@
             return
         # A peer that restarts after its wall clock was set back has a lower incarnation; it is
         # accepted once the earlier one has been silent for the liveness timeout.
-        recently_seen = now - peer.received_at <= LIVENESS_TIMEOUT_SECONDS
-        if report.incarnation < peer.incarnation and recently_seen:
+        if report.incarnation < peer.incarnation and self.was_heard_lately(peer):
             return
         if report.incarnation == peer.incarnation and message.sent_at <= peer.newest_sent_at:
             return  # reordered: a newer datagram was already applied
+        if peer.ip != report.ip:
+            peer = self.put_peer(report.instance_id, report.ip)
         peer.incarnation = report.incarnation
         peer.newest_sent_at = message.sent_at
         peer.received_at = now
--- a/tests/unit/test_gateway_peering.py
+++ b/tests/unit/test_gateway_peering.py
@@ -38,10 +38,12 @@
         name: str = "g2",
         availability_zone: str = "",
         is_shedding: bool = False,
+        ip: str | None = None,
+        members: tuple[tuple[str, str], ...] = (("g3", "127.0.0.3"),),
     ) -> None:
         report = gateway_peers.PeerReport(
             instance_id=name,
-            ip=f"127.0.0.{name[1:]}",
+            ip=ip or f"127.0.0.{name[1:]}",
             incarnation=incarnation,
             configuration_version=version,
             configuration_proof_age=proof_age,
@@ -51,7 +53,7 @@
             usage={},
             demand={},
             prompts=[],
-            members=[("g3", "127.0.0.3")],
+            members=list(members),
             availability_zone=availability_zone,
             is_shedding=is_shedding,
         )
@@ -158,6 +160,24 @@
         self.assertEqual({"g2", "g3"}, set(self.peering.peers))
 
 
+    def test_a_live_peer_keeps_its_address_until_it_reports_another_one(self) -> None:
+        """Guards against live peers that are given up for an address of hearsay."""
+        self.receive(sent_at=50.0, incarnation=2, loads={"e1": (10, 1, 10)})
+        self.receive(name="g4", members=(("g2", "127.0.0.9"),))
+        # A late datagram of an earlier incarnation.
+        self.receive(sent_at=60.0, incarnation=1, ip="127.0.0.8")
+        self.peering.update_liveness()
+        self.assertIn("g2", self.fleet.live_gateways)
+        self.assertEqual("127.0.0.2", self.peering.peers["g2"].ip)
+        self.receive(sent_at=51.0, incarnation=3, ip="127.0.0.7")
+        self.peering.update_liveness()
+        self.assertIn("g2", self.fleet.live_gateways)
+        self.assertEqual("127.0.0.7", self.peering.peers["g2"].ip)
+        self.now += peering.LIVENESS_TIMEOUT_SECONDS + 0.1
+        self.receive(name="g4", sent_at=2.0, members=(("g2", "127.0.0.9"),))
+        self.assertEqual("127.0.0.9", self.peering.peers["g2"].ip)
+
+
 class ListingMismatchTest(PeeringCase):
     """Guards against a hanging watch that keeps a gateway behind, and against needless listings."""
 
