Addresses and ports in use stay in force until a restart

What callers saw: nothing at first. After a change of the ports or the address in the settings file, a gateway sent its reports to a port at which no peer listened, and told its peers an address at which it did not listen, so that all counted each other as lost until they were restarted.

Cause: a reload put all settings in force, also those that hold from the start of a process; the log only said that a restart is needed.

Change: these settings keep their values until the restart. `needs_restart` now also tells of a changed name, address or store.

Measured: the new test failed before ((9, "127.0.0.9") in place of (0, "127.0.0.1")) and passes; the other 12 tests of ConfigurationTest pass.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -5,6 +5,8 @@
 import signal
 import typing
 
+import msgspec
+
 from masticward import errors, events, logs, metrics
 from masticward.gateway import (
     calls,
@@ -38,6 +40,15 @@
 MIN_AVAILABLE_PEERS = 0.5
 # The settings file is polled because it may change without a signal.
 RELOAD_INTERVAL_SECONDS = 2.0
+# Settings that hold from the start to the end of a process.
+RESTART_SETTINGS = (
+    "instance_id",
+    "ip",
+    "client_address",
+    "ready_address",
+    "peer_port",
+    "store_address",
+)
 # Keeps a task that fails immediately on each start from using all CPU time.
 TASK_RESTART_DELAY_SECONDS = 0.2
 LOGGER = logs.get_logger(__name__)
@@ -75,6 +86,8 @@
         read_settings: collections.abc.Callable[[], gateway.GatewaySettings],
     ) -> None:
         self.settings = settings
+        # As read last, with values that take effect only after a restart.
+        self.loaded_settings = settings
         self.read_settings = read_settings
         self.metrics = metrics.ProcessMetrics()
         self.fleet = fleet_module.FleetState(settings)
@@ -383,7 +396,11 @@
             self.reload()
 
     def reload(self) -> None:
-        """Apply changed settings; keep the current ones if the file is invalid."""
+        """Apply changed settings; keep the current ones if the file is invalid.
+
+        What needs a restart also stays as it is: the process goes on to use its addresses and ports
+        until then, and so do its peers.
+        """
         try:
             loaded = self.read_settings()
         except errors.SettingsError as error:
@@ -392,13 +409,12 @@
             self.settings_problems = error.problems
             return
         self.settings_problems = []
-        if loaded == self.settings:
+        if loaded == self.loaded_settings:
             return
-        needs_restart = (loaded.client_address, loaded.ready_address, loaded.peer_port) != (
-            self.settings.client_address,
-            self.settings.ready_address,
-            self.settings.peer_port,
-        )
+        self.loaded_settings = loaded
+        in_use = {name: getattr(self.settings, name) for name in RESTART_SETTINGS}
+        needs_restart = any(getattr(loaded, name) != value for name, value in in_use.items())
+        loaded = msgspec.structs.replace(loaded, **in_use)
         self.settings = loaded
         self.fleet.apply_settings(loaded)
         self.body_memory.limit_bytes = body_memory.requests_limit(loaded.memory_bytes)
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -789,6 +789,24 @@
         self.program.reload()
         self.assertEqual(3.0, self.fleet.settings.bounds.revoke_seconds)
 
+    async def test_addresses_in_use_stay_until_a_restart(self) -> None:
+        """Guards against peers that are given up for a port at which nobody listens."""
+        await self.start()
+        before = self.fleet.settings
+        good = self.settings_text
+        self.settings_text = (
+            good.replace("port_range: [0, 0]", "port_range: [9, 9]")
+            .replace('ip: "127.0.0.1"', 'ip: "127.0.0.9"')
+            .replace("revoke_ms: 1200", "revoke_ms: 3000")
+        )
+        self.program.reload()
+        self.assertEqual(3.0, self.fleet.settings.bounds.revoke_seconds)
+        after = self.fleet.settings
+        self.assertEqual((before.peer_port, before.ip), (after.peer_port, after.ip))
+        self.settings_text = good
+        self.program.reload()
+        self.assertEqual(before, self.fleet.settings)
+
     async def test_relisting_abandons_a_hanging_watch(self) -> None:
         await self.add_endpoint("e1")
         self.store.hanging_watches = {"servers"}
