A late session of an earlier entry process drops no tickets of the present one

What callers saw: nothing seen. Requests of a restarted entry could wait until their deadline if a dispatcher that had been paused accepted the session of the former process last.

Cause: each session of an entry replaced the one before and dropped its tickets, also if it was of an earlier process. The entry goes on with its session and does not queue the tickets again. Agents' sessions were checked for this.

Change: a session of an earlier incarnation is refused while a later one has a session, as for agents.

--- a/src/masticward/coordination/dispatcher.py
+++ b/src/masticward/coordination/dispatcher.py
@@ -141,12 +141,18 @@
 
     # Entry sessions
 
-    def open_entry(self, peer: dispatch_handler.EntryPeer) -> None:
-        """Register an entry's session. Replaces an earlier session of the same entry."""
+    def open_entry(self, peer: dispatch_handler.EntryPeer) -> bool:
+        """Register an entry's session. Replaces an earlier session of the same entry.
+
+        Returns False if a later incarnation of the entry already has a session.
+        """
         previous = self.entries.get(peer.entry_id)
         if previous is not None:
+            if previous.incarnation > peer.incarnation:
+                return False
             self.close_entry(previous)
         self.entries[peer.entry_id] = peer
+        return True
 
     def close_entry(self, peer: dispatch_handler.EntryPeer) -> None:
         """Drop the session's waiting tickets and free the slots of its unsent assignments."""
--- a/src/masticward/protocol/dispatch_handler.py
+++ b/src/masticward/protocol/dispatch_handler.py
@@ -100,8 +100,8 @@
     service: str
 
     @abc.abstractmethod
-    def open_entry(self, peer: EntryPeer) -> None:
-        """Register an entry's session."""
+    def open_entry(self, peer: EntryPeer) -> bool:
+        """Register an entry's session; return False if a later incarnation already has one."""
 
     @abc.abstractmethod
     def close_entry(self, peer: EntryPeer) -> None:
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -47,7 +47,11 @@
         """Serve one entry until it closes the stream or times out."""
         hello = await self.read_hello(context)
         peer = dispatch_handler.EntryPeer(hello.entry_id, hello.incarnation)
-        self.dispatcher.open_entry(peer)
+        if not self.dispatcher.open_entry(peer):
+            await context.abort(
+                grpc.StatusCode.FAILED_PRECONDITION,
+                f"a later incarnation of entry {peer.entry_id!r} has a session",
+            )
         logger.log(events.Event.ENTRY_SESSION_OPENED, entry=peer.entry_id)
         try:
             await self.serve(
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -145,6 +145,18 @@
         self.assertEqual([("t1", 2)], [ticket_and_slot(item) for item in self.take_assignments()])
         self.assertFalse(self.dispatcher.open_agent(old, None), "accepted an old incarnation")
 
+    def test_a_late_session_of_an_earlier_entry_process_drops_no_ticket(self) -> None:
+        """Guards against tickets that no dispatcher holds, which wait until their deadline."""
+        restarted = dispatch_handler.EntryPeer("entry-1", 2)
+        self.dispatcher.open_entry(restarted)
+        self.dispatcher.enqueue(restarted, dispatch_fleet.ticket("t1", "red"))
+        late = dispatch_handler.EntryPeer("entry-1", 1)
+        accepted = self.dispatcher.open_entry(late)
+        self.dispatcher.close_entry(late)
+        self.assertEqual((False, 1), (accepted, self.dispatcher.waiting))
+        self.offer(self.open_agent("agent-1"), 7)
+        self.assertEqual("t1", restarted.outbox.get_nowait().ticket_id)
+
     def test_slot_of_a_ticket_cancelled_after_assignment_is_freed_by_the_decline(self) -> None:
         peer = self.open_agent("agent-1")
         self.offer(peer, 7)
