An entry keeps its dispatcher's session until the next dispatcher has answered

What callers saw: when an agent joined that became the first dispatcher candidate, requests that waited for a slot got none for 1.5 s and more if it did not answer the entry, although the former dispatcher still assigned slots.

Cause: the session was ended as soon as another agent ranked first. Whether that one accepts sessions was not known.

Ruled out: queueing tickets at both dispatchers, which would assign slots twice.

Change: a session without tickets is opened with the new dispatcher beside the present one. With its first answer the tickets move to it. A dispatcher that does not answer is suspected as before. A present dispatcher that is leaving, out of service or suspected is given up at once, as before.

--- a/src/masticward/coordination/tickets.py
+++ b/src/masticward/coordination/tickets.py
@@ -45,6 +45,22 @@
 AssignCallback = collections.abc.Callable[[work.Assignment], bool]
 
 
+class Successor:
+    """A session that is opened with another dispatcher while the present one goes on."""
+
+    __slots__ = ("link", "target", "task")
+
+    def __init__(
+        self,
+        target: membership.Instance,
+        link: dispatch_client.EntryLink,
+        task: asyncio.Task[None],
+    ) -> None:
+        self.target = target
+        self.link = link
+        self.task = task
+
+
 class ServiceSession(dispatch_client.EntryListener):
     """The waiting tickets of one service and the session with its dispatcher."""
 
@@ -55,6 +71,7 @@
         self.target: membership.Instance | None = None
         self.link: dispatch_client.EntryLink | None = None
         self.link_task: asyncio.Task[None] | None = None
+        self.successor: Successor | None = None
         self.changed = asyncio.Event()
         self.backoff_seconds = INITIAL_BACKOFF_SECONDS
 
@@ -64,20 +81,85 @@
         return ranked[0] if ranked else None
 
     def on_view_change(self) -> None:
-        """End the session if another agent has become the first dispatcher candidate.
+        """Change the session if another agent has become the first dispatcher candidate.
 
         The session is kept while there is no candidate: this instance may just be partitioned from
-        its peers.
+        its peers. One that works is kept until the other dispatcher has answered.
         """
         self.changed.set()
         chosen = self.choose_dispatcher()
         if chosen is None or self.link_task is None:
             return
-        if session_key(chosen) != session_key(self.target):
+        if session_key(chosen) == session_key(self.target):
+            self.drop_successor()
+        elif self.works():
+            self.open_successor(chosen)
+        else:
             self.link_task.cancel()
 
+    def works(self) -> bool:
+        """Return whether the dispatcher has answered and is still a candidate."""
+        candidates = self.client.view.available_agents(self.service)
+        return (
+            self.link is not None
+            and self.link.established
+            and session_key(self.target) in map(session_key, candidates)
+        )
+
+    def open_link(
+        self, target: membership.Instance
+    ) -> tuple[dispatch_client.EntryLink, asyncio.Task[None]]:
+        """Open a session without tickets; return it with the task that runs it."""
+        hello = masticward_pb2.EntryHello(
+            entry_id=self.client.entry_id,
+            incarnation=self.client.incarnation,
+            service=self.service,
+        )
+        link = dispatch_client.EntryLink(self.client.channels, target.peer_address, hello, self)
+        task = asyncio.get_running_loop().create_task(
+            link.run(), name=f"entry-session-{self.service}"
+        )
+        return link, task
+
+    def open_successor(self, target: membership.Instance) -> None:
+        """Open a session with another dispatcher that takes over once it has answered."""
+        if self.successor is not None:
+            if session_key(self.successor.target) == session_key(target):
+                return
+            self.drop_successor()
+        link, task = self.open_link(target)
+        self.successor = Successor(target, link, task)
+        link.on_established = self.take_over
+        task.add_done_callback(self.on_successor_ended)
+
+    def take_over(self) -> None:
+        """End the present session; ``run`` goes on with the successor."""
+        if self.link_task is not None:
+            self.link_task.cancel()
+
+    def on_successor_ended(self, task: asyncio.Task[None]) -> None:
+        """Suspect a dispatcher that has not answered; nothing to do if it has taken over."""
+        failed = not task.cancelled() and task.exception() is not None
+        if self.successor is not None and self.successor.task is task:
+            target, self.successor = self.successor.target, None
+            if failed:
+                self.client.view.suspect(target.id)
+
+    def drop_successor(self) -> None:
+        """Give up the session with another dispatcher if it has not taken over."""
+        if self.successor is not None:
+            task, self.successor = self.successor.task, None
+            task.cancel()
+
     async def run(self) -> None:
         """Keep a session open with the service's current dispatcher until cancelled."""
+        try:
+            await self.run_sessions()
+        finally:
+            self.drop_successor()
+
+    async def run_sessions(self) -> None:
+        """Open one session after another until cancelled."""
         while True:
             self.changed.clear()
             target = self.choose_dispatcher()
@@ -94,18 +176,20 @@
 
     async def run_session(self, target: membership.Instance) -> bool:
         """Run one session until it ends. Return True if another dispatcher was chosen."""
-        hello = masticward_pb2.EntryHello(
-            entry_id=self.client.entry_id,
-            incarnation=self.client.incarnation,
-            service=self.service,
-        )
-        link = dispatch_client.EntryLink(self.client.channels, target.peer_address, hello, self)
+        successor = self.successor
+        if (
+            successor is not None
+            and successor.link.established
+            and session_key(successor.target) == session_key(target)
+        ):
+            self.successor = None
+            link, self.link_task = successor.link, successor.task
+        else:
+            self.drop_successor()
+            link, self.link_task = self.open_link(target)
         for ticket in sorted(self.waiting.values(), key=lambda item: item.arrived_at):
             link.enqueue(ticket)
         self.link = link
-        self.link_task = asyncio.get_running_loop().create_task(
-            link.run(), name=f"entry-session-{self.service}"
-        )
         try:
             await asyncio.wait([self.link_task])
         finally:
--- a/src/masticward/protocol/dispatch_client.py
+++ b/src/masticward/protocol/dispatch_client.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import collections.abc
 import contextlib
 import time
 import typing
@@ -65,6 +66,8 @@
         self.address = address
         self.outbox: asyncio.Queue[typing.Any] = asyncio.Queue()
         self.established = False
+        # Called with the first pong.
+        self.on_established: collections.abc.Callable[[], None] = lambda: None
         self.ping_sent_at: dict[int, float] = {}
         self.ping_requested = asyncio.Event()
         # Time beyond PING_PERIOD_SECONDS until the next ping; extends the pong timeout.
@@ -114,8 +117,10 @@
                         self.pong_timeout.reschedule(loop.time() + timeout_seconds)
                         sent_at = self.ping_sent_at.pop(sequence, None)
                         if sent_at is not None:
-                            self.established = True
+                            first, self.established = not self.established, True
                             self.receive_pong(item.pong, time.monotonic() - sent_at)
+                            if first:
+                                self.on_established()
         finally:
             self.pong_timeout = None
         raise errors.PeerUnavailableError(f"{self.address} ended the session")
--- a/tests/functional/test_dispatch_sessions.py
+++ b/tests/functional/test_dispatch_sessions.py
@@ -287,6 +287,51 @@
         self.assertIn(first.agent_id, self.entry_view.suspected)
         self.assertIn(first.agent_id, self.agent_view.suspected)
 
+    async def test_session_is_kept_until_another_dispatcher_has_answered(self) -> None:
+        """Guards against tickets that wait at a dispatcher that is new and unresponsive."""
+        await self.start_fleet(3)
+        first, *others = self.ranked()
+        masticward_pb2_grpc.add_DispatchServicer_to_server(UnresponsiveServicer(), first.server)
+        await first.server.start()
+        self.addAsyncCleanup(first.server.stop, None)
+        views = self.agent_view, self.entry_view
+        for view in views:
+            del view.agents[first.agent_id]
+        for agent in others:
+            await self.start_agent(agent)
+        await self.start_entry()
+        self.submit("t0")
+        await self.assert_started_once(1)
+        for view in views:
+            view.agents[first.agent_id] = first.instance
+            view.notify_subscribers()
+        self.submit(*(f"t{number}" for number in range(1, 6)))
+        await dispatch_fleet.wait_until(lambda: len(self.started) == 6)
+        # Before the session with the unresponsive one fails after 1.5 s.
+        self.assertNotIn(first.agent_id, self.entry_view.suspected)
+        await self.assert_started_once(6)
+        await dispatch_fleet.wait_until(lambda: first.agent_id in self.entry_view.suspected)
+        self.assertEqual(others[0].agent_id, self.ticket_client.dispatcher_of(SERVICE))
+
+    async def test_session_moves_once_another_dispatcher_has_answered(self) -> None:
+        """Guards against sessions that stay apart, and against tickets lost between them."""
+        await self.start_fleet(3)
+        first, *_ = self.ranked()
+        views = self.agent_view, self.entry_view
+        for view in views:
+            del view.agents[first.agent_id]
+        await self.start_agents()
+        await self.start_entry()
+        self.submit(*(f"t{number}" for number in range(40)))
+        for view in views:
+            view.agents[first.agent_id] = first.instance
+            view.notify_subscribers()
+        await dispatch_fleet.wait_until(
+            lambda: self.ticket_client.dispatcher_of(SERVICE) == first.agent_id
+        )
+        self.submit(*(f"t{number}" for number in range(40, 60)))
+        await self.assert_started_once(60)
+
     async def test_session_is_kept_while_the_view_has_no_candidates(self) -> None:
         """Guards against a partitioned entry that ends a session that still works."""
         await self.start_fleet(1)
--- a/tests/unit/test_gateway_peering.py
+++ b/tests/unit/test_gateway_peering.py
@@ -159,7 +159,6 @@
         self.receive()
         self.assertEqual({"g2", "g3"}, set(self.peering.peers))
 
-
     def test_a_live_peer_keeps_its_address_until_it_reports_another_one(self) -> None:
         """Guards against live peers that are given up for an address of hearsay."""
         self.receive(sent_at=50.0, incarnation=2, loads={"e1": (10, 1, 10)})
