Outcomes stay queued if their write ends by an unexpected error

What callers saw: nothing seen. A repeat of a keyed call that had been answered would be refused as unfinished for good, and each such outcome counted against the bound on pending ones until the process ended.

Cause: a shard's changes left the queue before their write, and an unexpected error of the object API's client ended the task that held them.

Change: they are postponed as if the object API were unavailable, with the note that the write may have taken effect.

Measured: the new test failed before (the outcome was not stored within 5 s) and passes; the rest of test_claims, test_claims_fuzz and test_keyed_calls passes.

--- a/src/masticward/coordination/claims.py
+++ b/src/masticward/coordination/claims.py
@@ -289,7 +289,14 @@
                 await asyncio.sleep(GROUP_COMMIT_DELAY_SECONDS)
                 changes = self.postponed.pop(queue.name, []) + queue.changes
                 queue.changes = []
-                await self.commit_group(queue, changes)
+                try:
+                    await self.commit_group(queue, changes)
+                except Exception as error:
+                    # A write may have taken effect before the error.
+                    for change in changes:
+                        change.write_uncertain = True
+                    failure = errors.StoreUnavailableError(queue.name, f"{error!r}")
+                    self.postpone(queue, changes, failure)
                 if not queue.changes:
                     return
         finally:
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -42,6 +42,29 @@
     return shard
 
 
+class UnexpectedErrorTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against outcomes that are given up before they are stored."""
+
+    async def test_an_outcome_is_stored_although_a_write_ended_by_an_unexpected_error(self) -> None:
+        store = claim_store.FaultyStore()
+        service = claims.ClaimService(store, "entry-1")
+        arguments = "red", "llm", "key", "digest"
+        deadline = time.monotonic() + 5.0
+        claimed = (await service.claim(*arguments, deadline)).unwrap()
+        outcome = claims_state.RecordedOutcome(status=200, headers=(), body=b"done")
+        with unittest.mock.patch.object(store, "put", side_effect=ValueError("not a number")):
+            recorded = service.finish(claimed.claim, outcome)
+            refused = await service.claim("red", "llm", "other", "digest", time.monotonic() + 0.5)
+            await asyncio.sleep(0.05)
+        self.assertIsInstance(refused, result.Failure)
+        async with asyncio.timeout(5.0):
+            await recorded
+            while service.background_count:
+                await asyncio.sleep(0.01)
+        self.assertEqual(outcome, (await service.claim(*arguments, deadline)).unwrap().outcome)
+        await service.close(time.monotonic())
+
+
 class ShardLimitTest(unittest.TestCase):
     claim = claims_state.Claim("new", "d", "n")
 
