--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -223,10 +223,14 @@
     snapshot: gateway_snapshots.Snapshot,
     kind: sources.ObjectKind,
 ) -> bool:
-    """Set the revision of a kind to the snapshot's; return False if that one is older."""
+    """Set the revision of a kind to the snapshot's; return False if that one is older.
+
+    A snapshot without a revision is of a peer that has not listed the kind. It is used only if this
+    process has not listed it either.
+    """
     revision = snapshot.revisions.get(kind.value)
     if revision is None:
-        return True
+        return kind not in fleet.revisions
     if revision < fleet.revisions.get(kind, 0):
         return False
     fleet.revisions[kind] = revision
--- a/tests/functional/test_gateway_snapshots.py
+++ b/tests/functional/test_gateway_snapshots.py
@@ -84,6 +84,21 @@
         await self.fetcher.catch_up()
         self.assertEqual(5, self.fleet.configuration.version)  # type: ignore[union-attr]
 
+    async def test_a_peer_that_has_not_listed_the_zones_takes_none_back(self) -> None:
+        """Guards against requests to an evacuated zone beside a gateway that starts."""
+        self.fleet.apply_configuration(builders.make_configuration(3), 1.0, "test")
+        for kind in sources.LISTED_KINDS:
+            self.fleet.revisions[kind] = 20
+        self.fleet.apply_endpoints([("e1", builders.make_endpoint("e1"))], True)
+        self.fleet.apply_evacuations([("z1", True)], True)
+        self.other.apply_evacuations([], True)
+        self.other.revisions[sources.ObjectKind.ENDPOINTS] = 21
+        self.receive_report()
+        await self.fetcher.catch_up()
+        self.assertEqual(5, self.fleet.configuration_version)
+        self.assertEqual({"e1", "e2"}, set(self.fleet.table.endpoints))
+        self.assertEqual({"z1"}, self.fleet.table.evacuated_zones)
+
     async def test_an_older_configuration_is_ignored(self) -> None:
         self.fleet.apply_configuration(builders.make_configuration(7), 1.0, "test")
         self.receive_report()
