A session with a dispatcher that was replaced by mistake is opened anew

What callers saw: nothing seen. After a pause of a dispatcher, requests of an entry could wait until their deadline, and the slots of an agent could stay unused, although both had sessions whose pings were answered.

Cause: if a client opens a session again during the pause, the dispatcher may accept the one that was given up last. The other was no longer registered: its former tickets were dropped and its offers were ignored, but its stream went on.

Change: a session whose place another one has taken ends with its next message, a ping at the latest. If it is in use, its client opens it anew and queues its tickets again.

Measured: the new test (an entry's and an agent's session) failed before: neither session ended.

--- a/src/masticward/coordination/dispatcher.py
+++ b/src/masticward/coordination/dispatcher.py
@@ -151,6 +151,7 @@
             if previous.incarnation > peer.incarnation:
                 return False
             self.close_entry(previous)
+            previous.replaced = True
         self.entries[peer.entry_id] = peer
         return True
 
@@ -241,6 +242,7 @@
             if previous.peer.incarnation > peer.incarnation:
                 return False
             self.close_agent(previous.peer)
+            previous.peer.replaced = True
         self.agents[peer.agent_id] = AgentSlots(peer)
         if snapshot is not None:
             self.offer_snapshot(snapshot)
--- a/src/masticward/protocol/dispatch_handler.py
+++ b/src/masticward/protocol/dispatch_handler.py
@@ -21,11 +21,13 @@
     the ids of the entry's waiting tickets.
     """
 
-    __slots__ = ("entry_id", "incarnation", "outbox", "tickets")
+    __slots__ = ("entry_id", "incarnation", "outbox", "replaced", "tickets")
 
     def __init__(self, entry_id: str, incarnation: int) -> None:
         self.entry_id = entry_id
         self.incarnation = incarnation
+        # Whether another session of the entry has taken the place of this one.
+        self.replaced = False
         self.outbox: asyncio.Queue[work.Assignment | masticward_pb2.DispatcherToEntry] = (
             asyncio.Queue()
         )
@@ -46,6 +48,7 @@
         "next_full_snapshot_at",
         "next_snapshot_at",
         "outbox",
+        "replaced",
         "snapshot_sequence",
     )
 
@@ -56,6 +59,8 @@
         self.incarnation = incarnation
         self.address = address
         self.availability_zone = availability_zone
+        # Whether another session of the agent has taken the place of this one.
+        self.replaced = False
         self.outbox: asyncio.Queue[masticward_pb2.DispatcherToAgent] = asyncio.Queue()
         # Monotonic seconds before which an agent that is no candidate gets no further snapshot.
         self.next_snapshot_at = 0.0
--- a/src/masticward/protocol/dispatch_server.py
+++ b/src/masticward/protocol/dispatch_server.py
@@ -125,10 +125,24 @@
             if self.sessions == 0:
                 await self.background.cancel()
 
+    async def end_if_replaced(
+        self,
+        peer: dispatch_handler.EntryPeer | dispatch_handler.AgentPeer,
+        context: SessionContext,
+    ) -> None:
+        """End a session whose place another one has taken.
+
+        A session that is still in use is thereby opened anew. After a pause of this process, the
+        one that was opened last may be an earlier one, which its client has given up.
+        """
+        if peer.replaced:
+            await context.abort(grpc.StatusCode.ABORTED, "another session has replaced this one")
+
     async def read_entry(self, peer: dispatch_handler.EntryPeer, context: SessionContext) -> None:
         """Pass an entry's messages to the dispatcher."""
         async with asyncio.timeout(SESSION_TIMEOUT_SECONDS) as session_timeout:
             while (message := await context.read()) is not grpc.aio.EOF:
+                await self.end_if_replaced(peer, context)
                 for item in dispatch_batches.split(message):
                     self.receive_from_entry(peer, item)
                     if item.HasField("ping"):
@@ -186,6 +200,7 @@
         snapshot_receiver = snapshots.SnapshotReceiver()
         async with asyncio.timeout(SESSION_TIMEOUT_SECONDS) as session_timeout:
             while (message := await context.read()) is not grpc.aio.EOF:
+                await self.end_if_replaced(peer, context)
                 for item in dispatch_batches.split(message):
                     try:
                         self.receive_from_agent(peer, item, report_reader, snapshot_receiver)
--- a/tests/functional/test_dispatch_sessions.py
+++ b/tests/functional/test_dispatch_sessions.py
@@ -361,6 +361,46 @@
         self.assertTrue(await dispatch_fleet.wait_until(lambda: agent.dispatcher.waiting == 0))
         self.assertEqual(grpc.StatusCode.DEADLINE_EXCEEDED, await call.code())
 
+    async def test_a_session_that_was_replaced_by_mistake_is_opened_anew(self) -> None:
+        """Guards against tickets and slots of sessions that a paused dispatcher accepts late."""
+        await self.start_fleet(1)
+        await self.start_agents()
+        agent = self.agents[0]
+        agent.source.limit = 0
+        await self.start_entry()
+        self.submit("t1")
+        self.assertTrue(await dispatch_fleet.wait_until(lambda: agent.dispatcher.waiting == 1))
+        stub = masticward_pb2_grpc.DispatchStub(self.pool.get(agent.instance.peer_address))
+        metadata = self.pool.transport.metadata
+        entry_call = stub.EntrySession(metadata=metadata)
+        hello = masticward_pb2.EntryHello(entry_id="entry-1", incarnation=1, service=SERVICE)
+        await entry_call.write(masticward_pb2.EntryMessage(hello=hello))
+        agent_call = stub.AgentSession(metadata=metadata)
+        agent_peer = agent.dispatcher.agents[agent.agent_id].peer
+        agent_hello = masticward_pb2.AgentHello(
+            agent_id=agent.agent_id,
+            incarnation=agent_peer.incarnation,
+            service=SERVICE,
+        )
+        await agent_call.write(masticward_pb2.AgentMessage(hello=agent_hello))
+        self.assertTrue(await dispatch_fleet.wait_until(lambda: agent.dispatcher.waiting == 0))
+        self.assertTrue(
+            await dispatch_fleet.wait_until(
+                lambda: agent.dispatcher.agents[agent.agent_id].peer is not agent_peer
+            )
+        )
+        entry_call.cancel()
+        agent_call.cancel()
+        views = self.entry_view, self.agent_view
+        ended = await dispatch_fleet.wait_until(lambda: all(view.suspected for view in views))
+        self.assertTrue(ended, "a session without effect goes on")
+        for view in views:
+            view.suspected.clear()
+            view.notify_subscribers()
+        agent.source.limit = 2
+        agent.source.changed.set()
+        await self.assert_started_once(1)
+
     async def test_session_for_another_service_is_refused(self) -> None:
         await self.start_fleet(1)
         await self.start_agents()
