Test of session pings: a real peer in place of a mock

The dispatcher's server now reads whether a session was replaced. A mock answers every such question with a true value, so that the session ended at once (TypeError in a run of all unit tests). What the test asserts is unchanged.

--- a/tests/unit/test_session_pings.py
+++ b/tests/unit/test_session_pings.py
@@ -12,7 +12,7 @@
 import grpc.aio
 
 from masticward.models import work
-from masticward.protocol import dispatch_client, dispatch_server
+from masticward.protocol import dispatch_client, dispatch_handler, dispatch_server
 from masticward.wire import masticward_pb2
 from tests.lib import dispatch_fleet
 
@@ -116,7 +116,7 @@
             role = unittest.mock.Mock(waiting=0, free_slots=0)
             servicer = dispatch_server.DispatchServicer(role)
             context = unittest.mock.Mock(read=receive)
-            await servicer.read_entry(unittest.mock.Mock(), context)
+            await servicer.read_entry(dispatch_handler.EntryPeer("entry-1", 1), context)
 
         with unittest.mock.patch.object(dispatch_server, "SESSION_TIMEOUT_SECONDS", 0.1):
             await read(5000)
