--- a/src/masticward/gateway/followers.py
+++ b/src/masticward/gateway/followers.py
@@ -26,6 +26,8 @@
 # The store entry of an endpoint expires after three missed heartbeats, at the earliest 2.4 s after
 # the start of an outage. Shorter outages need neither a new listing nor a grace period.
 MIN_OUTAGE_SECONDS = 2.0
+# While the store responds, readers renew the fleet's proof before it is that old.
+MAX_PROOF_AGE_SECONDS = 3.0
 LOGGER = logs.get_logger(__name__)
 
 
@@ -62,18 +64,31 @@
     def set_active(self, active: bool) -> None:
         """Start or stop to watch; a watch in progress is completed."""
         if active:
+            if not self.active.is_set():
+                self.assume_outage()
             self.active.set()
         elif self.active.is_set():
             self.active.clear()
             self.store_unavailable = False
 
+    def assume_outage(self) -> None:
+        """Take the store as unavailable until now if no gateway has had a response lately.
+
+        This process has not called the store itself, and its first call may be the first one that
+        succeeds after an outage.
+        """
+        proven_at = self.fleet.configuration_proven_at
+        if clocks.boot_time() - proven_at > MAX_PROOF_AGE_SECONDS:
+            self.store_unavailable = True
+            self.unavailable_since = max(self.last_response_at, proven_at)
+
     async def run(self) -> None:
         """List and watch the objects until cancelled."""
         retry_seconds = MIN_RETRY_SECONDS
         while True:
             await self.wait_for_turn()
             requested_at = clocks.boot_time()
-            revision = self.fleet.revisions.get(self.kind)
+            revision = known_revision = self.fleet.revisions.get(self.kind)
             if self.relist_requested.is_set():
                 revision = None
             try:
@@ -99,6 +114,10 @@
                 continue
             retry_seconds = MIN_RETRY_SECONDS
             self.record_response()
+            if self.is_overtaken(listing, known_revision):
+                if listing.complete:
+                    self.relist_requested.set()
+                continue
             self.apply_listing(listing, requested_at)
             if self.fleet.relays_changes and listing.items and not listing.complete:
                 await asyncio.sleep(WATCH_PAUSE_SECONDS)
@@ -166,6 +185,15 @@
                 self.fleet.table.start_relist_grace(now)
         self.last_response_at = now
 
+    def is_overtaken(self, listing: sources.Listing, known_revision: int | None) -> bool:
+        """Return whether a peer has sent newer objects since the store was called.
+
+        ``known_revision`` is the revision of the objects at that time. The store's own answer
+        counts if nothing has come since.
+        """
+        revision = self.fleet.revisions.get(self.kind)
+        return revision is not None and revision != known_revision and listing.revision < revision
+
     def apply_listing(self, listing: sources.Listing, requested_at: float) -> None:
         """Apply a listing or the changes of a watch to the fleet state."""
         self.watched_revision = listing.revision
--- a/tests/unit/test_deadly_parts.py
+++ b/tests/unit/test_deadly_parts.py
@@ -3,10 +3,13 @@
 import random
 import unittest
 
+from masticward.gateway import crash_detector
 from masticward.models import part_reports
 from masticward.protocol import gateway_peers
 from masticward.state import part_quarantine
+from masticward.utils import clocks
 from tests.lib import crash_model
+from tests.lib import gateway_builders as builders
 
 CONTACT_SECONDS = 3.0
 MAX_SENDS_AFTER_CONTACT = 3
@@ -244,3 +247,66 @@
                 for report in sender.build_reports(now):
                     receiver.merge(report, sender.own_id, now)
         self.assertEqual(({}, {}), (dict(quarantine.parts), dict(peer.parts)))
+
+    def test_a_crash_after_the_timeout_of_a_test_is_its_outcome(self) -> None:
+        """Guards against parts that crash their endpoints late, one after the other."""
+        for answered in (False, True):
+            with self.subTest(answered=answered):
+                quarantine = part_quarantine.PartQuarantine("g1")
+                for endpoint_id in ("e1", "e2"):
+                    quarantine.record_crash(endpoint_id, ["a"], 10.0)
+                quarantine.start_test(["a"], "e3", "q1", 11.0)
+                now = 11.0 + part_quarantine.TEST_TIMEOUT_SECONDS
+                quarantine.advance(now)
+                # Another test may follow meanwhile, at another endpoint.
+                self.assertEqual(
+                    part_quarantine.Verdict.TEST, quarantine.verdict(["a"], ["g1"], now)[0]
+                )
+                self.assertIn("e3", quarantine.endpoints_to_avoid(now))
+                quarantine.start_test(["a"], "e4", "q2", now)
+                if answered:
+                    quarantine.end_test(["a"], "q1", "e3")
+                quarantine.record_crash("e3", ["a"], now + 1.0)
+                quarantine.advance(now + 1.0 + part_quarantine.VERDICT_DELAY_SECONDS)
+                part = quarantine.restricted["a"]
+                self.assertEqual(not answered, part.is_quarantined(now + 2.0))
+                self.assertEqual("e4", part.own_test.endpoint_id if part.own_test else "")
+
+    def test_a_crash_after_the_client_of_a_test_has_left_is_its_outcome(self) -> None:
+        """Guards against parts that crash endpoints without end because their clients leave."""
+        detector = crash_detector.CrashDetector(
+            builders.make_fleet(now=clocks.boot_time()),
+            None,  # type: ignore[arg-type]
+        )
+        quarantine, now = detector.fleet.quarantine, clocks.boot_time()
+        endpoint = builders.make_endpoint("e3")
+        for endpoint_id in ("e1", "e2"):
+            quarantine.record_crash(endpoint_id, ["a"], now)
+        quarantine.start_test(["a"], endpoint.incarnation, "q1", now)
+        detector.record_abandoned(endpoint, "q1", ["a"])
+        quarantine.end_test(["a"], "q1", endpoint.incarnation)
+        # Requests with the part are held back no longer than before.
+        verdict, _ = quarantine.verdict(["a"], ["g1"], now + 1.0)
+        self.assertEqual(part_quarantine.Verdict.TEST, verdict)
+        detector.record_unreachable(endpoint)
+        quarantine.advance(clocks.boot_time() + part_quarantine.VERDICT_DELAY_SECONDS)
+        self.assertTrue(quarantine.restricted["a"].is_quarantined(clocks.boot_time()))
+
+    def test_evidence_stays_until_the_outcome_of_a_test_is_known(self) -> None:
+        """Guards against tests that are given up because the crashes before them expire."""
+        for crashes in (True, False):
+            with self.subTest(crashes=crashes):
+                quarantine = part_quarantine.PartQuarantine("g1")
+                for endpoint_id in ("e1", "e2"):
+                    quarantine.record_crash(endpoint_id, ["a"], 10.0)
+                now = 10.0 + part_quarantine.CRASH_MEMORY_SECONDS
+                quarantine.start_test(["a"], "e3", "q1", now - 1.0)
+                quarantine.expire(now)
+                if crashes:
+                    quarantine.record_crash("e3", ["a"], now + 1.0)
+                else:
+                    quarantine.end_test(["a"], "q1", "e3")
+                quarantine.expire(now + 1.1)
+                quarantine.advance(now + 1.2)
+                part = quarantine.restricted.get("a")
+                self.assertEqual(crashes, part is not None and part.is_quarantined(now + 2.0))
--- a/tests/unit/test_store_readers.py
+++ b/tests/unit/test_store_readers.py
@@ -195,6 +195,7 @@
         for _ in range(rounds):
             self.now += 0.4
             for item in self.gateways:
+                item.fleet.pauses.tick(self.now)
                 if item.ip not in self.network.cut_ips:
                     item.peering.update_liveness()
                     item.peering.send_reports()
@@ -315,3 +316,85 @@
             )
         )
         self.assertEqual(set(), other.fleet.table.evacuated_zones)
+
+    async def test_endpoints_that_the_readers_keep_after_an_outage_are_kept_by_all(self) -> None:
+        """Guards against endpoints that are given up before the store lists them again."""
+        for item in self.readers():
+            item.fleet.table.start_relist_grace(self.now)
+        await self.change("e0", None)
+        self.assertEqual([{"e0"}] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+        self.now += 1.0
+        await self.change("e0", builders.make_endpoint("e0"))
+        self.now += 2.0
+        for item in self.gateways:
+            item.fleet.drop_expired_endpoints()
+        self.assertEqual([{"e0"}] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+        await self.change("e0", None)
+        self.assertEqual([set()] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+
+    async def test_a_reader_that_is_new_after_an_outage_keeps_missing_endpoints(self) -> None:
+        """Guards against a whole fleet that gives up its endpoints when a reader takes over."""
+        readers = self.readers()
+        for item in self.gateways:
+            item.fleet.configuration_proven_at = self.now
+        for number, item in enumerate(self.gateways):
+            if item in readers:
+                self.tasks[number].cancel()
+        await self.pass_time(8)
+        for item in readers:
+            item.fleet.store_failed_at = self.now
+        await self.change("e0", None)
+        await self.pass_time(2)
+        self.assertFalse(any(item.fleet.reads_store for item in readers))
+        self.assertEqual([{"e0"}] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+        self.assertTrue(any(item.fleet.table.missing for item in self.readers()))
+
+    async def test_a_reader_that_is_new_without_an_outage_keeps_no_missing_endpoint(self) -> None:
+        """Guards against requests to endpoints that have left."""
+        await self.pass_time(10)
+        for item in self.gateways:
+            item.fleet.configuration_proven_at = self.now
+        for item in self.readers():
+            item.fleet.store_failed_at = self.now
+        await self.pass_time(2)
+        await self.change("e0", None)
+        self.assertEqual([set()] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
+
+    async def test_an_answer_of_the_store_does_not_replace_newer_objects_of_a_peer(self) -> None:
+        """Guards against endpoints that are given up, or come back, when an answer is late."""
+        released = asyncio.Event()
+        originals = self.store.list_objects, self.store.watch
+
+        async def list_late(kind: sources.ObjectKind) -> sources.Listing:
+            listing = await originals[0](kind)
+            await released.wait()
+            return listing
+
+        async def watch_late(
+            kind: sources.ObjectKind, revision: int, wait_seconds: float
+        ) -> sources.Listing:
+            listing = await originals[1](kind, revision, wait_seconds)
+            await released.wait()
+            return listing
+
+        lists, watches = [item for item in self.gateways if not item.fleet.reads_store][:2]
+        with (
+            unittest.mock.patch.object(self.store, "list_objects", list_late),
+            unittest.mock.patch.object(self.store, "watch", watch_late),
+        ):
+            lists.follower.relist_requested.set()
+            # This one reads the store until its watch ends.
+            watches.follower.set_active(True)
+            await self.settle()
+            watches.follower.set_active(False)
+        await self.change("e1", builders.make_endpoint("e1"))
+        await self.change("e1", None)
+        await self.change("n1", builders.make_endpoint("n1"))
+        for item in (lists, watches):
+            self.assertEqual({"e0", "n1"}, item.endpoint_ids)
+        released.set()
+        await self.settle()
+        for item in (lists, watches):
+            self.assertEqual({"e0", "n1"}, item.endpoint_ids)
+        await self.change("n2", builders.make_endpoint("n2"))
+        self.assertEqual([{"e0", "n1", "n2"}] * GATEWAYS, [i.endpoint_ids for i in self.gateways])
