Soak: only the endpoint that announced its leaving counts as leaving by it

announced_leaving took the announcement in an answer for every endpoint that its request had reached. An endpoint that never announced anything is left out now; a unit test shows both sides.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -176,7 +176,9 @@
         for arrival in self.arrivals:
             call = self.by_id[arrival.request_id]
             place = (arrival.endpoint.id, call.gateway.name, incarnation_of(call))
-            if call.outcome is callers.Outcome.ANSWERED and b"server-leaving" in call.headers:
+            # A request may have reached other endpoints than the one that announced it.
+            announced = arrival.endpoint.says_leaving and b"server-leaving" in call.headers
+            if call.outcome is callers.Outcome.ANSWERED and announced:
                 told_at[place] = min(call.ended_at, told_at.get(place, call.ended_at))
         for arrival in self.arrivals:
             call = self.by_id[arrival.request_id]
--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -63,6 +63,21 @@
             self.assertEqual(1, len(checks.parts_of_cut_answers()))
 
 
+class AnnouncedLeavingTest(PromisesCase):
+    def test_only_the_endpoint_that_announced_its_leaving_gets_nothing_new(self) -> None:
+        self.gateway.started_at.append(0.0)
+        told, later = self.cut_call(-9.0, -8.0), self.cut_call(-1.0, 1.0)
+        told.outcome, told.headers = callers.Outcome.ANSWERED, {b"server-leaving": b"1"}
+        later.request_id = "q2"
+        for name in ("e1", "e2"):
+            self.add_run(name, -9.0, -8.0)
+            self.add_run(name, -1.0, 1.0)
+            self.fleet.endpoints[name].arrivals[1].request_id = "q2"
+        self.fleet.endpoints["e1"].says_leaving = True
+        checks = promises.Promises(self.fleet, [told, later])
+        self.assertEqual(["q2 was sent 7.00 s after an announcement"], checks.announced_leaving())
+
+
 class NextStopTest(PromisesCase):
     def test_what_one_stop_excuses_is_not_lost_at_the_others(self) -> None:
         call = self.cut_call(-0.3, 7.4)
