--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -290,6 +290,17 @@
         self.event_interval_seconds = 0.375
         await self.play(self.send_halves(*connection, 3.1))
 
+    async def test_a_stream_that_its_client_left_tells_nothing_of_late_ones(self) -> None:
+        # The only recent run of the route had ended after 0.1 s because its client was gone.
+        _, writer = await self.connect()
+        writer.write(self.make_request("stream")[1])
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        connection = await self.connect()
+        for response in await self.play(self.send_halves(*connection, 3.1)):
+            self.assert_refused(response)
+
     async def test_an_unused_connection_is_closed_instead_of_cut_later(self) -> None:
         # A long stream keeps the process alive; the unused connection stayed open, and its first
         # request was begun late and cut.
