--- a/tests/unit/test_soak_promises.py
+++ b/tests/unit/test_soak_promises.py
@@ -1,5 +1,6 @@
 """Guards against soak checks that let a broken promise pass, or count a sound request as lost."""
 
+import math
 import shutil
 import unittest
 
@@ -50,9 +51,17 @@
         self.add_run("e1", -2.0, 0.45)
         self.add_run("e2", 0.0, 2.0)
         checks = promises.Promises(self.fleet, [call])
+        checks.checked_at = math.inf
         self.assertEqual(["q1 ran at two endpoints for 0.45 s"], checks.one_endpoint_at_work())
         self.fleet.endpoints["e1"].arrivals[0].ended_at = STOP_AT + 0.35
         self.assertEqual([], checks.one_endpoint_at_work())
+        # Both go on when the soak ends, right after the second one began.
+        for endpoint in self.fleet.endpoints.values():
+            endpoint.arrivals[0].ended_at = math.inf
+        checks.checked_at = STOP_AT + 0.2
+        self.assertEqual([], checks.one_endpoint_at_work())
+        checks.checked_at = STOP_AT + 0.5
+        self.assertEqual(["q1 ran at two endpoints for 0.50 s"], checks.one_endpoint_at_work())
 
     def test_events_of_a_cut_stream_that_come_twice_or_are_left_out_are_found(self) -> None:
         call = self.cut_call(-2.0, 2.0)
@@ -63,6 +72,21 @@
             self.assertEqual(1, len(checks.parts_of_cut_answers()))
 
 
+class AnnouncedLeavingTest(PromisesCase):
+    def test_only_the_endpoint_that_announced_its_leaving_gets_nothing_new(self) -> None:
+        self.gateway.started_at.append(0.0)
+        told, later = self.cut_call(-9.0, -8.0), self.cut_call(-1.0, 1.0)
+        told.outcome, told.headers = callers.Outcome.ANSWERED, {b"server-leaving": b"1"}
+        later.request_id = "q2"
+        for name in ("e1", "e2"):
+            self.add_run(name, -9.0, -8.0)
+            self.add_run(name, -1.0, 1.0)
+            self.fleet.endpoints[name].arrivals[1].request_id = "q2"
+        self.fleet.endpoints["e1"].says_leaving = True
+        checks = promises.Promises(self.fleet, [told, later])
+        self.assertEqual(["q2 was sent 7.00 s after an announcement"], checks.announced_leaving())
+
+
 class NextStopTest(PromisesCase):
     def test_what_one_stop_excuses_is_not_lost_at_the_others(self) -> None:
         call = self.cut_call(-0.3, 7.4)
