A part of an answer does not tell how long a route's requests take

The only earlier run of its route had ended after 89 ms, because its client left.

Cause: RunTimes took each ended run for a whole answer, also one whose client left, that was refused or closed beside another, or that went on after the events of another endpoint.

Change: only answers that were made and passed on whole make a route's length known. Others still count if they took longer.

--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -78,9 +78,11 @@
         "endpoint",
         "grant",
         "received_bytes",
+        "resumes",
         "run",
         "sending",
         "sent_at",
+        "succeeded",
         "task",
     )
 
@@ -90,12 +92,17 @@
         sending: collections.abc.Coroutine[typing.Any, typing.Any, calls.EndpointCall],
         run: run_times.Run,
         sent_at: float,
+        resumes: bool,
     ) -> None:
         self.grant = grant
         self.endpoint = grant.choice.endpoint
         self.sending = sending
         self.run = run
         self.sent_at = sent_at
+        # Whether the response goes on after an event that the client has, and whether it was passed
+        # on to its end.
+        self.resumes = resumes
+        self.succeeded = False
         # Set if the request is sent while another response is read.
         self.task: asyncio.Task[calls.EndpointCall] | None = None
         # The response, once its head was received.
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -256,7 +256,8 @@
     def finish(self, attempt: attempts.Attempt) -> None:
         """Release what an attempt holds."""
         attempt.close()
-        self.fleet.run_times.end(attempt.run, clocks.boot_time())
+        whole = attempt.succeeded and not attempt.resumes
+        self.fleet.run_times.end(attempt.run, clocks.boot_time(), whole)
         self.release(attempt.grant.choice, attempt.grant.reservation)
 
     async def acquire(self, waiting_request: placer.WaitingRequest) -> attempts.AttemptGrant:
@@ -466,7 +467,8 @@
             grant.connection,
         )
         run = self.fleet.run_times.start(self.route.name, self.metadata.output_tokens, now)
-        return attempts.Attempt(grant, sending, run, now)
+        resumes = self.progress.last_event_id is not None
+        return attempts.Attempt(grant, sending, run, now, resumes)
 
     async def serve(self, attempt: attempts.Attempt) -> bool:
         """Relay the response of an attempt; return False if another attempt should follow."""
@@ -605,7 +607,7 @@
             raise errors.EndpointBrokenError(reason)
         if succeeded and self.route.kind is gateway.RequestKind.STREAM:
             await self.relay_stream(attempt, call)
-            self.record_success(call, attempt.sent_at)
+            self.record_success(attempt, call)
             return True
         if response.status >= 500 and self.may_retry():
             await self.discard_failure(attempt, call)
@@ -626,7 +628,7 @@
         self.begin_response()
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
-            self.record_success(call, attempt.sent_at)
+            self.record_success(attempt, call)
         else:
             self.record_answered(call, clocks.boot_time())
         return True
@@ -680,9 +682,10 @@
             attempt.received_bytes = len(call.body)
         return call.body
 
-    def record_success(self, call: calls.EndpointCall, sent_at: float) -> None:
+    def record_success(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> None:
         """Count and log a complete response of a healthy endpoint."""
         now = clocks.boot_time()
+        attempt.succeeded = True
         self.fleet.health.record_success(call.endpoint.id, now)
         self.record_answered(call, now)
 
--- a/src/masticward/state/run_times.py
+++ b/src/masticward/state/run_times.py
@@ -52,11 +52,15 @@
         self.running.add(run)
         return run
 
-    def end(self, run: Run, now: float) -> None:
-        """Record that a request ended, whatever its outcome."""
+    def end(self, run: Run, now: float, whole: bool) -> None:
+        """Record that a request ended; ``whole`` if all of its answer was made in that time.
+
+        A part of an answer tells only that others may take as long.
+        """
         self.running.discard(run)
         self.forget_older(now)
-        self.current.setdefault(run.route_name, Longest()).add(run, now)
+        if whole or run.route_name in self.current or run.route_name in self.previous:
+            self.current.setdefault(run.route_name, Longest()).add(run, now)
 
     def forget_older(self, now: float) -> None:
         """Begin a new span if the current one is over."""
--- a/tests/lib/overlap_model.py
+++ b/tests/lib/overlap_model.py
@@ -151,7 +151,7 @@
         self.reusable = item is None
         return typing.cast(bytes | None, item)
 
-    async def discard_body(self, _: float) -> int:
+    async def discard_body(self, *_: object) -> int:
         return 0
 
     def expected_length(self, _: http1.Answer) -> int:
--- a/tests/unit/test_run_times.py
+++ b/tests/unit/test_run_times.py
@@ -11,12 +11,20 @@
         self.times = run_times.RunTimes()
 
     def play(self, route: str, start: float, end: float, tokens: int = 0) -> None:
-        self.times.end(self.times.start(route, tokens, start), end)
+        self.times.end(self.times.start(route, tokens, start), end, True)
 
     def test_a_route_without_an_ended_request_is_unknown(self) -> None:
         self.times.start("plan", 0, 0.0)
         self.assertIsNone(self.times.expected_seconds("plan", 0, 5.0))
 
+    def test_a_part_of_an_answer_does_not_tell_how_long_others_take(self) -> None:
+        # A stream whose client left after 0.1 s was taken for the length of all of its route.
+        self.times.end(self.times.start("plan", 0, 0.0), 0.1, False)
+        self.assertIsNone(self.times.expected_seconds("plan", 0, 1.0))
+        self.play("plan", 0.0, 2.0)
+        self.times.end(self.times.start("plan", 0, 0.0), 3.0, False)
+        self.assertEqual(3.0, self.times.expected_seconds("plan", 0, 3.0))
+
     def test_the_longest_request_counts_also_while_it_runs(self) -> None:
         self.play("plan", 0.0, 2.0)
         self.play("plan", 0.0, 1.0)
@@ -47,7 +55,7 @@
         self.fleet = builders.make_fleet()
         self.plan, self.book = self.fleet.configuration.routes[:2]  # type: ignore[union-attr]
         for route, seconds in ((self.plan, 2.0), (self.book, 0.1)):
-            self.fleet.run_times.end(self.fleet.run_times.start(route.name, 0, 0.0), seconds)
+            self.fleet.run_times.end(self.fleet.run_times.start(route.name, 0, 0.0), seconds, True)
 
     def test_every_request_is_begun_while_the_gateway_runs(self) -> None:
         self.assertTrue(self.fleet.can_finish(self.plan, 0, 1e9, 5.0, 5.0))
