Test: events of both responses in one pass, and one reader of the second response

No fault found. Two mutations had passed the model: a response that is passed on after the decision, and a search that is not awaited. The model's connections now give out what had arrived before they were reset, and refuse a second reader.

--- a/tests/lib/overlap_model.py
+++ b/tests/lib/overlap_model.py
@@ -91,7 +91,7 @@
         self.sent_at: float | None = None
         self.ended_at: float | None = None
         self.refused = self.aborted = self.released = False
-        self.unframed = self.reusable = False
+        self.unframed = self.reusable = self.is_read = False
         self.timers: list[asyncio.TimerHandle] = []
 
     def has_unread_bytes(self) -> bool:
@@ -100,6 +100,8 @@
     def abort(self) -> None:
         self.aborted = True
         self.end()
+        # What has arrived before may still be read.
+        self.arrived.put_nowait(0)
 
     def end(self) -> None:
         for timer in self.timers:
@@ -136,9 +138,14 @@
             asyncio.get_running_loop().call_soon(self.arrived.put_nowait, part)
 
     async def read(self) -> bytes | int | None:
-        item = await self.arrived.get()
+        assert not self.is_read, "a second reader"
+        self.is_read = True
+        try:
+            item = await self.arrived.get()
+        finally:
+            self.is_read = False
         self.unread_bytes -= 1
-        if item == 0 or self.aborted:
+        if item == 0:
             raise errors.EndpointBrokenError("closed")
         if item == 1:
             raise ValueError("unexpected")
--- a/tests/unit/test_overlap_model.py
+++ b/tests/unit/test_overlap_model.py
@@ -159,6 +159,18 @@
             # A process that is so late sends to no second endpoint.
             self.assertEqual(2 if pass_seconds < 0.06 else 1, len(model.client.sent))
 
+    def test_events_of_both_that_arrive_in_the_same_pass_lose_neither(self) -> None:
+        first, second = Script([0.0, 0.0, 1.28]), Script([0.02, 0.01, 0.05])
+        for begin in (1.21, 1.23, 1.26):
+            model = play([first, second], [(begin, 1.31 - begin)])
+            self.check(model, 2, TWICE_SECONDS)
+            self.assertTrue(model.responder.ended)
+
+    def test_the_second_response_has_one_reader_when_the_first_breaks_off(self) -> None:
+        model = play([Script([0.0, 0.0, 1.25], "break", 2), Script([0.01, 0.01, 0.1])])
+        self.check(model, 2, TWICE_SECONDS)
+        self.assertTrue(model.responder.ended)
+
     def test_an_event_that_arrived_while_the_process_was_late_is_no_silence(self) -> None:
         model = play([Script([0.01, 0.01, 1.25]), Script([60.0])], [(1.15, 0.2)])
         self.check(model, 2, TWICE_SECONDS)
