--- a/tests/lib/overlap_model.py
+++ b/tests/lib/overlap_model.py
@@ -91,7 +91,7 @@
         self.sent_at: float | None = None
         self.ended_at: float | None = None
         self.refused = self.aborted = self.released = False
-        self.unframed = self.reusable = self.is_read = False
+        self.unframed = self.reusable = self.ended = self.is_read = False
         self.timers: list[asyncio.TimerHandle] = []
 
     def has_unread_bytes(self) -> bool:
@@ -155,10 +155,12 @@
 
     async def read_data(self) -> bytes | None:
         item = await self.read()
-        self.reusable = item is None
+        self.reusable = self.ended = item is None
         return typing.cast(bytes | None, item)
 
     async def discard_body(self, *_: object) -> int:
+        while await self.read_data() is not None:
+            pass
         return 0
 
     def expected_length(self, _: http1.Answer) -> int:
