A replacement's answer that arrived during a pause of the process is read

What callers saw: a stream whose endpoint sent nothing more was cut at its deadline although a sound endpoint had answered.

Change: at the end of the overlap's time, what has arrived is read once more, for 0.01 s.

--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -17,6 +17,7 @@
 # sent from which on it does not take that time.
 LATE_READ_SECONDS = 0.05
 MAX_OVERLAP_SECONDS = 0.3
+LAST_READ_SECONDS = 0.01
 # A process whose event loop takes longer for a pass cannot end an overlap in time, and has not read
 # what an endpoint has sent.
 MAX_PASS_SECONDS = 0.05
@@ -207,15 +208,18 @@
         latest = second.sent_at + MAX_OVERLAP_SECONDS
         until = min(latest, clocks.boot_time() + OVERLAP_SECONDS)
         try:
+            read_last = False
             while not await self.begins(second, until):
                 now = clocks.boot_time()
                 if not second.has_unread_head():
                     self.decide(Outcome.SECOND_DID_NOT_REFUSE)
                     return
-                if now >= latest:
+                if read_last:
                     self.end_second(Outcome.SECOND_NOT_READ)
                     return
-                until = now + LATE_READ_SECONDS
+                # Also after a pause of the process, what has arrived is read once.
+                read_last = now >= latest
+                until = now + (LAST_READ_SECONDS if read_last else LATE_READ_SECONDS)
             self.decide(Outcome.SECOND_BEGAN)
         except errors.EndpointNotStartedError as error:
             self.owner.report_overlap(self, Outcome.SECOND_REFUSED)
--- /dev/null
+++ b/tests/unit/test_late_replacement.py
@@ -0,0 +1,23 @@
+"""Guards against streams lost with a dead endpoint because a late process doesn't replace it."""
+
+import unittest
+
+from tests.lib import overlap_model
+from tests.unit import test_overlap_model
+
+DEAD = overlap_model.Script([0.0, 0.0, 60.0])
+
+
+class LateReplacementTest(unittest.TestCase):
+    """An endpoint that sends nothing more, and a sound one for the only other attempt."""
+
+    def test_a_pause_of_the_process_does_not_cost_the_only_replacement(self) -> None:
+        # Its answer arrives while nothing runs for longer than an overlap may last.
+        answering = overlap_model.Script([0.2])
+        for after in (1.205, 1.25, 1.295):
+            model = test_overlap_model.play([DEAD, answering], [(after, 0.4)])
+            self.assertTrue(model.responder.ended, f"paused {after} s after the start")
+
+
+if __name__ == "__main__":
+    unittest.main()
