A stop that begins late cuts open requests when planned

What operators would see: a gateway that handles SIGTERM over 4.6 s late (grace_s 8) is killed with open requests and without 8114 and 1003, or ends up to the margin of 0.6 s late.

Cause: since the grace counts from the signal, but the wait for the load balancer still was 2.8 s from the handling, whatever was left. A grace of under 3.4 s had the same effect.

Evidence: the test failed before (cut 2.3 s after the planned time with 0.5 s left) and passes now; so does the test of a stop in time beside it.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -451,7 +451,8 @@
         self.fleet.stopping_at = started
         self.fleet.ends_at = abort_at
         self.client_server.stopping = True
-        await monitor.sleep_until(clocks.boot_time() + load_shedding.ROTATION_EXIT_SECONDS)
+        rotation_exit_at = clocks.boot_time() + load_shedding.ROTATION_EXIT_SECONDS
+        await monitor.sleep_until(min(rotation_exit_at, abort_at))
         self.client_server.stop_listening()
         while self.client_server.busy and clocks.boot_time() < abort_at:
             await monitor.sleep()
--- a/tests/functional/test_request_lines.py
+++ b/tests/functional/test_request_lines.py
@@ -11,6 +11,7 @@
 from masticward import events, logs
 from masticward.state import load_shedding
 from masticward.transport import http1_server
+from masticward.utils import clocks
 from tests.functional import test_gateway
 from tests.lib import platform_standins
 
@@ -179,6 +180,15 @@
         counter = self.program.gateway_metrics.cut_requests.labels("cut by stop", "answering")
         self.assertEqual(1, counter._value.get())
 
+    async def test_a_stop_that_begins_late_cuts_in_time_to_name_the_request(self) -> None:
+        await self.start_with(self.send_one_event)
+        reader, self.writer = await self.send(self.make_request("stream"))
+        await reader.readuntil(self.event)
+        # Less is left than a load balancer needs to notice the stop.
+        await self.program.stop(clocks.boot_time() - self.grace_s + 1.1)
+        self.assertLess(clocks.boot_time(), self.fleet.ends_at + 0.3)
+        await self.line_of(events.Event.REQUEST_CUT_BY_STOP)
+
     async def test_an_answer_that_was_not_written_out_is_named_at_the_end(self) -> None:
         # Its 8102 says that it was answered.
         await self.start_with(platform_standins.ScriptedResponse(bytes(60000), framing="length"))
