Listings that changes of peers overtake are not repeated at once

Seen at the store: a gateway that has to list, while relayed changes come faster than the store answers, calls it again without a pause.

Cause: drops a listing that was overtaken and requests another one, past the pause after failures.

Remains: as long as each listing is overtaken, none is applied. What a peer's changes lack is then missing for as long.

--- a/src/masticward/gateway/followers.py
+++ b/src/masticward/gateway/followers.py
@@ -112,12 +112,14 @@
                 if revision is None or requested_at - self.unavailable_since > MIN_OUTAGE_SECONDS:
                     self.relist_requested.set()
                 continue
-            retry_seconds = MIN_RETRY_SECONDS
             self.record_response()
             if self.is_overtaken(listing, known_revision):
                 if listing.complete:
+                    await asyncio.sleep(retry_seconds * random.uniform(0.6, 1.0))
+                    retry_seconds = min(MAX_RETRY_SECONDS, retry_seconds * 2)
                     self.relist_requested.set()
                 continue
+            retry_seconds = MIN_RETRY_SECONDS
             self.apply_listing(listing, requested_at)
             if self.fleet.relays_changes and listing.items and not listing.complete:
                 await asyncio.sleep(WATCH_PAUSE_SECONDS)
--- a/tests/unit/test_store_readers.py
+++ b/tests/unit/test_store_readers.py
@@ -360,6 +360,28 @@
         await self.change("e0", None)
         self.assertEqual([set()] * GATEWAYS, [item.endpoint_ids for item in self.gateways])
 
+    async def test_listings_that_changes_of_peers_overtake_are_not_repeated_at_once(self) -> None:
+        # Guards against calls without a pause to a slow store while many endpoints change.
+        kind = sources.ObjectKind.ENDPOINTS
+        fleet = builders.make_fleet(now=clocks.boot_time())
+        fleet.revisions[kind] = 1
+        store = CountingStore()
+        store.revision = 0
+
+        async def list_late(_: sources.ObjectKind) -> sources.Listing:
+            store.calls += 1
+            fleet.revisions[kind] += 1
+            await asyncio.sleep(0.001)
+            return sources.Listing((), 0, True)
+
+        follower = followers.Follower(store, fleet, kind)
+        follower.relist_requested.set()
+        with unittest.mock.patch.object(store, "list_objects", list_late):
+            running = asyncio.ensure_future(follower.run())
+            await asyncio.wait({running}, timeout=0.5)
+        running.cancel()
+        self.assertLess(store.calls, 6)
+
     async def test_an_answer_of_the_store_does_not_replace_newer_objects_of_a_peer(self) -> None:
         """Guards against endpoints that are given up, or come back, when an answer is late."""
         released = asyncio.Event()
