Proposal: a process that stays late replaces a dead endpoint

Gateways refuse only part of the requests at a lag of 0.03 to 0.15 s (load_shedding), so that a busy gateway may be there for long.

Cause: the search waits without a bound for a pass of the loop that is short enough.

Change: after 0.4 s the silent response is closed first, and the other attempt begins then, so both are never open.

--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -25,6 +25,8 @@
 SEARCH_PAUSE_SECONDS = 1.0
 # A response whose bytes may not have been read is looked at again after this time at the earliest.
 RECHECK_SECONDS = 0.05
+# A process that is late for longer goes on without an overlap.
+MAX_LATE_SECONDS = 0.4
 LOGGER = logs.get_logger(__name__)
 StepT = typing.TypeVar("StepT")
 
@@ -39,6 +41,7 @@
     SECOND_REFUSED = "second refused"
     SECOND_FAILED = "second failed"
     SECOND_NOT_READ = "second was not read in time"
+    PROCESS_LATE = "process too late for an overlap"
     REQUEST_ENDED = "request ended"
 
 
@@ -51,6 +54,7 @@
     Outcome.SECOND_REFUSED: "first",
     Outcome.SECOND_FAILED: "first",
     Outcome.SECOND_NOT_READ: "first",
+    Outcome.PROCESS_LATE: "second",
     Outcome.REQUEST_ENDED: "none",
 }
 
@@ -186,14 +190,22 @@
         """Send the request to other endpoints until one serves it or none may."""
         try:
             while self.outcome is None and self.owner.may_retry():
-                while await measure_pass() > MAX_PASS_SECONDS:
+                late_until = clocks.boot_time() + MAX_LATE_SECONDS
+                while (late := await measure_pass() > MAX_PASS_SECONDS) and (
+                    clocks.boot_time() < late_until
+                ):
                     await asyncio.sleep(RECHECK_SECONDS)
                 grant = await self.owner.acquire_replacement()
                 if grant is None:
                     await asyncio.sleep(SEARCH_PAUSE_SECONDS)
                     continue
                 self.second = self.owner.send(grant)
+                if late:
+                    # The first attempt is closed before the other begins.
+                    self.decide(Outcome.PROCESS_LATE)
                 self.second.start()
+                if late:
+                    return
                 await self.watch(self.second)
         except Exception as error:
             LOGGER.log(events.Event.TASK_FAILED, task="replacement", error=f"{error!r}")
