A process that stays late replaces a dead endpoint after 0.6 s

Ruled out: keeping both open, which a process that late cannot end within the limit of TWICE. Evidence: test_late_replacement failed before and passes; test_overlap_model passes.

--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -25,8 +25,9 @@
 SEARCH_PAUSE_SECONDS = 1.0
 # A response whose bytes may not have been read is looked at again after this time at the earliest.
 RECHECK_SECONDS = 0.05
-# A process that is late for longer goes on without an overlap.
-MAX_LATE_SECONDS = 0.4
+# A process that is late for longer goes on without an overlap. Clients leave a stream that is
+# silent for 2 s.
+MAX_LATE_SECONDS = 0.6
 LOGGER = logs.get_logger(__name__)
 StepT = typing.TypeVar("StepT")
 
