Refusals beside a silent response leave the retry budget to others

Each send takes from the gateway's part of the retry budget, so that other requests could not be repeated.

Cause: an endpoint that had refused beside a silent one was tried again after 1 s, without an end.

Change: the pause doubles with each refusal of a request.

Evidence: test_refusals_leave_the_retry_budget_to_others got 10 sends in 3 s before, 6 with the change.

--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -21,7 +21,7 @@
 # A process whose event loop takes longer for a pass cannot end an overlap in time, and has not read
 # what an endpoint has sent.
 MAX_PASS_SECONDS = 0.05
-# After a search without a result, and for an endpoint that has refused.
+# After a search without a result, and for the first endpoint that has refused.
 SEARCH_PAUSE_SECONDS = 1.0
 # A response whose bytes may not have been read is looked at again after this time at the earliest.
 RECHECK_SECONDS = 0.05
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -143,6 +143,8 @@
         self.received_at = clocks.boot_time()
         self.progress = RequestProgress(metadata.last_event_id)
         self.overlap = overlap.Overlap(self)
+        # How long the next endpoint that refuses beside a silent one is left alone.
+        self.refusal_pause_seconds = overlap.SEARCH_PAUSE_SECONDS
         # The latest failure of an endpoint, which is passed on if no further attempt is granted.
         self.kept_failure: calls.KeptAnswer | None = None
         self.service = choose_service(route, metadata.request_id)
@@ -560,10 +562,12 @@
         self.record_not_started(attempt.endpoint, error, attempt)
         self.finish(attempt)
         asyncio.get_running_loop().call_later(
-            overlap.SEARCH_PAUSE_SECONDS,
+            self.refusal_pause_seconds,
             self.waiting_request.excluded_endpoint_ids.discard,
             attempt.endpoint.id,
         )
+        # Each refusal has cost a part of the retry budget, which others need as well.
+        self.refusal_pause_seconds *= 2.0
 
     def end_failed(self, attempt: attempts.Attempt, error: errors.EndpointBrokenError) -> None:
         """Record and close an attempt that may have run."""
--- a/tests/functional/test_overlapping_attempts.py
+++ b/tests/functional/test_overlapping_attempts.py
@@ -77,6 +77,18 @@
             (response.body, response.complete),
         )
 
+    async def test_refusals_leave_the_retry_budget_to_others(self) -> None:
+        # A silent request tried each endpoint that had refused once a second.
+        script = await self.start_script(
+            scripted_arrivals.Pausing(60.0, platform_standins.send_complete_response),
+            scripted_arrivals.refuse,
+            endpoints=4,
+        )
+        self.fleet.budget("app").slack = 1000.0
+        self.assertEqual(504, (await self.call("status", method="GET", body=b"")).status)
+        # Three seconds: each of the others once, and two of them once more.
+        self.assertEqual(6, len(script.arrivals))
+
     async def test_a_replacement_that_fails_or_breaks_off_ends_no_silent_response(self) -> None:
         behaviours: dict[str, platform_standins.Behaviour] = {
             "failure": platform_standins.ScriptedResponse(b"x", status=500, framing="length"),
--- a/tests/lib/scripted_arrivals.py
+++ b/tests/lib/scripted_arrivals.py
@@ -111,6 +111,15 @@
         writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
 
 
+async def refuse(request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+    """Refuse a request as not executed, with its ID, so that the connection may be used again."""
+    writer.write(
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Masticward-Not-Executed: 1\r\n"
+        b"X-Masticward-Request-Id: %b\r\nContent-Length: 0\r\n\r\n" % request.request_id.encode()
+    )
+    return True
+
+
 def expected_events(*sources: str) -> bytes:
     """Return the body of a stream whose events come from these sources, in order."""
     return b"".join(
