--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -114,11 +114,6 @@
         self.answer_begun = False
         self.received_bytes = 0
 
-    @property
-    def expected_seconds(self) -> float:
-        """Time to the first event, with what this endpoint was slower lately."""
-        return self.grant.choice.expected_seconds * self.grant.choice.slowness
-
     def turn_wait_seconds(self) -> float:
         """Return how long received bytes have waited for their turn to be read."""
         usage = self.grant.connection.channel.usage
--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -13,9 +13,9 @@
 # An endpoint that refuses a request does so within a round trip. A stream must not be at work at
 # two endpoints for 0.4 s, and the timers of a busy process are up to 0.2 s late.
 OVERLAP_SECONDS = 0.15
-# Time in which a late process reads what has arrived meanwhile, and the time since the request was
-# sent from which on it does not take that time.
+# Time in which a late process reads what has arrived meanwhile.
 LATE_READ_SECONDS = 0.05
+# After this time since the send, it reads once more for a shorter time.
 MAX_OVERLAP_SECONDS = 0.3
 LAST_READ_SECONDS = 0.01
 # A process whose event loop takes longer for a pass cannot end an overlap in time, and has not read
