A begun stream is placed once more if its replacement refuses late

Its endpoint had paused; the replacement had not refused after 0.15 s, so the first was closed, and refused after 0.23 s.

Cause: endpoints that had refused a first attempt stayed excluded for the whole request, and the time for placing it, 0.8 of the target latency, was over, so that the next attempt was refused at once.

Change: an endpoint that refuses is left alone for a time, as beside a silent response, and a response that has begun waits for it until then. A stream that breaks off without another endpoint is cut at once, as before.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -144,7 +144,7 @@
         self.received_at = clocks.boot_time()
         self.progress = RequestProgress(metadata.last_event_id)
         self.overlap = overlap.Overlap(self)
-        # How long the next endpoint that refuses beside a silent one is left alone.
+        # How long the next endpoint that refuses is left alone.
         self.refusal_pause_seconds = overlap.SEARCH_PAUSE_SECONDS
         # The latest failure of an endpoint, which is passed on if no further attempt is granted.
         self.kept_failure: calls.KeptAnswer | None = None
@@ -228,6 +228,7 @@
         except errors.EndpointNotStartedError as error:
             self.progress.runs -= 1
             self.record_not_started(attempt.endpoint, error, attempt)
+            self.pause_refusing(attempt.endpoint)
             return False
         except errors.EndpointBrokenError as error:
             self.record_broken(attempt, error)
@@ -565,13 +566,22 @@
         self.progress.runs -= 1
         self.record_not_started(attempt.endpoint, error, attempt)
         self.finish(attempt)
+        self.pause_refusing(attempt.endpoint)
+
+    def pause_refusing(self, endpoint: gateway.Endpoint) -> None:
+        """Leave an endpoint alone for a time that has refused the request."""
         asyncio.get_running_loop().call_later(
             self.refusal_pause_seconds,
             self.waiting_request.excluded_endpoint_ids.discard,
-            attempt.endpoint.id,
+            endpoint.id,
         )
         # Each refusal has cost a part of the retry budget, which others need as well.
         self.refusal_pause_seconds *= 2.0
+        if self.progress.response_started:
+            # Such a response cannot be refused any more, so it waits until the endpoint is tried.
+            self.waiting_request.refuse_at = min(
+                self.deadline, clocks.boot_time() + self.refusal_pause_seconds
+            )
 
     def end_failed(self, attempt: attempts.Attempt, error: errors.EndpointBrokenError) -> None:
         """Record and close an attempt that may have run."""
--- a/tests/functional/test_overlapping_attempts.py
+++ b/tests/functional/test_overlapping_attempts.py
@@ -77,6 +77,21 @@
             (response.body, response.complete),
         )
 
+    async def test_a_stream_whose_replacement_refused_late_is_placed_once_more(self) -> None:
+        # In a soak at a load average of 18, a refusal took 0.23 s. Both endpoints were excluded for
+        # the rest of the request, and the stream was cut with 5.9 s left.
+        script = await self.start_script(
+            scripted_arrivals.NumberedStream(pauses={2: 60.0}, source="a"),
+            scripted_arrivals.Pausing(0.4, scripted_arrivals.refuse),
+            scripted_arrivals.NumberedStream(source="b"),
+        )
+        response = await self.call("resume")
+        self.assertEqual(
+            (scripted_arrivals.expected_events("a", "b", "b"), True),
+            (response.body, response.complete),
+        )
+        self.assertEqual(3, len(script.arrivals))
+
     async def test_refusals_leave_the_retry_budget_to_others(self) -> None:
         # A silent request tried each endpoint that had refused once a second.
         script = await self.start_script(
