--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 SITES ?=
 WHY ?= regression run
 REGRESSION_SITES := further/tendencia-unida further-grown/tendencia-unida-grown \
-	large/alcfm-route-large
+	large/alcfm-route-large shifted/alcfm-route-now-grown \
+	demands/dawaghar-collect-grown demands/simarmor-routeur-grown
 
 .PHONY: demo test check format wire environment regression
 
