SpeedTable: how long work takes on each endpoint

The table is wired into FleetState and PlacementView; nothing records figures yet, so every factor is 1.0. State is dropped with the endpoint's incarnation.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -10,6 +10,7 @@
     announcements,
     cold_start,
     endpoint_health,
+    endpoint_speed,
     endpoint_table,
     load_shedding,
     load_table,
@@ -58,12 +59,13 @@
         self.loads = load_table.LoadTable()
         self.caches = prompt_cache.PromptCaches()
         self.health = endpoint_health.HealthTracker()
+        self.speeds = endpoint_speed.SpeedTable()
         # Tokens of requests that were placed (usage) and of all that arrived (demand).
         self.usage = team_usage.TeamUsage()
         self.demand = team_usage.TeamUsage()
         self.cold_start_limiter = cold_start.ColdStartLimiter()
         self.budgets: dict[str, retry_window.WindowedRetryBudget] = {}
-        self.view = placement.PlacementView(self.loads, self.caches, self.health)
+        self.view = placement.PlacementView(self.loads, self.caches, self.health, self.speeds)
         # IDs of this gateway and of those with a recent datagram that are not stopping.
         self.live_gateways: list[str] = [settings.instance_id]
         # All gateways discovered so far, live or not; fleet-wide budgets are divided among them.
@@ -271,6 +273,7 @@
         if change.state in ("added", "gone"):
             self.caches.remove(change.endpoint_id)
             self.health.remove(change.endpoint_id)
+            self.speeds.remove(change.endpoint_id, clocks.boot_time())
             self.cold_start_limiter.remove(change.endpoint_id)
 
     def apply_evacuations(self, items: list[tuple[str, bool]], complete: bool) -> None:
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from masticward.models import gateway
-from masticward.state import endpoint_health, load_table, prompt_cache
+from masticward.state import endpoint_health, endpoint_speed, load_table, prompt_cache
 from masticward.utils import identifiers
 
 # Prefill rate of a healthy engine, assumed until an engine's own slowness has been measured.
@@ -75,11 +75,12 @@
 
 
 class PlacementView(msgspec.Struct, frozen=True):
-    """Load, prompt cache and health state that a choice depends on."""
+    """Load, prompt cache, health and speed of endpoints that a choice depends on."""
 
     loads: load_table.LoadTable
     caches: prompt_cache.PromptCaches
     health: endpoint_health.HealthTracker
+    speeds: endpoint_speed.SpeedTable = msgspec.field(default_factory=endpoint_speed.SpeedTable)
 
 
 @functools.lru_cache(maxsize=OWNER_CACHE_ENTRIES)
