Use the endpoints' reported speed in placement and share it among gateways

The fourth figure of the load header was dropped with the whole header. It is parsed now, each figure by itself, recorded from each response's head, and used in cost, prefill windows, utilization, expected wait and response timeouts.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import signal
+import statistics
 import types
 import typing
 
@@ -213,6 +214,21 @@
             "parts of prompts that are suspected or quarantined because endpoints crashed",
             lambda: len(fleet.quarantine.restricted),
         )
+        add(
+            "masticward_gateway_speed_reports",
+            "answers in which endpoints said how long work takes on them",
+            lambda: fleet.speeds.reports,
+        )
+        self.gateway_metrics.add_labelled_gauge(
+            "masticward_gateway_time_factor",
+            "how long work takes at the endpoints that report it, as a multiple of normal",
+            "statistic",
+            {
+                "lowest": lambda: min(fleet.speeds.time_factors(clocks.boot_time())),
+                "mean": lambda: statistics.fmean(fleet.speeds.time_factors(clocks.boot_time())),
+                "highest": lambda: max(fleet.speeds.time_factors(clocks.boot_time())),
+            },
+        )
         self.gateway_metrics.add_labelled_gauge(
             "masticward_gateway_endpoints",
             "endpoints by state",
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -107,6 +107,7 @@
     ENDPOINT_CRASHED = (8206, "endpoint_crashed", logging.WARNING)
     ENDPOINT_ANNOUNCED_LEAVING = (8207, "endpoint_announced_leaving", logging.INFO)
     ENDPOINT_WANTS_NOTHING = (8208, "endpoint_wants_nothing", logging.INFO)
+    ENDPOINT_SPEED_CHANGED = (8209, "endpoint_speed_changed", logging.INFO)
     GATEWAY_CONFIGURATION_TAKEN = (8301, "gateway_configuration_taken", logging.INFO)
     OLDER_CONFIGURATION_IGNORED = (8302, "older_configuration_ignored", logging.WARNING)
     STORED_OBJECT_UNREADABLE = (8303, "stored_object_unreadable", logging.WARNING)
--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -354,6 +354,7 @@
             response, response_metadata = await self.read_matching_head(
                 exchange, endpoint, metadata.request_id, connection.idle_seconds is not None
             )
+            self.record_speed(endpoint, response_metadata)
             held_body = body_memory.HeldBody(self.answer_memory)
             call = EndpointCall(
                 self.pool, endpoint, exchange, response, response_metadata, held_body
@@ -399,6 +400,24 @@
                 seconds=round(until - now, 3),
             )
 
+    def record_speed(self, endpoint: gateway.Endpoint, response: gateway.ResponseMetadata) -> None:
+        """Record how long work takes on an endpoint, unless it is an earlier incarnation."""
+        fleet = self.fleet
+        listed = fleet.table.endpoints.get(endpoint.id)
+        if response.work_percent is None or listed is None or listed.born != endpoint.born:
+            return
+        speeds = fleet.speeds
+        now = clocks.boot_time()
+        if speeds.record_reported(endpoint.id, response.work_percent, now, endpoint.service):
+            LOGGER.log(
+                events.Event.ENDPOINT_SPEED_CHANGED,
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                percent=round(speeds.endpoints[endpoint.id].own_base, 1),
+                latest_percent=round(response.work_percent, 1),
+                slowness=round(fleet.health.slowness(endpoint.id), 2),
+            )
+
     async def read_matching_head(
         self,
         exchange: http1.Exchange,
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -276,6 +276,13 @@
             self.speeds.remove(change.endpoint_id, clocks.boot_time())
             self.cold_start_limiter.remove(change.endpoint_id)
 
+    def merge_speeds(self, speeds: dict[str, endpoint_speed.Evidence], now: float) -> None:
+        """Record what a peer reports of the speed of listed endpoints."""
+        for endpoint_id, evidence in speeds.items():
+            endpoint = self.table.endpoints.get(endpoint_id)
+            if endpoint is not None:
+                self.speeds.merge(endpoint_id, evidence, now, endpoint.service)
+
     def apply_evacuations(self, items: list[tuple[str, bool]], complete: bool) -> None:
         """Apply a listing (``complete``) or changes of the zones that operators evacuated."""
         zones = set() if complete else set(self.table.evacuated_zones)
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -203,6 +203,7 @@
             listing_digest=fleet.listing_digest,
             is_shedding=fleet.shedder.is_shedding,
             parts=fleet.quarantine.pop_changed(now),
+            speeds=fleet.speeds.pop_evidence(now),
         )
         self.prompts_to_repeat += self.unsent_prompts
         self.unsent_prompts = []
@@ -446,6 +447,7 @@
             is_shedding=fleet.shedder.is_shedding,
             parts=fleet.quarantine.build_reports(now),
             leaving=fleet.announcements.build_report(fleet.table.endpoints.values()),
+            speeds=fleet.speeds.pop_evidence(now),
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
@@ -508,6 +510,7 @@
         self.apply_prompts(changes.prompts)
         for part in changes.parts:
             self.fleet.quarantine.merge(part, peer.instance_id, now)
+        self.fleet.merge_speeds(changes.speeds, now)
         if changes.configuration_version > 0:
             self.apply_status(
                 peer,
@@ -594,6 +597,7 @@
         self.apply_prompts(report.prompts)
         for part in report.parts:
             fleet.quarantine.merge(part, peer.instance_id, now)
+        fleet.merge_speeds(report.speeds, now)
         for key in report.leaving:
             if fleet.announcements.merge_leaving(key, now):
                 LOGGER.log(
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -145,7 +145,9 @@
             if excluded_ids:
                 candidates = [item for item in candidates if item.id not in excluded_ids]
             zone = self.fleet.settings.availability_zone
-            return placement.choose_plain_endpoint(candidates, zone, self.fleet.view, self.now)
+            return placement.choose_plain_endpoint(
+                candidates, zone, self.fleet.view, self.now, request.route.retryable
+            )
         states = self.engine_states
         if excluded_ids:
             states = {
@@ -387,7 +389,11 @@
         The load balancer distributes clients unevenly, so the share is the gateway's fraction of
         all arriving tokens, and at least an equal share among the live gateways.
         """
-        engines = max(1, len(self.fleet.table.usable(service, now)))
+        usable = self.fleet.table.usable(service, now)
+        engines: float = max(1, len(usable))
+        if usable and self.fleet.speeds.is_reported(service):
+            # Engines of normal speed with the same rate in total.
+            engines = sum(1.0 / self.fleet.speeds.time_factor(item.id, now) for item in usable)
         total = sum(demand.values())
         fraction = sum(self.fleet.demand.own.values()) / total if total > 0 else 1.0
         fraction = min(1.0, max(fraction, 1.0 / len(self.fleet.live_gateways)))
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -40,6 +40,9 @@
 # Longest gap within a response before another endpoint is looked for; the services' specifications
 # allow gaps of 0.3 to 0.4 s.
 READ_TIMEOUT_SECONDS = 1.2
+# After a longer write to the client, the next events have arrived in the meantime, so that they do
+# not show the endpoint's pace.
+MAX_WRITE_SECONDS = 0.005
 # Longest incomplete event of a resumable stream that is held in memory.
 MAX_EVENT_BYTES = 1024 * 1024
 # Of a longer event of another stream, only the last bytes are kept to find its end.
@@ -457,6 +460,7 @@
             expected_ms=round(choice.expected_seconds * 1000),
             cost_ms=round(choice.cost_seconds * 1000),
             slowness=round(choice.slowness, 2),
+            time_factor=round(choice.time_factor, 2),
             unread_tokens=choice.unread_tokens,
             prompt_tokens=self.metadata.prompt_tokens,
             owner=choice.owner_id,
@@ -529,7 +533,9 @@
 
     def response_timeout_seconds(self, choice: placement.Choice) -> float:
         """Return the time within which a healthy endpoint begins its response."""
-        expected_seconds = choice.expected_seconds * choice.slowness * RESPONSE_TIMEOUT_FACTOR
+        # A fast endpoint may become slow for a moment after the send.
+        slowness = choice.slowness * max(1.0, choice.time_factor)
+        expected_seconds = choice.expected_seconds * slowness * RESPONSE_TIMEOUT_FACTOR
         if self.route.kind is gateway.RequestKind.STREAM:
             return expected_seconds + STREAM_RESPONSE_MARGIN_SECONDS
         return expected_seconds + PLAIN_RESPONSE_MARGIN_SECONDS
@@ -729,6 +735,8 @@
         reservation = attempt.grant.reservation
         usage = call.exchange.channel.usage
         silent_since = clocks.boot_time()
+        # Whether the time since ``silent_since`` is the endpoint's own pause between two events.
+        is_pause = False
         while True:
             waited_seconds = usage.waited_seconds
             data = await self.overlap.wait(
@@ -738,10 +746,7 @@
             if not reservation.prefilled:
                 reservation.record_first_event()
                 now = clocks.boot_time()
-                expected_seconds = reservation.choice.expected_seconds
-                self.fleet.health.record_latency(
-                    call.endpoint.id, now - attempt.sent_at, expected_seconds, now
-                )
+                record_first_event(self.fleet, reservation.choice, attempt.sent_at, now)
                 self.dependencies.metrics.first_event.observe(now - self.metadata.arrived_at)
             if data is None:
                 break
@@ -765,11 +770,15 @@
             )
             has_event = event_stream.EVENT_FIELD.search(data) is not None
             if has_event:
+                read_at = clocks.boot_time()
+                if is_pause:
+                    self.fleet.speeds.record_gap(call.endpoint.id, read_at - silent_since, read_at)
                 # The other attempt would send this event once more.
                 self.overlap.end()
             await self.write_to_client(call, data)
             if has_event:
                 silent_since = clocks.boot_time()
+                is_pause = silent_since - read_at < MAX_WRITE_SECONDS
         if call.exchange.unframed and not attempt.received_bytes:
             raise errors.EndpointBrokenError(ENDED_UNBEGUN)
         self.require_whole_event(buffer, call)
@@ -836,3 +845,18 @@
         if point < 0:
             return share.service
     return route.shares[-1].service
+
+
+def record_first_event(
+    fleet: fleet_module.FleetState, choice: placement.Choice, sent_at: float, now: float
+) -> None:
+    """Record the time to a first event against the one that the endpoint's figures explain.
+
+    These are the figure at the send and the present one, which the response's head has stated.
+    """
+    endpoint_id = choice.endpoint.id
+    measured_seconds = now - sent_at
+    time_factor = max(choice.time_factor, fleet.speeds.time_factor(endpoint_id, now))
+    expected_seconds = choice.expected_seconds * time_factor
+    fleet.health.record_latency(endpoint_id, measured_seconds, expected_seconds, now)
+    fleet.speeds.record_first_event(endpoint_id, measured_seconds, expected_seconds, now)
--- a/src/masticward/models/gateway.py
+++ b/src/masticward/models/gateway.py
@@ -142,7 +142,8 @@
     ``closes`` if the connection ends after the response, ``leaving`` if the endpoint says that it
     wants no further request because it leaves. It wants none for ``wanted_pause_seconds``, None if
     it does not say so. ``running`` and ``waiting`` count
-    requests at the endpoint.
+    requests at the endpoint, which runs up to ``slots`` at once. ``work_percent`` is how long work
+    currently takes there, in percent of the normal time. Each is None if it is not stated.
     """
 
     request_id: str | None
@@ -155,6 +156,8 @@
     wanted_pause_seconds: float | None
     running: int | None
     waiting: int | None
+    slots: int | None
+    work_percent: float | None
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/masticward/platform/headers.py
+++ b/src/masticward/platform/headers.py
@@ -3,6 +3,8 @@
 import re
 import urllib.parse
 
+import msgspec
+
 from masticward import errors
 from masticward.gateway import sources
 from masticward.models import gateway
@@ -13,6 +15,10 @@
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"(?:^|[ ,;])timeout=(\d+)", re.IGNORECASE)
 # Deadline of a request that has none: the longest one that the platform's clients use.
 DEFAULT_DEADLINE_SECONDS = 10.0
+# Up to nine digits: no endpoint has more requests, and no work takes that many percent.
+LOAD_FIGURE_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+# Running, waiting, slots, percentage; later ones are ignored.
+LOAD_FIGURES = 4
 RETRY_AFTER_PATTERN = re.compile(r"\d+(\.\d+)?", re.ASCII)
 # Larger numbers are not exact as floating-point numbers, and the largest cannot be converted, or
 # sent to other gateways.
@@ -172,7 +178,7 @@
         """Return the metadata of an endpoint's response."""
         by_name = {name.lower(): value for name, value in headers}
         timeout = KEEP_ALIVE_TIMEOUT_PATTERN.search(by_name.get(names.KEEP_ALIVE, b""))
-        running, waiting = parse_load(header_text(by_name, names.LOAD))
+        load = parse_load(header_text(by_name, names.LOAD))
         encoding = by_name.get(names.CONTENT_ENCODING, b"identity").lower()
         return gateway.ResponseMetadata(
             request_id=header_text(by_name, names.REQUEST_ID),
@@ -184,8 +190,10 @@
             closes=b"close" in by_name.get(names.CONNECTION, b"").lower(),
             wanted_pause_seconds=parse_pause(status, header_text(by_name, names.RETRY_AFTER)),
             leaving=by_name.get(names.LEAVING, b"").strip() == b"1",
-            running=running,
-            waiting=waiting,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            work_percent=load.work_percent,
         )
 
     def response_headers(self, headers: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
@@ -215,10 +223,23 @@
     return min(float(retry_after), float(MAX_NUMBER))
 
 
-def parse_load(text: str | None) -> tuple[int | None, int | None]:
-    """Return the numbers of running and waiting requests; both None if the header is invalid."""
-    try:
-        running, waiting, _ = (text or "").split(",")
-        return int(running), int(waiting)
-    except ValueError:
-        return None, None
+class ReportedLoad(msgspec.Struct, frozen=True):
+    """The figures of a load header; None for each that is missing or invalid."""
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    work_percent: float | None
+
+
+def parse_load(text: str | None) -> ReportedLoad:
+    """Return the figures of a load header. One that is invalid does not affect the others."""
+    figures = [
+        float(item.strip()) if LOAD_FIGURE_PATTERN.fullmatch(item.strip()) else None
+        for item in (text or "").split(",", LOAD_FIGURES)[:LOAD_FIGURES]
+    ]
+    figures += [None] * (LOAD_FIGURES - len(figures))
+    running, waiting, slots = (
+        None if figure is None or not figure.is_integer() else int(figure) for figure in figures[:3]
+    )
+    return ReportedLoad(running, waiting, slots, figures[3] or None)
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -44,6 +44,9 @@
     parts: list[part_reports.PartReport] = []
     # Keys (``announcements.key_of``) of listed endpoints that have said that they are leaving.
     leaving: list[str] = []
+    # By endpoint id: latest percentage of normal time in its answers, age of that figure in
+    # milliseconds, and long-run percentage, 0 if unknown. Only what the receivers may not know.
+    speeds: dict[str, tuple[int, int, int]] = {}
 
 
 class PeerChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
@@ -65,6 +68,8 @@
     is_shedding: bool = False
     # As in PeerReport, for the parts whose evidence changed.
     parts: list[part_reports.PartReport] = []
+    # As in PeerReport.
+    speeds: dict[str, tuple[int, int, int]] = {}
 
 
 class StoreChanges(msgspec.Struct, array_like=True, frozen=True, tag="store"):
--- a/src/masticward/state/endpoint_speed.py
+++ b/src/masticward/state/endpoint_speed.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from masticward.utils import clocks
+
 NORMAL_PERCENT = 100.0
 # Larger or smaller figures are ignored as invalid.
 MIN_PERCENT = 1.0
@@ -47,7 +49,7 @@
 MAX_GAP_AGE_SECONDS = 5.0
 
 # Of one endpoint: latest percentage, its age in milliseconds, and the base; 0 if it is unknown.
-Evidence = tuple[float, int, float]
+Evidence = tuple[int, int, int]
 
 
 def differs(first: float, second: float) -> bool:
@@ -111,6 +113,24 @@
         # The lower of the two middle values: moments make work slower, never faster.
         self.own_base = percents[(len(percents) - 1) // 2]
 
+    def build_evidence(self, now: float) -> Evidence | None:
+        """Return what the peers should be told of own figures; None if they know it."""
+        known = self.shared if now - self.shared_at <= MOMENT_RESEND_SECONDS else self.shared_base
+        is_news = now - self.own_at < STALE_SECONDS and differs(self.own_latest, known)
+        knows_base = len(self.intervals) >= MIN_INTERVALS
+        if knows_base and not is_news:
+            is_news = differs(self.own_base, self.shared_base) or (
+                differs(self.own_base, NORMAL_PERCENT)
+                and now - self.shared_base_at > BASE_RESEND_SECONDS
+            )
+        if not is_news or self.own_at <= self.shared_at:
+            return None
+        self.shared, self.shared_at = self.own_latest, self.own_at
+        if knows_base:
+            self.shared_base, self.shared_base_at = self.own_base, now
+        age_ms = int(max(0.0, now - self.own_at) * clocks.MILLISECONDS_PER_SECOND)
+        return round(self.own_latest), age_ms, round(self.own_base) if knows_base else 0
+
     def percent(self, now: float) -> float:
         """Return the present percentage: the latest figure, then moving to the base."""
         age_seconds = max(0.0, now - self.latest_at)
@@ -133,7 +153,7 @@
 class SpeedTable:
     """Speeds of all endpoints that have reported a figure, by endpoint ID."""
 
-    __slots__ = ("endpoints", "reports", "reset_at", "services")
+    __slots__ = ("endpoints", "reports", "reset_at", "services", "unsent_ids")
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointSpeed] = {}
@@ -143,6 +163,8 @@
         self.reset_at: dict[str, float] = {}
         # Figures received in answers.
         self.reports = 0
+        # Endpoints with a figure since the last message to the peers.
+        self.unsent_ids: set[str] = set()
 
     def is_reported(self, service: str) -> bool:
         """Return whether an endpoint of a service has reported how long work takes."""
@@ -156,6 +178,10 @@
         factor = speed.percent(now) / NORMAL_PERCENT * speed.correction()
         return min(MAX_TIME_FACTOR, max(MIN_TIME_FACTOR, factor))
 
+    def time_factors(self, now: float) -> list[float]:
+        """Return the factors of all endpoints that reported; one of 1 if there are none."""
+        return [self.time_factor(item, now) for item in self.endpoints] or [1.0]
+
     def event_gap(self, endpoint_id: str, now: float) -> float | None:
         """Return the recent seconds between events of running streams, None if unknown."""
         speed = self.endpoints.get(endpoint_id)
@@ -165,10 +191,13 @@
 
     def record_reported(
         self, endpoint_id: str, percent: float, now: float, service: str | None = None
-    ) -> None:
-        """Record the percentage of normal time that an answer of an endpoint states."""
+    ) -> bool:
+        """Record the percentage of normal time that an answer of an endpoint states.
+
+        Return whether the base has changed notably since this was last returned.
+        """
         if not MIN_PERCENT <= percent <= MAX_PERCENT:
-            return
+            return False
         if service is not None:
             self.services.add(service)
         self.reports += 1
@@ -177,6 +206,28 @@
         if now >= speed.latest_at:
             speed.latest, speed.latest_at = percent, now
         speed.record_interval(percent, now)
+        self.unsent_ids.add(endpoint_id)
+        if len(speed.intervals) < MIN_INTERVALS or not differs(speed.own_base, speed.logged_base):
+            return False
+        speed.logged_base = speed.own_base
+        return True
+
+    def pop_evidence(self, now: float) -> dict[str, Evidence]:
+        """Return what the peers should be told of the figures since the last call.
+
+        A figure is left out if it is as the peers expect it: because one of the gateways has told
+        the others, or because nothing differs from normal.
+        """
+        evidence: dict[str, Evidence] = {}
+        for endpoint_id in list(self.unsent_ids):
+            if len(evidence) >= MAX_REPORTED:
+                break
+            self.unsent_ids.discard(endpoint_id)
+            speed = self.endpoints.get(endpoint_id)
+            item = None if speed is None else speed.build_evidence(now)
+            if item is not None:
+                evidence[endpoint_id] = item
+        return evidence
 
     def record_first_event(
         self, endpoint_id: str, measured: float, expected: float, now: float
@@ -184,7 +235,8 @@
         """Record the measured seconds to a first event and those expected from the figures."""
         speed = self.endpoints.get(endpoint_id)
         if speed is not None and expected >= MIN_EXPECTED_SECONDS:
-            speed.first_event_ratios.append(measured / expected)
+            # The expectation includes a correction that is in force.
+            speed.first_event_ratios.append(measured / expected * speed.correction())
 
     def record_gap(self, endpoint_id: str, seconds: float, now: float) -> None:
         """Record the seconds between two events of a stream."""
@@ -200,7 +252,7 @@
     ) -> None:
         """Record what a peer reports of an endpoint; invalid and outdated figures are ignored."""
         percent, age_ms, base = evidence
-        reported_at = now - max(0, age_ms) / 1000.0
+        reported_at = now - max(0, age_ms) / clocks.MILLISECONDS_PER_SECOND
         if (
             not MIN_PERCENT <= percent <= MAX_PERCENT
             or reported_at < self.reset_at.get(endpoint_id, reported_at)
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -55,6 +55,11 @@
 MAX_MEMORY_FRACTION = 0.9
 # Owners are cached because each placement attempt would otherwise hash all endpoints again.
 OWNER_CACHE_ENTRIES = 4096
+# A plain endpoint with a larger failure ratio is not preferred for its free slots. The limit is
+# lower for requests that may not be repeated, because each failure loses one of them. A single
+# failure of a rarely used endpoint stays below it.
+MAX_FAILURE_RATIO = 0.5
+MAX_UNREPEATABLE_FAILURE_RATIO = 0.3
 # Expected duration of a request at a plain endpoint, whose slots execute requests in parallel.
 PLAIN_REQUEST_SECONDS = 0.03
 
@@ -72,6 +77,8 @@
     slowness: float
     # First owner of the shared prefix; None without a shared prefix that has owners.
     owner_id: str | None
+    # How long work takes at the endpoint by its own figures, as a multiple of normal.
+    time_factor: float = 1.0
 
 
 class PlacementView(msgspec.Struct, frozen=True):
@@ -121,7 +128,14 @@
 class EngineState:
     """Snapshot of one engine, computed once for many waiting requests."""
 
-    __slots__ = ("cache", "endpoint", "failure_penalty_seconds", "load", "slowness")
+    __slots__ = (
+        "cache",
+        "endpoint",
+        "failure_penalty_seconds",
+        "load",
+        "slowness",
+        "time_factor",
+    )
 
     def __init__(
         self, endpoint: gateway.Endpoint, engine: gateway.Engine, view: PlacementView, now: float
@@ -129,7 +143,9 @@
         self.endpoint = endpoint
         self.load = view.loads.total(endpoint.id)
         self.cache = view.caches.get(endpoint.id, engine.cache_tokens)
+        # Measured time to the first event as a multiple of the one that the figures explain.
         self.slowness = view.health.slowness(endpoint.id)
+        self.time_factor = view.speeds.time_factor(endpoint.id, now)
         self.failure_penalty_seconds = FAILURE_PENALTY_SECONDS * view.health.failure_ratio(
             endpoint.id, now
         )
@@ -146,12 +162,20 @@
 
 
 def prefill_utilization(states: collections.abc.Collection[EngineState]) -> float:
-    """Return the average prefill utilization of the engines, from 0 (idle) to 1."""
+    """Return the average prefill utilization of the engines, from 0 (idle) to 1.
+
+    Engines are weighted by their rates.
+    """
     if not states:
         return 0.0
     window_tokens = OVER_SHARE_WINDOW_SECONDS * PREFILL_TOKENS_PER_SECOND
-    total = sum(min(1.0, state.load.unread_tokens / window_tokens) for state in states)
-    return max(0.0, total / len(states))
+    total = 0.0
+    total_rate = 0.0
+    for state in states:
+        rate = 1.0 / state.time_factor
+        total += rate * min(1.0, state.load.unread_tokens / (window_tokens * rate))
+        total_rate += rate
+    return max(0.0, total / total_rate)
 
 
 def owned_prefix(keys: list[tuple[int, int]]) -> tuple[int, int] | None:
@@ -230,9 +254,10 @@
         unread = max(1, metadata.prompt_tokens - cached)
         expected = (load.unread_tokens + unread) / PREFILL_TOKENS_PER_SECOND
         expected += load.requests * REQUEST_OVERHEAD_SECONDS
-        cost = expected * state.slowness + state.failure_penalty_seconds
+        cost = expected * (state.slowness * state.time_factor) + state.failure_penalty_seconds
         if shared_tokens:
-            cost += recompute_weight * max(0, shared_tokens - cached) / PREFILL_TOKENS_PER_SECOND
+            recomputed = recompute_weight * max(0, shared_tokens - cached) * state.time_factor
+            cost += recomputed / PREFILL_TOKENS_PER_SECOND
             cost += rank * rank_cost
         if cost < best_cost:
             best, best_cost, best_expected, best_unread = state, cost, expected, unread
@@ -244,6 +269,7 @@
         has_capacity=has_capacity(best, engine, metadata, best_unread, window_seconds),
         slowness=best.slowness,
         owner_id=compared[0][1].endpoint.id if shared_tokens else None,
+        time_factor=best.time_factor,
     )
 
 
@@ -256,7 +282,7 @@
         state.load.requests == 0
         or (
             state.load.requests < engine.slots
-            and state.load.unread_tokens * state.slowness < window_tokens
+            and state.load.unread_tokens * (state.slowness * state.time_factor) < window_tokens
         )
         for state in states
     )
@@ -278,7 +304,8 @@
         return False
     if load.unread_tokens <= 0:
         return True
-    seconds = (load.unread_tokens + unread_tokens) * state.slowness / PREFILL_TOKENS_PER_SECOND
+    slowness = state.slowness * state.time_factor
+    seconds = (load.unread_tokens + unread_tokens) * slowness / PREFILL_TOKENS_PER_SECOND
     return seconds <= window_seconds
 
 
@@ -287,19 +314,29 @@
     zone: str,
     view: PlacementView,
     now: float,
+    repeatable: bool = False,
 ) -> Choice | None:
-    """Return the plain endpoint with the lowest expected cost; None without candidates."""
+    """Return the plain endpoint with the lowest expected cost; None without candidates.
+
+    Endpoints with a free slot come first, unless they fail too often for a request that is or is
+    not ``repeatable``.
+    """
+    max_failure_ratio = MAX_FAILURE_RATIO if repeatable else MAX_UNREPEATABLE_FAILURE_RATIO
     best: Choice | None = None
+    best_position = (True, math.inf)
     for endpoint in candidates:
         requests = view.loads.total(endpoint.id).requests
         slowness = view.health.slowness(endpoint.id)
+        time_factor = view.speeds.time_factor(endpoint.id, now)
+        failure_ratio = view.health.failure_ratio(endpoint.id, now)
         expected = PLAIN_REQUEST_SECONDS * (requests + 1) / endpoint.slots
-        cost = expected * slowness + FAILURE_PENALTY_SECONDS * view.health.failure_ratio(
-            endpoint.id, now
-        )
+        cost = expected * (slowness * time_factor) + FAILURE_PENALTY_SECONDS * failure_ratio
         # Among equally loaded endpoints, those in this gateway's zone are preferred, so that
         # gateways of different zones choose different ones; then the first candidate.
         cost += 0.0 if endpoint.availability_zone == zone else 0.002
-        if best is None or cost < best.cost_seconds:
-            best = Choice(endpoint, cost, expected, 0, requests < endpoint.slots, slowness, None)
+        has_slot = requests < endpoint.slots
+        position = (not has_slot or failure_ratio > max_failure_ratio, cost)
+        if best is None or position < best_position:
+            best_position = position
+            best = Choice(endpoint, cost, expected, 0, has_slot, slowness, None, time_factor)
     return best
--- a/tests/lib/fleet_model.py
+++ b/tests/lib/fleet_model.py
@@ -5,36 +5,75 @@
 """
 
 import asyncio
+import bisect
 import collections
 import heapq
 import itertools
 import random
 
-from masticward.gateway import placer
+from masticward.gateway import placer, request_path
 from masticward.models import gateway
 from masticward.state import load_table, placement, prompt_cache
 from tests.lib import gateway_builders as builders
 
 PREFILL_TOKENS_PER_SECOND = 64_000.0
 STEP_SECONDS = 0.01
+# As observed: engines are 2.5 times slower than usual in 15% of the time, for 0.6 s at a time.
+MOMENT_FACTOR = 2.5
+MOMENT_SECONDS = 0.6
+MOMENT_FRACTION = 0.15
 OUTPUT_SECONDS = 0.5
 
 
 class ModelEngine:
-    """An engine that prefills one prompt after another and caches all prompts, by last use."""
+    """An engine that prefills one prompt after another and caches all prompts, by last use.
 
-    def __init__(self, cache_tokens: int) -> None:
+    Work takes ``factor`` times the normal time, and ``MOMENT_FACTOR`` times longer in moments.
+    """
+
+    def __init__(self, cache_tokens: int, factor: float | None = None, seed: int = 0) -> None:
+        # None if the engine is of normal speed and does not report how long work takes.
+        self.factor = factor
+        self.random = random.Random(seed)
+        # Ends of alternating periods without and with slowness.
+        self.period_ends: list[float] = [0.0]
+        self.prefilled_tokens = 0
         self.cache = prompt_cache.EngineCache(cache_tokens)
         self.cache.capacity = cache_tokens
         self.busy_until = 0.0
 
+    def factor_at(self, now: float) -> float:
+        """Return how long work takes at a time, as a multiple of normal."""
+        if self.factor is None:
+            return 1.0
+        while self.period_ends[-1] <= now:
+            mean_seconds = MOMENT_SECONDS
+            if len(self.period_ends) % 2:
+                mean_seconds *= 1.0 / MOMENT_FRACTION - 1.0
+            seconds = mean_seconds * self.random.uniform(0.5, 1.5)
+            self.period_ends.append(self.period_ends[-1] + seconds)
+        in_moment = bisect.bisect_right(self.period_ends, now) % 2 == 0
+        return self.factor * (MOMENT_FACTOR if in_moment else 1.0)
+
+    def prefill_end(self, tokens: int, now: float) -> float:
+        """Return when a number of tokens is prefilled that begins at a time."""
+        while tokens > 0:
+            rate = PREFILL_TOKENS_PER_SECOND / self.factor_at(now)
+            step_tokens = min(float(tokens), rate * STEP_SECONDS)
+            now += step_tokens / rate
+            tokens -= max(1, round(step_tokens))
+        return now
+
     def begin(self, keys: list[tuple[int, int]], now: float) -> tuple[float, int]:
         """Take a prompt; return when its prefill ends and the tokens of its shared part read."""
         cached = self.cache.cached_tokens(keys)
         self.cache.record_prompt(keys)
-        self.busy_until = max(now, self.busy_until) + (
-            (keys[-1][1] - cached) / PREFILL_TOKENS_PER_SECOND
-        )
+        self.prefilled_tokens += keys[-1][1] - cached
+        self.busy_until = max(now, self.busy_until)
+        if self.factor is None:
+            self.busy_until += (keys[-1][1] - cached) / PREFILL_TOKENS_PER_SECOND
+        else:
+            self.busy_until = self.prefill_end(keys[-1][1] - cached, self.busy_until)
         return self.busy_until, max(0, keys[-2][1] - cached)
 
 
@@ -59,6 +98,7 @@
             }
         )
         self.prompts: list[tuple[str, list[tuple[int, int]]]] = []
+        self.evidence: dict[str, tuple[int, int, int]] = {}
         self.placer = placer.Placer(
             self.fleet, lambda endpoint, keys: self.prompts.append((endpoint, keys[:-1]))
         )
@@ -74,6 +114,7 @@
         self.fleet.loads.set_peer_loads(sender.instance_id, loads, now)
         for endpoint_id, keys in sender.prompts:
             self.fleet.caches.get(endpoint_id, cache).record_prompt(keys)
+        self.fleet.merge_speeds(sender.evidence, now)
 
 
 class FleetModel:
@@ -83,18 +124,32 @@
     each request to its first event, in seconds.
     """
 
-    def __init__(self, gateways: int, engines: int, cache_tokens: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        gateways: int,
+        engines: int,
+        cache_tokens: int,
+        seed: int = 1,
+        factors: collections.abc.Sequence[float] = (),
+    ) -> None:
         self.now = 100.0
         self.random = random.Random(seed)
         self.cache_tokens = cache_tokens
         endpoints = [builders.make_endpoint(f"e{number}", slots=48) for number in range(engines)]
         self.endpoints = endpoints
-        self.engines = {item.id: ModelEngine(cache_tokens) for item in endpoints}
+        self.engines = {
+            item.id: ModelEngine(
+                cache_tokens, factors[number % len(factors)] if factors else None, number
+            )
+            for number, item in enumerate(endpoints)
+        }
         self.gateways = [self.make_gateway(number) for number in range(gateways)]
         self.events: list[tuple[float, int, collections.abc.Callable[[], None]]] = []
         self.serials = itertools.count()
         self.waits: list[float] = []
         self.refused = 0
+        # Whether engines with a factor state it in their responses.
+        self.reports_speed = True
         self.read_before: set[int] = set()
         self.shared_tokens = 0
         self.shared_tokens_read_again = 0
@@ -130,9 +185,17 @@
         self.read_before.add(keys[-2][0])
         loads = owner.fleet.loads
 
+        sent_at = self.now
+
         def finish_prefill() -> None:
             self.waits.append(self.now - metadata.arrived_at)
             loads.finish_prefill(engine_id, placed.unread_tokens)
+            engine = self.engines[engine_id]
+            if engine.factor is not None and self.reports_speed:
+                percent = 100.0 * engine.factor_at(self.now)
+                owner.fleet.speeds.record_reported(engine_id, percent, self.now, "llm")
+            if engine.factor is not None:
+                request_path.record_first_event(owner.fleet, placed, sent_at, self.now)
 
         self.at(prefilled_at, finish_prefill)
         self.at(prefilled_at + OUTPUT_SECONDS, lambda: loads.finish_request(engine_id, memory, 0))
@@ -150,6 +213,7 @@
     def exchange(self) -> None:
         """Deliver each gateway's loads and prompts to all others."""
         for sender in self.gateways:
+            sender.evidence = sender.fleet.speeds.pop_evidence(self.now)
             for receiver in self.gateways:
                 if receiver is not sender:
                     receiver.receive(sender, self.cache_tokens, self.now)
