--- a/src/masticward/state/endpoint_speed.py
+++ b/src/masticward/state/endpoint_speed.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import random
 
 import msgspec
 
@@ -34,8 +35,9 @@
 # Relative changes of a figure that peers and logs are told of.
 NOTABLE_CHANGE = 0.2
 # A figure that differs from the base is sent again at this interval while it lasts.
-MOMENT_RESEND_SECONDS = 0.25
-# A base other than normal is sent again at this interval, for peers that have missed it.
+MOMENT_RESEND_SECONDS = FRESH_SECONDS
+# A base other than normal is sent again after this time by any gateway, for peers that have missed
+# it. Each adds a random part of it, so that not all do at once.
 BASE_RESEND_SECONDS = 2.0
 # Figures in one message to the peers.
 MAX_REPORTED = 64
@@ -82,6 +84,8 @@
     first_event_ratios: collections.deque[float] = msgspec.field(
         default_factory=lambda: collections.deque(maxlen=MAX_FIRST_EVENTS)
     )
+    # Factor by which the endpoint is faster than it reports; 1 normally.
+    correction: float = 1.0
     gap_seconds: float = 0.0
     gap_at: float = -1e9
 
@@ -113,7 +117,7 @@
         # The lower of the two middle values: moments make work slower, never faster.
         self.own_base = percents[(len(percents) - 1) // 2]
 
-    def build_evidence(self, now: float) -> Evidence | None:
+    def build_evidence(self, now: float, resend_seconds: float) -> Evidence | None:
         """Return what the peers should be told of own figures; None if they know it."""
         known = self.shared if now - self.shared_at <= MOMENT_RESEND_SECONDS else self.shared_base
         is_news = now - self.own_at < STALE_SECONDS and differs(self.own_latest, known)
@@ -121,7 +125,7 @@
         if knows_base and not is_news:
             is_news = differs(self.own_base, self.shared_base) or (
                 differs(self.own_base, NORMAL_PERCENT)
-                and now - self.shared_base_at > BASE_RESEND_SECONDS
+                and now - self.shared_base_at > resend_seconds
             )
         if not is_news or self.own_at <= self.shared_at:
             return None
@@ -142,21 +146,31 @@
         weight = (STALE_SECONDS - age_seconds) / (STALE_SECONDS - FRESH_SECONDS)
         return weight * self.latest + (1.0 - weight) * base
 
-    def correction(self) -> float:
-        """Return the factor by which the endpoint is faster than it reports; 1 normally."""
+    def record_ratio(self, ratio: float) -> None:
+        """Record a measured over an expected time to the first event."""
+        # The expectation includes a correction that is in force.
+        self.first_event_ratios.append(ratio * self.correction)
         if len(self.first_event_ratios) < MAX_FIRST_EVENTS:
-            return 1.0
-        ratio = sorted(self.first_event_ratios)[int(FIRST_EVENT_QUANTILE * MAX_FIRST_EVENTS)]
-        return ratio if ratio < FASTER_RATIO else 1.0
+            return
+        upper = sorted(self.first_event_ratios)[int(FIRST_EVENT_QUANTILE * MAX_FIRST_EVENTS)]
+        self.correction = upper if upper < FASTER_RATIO else 1.0
 
 
 class SpeedTable:
     """Speeds of all endpoints that have reported a figure, by endpoint ID."""
 
-    __slots__ = ("endpoints", "reports", "reset_at", "services", "unsent_ids")
+    __slots__ = (
+        "base_resend_seconds",
+        "endpoints",
+        "reports",
+        "reset_at",
+        "services",
+        "unsent_ids",
+    )
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointSpeed] = {}
+        self.base_resend_seconds = BASE_RESEND_SECONDS * (1.0 + random.random())
         # Services of which an endpoint has reported a figure since this process began.
         self.services: set[str] = set()
         # When an endpoint's earlier incarnation was dropped; older figures are not its own.
@@ -175,7 +189,7 @@
         speed = self.endpoints.get(endpoint_id)
         if speed is None:
             return 1.0
-        factor = speed.percent(now) / NORMAL_PERCENT * speed.correction()
+        factor = speed.percent(now) / NORMAL_PERCENT * speed.correction
         return min(MAX_TIME_FACTOR, max(MIN_TIME_FACTOR, factor))
 
     def time_factors(self, now: float) -> list[float]:
@@ -224,7 +238,7 @@
                 break
             self.unsent_ids.discard(endpoint_id)
             speed = self.endpoints.get(endpoint_id)
-            item = None if speed is None else speed.build_evidence(now)
+            item = None if speed is None else speed.build_evidence(now, self.base_resend_seconds)
             if item is not None:
                 evidence[endpoint_id] = item
         return evidence
@@ -235,8 +249,7 @@
         """Record the measured seconds to a first event and those expected from the figures."""
         speed = self.endpoints.get(endpoint_id)
         if speed is not None and expected >= MIN_EXPECTED_SECONDS:
-            # The expectation includes a correction that is in force.
-            speed.first_event_ratios.append(measured / expected * speed.correction())
+            speed.record_ratio(measured / expected)
 
     def record_gap(self, endpoint_id: str, seconds: float, now: float) -> None:
         """Record the seconds between two events of a stream."""
--- a/tests/functional/test_endpoint_announcements.py
+++ b/tests/functional/test_endpoint_announcements.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from masticward.utils import clocks
 from tests.functional import test_gateway
 from tests.lib import platform_standins
 
@@ -81,6 +82,22 @@
         self.assertEqual(200, (await self.call("book")).status)
 
 
+class SpeedTest(test_gateway.GatewayCase):
+    async def test_the_figure_of_each_response_is_recorded_for_its_incarnation(self) -> None:
+        slow = AnnouncingEndpoint()
+        await self.add_endpoint("e1", slow)
+        await self.start()
+        for figures, expected in (("1,0,6", 1.0), ("1,0,6,250", 2.5), ("1,x,6,70", 0.7)):
+            for route in ("book", "stream"):
+                slow.fields = f"X-Masticward-Server-Load: {figures}\r\n"
+                self.assertEqual(200, (await self.call(route)).status)
+                factor = self.fleet.speeds.time_factor("e1", clocks.boot_time())
+                self.assertAlmostEqual(expected, factor, msg=figures)
+        self.store.put_endpoint("e1", self.endpoints[0].address, born=77)
+        await self.wait_until(lambda: self.fleet.table.endpoints["e1"].born == 77)
+        self.assertEqual(1.0, self.fleet.speeds.time_factor("e1", clocks.boot_time()))
+
+
 class PausedTest(test_gateway.GatewayCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
