--- a/src/masticward/state/endpoint_speed.py
+++ b/src/masticward/state/endpoint_speed.py
@@ -170,7 +170,8 @@
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointSpeed] = {}
-        self.base_resend_seconds = BASE_RESEND_SECONDS * (1.0 + random.random())
+        # A generator of its own leaves the sequence that placement draws from as it is.
+        self.base_resend_seconds = BASE_RESEND_SECONDS * (1.0 + random.Random().random())
         # Services of which an endpoint has reported a figure since this process began.
         self.services: set[str] = set()
         # When an endpoint's earlier incarnation was dropped; older figures are not its own.
