An answer without a length counts only once the endpoint has the request

Cause: an endpoint that answers before it has read a long body and closes ends its connection in order first; the reset follows when the rest of the upload arrives. The end of a response without a length was taken as its whole, although the upload was still being written. Statuses 600 to 999 were passed on, although RFC 9110, section 15, says that values outside 100 to 599 are invalid. Change: at the end of an unframed response the connection must hold no byte of the request that the peer's kernel has not acknowledged; otherwise the response is broken. A status above 599 is a broken response, which the client gets as 502.

--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -10,9 +10,12 @@
 import contextlib
 import enum
 import errno
+import fcntl
 import os
 import select
 import socket
+import struct
+import termios
 import time
 import typing
 
@@ -35,6 +38,8 @@
 # Reading a longer rest of a body that nobody gets costs more than a new connection.
 MAX_DISCARDED_BYTES = 128 * 1024
 STATUSES_WITHOUT_BODY = (204, 304)
+# RFC 9110, section 15: values outside the range 100 to 599 are invalid.
+MAX_STATUS = 599
 # A faulty peer may send informational answers without end and never a final one.
 MAX_INFORMATIONAL_ANSWERS = 32
 # A peer that answers no packet for this long is gone; pages of the platform grant 3 s of contact.
@@ -240,6 +245,19 @@
                     raise
         return await self.read()
 
+    def has_unacknowledged_bytes(self) -> bool:
+        """Return whether the peer's kernel may lack bytes that were written."""
+        if self.unsent_bytes:
+            return True
+        if self.protocol.socket is None or self.transport.is_closing():
+            return False
+        try:
+            # On a socket, TIOCOUTQ is SIOCOUTQ.
+            queued = fcntl.ioctl(self.protocol.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            return False
+        return bool(struct.unpack("i", queued)[0])
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that were not read, also by the kernel alone."""
         if self.protocol.unread_bytes > 0:
@@ -501,6 +519,8 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise errors.EndpointBrokenError("closed without an answer")
+            if event.status_code > MAX_STATUS:
+                raise errors.EndpointBrokenError(f"status {event.status_code} is invalid")
             self.unframed = self.has_body(event) and not any(
                 name in (b"content-length", b"transfer-encoding") for name, _ in event.headers
             )
@@ -548,6 +568,10 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self.unframed and self.channel.has_unacknowledged_bytes():
+                # The peer has stopped reading, so that its kernel resets the connection once the
+                # rest of the request arrives; the end that came first may be part of that.
+                raise errors.EndpointBrokenError("closed before it had received the request")
             self.ended = True
             return None
         raise errors.EndpointBrokenError("closed within an answer")
