Bound what is buffered for slow clients, and the bodies at endpoints

Cause: under the contract pressure clients and endpoints read slowly; a stream was read from its endpoint only as fast as its client took it, and nothing bounded the bodies that an endpoint holds. Change: GatewaySettings.limited_memory; ResponseBuffers and ClientPacer read ahead of clients and cut those that take nothing; EndpointBodies bounds the bodies in flight to an endpoint in the placer.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -158,6 +158,11 @@
             "bytes of answers' bodies that are held until clients have them",
             lambda: self.answer_memory.held_bytes,
         )
+        add(
+            "masticward_gateway_endpoint_body_bytes",
+            "bytes of requests' bodies that endpoints hold for this gateway",
+            lambda: fleet.endpoint_bodies.total_bytes,
+        )
         add(
             "masticward_gateway_unread_bytes",
             "bytes that clients have sent behind requests that are being served",
--- a/src/masticward/errors.py
+++ b/src/masticward/errors.py
@@ -182,6 +182,14 @@
         self.scope = scope
 
 
+class SlowClientError(MasticwardError, ConnectionAbortedError):
+    """Raised when a client takes its response so slowly that it is cut; ``bound`` says why."""
+
+    def __init__(self, bound: str, reason: str) -> None:
+        super().__init__(reason)
+        self.bound = bound
+
+
 class BodyMemoryError(MasticwardError):
     """Raised when a request's body does not fit into the memory for bodies; it was not run."""
 
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -99,6 +99,7 @@
     ANSWER_BROKEN_OFF = (8115, "answer_broken_off", logging.ERROR)
     CLIENT_SILENT = (8116, "client_silent", logging.WARNING)
     ATTEMPTS_OVERLAPPED = (8117, "attempts_overlapped", logging.INFO)
+    BUFFER_BOUND_REACHED = (8125, "buffer_bound_reached", logging.WARNING)
     GATEWAY_ENDPOINT_CHANGED = (8201, "gateway_endpoint_changed", logging.INFO)
     GATEWAY_ENDPOINT_UNREACHABLE = (8202, "gateway_endpoint_unreachable", logging.WARNING)
     IDLE_CONNECTION_DROPPED = (8204, "idle_connection_dropped", logging.INFO)
--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -14,7 +14,15 @@
 class LoadReservation:
     """The load that one attempt adds to its endpoint."""
 
-    __slots__ = ("choice", "endpoint_id", "fleet", "memory_tokens", "prefilled", "released")
+    __slots__ = (
+        "body_bytes",
+        "choice",
+        "endpoint_id",
+        "fleet",
+        "memory_tokens",
+        "prefilled",
+        "released",
+    )
 
     def __init__(
         self,
@@ -22,7 +30,10 @@
         endpoint_id: str,
         choice: placement.Choice,
         metadata: gateway.RequestMetadata,
+        body_bytes: int = 0,
     ) -> None:
+        # Of the request's body, which the endpoint holds.
+        self.body_bytes = body_bytes
         self.fleet = fleet
         self.endpoint_id = endpoint_id
         self.choice = choice
@@ -41,6 +52,7 @@
         if self.released:
             return
         self.released = True
+        self.fleet.endpoint_bodies.remove(self.endpoint_id, self.body_bytes)
         remaining_unread_tokens = 0 if self.prefilled else self.choice.unread_tokens
         self.fleet.loads.finish_request(
             self.endpoint_id, self.memory_tokens, remaining_unread_tokens
--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -9,7 +9,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import sources
 from masticward.models import gateway
-from masticward.state import body_memory
+from masticward.state import body_memory, buffered_bytes
 from masticward.transport import http1
 from masticward.utils import addresses, clocks
 
@@ -188,6 +188,7 @@
         "exchange",
         "held_body",
         "pool",
+        "released",
         "response",
         "response_metadata",
     )
@@ -203,6 +204,8 @@
     ) -> None:
         self.body = bytearray()
         self.held_body = held_body
+        # Whether the connection was released or reset.
+        self.released = False
         self.pool = pool
         self.endpoint = endpoint
         self.exchange = exchange
@@ -250,6 +253,13 @@
         # Tracebacks of a failure may refer to it until the next collection of garbage.
         self.body.clear()
         self.held_body.release()
+        self.release_connection()
+
+    def release_connection(self) -> None:
+        """Release the connection if its response was read completely, otherwise reset it; once."""
+        if self.released:
+            return
+        self.released = True
         if self.exchange.reusable and not self.response_metadata.closes:
             self.pool.release(
                 self.endpoint, self.exchange.channel, self.response_metadata.keep_alive_seconds
@@ -349,11 +359,19 @@
         headers = self.codec.encode_request(
             metadata, endpoint, team, remaining_ms, len(body), last_event_id
         )
+        long_upload = (
+            self.fleet.settings.limited_memory and len(body) > buffered_bytes.SMALL_BODY_BYTES
+        )
+        if long_upload:
+            # The kernel would give up an endpoint that pauses while it reads.
+            channel.allow_silence(buffered_bytes.KERNEL_SILENCE_MILLISECONDS)
         try:
             await exchange.send(metadata.method, metadata.target, headers, body)
             response, response_metadata = await self.read_matching_head(
                 exchange, endpoint, metadata.request_id, connection.idle_seconds is not None
             )
+            if long_upload:
+                channel.allow_silence(http1.SILENCE_MILLISECONDS)
             held_body = body_memory.HeldBody(self.answer_memory)
             call = EndpointCall(
                 self.pool, endpoint, exchange, response, response_metadata, held_body
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -8,6 +8,7 @@
 from masticward.models import gateway
 from masticward.state import (
     announcements,
+    buffered_bytes,
     cold_start,
     endpoint_health,
     endpoint_table,
@@ -56,6 +57,7 @@
         self.endpoints_known = False
         self.table = endpoint_table.EndpointTable()
         self.loads = load_table.LoadTable()
+        self.endpoint_bodies = buffered_bytes.EndpointBodies()
         self.caches = prompt_cache.PromptCaches()
         self.health = endpoint_health.HealthTracker()
         # Tokens of requests that were placed (usage) and of all that arrived (demand).
--- a/src/masticward/gateway/gateway_metrics.py
+++ b/src/masticward/gateway/gateway_metrics.py
@@ -13,6 +13,7 @@
     """Counters, histograms and gauges of one gateway process."""
 
     __slots__ = (
+        "buffer_bounds",
         "cut_requests",
         "failed_attempts",
         "failed_callbacks",
@@ -36,6 +37,12 @@
             ["cause", "stage"],
             registry=process_metrics.registry,
         )
+        self.buffer_bounds = prometheus_client.Counter(
+            "masticward_gateway_buffer_bounds",
+            "requests held back, refused or cut by a bound on buffered bytes",
+            ["bound"],
+            registry=process_metrics.registry,
+        )
         self.failed_attempts = prometheus_client.Counter(
             "masticward_gateway_failed_attempts",
             "sends to endpoints without a whole answer",
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -9,7 +9,14 @@
 
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
-from masticward.state import cold_start, part_quarantine, placement, prompt_cache, team_usage
+from masticward.state import (
+    buffered_bytes,
+    cold_start,
+    part_quarantine,
+    placement,
+    prompt_cache,
+    team_usage,
+)
 from masticward.utils import clocks
 
 # The queues are scanned periodically because changes of the peers' loads trigger no event here.
@@ -52,6 +59,7 @@
 
     __slots__ = (
         "arrived_at",
+        "body_bytes",
         "excluded_endpoint_ids",
         "future",
         "in_time_until",
@@ -63,6 +71,7 @@
         "service",
         "team",
         "unread_tokens",
+        "waits_for_room",
     )
 
     def __init__(
@@ -86,6 +95,10 @@
         self.prefix_keys = prompt_cache.prefix_keys(metadata.parts)
         # Of the parts that other requests may share; the last one is the request's own.
         self.part_keys = tuple(part_quarantine.part_key(part.id) for part in metadata.parts[:-1])
+        # Length of the body if what endpoints hold of bodies is bounded, otherwise 0.
+        self.body_bytes = 0
+        # Whether every endpoint that it could use lacked room for the body in the latest scan.
+        self.waits_for_room = False
         self.excluded_endpoint_ids: set[str] = set()
         self.future: asyncio.Future[placement.Choice | PlacementRefusal] | None = None
 
@@ -134,7 +147,7 @@
         ``excess_by_team`` maps teams above their fair share to the multiple of it they received.
         A test of suspected parts gets no endpoint that has crashed or at which others are tested.
         """
-        excluded_ids = request.excluded_endpoint_ids
+        excluded_ids = self.unusable_ids(request)
         if is_test:
             avoided = self.fleet.quarantine.endpoints_to_avoid(self.now)
             excluded_ids = excluded_ids | {
@@ -175,11 +188,22 @@
 
     def excludes_all(self, request: WaitingRequest) -> bool:
         """Return whether there are candidates, but none that a request may use."""
-        excluded_ids = request.excluded_endpoint_ids
+        excluded_ids = self.unusable_ids(request)
         return bool(self.candidates and excluded_ids) and all(
             item.id in excluded_ids for item in self.candidates
         )
 
+    def unusable_ids(self, request: WaitingRequest) -> set[str]:
+        """Return the endpoints that a request may not use or that have no room for its body."""
+        bodies = self.fleet.endpoint_bodies
+        configuration = self.fleet.configuration
+        if not request.body_bytes or not bodies.held or configuration is None:
+            return request.excluded_endpoint_ids
+        full_ids = bodies.full_ids(
+            request.body_bytes, configuration.limits.body_bytes, len(self.fleet.live_gateways)
+        )
+        return request.excluded_endpoint_ids | full_ids
+
     def may_have_capacity(self, excess: float | None) -> bool:
         """Return whether some endpoint could take a request of a team with this excess.
 
@@ -227,6 +251,10 @@
         self.scanned_at = 0.0
         self.scan_interval_seconds = QUEUE_SCAN_SECONDS
         self.on_prompt = on_prompt
+        # Called with bound, request ID, endpoint ID and bytes when a bound on buffered bytes acts.
+        self.on_bound: collections.abc.Callable[
+            [buffered_bytes.Bound, str, str | None, int], object
+        ] = lambda bound, request_id, endpoint_id, size: None
 
     async def run(self) -> None:
         """Scan the queues periodically until cancelled."""
@@ -301,6 +329,7 @@
             choice = None
             # Others don't wait for what it may not use.
             delays_others = not pool.excludes_all(request)
+            self.record_room(request, pool, not delays_others)
             if (
                 delays_others
                 and failed_choices < MAX_FAILED_CHOICES
@@ -343,6 +372,20 @@
             if delays_others:
                 tokens_ahead += request.unread_tokens
 
+    def record_room(self, request: WaitingRequest, pool: CandidatePool, excluded: bool) -> None:
+        """Record whether a request waits because endpoints hold too many bytes of bodies."""
+        waits = excluded and any(
+            item.id not in request.excluded_endpoint_ids for item in pool.candidates
+        )
+        if waits and not request.waits_for_room:
+            self.on_bound(
+                buffered_bytes.Bound.ENDPOINT_BODIES,
+                request.metadata.request_id,
+                None,
+                request.body_bytes,
+            )
+        request.waits_for_room = waits
+
     def hold_back(
         self,
         request: WaitingRequest,
@@ -409,6 +452,8 @@
         expected_wait_seconds = tokens_ahead / prefill_tokens_per_second
         jitter = 1.0 + RETRY_AFTER_JITTER_FRACTION * random.random()
         reason = "no capacity in time" if candidates else "no endpoint"
+        if request.waits_for_room:
+            reason = "no endpoint has room for the body"
         if closed_seconds > 0.0:
             reason = "no endpoint wants a request yet"
         return PlacementRefusal(
@@ -481,6 +526,7 @@
         if isinstance(placed, placement.Choice):
             memory_tokens = request.metadata.prompt_tokens + request.metadata.output_tokens
             self.fleet.loads.finish_request(placed.endpoint.id, memory_tokens, placed.unread_tokens)
+            self.fleet.endpoint_bodies.remove(placed.endpoint.id, request.body_bytes)
             self.fleet.quarantine.end_test(
                 request.part_keys, request.metadata.request_id, placed.endpoint.incarnation
             )
@@ -495,6 +541,7 @@
             choice.unread_tokens,
             metadata.prompt_tokens + metadata.output_tokens,
         )
+        fleet.endpoint_bodies.add(endpoint.id, request.body_bytes)
         service = fleet.configuration.services[request.service] if fleet.configuration else None
         if service is None:
             return
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -13,6 +13,7 @@
     overlap,
     placer,
     request_reports,
+    response_buffers,
     sources,
 )
 from masticward.gateway import fleet as fleet_module
@@ -96,6 +97,7 @@
         "metrics",
         "placer",
         "reporter",
+        "response_buffers",
     )
 
     def __init__(
@@ -113,6 +115,10 @@
         self.crash_detector = crash_detector.CrashDetector(fleet, endpoint_client.pool)
         self.metrics = metrics
         self.reporter = request_reports.RequestReporter(fleet, codec, metrics)
+        self.response_buffers = response_buffers.ResponseBuffers(
+            endpoint_client.answer_memory, metrics
+        )
+        request_placer.on_bound = self.response_buffers.record_bound
 
 
 def require_fresh_proof(fleet: fleet_module.FleetState) -> None:
@@ -163,6 +169,11 @@
                 metadata.arrived_at + placer.MAX_WAIT_FRACTION * route.target_latency_seconds,
             ),
         )
+        # Set if clients and endpoints may read slowly.
+        self.buffer: response_buffers.ResponseBuffer | None = None
+        if self.fleet.settings.limited_memory:
+            self.waiting_request.body_bytes = len(request.body)
+            self.buffer = dependencies.response_buffers.open(responder, metadata.request_id)
 
     async def run(self) -> None:
         """Serve the request; raise RefusalError if it fails before a response was started."""
@@ -172,6 +183,8 @@
                 self.schedule_time_limit()
                 while not await self.attempt():
                     pass
+        except errors.SlowClientError as error:
+            self.cut_slow_client(error)
         except RefusalError as refusal:
             if self.progress.response_started:
                 self.record_cut_stream("cut by endpoint", refusal.reason)
@@ -192,6 +205,14 @@
         finally:
             self.overlap.end(overlap.Outcome.REQUEST_ENDED)
             self.drop_failure()
+            if self.buffer is not None:
+                self.buffer.close()
+
+    def cut_slow_client(self, error: errors.SlowClientError) -> None:
+        """Count, log and cut a response that its client takes too slowly."""
+        self.record_cut_stream("cut for slow client", str(error))
+        if self.buffer is not None:
+            self.buffer.cut(error, self.progress.endpoint_id)
 
     def schedule_time_limit(self) -> None:
         """Let the request end at ``response_deadline``."""
@@ -278,7 +299,7 @@
                 self.log_no_endpoint(placed)
                 raise self.final_refusal(placed.reason, placed.retry_after_seconds)
             reservation = attempts.LoadReservation(
-                self.fleet, placed.endpoint.id, placed, self.metadata
+                self.fleet, placed.endpoint.id, placed, self.metadata, waiting_request.body_bytes
             )
             try:
                 connection = await self.connect(placed.endpoint)
@@ -542,6 +563,7 @@
             self.metadata, self.route, self.service, self.team, self.response_deadline
         )
         waiting_request.excluded_endpoint_ids = self.waiting_request.excluded_endpoint_ids
+        waiting_request.body_bytes = self.waiting_request.body_bytes
         try:
             return await self.acquire(waiting_request)
         except RefusalError:
@@ -644,6 +666,7 @@
         headers = self.dependencies.codec.response_headers(response.headers)
         self.overlap.end()
         self.begin_response()
+        self.release_endpoint(attempt, call)
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
             self.record_success(attempt, call)
@@ -695,6 +718,8 @@
             )
         ) is not None:
             self.overlap.end()
+            if self.buffer is not None:
+                await self.buffer.make_room(call, len(call.body) + len(data))
             call.hold(len(call.body) + len(data))
             call.body += data
             attempt.received_bytes = len(call.body)
@@ -729,6 +754,8 @@
         reservation = attempt.grant.reservation
         usage = call.exchange.channel.usage
         silent_since = clocks.boot_time()
+        if self.buffer is not None:
+            self.buffer.begin_stream()
         while True:
             waited_seconds = usage.waited_seconds
             data = await self.overlap.wait(
@@ -756,6 +783,10 @@
                 self.record_event_ids(data)
             else:
                 buffer.keep_last(KEPT_EVENT_BYTES)
+            if self.buffer is not None:
+                silent_since += await self.buffer.make_room(
+                    call, len(data) + len(buffer.incomplete)
+                )
             # What a slow client has not read, and what waits behind it.
             call.hold(
                 self.responder.unsent_bytes
@@ -777,8 +808,15 @@
         if self.route.resumable:
             await self.write_to_client(call, bytes(buffer.incomplete))
         await self.start_response(call)
+        self.release_endpoint(attempt, call)
         await self.responder.end()
 
+    def release_endpoint(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> None:
+        """Release an endpoint whose response was read to its end, before its slow client has it."""
+        if self.buffer is not None:
+            attempt.grant.reservation.release()
+            call.release_connection()
+
     async def write_to_client(self, call: calls.EndpointCall, data: bytes) -> None:
         """Write data of a stream to the client, the response head before the first data."""
         if not data:
--- a/src/masticward/models/gateway.py
+++ b/src/masticward/models/gateway.py
@@ -179,7 +179,8 @@
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of one gateway process. Addresses are ``IP:port``.
 
-    The platform kills a process that takes more than ``memory_bytes``.
+    The platform kills a process that takes more than ``memory_bytes``. With ``limited_memory``,
+    clients and endpoints may read slowly, and endpoints have little memory for requests.
     """
 
     instance_id: str
@@ -192,3 +193,4 @@
     store_address: str
     bounds: Bounds
     memory_bytes: int = 256 * 2**20
+    limited_memory: bool = False
--- a/src/masticward/platform/settings.py
+++ b/src/masticward/platform/settings.py
@@ -14,6 +14,8 @@
 from masticward.utils import addresses, clocks
 
 MEGABYTE = 1_000_000
+# The contract under which clients and endpoints read slowly and memory is limited.
+PRESSURE_CONTRACT = "pressure"
 
 
 class Listen(msgspec.Struct):
@@ -59,6 +61,7 @@
     bounds: BoundsTable
     seeds: list[str] = []
     limits: LimitsTable = msgspec.field(default_factory=LimitsTable)
+    contracts: list[str] = []
 
 
 def decode(text: str) -> gateway.GatewaySettings:
@@ -79,6 +82,7 @@
         seed_ips=tuple(addresses.split(seed)[0] for seed in file.seeds),
         store_address=file.platform.address,
         memory_bytes=int(file.limits.memory_mb * MEGABYTE),
+        limited_memory=PRESSURE_CONTRACT in file.contracts,
         bounds=gateway.Bounds(
             revoke_seconds=bounds.revoke_ms / clocks.MILLISECONDS_PER_SECOND,
             stop_grace_seconds=bounds.grace_s,
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -247,16 +247,47 @@
 
     def has_unacknowledged_bytes(self) -> bool:
         """Return whether the peer's kernel may lack bytes that were written."""
-        if self.unsent_bytes:
-            return True
+        return self.pending_bytes > 0
+
+    @property
+    def pending_bytes(self) -> int:
+        """Number of written bytes that the peer's kernel has not acknowledged, as far as known."""
+        unsent_bytes = self.unsent_bytes
         if self.protocol.socket is None or self.transport.is_closing():
-            return False
+            return unsent_bytes
         try:
             # On a socket, TIOCOUTQ is SIOCOUTQ.
             queued = fcntl.ioctl(self.protocol.socket.fileno(), termios.TIOCOUTQ, bytes(4))
         except OSError:
-            return False
-        return bool(struct.unpack("i", queued)[0])
+            return unsent_bytes
+        return unsent_bytes + int(struct.unpack("i", queued)[0])
+
+    def limit_writes(self, unsent_bytes: int, kernel_bytes: int) -> None:
+        """Limit what the kernel holds of written bytes, and when writers have to wait."""
+        self.transport.set_write_buffer_limits(high=unsent_bytes)
+        if self.protocol.socket is not None:
+            with contextlib.suppress(OSError):
+                self.protocol.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, kernel_bytes)
+
+    def allow_silence(self, milliseconds: int) -> None:
+        """Let the kernel keep a peer that takes nothing for this long."""
+        if self.protocol.socket is not None and not self.transport.is_closing():
+            with contextlib.suppress(OSError):
+                self.protocol.socket.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
+                )
+
+    def reset(self) -> None:
+        """Reset the connection and drop what the process and the kernel hold for the peer.
+
+        A mere ``abort`` lets the kernel go on sending, and ends the stream in order after that.
+        """
+        if self.protocol.socket is not None and not self.transport.is_closing():
+            with contextlib.suppress(OSError):
+                self.protocol.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+        self.transport.abort()
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that were not read, also by the kernel alone."""
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -10,8 +10,8 @@
 
 from masticward import errors, events, logs
 from masticward.models import gateway
-from masticward.state import body_memory, read_turns
-from masticward.transport import http1
+from masticward.state import body_memory, buffered_bytes, read_turns
+from masticward.transport import client_pacer, http1
 from masticward.utils import clocks
 
 # After a stop, connections that were just opened may send their first request for this long.
@@ -91,6 +91,7 @@
         "connection",
         "ended",
         "ends_connection",
+        "pacer",
         "sent_bytes",
         "started",
         "status",
@@ -99,6 +100,8 @@
 
     def __init__(self, connection: "ServerConnection") -> None:
         self.connection = connection
+        # Set by a handler to bound the time for which a slow client is waited for.
+        self.pacer: client_pacer.ClientPacer | None = None
         # Set by a handler to tell the client to open another connection for its next request.
         self.ends_connection = False
         self.started = False
@@ -141,7 +144,17 @@
             self.connection.method != b"HEAD"
             and b"\r\ntransfer-encoding: chunked\r\n" in head.lower()
         )
-        await self.connection.drain()
+        await self.drain()
+
+    async def drain(self) -> None:
+        """Wait while the client does not read.
+
+        Raise OSError if it is gone, SlowClientError if it takes nothing for too long.
+        """
+        if self.pacer is None:
+            await self.connection.drain()
+        else:
+            await self.pacer.drain(0 if self.written else self.pacer.ahead_bytes)
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body."""
@@ -149,16 +162,16 @@
         if data and self.chunked:
             # h11 keeps no state of a chunk; each of its events costs as much as the write.
             self.connection.channel.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
-            await self.connection.drain()
+            await self.drain()
         elif data:
             self.connection.write(h11.Data(data=data))
-            await self.connection.drain()
+            await self.drain()
 
     async def end(self) -> None:
         """Complete the body."""
         self.written = True
         self.connection.write(h11.EndOfMessage())
-        await self.connection.drain()
+        await self.drain()
         self.ended = True
 
     async def send(
@@ -190,7 +203,7 @@
             parts.append(self.connection.machine.send(h11.Data(data=bytes(body))))
         parts.append(self.connection.machine.send(h11.EndOfMessage()))
         self.connection.channel.writer.write(b"".join(part for part in parts if part))
-        await self.connection.drain()
+        await self.drain()
         self.ended = True
 
 
@@ -359,6 +372,7 @@
         "head_bytes",
         "machine",
         "method",
+        "paced",
         "reading",
         "request",
         "reset_cause",
@@ -373,6 +387,8 @@
         self.channel = channel
         self.open_machine(server.handler.limits().head_bytes)
         self.busy = False
+        # Whether pacers bound the writes.
+        self.paced = False
         # Why this process has reset the connection, for log lines; empty if it has not.
         self.reset_cause = ""
         # Number of requests that were read.
@@ -407,6 +423,20 @@
             return Stage.WRITING
         return Stage.UNREAD if not self.busy and self.has_unread_request() else None
 
+    def expect_slow_client(self) -> None:
+        """Leave the bounds on what is held for the client, and for how long, to the pacers.
+
+        Those of the transport and the kernel would act before.
+        """
+        if self.paced:
+            return
+        self.paced = True
+        self.channel.limit_writes(
+            http1.MAX_BODY_BYTES + buffered_bytes.READ_AHEAD_BYTES,
+            buffered_bytes.KERNEL_SEND_BYTES,
+        )
+        self.channel.allow_silence(buffered_bytes.KERNEL_SILENCE_MILLISECONDS)
+
     def write(self, event: h11.Event) -> bytes:
         """Write one event and return its bytes."""
         data = self.machine.send(event) or b""
@@ -458,7 +488,7 @@
         """Reset the connection and log the cause."""
         self.reset_cause = cause
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
-        self.channel.abort()
+        self.channel.reset()
 
     def close(self, cause: str) -> None:
         """Close the connection and log the cause."""
@@ -539,7 +569,10 @@
             if not self.channel.unsent_bytes:
                 self.request = None
         if not responder.ended:
-            self.channel.abort()
+            if self.paced:
+                self.channel.reset()
+            else:
+                self.channel.abort()
             return False
         if self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE:
             return True
