--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -719,7 +719,7 @@
         ) is not None:
             self.overlap.end()
             if self.buffer is not None:
-                await self.buffer.make_room(call, len(call.body) + len(data))
+                await self.buffer.make_room(call, len(data), len(call.body) + len(data))
             call.hold(len(call.body) + len(data))
             call.body += data
             attempt.received_bytes = len(call.body)
@@ -785,7 +785,7 @@
                 buffer.keep_last(KEPT_EVENT_BYTES)
             if self.buffer is not None:
                 silent_since += await self.buffer.make_room(
-                    call, len(data) + len(buffer.incomplete)
+                    call, len(data), len(data) + len(buffer.incomplete)
                 )
             # What a slow client has not read, and what waits behind it.
             call.hold(
--- a/src/masticward/gateway/response_buffers.py
+++ b/src/masticward/gateway/response_buffers.py
@@ -4,22 +4,21 @@
 and the client is cut before the endpoint breaks off a response that it cannot send.
 """
 
-import asyncio
-import collections.abc
-
 from masticward import errors, events, logs
 from masticward.gateway import calls, gateway_metrics
 from masticward.state import body_memory, buffered_bytes
-from masticward.transport import client_pacer, http1_server
+from masticward.transport import client_pacer, http1, http1_server
 from masticward.utils import clocks
 
+# The clients' progress is looked at this often at most while memory is scarce.
+MIN_FREE_INTERVAL_SECONDS = 0.02
 LOGGER = logs.get_logger(__name__)
 
 
 class ResponseBuffers:
     """The responses of a process that clients have not taken, and the bounds that acted."""
 
-    __slots__ = ("buffers", "memory", "metrics")
+    __slots__ = ("buffers", "frees_at", "memory", "metrics")
 
     def __init__(
         self, memory: body_memory.BodyMemory, metrics: gateway_metrics.GatewayMetrics
@@ -27,6 +26,8 @@
         self.memory = memory
         self.metrics = metrics
         self.buffers: set[ResponseBuffer] = set()
+        # When the next client may be cut for its memory.
+        self.frees_at = 0.0
 
     def open(self, responder: http1_server.Responder, request_id: str) -> "ResponseBuffer":
         """Return the buffer of a response, which bounds all writes to its client."""
@@ -53,31 +54,39 @@
             held_bytes=self.memory.held_bytes,
         )
 
-    async def free(self, fits: collections.abc.Callable[[], bool]) -> None:
-        """Cut clients that take nothing, the longest stalled first, until a response fits."""
-        stalled = sorted(
-            (
-                (seconds, buffer.request_id, buffer)
-                for buffer in self.buffers
-                if (seconds := buffer.pacer.stalled_seconds())
-                >= buffered_bytes.EVICTION_STALL_SECONDS
-            ),
-            reverse=True,
-            key=lambda item: item[0],
-        )
-        for _, _, buffer in stalled:
-            if fits():
-                return
-            buffer.evict()
-            # The cancelled request gives its memory back.
-            for _ in range(3):
-                await asyncio.sleep(0)
+    def free_memory(self, waiting: "ResponseBuffer") -> None:
+        """Cut the client that has taken nothing for longest, if any has for a while.
+
+        Its memory is given back within a few passes of the event loop, before the next one is cut.
+        """
+        now = clocks.boot_time()
+        if now < self.frees_at:
+            return
+        self.frees_at = now + MIN_FREE_INTERVAL_SECONDS
+        stalled = {
+            buffer: buffer.pacer.stalled_seconds()
+            for buffer in self.buffers
+            if buffer is not waiting and buffer.responder.unsent_bytes
+        }
+        if not stalled or any(buffer.evicted for buffer in self.buffers):
+            return
+        longest = max(stalled, key=lambda item: stalled[item])
+        if stalled[longest] >= buffered_bytes.EVICTION_STALL_SECONDS:
+            longest.evict()
 
 
 class ResponseBuffer:
     """What the client of one response has not taken."""
 
-    __slots__ = ("buffers", "evicted", "pacer", "request_id", "responder")
+    __slots__ = (
+        "buffers",
+        "evicted",
+        "pacer",
+        "read_bytes",
+        "request_id",
+        "responder",
+        "unread_since",
+    )
 
     def __init__(
         self, buffers: ResponseBuffers, responder: http1_server.Responder, request_id: str
@@ -86,6 +95,10 @@
         self.responder = responder
         self.request_id = request_id
         self.evicted = False
+        # Since when the endpoint may have been unable to send, None if it was not, and the bytes
+        # that were read since.
+        self.unread_since: float | None = None
+        self.read_bytes = 0
         self.pacer = client_pacer.ClientPacer(
             responder.connection.channel, buffers.memory_is_scarce
         )
@@ -119,38 +132,58 @@
         self.responder.connection.channel.protocol.on_peer_gone = None
         self.responder.connection.reset("slow client")
 
-    async def make_room(self, call: calls.EndpointCall, size: int) -> float:
-        """Wait until ``size`` bytes of a response that were read may be held beside the unsent.
+    def record_read(self, channel: http1.Channel, received: int) -> None:
+        """Record a read of the endpoint's response.
 
-        Return the seconds waited. Raise SlowClientError if the client takes nothing for too long,
-        or before the endpoint breaks off because its response is not read meanwhile.
+        Its kernel sends more only once a large part of the buffer on this side is free.
+        """
+        if self.unread_since is not None:
+            self.read_bytes += received
+            if self.read_bytes >= http1.KERNEL_BUFFER_BYTES or not channel.has_unread_bytes():
+                self.unread_since = None
+
+    async def make_room(self, call: calls.EndpointCall, received: int, size: int) -> float:
+        """Wait until ``size`` bytes of a response may be held beside those that are not sent.
+
+        ``received`` bytes were read just now. Return the seconds waited. Raise SlowClientError if
+        the client takes nothing for too long, or before the endpoint breaks off because its
+        response is not read meanwhile.
         """
-        started_at = clocks.boot_time()
         channel = call.exchange.channel
+        self.record_read(channel, received)
+        started_at = clocks.boot_time()
+        unread_since = started_at if self.unread_since is None else self.unread_since
         held_body = call.held_body
 
         def needed_bytes() -> int:
             return self.responder.unsent_bytes + size + channel.protocol.unread_bytes
 
-        def fits() -> bool:
-            return held_body.memory.fits(held_body.reserved_bytes, needed_bytes())
-
         def has_room() -> bool:
-            if not self.responder.unsent_bytes:
-                return True
-            if needed_bytes() <= buffered_bytes.READ_AHEAD_BYTES and fits():
+            unsent_bytes = self.responder.unsent_bytes
+            needed = needed_bytes()
+            fits = held_body.memory.fits(held_body.reserved_bytes, needed)
+            if fits and (not unsent_bytes or needed <= buffered_bytes.READ_AHEAD_BYTES):
                 return True
-            if needed_bytes() < held_body.reserved_bytes:
-                call.hold(needed_bytes())
-            seconds = clocks.boot_time() - started_at
-            if seconds >= buffered_bytes.ENDPOINT_UNREAD_SECONDS and channel.has_unread_bytes():
+            if needed < held_body.reserved_bytes:
+                call.hold(needed)
+            if not fits:
+                self.buffers.free_memory(self)
+            seconds = clocks.boot_time() - unread_since
+            if seconds < buffered_bytes.ENDPOINT_UNREAD_SECONDS:
+                return False
+            if self.responder.connection.channel.pending_bytes and channel.has_unread_bytes():
                 raise errors.SlowClientError(
                     buffered_bytes.Bound.ENDPOINT_UNREAD.value,
                     f"the endpoint was not read for {seconds:.1f} s because of the client",
                 )
-            return False
-
-        await self.pacer.wait(has_room)
-        if not fits():
-            await self.buffers.free(fits)
+            # What does not fit for other reasons than this client breaks off.
+            return not unsent_bytes
+
+        if not has_room():
+            if self.unread_since is None:
+                self.unread_since = started_at
+                self.read_bytes = 0
+            await self.pacer.wait(has_room)
+        else:
+            self.pacer.require_pace()
         return clocks.boot_time() - started_at
--- a/src/masticward/state/buffered_bytes.py
+++ b/src/masticward/state/buffered_bytes.py
@@ -20,8 +20,9 @@
 # A client that takes nothing for this long is cut; for the shorter time while memory is scarce.
 CLIENT_STALL_SECONDS = 5.0
 SCARCE_STALL_SECONDS = 1.5
-# Memory is scarce once less than this part of it is free.
-SCARCE_FRACTION = 1 / 4
+# Memory is scarce once less than this part of it is free; AnswerMemory keeps a quarter of it for
+# small responses.
+SCARCE_FRACTION = 1 / 2
 # A client is cut for the memory that others need if it has taken nothing for this long.
 EVICTION_STALL_SECONDS = 0.5
 # The kernel gives up a peer whose window stays closed; the limits above have to act before.
