--- a/tests/functional/test_early_answers.py
+++ b/tests/functional/test_early_answers.py
@@ -10,6 +10,8 @@
 
 # More than the kernel's buffers of both sides hold, so that the upload is still being written.
 LONG_BODY = b"x" * 8_000_000
+# The shorter one was seen to fail first; the endpoint's kernel alone does not hold it either.
+BODY_SIZES = (900_000, len(LONG_BODY))
 PART = b"the first half"
 
 
@@ -61,10 +63,10 @@
 
     async def check(self, orderly: bool) -> None:
         await self.start_with(orderly)
-        for route in ("book", "status", "stream"):
-            with self.subTest(route=route):
+        for route, size in itertools.product(("book", "status", "stream"), BODY_SIZES):
+            with self.subTest(route=route, size=size):
                 self.fleet.budgets.clear()
-                response = await self.call(route, body=LONG_BODY)
+                response = await self.call(route, body=LONG_BODY[:size])
                 self.assertNotIn(PART, response.body if response.complete else b"")
                 self.assertTrue(response.status == 502 or not response.complete)
 
--- a/tests/functional/test_slow_clients.py
+++ b/tests/functional/test_slow_clients.py
@@ -88,6 +88,23 @@
                 self.assertEqual(set(), self.failed_attempts())
                 self.assertEqual(0.0, self.fleet.health.failure_ratio("e1", 1e9))
 
+    async def test_a_client_that_trickles_ends_before_its_endpoint_cuts(self) -> None:
+        # It takes something all the time, so that the kernel does not give it up.
+        endpoint = slow_peers.ImpatientStream(1000, PATIENCE_SECONDS)
+        await self.stream_to(endpoint)
+        client = await self.connect("stream")
+
+        async def trickle() -> None:
+            while await asyncio.get_running_loop().sock_recv(client, 4096):
+                await asyncio.sleep(0.3)
+
+        reading = asyncio.ensure_future(trickle())
+        await self.wait_until(lambda: endpoint.cut + endpoint.left > 0)
+        self.assertEqual((0, 1), (endpoint.cut, endpoint.left))
+        self.assertEqual(1.0, self.bounds()["endpoint unread"])
+        self.assertEqual(set(), self.failed_attempts())
+        await asyncio.gather(reading, return_exceptions=True)
+
     async def test_a_whole_response_is_not_held_for_a_client_that_stops(self) -> None:
         body = bytes(8 * MEBIBYTE)
 
