An answer without a length does not end beside a write that failed

Cause: a transport that closes after a failed write holds no bytes any more, so the end that came in the same pass of the event loop looked like the end of an answer whose request was received. Change: the end on a transport that closes is broken. The buffers for slow clients are set by the daemon, so that models of the request path need none. Measured: the new case of tests.functional.test_http1_exchange failed before (nothing raised); 10 of 10 pass now; tests.unit.test_overlap_model 13 of 13.

--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -20,6 +20,7 @@
     prover,
     quarantine_keeper,
     request_path,
+    response_buffers,
     snapshots,
     sources,
 )
@@ -119,6 +120,11 @@
         dependencies = request_path.RequestDependencies(
             self.fleet, codec, self.placer, self.endpoint_client, self.gateway_metrics
         )
+        self.response_buffers = response_buffers.ResponseBuffers(
+            self.answer_memory, self.gateway_metrics
+        )
+        dependencies.response_buffers = self.response_buffers
+        self.placer.on_bound = self.response_buffers.record_bound
         self.crash_detector = dependencies.crash_detector
         self.front = front.ClientRequestHandler(dependencies, self.peering.available_peers)
         self.client_server = http1_server.Server(
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -115,10 +115,8 @@
         self.crash_detector = crash_detector.CrashDetector(fleet, endpoint_client.pool)
         self.metrics = metrics
         self.reporter = request_reports.RequestReporter(fleet, codec, metrics)
-        self.response_buffers = response_buffers.ResponseBuffers(
-            endpoint_client.answer_memory, metrics
-        )
-        request_placer.on_bound = self.response_buffers.record_bound
+        # Used if clients and endpoints may read slowly; None if these are never expected.
+        self.response_buffers: response_buffers.ResponseBuffers | None = None
 
 
 def require_fresh_proof(fleet: fleet_module.FleetState) -> None:
@@ -171,7 +169,7 @@
         )
         # Set if clients and endpoints may read slowly.
         self.buffer: response_buffers.ResponseBuffer | None = None
-        if self.fleet.settings.limited_memory:
+        if self.fleet.settings.limited_memory and dependencies.response_buffers is not None:
             self.waiting_request.body_bytes = len(request.body)
             self.buffer = dependencies.response_buffers.open(responder, metadata.request_id)
 
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -246,8 +246,11 @@
         return await self.read()
 
     def has_unacknowledged_bytes(self) -> bool:
-        """Return whether the peer's kernel may lack bytes that were written."""
-        return self.pending_bytes > 0
+        """Return whether the peer's kernel may lack bytes that were written.
+
+        A transport that closes has dropped what it held, for example after a write that failed.
+        """
+        return self.transport.is_closing() or self.pending_bytes > 0
 
     @property
     def pending_bytes(self) -> int:
--- a/tests/functional/test_http1_exchange.py
+++ b/tests/functional/test_http1_exchange.py
@@ -181,7 +181,7 @@
 
 
 class UnframedAnswerTest(unittest.TestCase):
-    def read_answer(self, reset: bool) -> bytes:
+    def read_answer(self, reset: bool, write_fails: bool = False) -> bytes:
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
         done = threading.Event()
@@ -198,12 +198,21 @@
                 done.wait(5.0)
                 time.sleep(0.02)
                 await call.read_head()
+                if write_fails:
+                    while not channel.peer_gone:
+                        await asyncio.sleep(0.01)
+                    # As after a write that fails in the pass in which the end was received.
+                    channel.transport.abort()
                 return await call.read_body()
             finally:
                 channel.abort()
 
         return uvloop.run(exchange())
 
+    def test_end_beside_a_failed_write_is_not_the_end_of_an_answer(self) -> None:
+        with self.assertRaises(errors.EndpointBrokenError):
+            self.read_answer(reset=False, write_fails=True)
+
     def test_reset_after_data_is_not_the_end_of_an_answer(self) -> None:
         # libuv reports the end of the stream instead of the reset when both are polled at once.
         with self.assertRaises(errors.EndpointBrokenError):
