A long body that is still taken is sent to no second endpoint; streams that are read go on

Cause: an endpoint that takes a long body steadily but slowly counted as silent, so that a request that may run again was sent to a second endpoint, which then held the body too. While slow clients held the memory for responses, a new stream waited up to 1.5 s for room and broke off as a failure of its endpoint, although its bytes were in memory already.

--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -96,6 +96,8 @@
         "sent_at",
         "succeeded",
         "task",
+        "upload_bytes",
+        "watches_upload",
     )
 
     def __init__(
@@ -115,6 +117,10 @@
         # on to its end.
         self.resumes = resumes
         self.succeeded = False
+        # Whether an endpoint that still takes the request is not silent, and the bytes that it had
+        # not taken when that was last looked at.
+        self.watches_upload = False
+        self.upload_bytes: int | None = None
         # Set if the request is sent while another response is read.
         self.task: asyncio.Task[calls.EndpointCall] | None = None
         # The response, once its head was received.
@@ -131,6 +137,15 @@
         usage = self.grant.connection.channel.usage
         return usage.total_waited_seconds(time.perf_counter())
 
+    def takes_upload(self) -> bool:
+        """Return whether the endpoint has taken bytes of the request since the last call."""
+        if not self.watches_upload or self.call is not None:
+            return False
+        previous, self.upload_bytes = self.upload_bytes, self.grant.connection.channel.pending_bytes
+        if previous is None:
+            return self.upload_bytes > 0
+        return self.upload_bytes < previous
+
     def has_unread_head(self) -> bool:
         """Return whether bytes of a response have arrived whose head was not received."""
         if self.call is not None or self.task is None:
--- a/src/masticward/gateway/overlap.py
+++ b/src/masticward/gateway/overlap.py
@@ -25,6 +25,8 @@
 SEARCH_PAUSE_SECONDS = 1.0
 # A response whose bytes may not have been read is looked at again after this time at the earliest.
 RECHECK_SECONDS = 0.05
+# An endpoint that takes nothing of a long body for this time is silent.
+UPLOAD_CHECK_SECONDS = 0.5
 # A process that is late for longer goes on without an overlap. Clients leave a stream that is
 # silent for 2 s.
 MAX_LATE_SECONDS = 0.6
@@ -177,7 +179,10 @@
         raise errors.EndpointBrokenError(f"no response data for {silent_seconds:.2f} s")
 
     def start_search(self, excused_seconds: float) -> None:
-        """Look for another endpoint unless bytes of the silent response wait for their turn."""
+        """Look for another endpoint unless the silence has another reason.
+
+        Bytes of the response may wait for their turn, or the endpoint may still take the request.
+        """
         assert self.first is not None
         loop = asyncio.get_running_loop()
         waited = self.first.turn_wait_seconds()
@@ -185,6 +190,10 @@
             delay = max(RECHECK_SECONDS, waited - excused_seconds)
             self.timer = loop.call_later(delay, self.start_search, waited)
             return
+        if self.first.takes_upload():
+            # A second send would make another endpoint hold the same long body.
+            self.timer = loop.call_later(UPLOAD_CHECK_SECONDS, self.start_search, waited)
+            return
         self.search = loop.create_task(self.find_replacement())
 
     async def find_replacement(self) -> None:
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -1,6 +1,7 @@
 """Forwards a client's request to endpoints and relays the response."""
 
 import asyncio
+import functools
 import typing
 
 from masticward import errors, events, logs
@@ -18,7 +19,7 @@
 )
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
-from masticward.state import placement
+from masticward.state import buffered_bytes, placement
 from masticward.transport import http1_server
 from masticward.utils import clocks, identifiers
 
@@ -494,7 +495,11 @@
         )
         run = self.fleet.run_times.start(self.route.name, self.metadata.output_tokens, now)
         resumes = self.progress.last_event_id is not None
-        return attempts.Attempt(grant, sending, run, now, resumes)
+        attempt = attempts.Attempt(grant, sending, run, now, resumes)
+        attempt.watches_upload = (
+            self.buffer is not None and len(self.request.body) > buffered_bytes.SMALL_BODY_BYTES
+        )
+        return attempt
 
     async def serve(self, attempt: attempts.Attempt) -> bool:
         """Relay the response of an attempt; return False if another attempt should follow."""
@@ -786,7 +791,8 @@
                     call, len(data), len(data) + len(buffer.incomplete)
                 )
             # What a slow client has not read, and what waits behind it.
-            call.hold(
+            hold = call.hold if self.buffer is None else functools.partial(self.buffer.hold, call)
+            hold(
                 self.responder.unsent_bytes
                 + len(data)
                 + len(buffer.incomplete)
--- a/src/masticward/gateway/response_buffers.py
+++ b/src/masticward/gateway/response_buffers.py
@@ -85,6 +85,7 @@
         "read_bytes",
         "request_id",
         "responder",
+        "streams",
         "unread_since",
     )
 
@@ -95,6 +96,8 @@
         self.responder = responder
         self.request_id = request_id
         self.evicted = False
+        # Whether parts are passed on as they arrive.
+        self.streams = False
         # Since when the endpoint may have been unable to send, None if it was not, and the bytes
         # that were read since.
         self.unread_since: float | None = None
@@ -111,6 +114,7 @@
 
     def begin_stream(self) -> None:
         """Let writes pass that ``make_room`` has allowed."""
+        self.streams = True
         self.pacer.ahead_bytes = 2 * buffered_bytes.READ_AHEAD_BYTES
 
     def evict(self) -> None:
@@ -153,7 +157,10 @@
         self.record_read(channel, received)
         started_at = clocks.boot_time()
         unread_since = started_at if self.unread_since is None else self.unread_since
-        held_body = call.held_body
+        memory = call.held_body.memory
+
+        def reserved() -> int:
+            return call.held_body.reserved_bytes
 
         def needed_bytes() -> int:
             return self.responder.unsent_bytes + size + channel.protocol.unread_bytes
@@ -161,10 +168,13 @@
         def has_room() -> bool:
             unsent_bytes = self.responder.unsent_bytes
             needed = needed_bytes()
-            fits = held_body.memory.fits(held_body.reserved_bytes, needed)
+            fits = memory.fits(reserved(), needed)
             if fits and (not unsent_bytes or needed <= buffered_bytes.READ_AHEAD_BYTES):
                 return True
-            if needed < held_body.reserved_bytes:
+            if self.streams and not unsent_bytes and memory.fits(reserved(), small(needed)):
+                # The bytes are in memory already, and the client has taken all before them.
+                return True
+            if needed < reserved():
                 call.hold(needed)
             if not fits:
                 self.buffers.free_memory(self)
@@ -187,3 +197,13 @@
         else:
             self.pacer.require_pace()
         return clocks.boot_time() - started_at
+
+    def hold(self, call: calls.EndpointCall, size: int) -> None:
+        """Hold memory for what a stream's client has not taken, as ``make_room`` has allowed."""
+        fits = call.held_body.memory.fits(call.held_body.reserved_bytes, size)
+        call.hold(size if fits else small(size))
+
+
+def small(size: int) -> int:
+    """Return what is counted of a size at least, which also fits while memory is scarce."""
+    return min(size, body_memory.SMALL_ANSWER_BYTES)
--- a/tests/lib/slow_peers.py
+++ b/tests/lib/slow_peers.py
@@ -67,6 +67,25 @@
         return False
 
 
+class SteadyReader(platform_standins.EndpointStandin):
+    """Takes a request in small parts with a pause after each, then answers."""
+
+    def __init__(self, pause_seconds: float) -> None:
+        super().__init__()
+        self.pause_seconds = pause_seconds
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one request."""
+        request = platform_standins.ReceivedRequest(await reader.readuntil(b"\r\n\r\n"), b"")
+        self.received.append(request)
+        missing = int(request.headers["content-length"])
+        while missing and (data := await reader.read(65536)):
+            missing -= len(data)
+            await asyncio.sleep(self.pause_seconds)
+        writer.write(platform_standins.complete_response(request))
+        writer.close()
+
+
 async def connect(port: int, data: bytes) -> socket.socket:
     """Send a request on a connection whose kernel buffer is small; nothing is read of it."""
     sock = socket.socket()
