Connections that no pacer bounds are aborted as before; the steady reader's kernel holds little

Cause: the reset that drops the kernel's bytes was also used for connections without the contract, and a kept failure whose client stalls ended as an unexpected error. In the test, the endpoint's kernel took several megabytes at once, so that the sender saw no progress afterwards. Change: ServerConnection.break_off resets paced connections and aborts others; a slow client of a kept failure is cut as any other. The stand-in has a small receive buffer. A case checks that nothing is paced or counted without the contract.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -701,7 +701,11 @@
         self.progress.response_started = True
         response = failure.call.response
         headers = self.dependencies.codec.response_headers(response.headers)
-        await self.responder.send(response.status, headers, failure.body)
+        try:
+            await self.responder.send(response.status, headers, failure.body)
+        except errors.SlowClientError as error:
+            self.cut_slow_client(error)
+            return
         self.record_answered(failure.call, clocks.boot_time())
 
     def record_answer_begun(self, attempt: attempts.Attempt) -> None:
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -488,7 +488,14 @@
         """Reset the connection and log the cause."""
         self.reset_cause = cause
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
-        self.channel.reset()
+        self.break_off()
+
+    def break_off(self) -> None:
+        """End the connection so that an answer without its end does not look whole."""
+        if self.paced:
+            self.channel.reset()
+        else:
+            self.channel.abort()
 
     def close(self, cause: str) -> None:
         """Close the connection and log the cause."""
@@ -569,10 +576,7 @@
             if not self.channel.unsent_bytes:
                 self.request = None
         if not responder.ended:
-            if self.paced:
-                self.channel.reset()
-            else:
-                self.channel.abort()
+            self.break_off()
             return False
         if self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE:
             return True
--- a/tests/functional/test_slow_clients.py
+++ b/tests/functional/test_slow_clients.py
@@ -188,3 +188,25 @@
         response = await self.call("status", body=bytes(8 * MEBIBYTE))
         self.assertEqual((200, b"answer"), (response.status, response.body))
         self.assertEqual(1, self.attempts())
+
+
+class WithoutContractTest(SlowPeersCase):
+    """Guards against bounds that act in deployments that do not ask for them."""
+
+    async def test_nothing_is_paced_or_counted(self) -> None:
+        held_bytes = []
+
+        async def answer(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            held_bytes.append(self.fleet.endpoint_bodies.total_bytes)
+            return await platform_standins.send_complete_response(request, writer)
+
+        await self.add_endpoint("e1", answer)
+        await self.start_patiently()
+        reader, writer = await self.send(self.request("book", body=bytes(90_000)))
+        self.assertEqual(200, (await self.read(reader)).status)
+        self.assertEqual([False], [item.paced for item in self.program.client_server.connections])
+        self.assertEqual([0], held_bytes)
+        self.assertEqual({}, self.bounds())
+        writer.close()
--- a/tests/lib/slow_peers.py
+++ b/tests/lib/slow_peers.py
@@ -68,12 +68,22 @@
 
 
 class SteadyReader(platform_standins.EndpointStandin):
-    """Takes a request in small parts with a pause after each, then answers."""
+    """Takes a request in small parts with a pause after each, then answers.
+
+    Its kernel holds little, so that the sender sees how much was taken.
+    """
 
     def __init__(self, pause_seconds: float) -> None:
         super().__init__()
         self.pause_seconds = pause_seconds
 
+    async def start(self) -> None:
+        """Open a listener whose connections have small buffers."""
+        await super().start()
+        assert self.server is not None
+        for sock in self.server.sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * SMALL_BUFFER_BYTES)
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one request."""
         request = platform_standins.ReceivedRequest(await reader.readuntil(b"\r\n\r\n"), b"")
