--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -21,6 +21,7 @@
     prover,
     quarantine_keeper,
     request_path,
+    response_buffers,
     snapshots,
     sources,
 )
@@ -120,6 +121,11 @@
         dependencies = request_path.RequestDependencies(
             self.fleet, codec, self.placer, self.endpoint_client, self.gateway_metrics
         )
+        self.response_buffers = response_buffers.ResponseBuffers(
+            self.answer_memory, self.gateway_metrics
+        )
+        dependencies.response_buffers = self.response_buffers
+        self.placer.on_bound = self.response_buffers.record_bound
         self.crash_detector = dependencies.crash_detector
         self.front = front.ClientRequestHandler(dependencies, self.peering.available_peers)
         self.client_server = http1_server.Server(
@@ -159,6 +165,11 @@
             "bytes of answers' bodies that are held until clients have them",
             lambda: self.answer_memory.held_bytes,
         )
+        add(
+            "masticward_gateway_endpoint_body_bytes",
+            "bytes of requests' bodies that endpoints hold for this gateway",
+            lambda: fleet.endpoint_bodies.total_bytes,
+        )
         add(
             "masticward_gateway_unread_bytes",
             "bytes that clients have sent behind requests that are being served",
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -8,6 +8,7 @@
 from masticward.models import gateway
 from masticward.state import (
     announcements,
+    buffered_bytes,
     cold_start,
     endpoint_health,
     endpoint_speed,
@@ -57,6 +58,7 @@
         self.endpoints_known = False
         self.table = endpoint_table.EndpointTable()
         self.loads = load_table.LoadTable()
+        self.endpoint_bodies = buffered_bytes.EndpointBodies()
         self.caches = prompt_cache.PromptCaches()
         self.health = endpoint_health.HealthTracker()
         self.speeds = endpoint_speed.SpeedTable()
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -1,6 +1,7 @@
 """Forwards a client's request to endpoints and relays the response."""
 
 import asyncio
+import functools
 import typing
 
 from masticward import errors, events, logs
@@ -13,11 +14,12 @@
     overlap,
     placer,
     request_reports,
+    response_buffers,
     sources,
 )
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
-from masticward.state import placement
+from masticward.state import buffered_bytes, placement
 from masticward.transport import http1_server
 from masticward.utils import clocks, identifiers
 
@@ -99,6 +101,7 @@
         "metrics",
         "placer",
         "reporter",
+        "response_buffers",
     )
 
     def __init__(
@@ -116,6 +119,8 @@
         self.crash_detector = crash_detector.CrashDetector(fleet, endpoint_client.pool)
         self.metrics = metrics
         self.reporter = request_reports.RequestReporter(fleet, codec, metrics)
+        # Used if clients and endpoints may read slowly; None if these are never expected.
+        self.response_buffers: response_buffers.ResponseBuffers | None = None
 
 
 def require_fresh_proof(fleet: fleet_module.FleetState) -> None:
@@ -166,6 +171,11 @@
                 metadata.arrived_at + placer.MAX_WAIT_FRACTION * route.target_latency_seconds,
             ),
         )
+        # Set if clients and endpoints may read slowly.
+        self.buffer: response_buffers.ResponseBuffer | None = None
+        if self.fleet.settings.limited_memory and dependencies.response_buffers is not None:
+            self.waiting_request.body_bytes = len(request.body)
+            self.buffer = dependencies.response_buffers.open(responder, metadata.request_id)
 
     async def run(self) -> None:
         """Serve the request; raise RefusalError if it fails before a response was started."""
@@ -175,6 +185,8 @@
                 self.schedule_time_limit()
                 while not await self.attempt():
                     pass
+        except errors.SlowClientError as error:
+            self.cut_slow_client(error)
         except RefusalError as refusal:
             if self.progress.response_started:
                 self.record_cut_stream("cut by endpoint", refusal.reason)
@@ -195,6 +207,14 @@
         finally:
             self.overlap.end(overlap.Outcome.REQUEST_ENDED)
             self.drop_failure()
+            if self.buffer is not None:
+                self.buffer.close()
+
+    def cut_slow_client(self, error: errors.SlowClientError) -> None:
+        """Count, log and cut a response that its client takes too slowly."""
+        self.record_cut_stream("cut for slow client", str(error))
+        if self.buffer is not None:
+            self.buffer.cut(error, self.progress.endpoint_id)
 
     def schedule_time_limit(self) -> None:
         """Let the request end at ``response_deadline``."""
@@ -281,7 +301,7 @@
                 self.log_no_endpoint(placed)
                 raise self.final_refusal(placed.reason, placed.retry_after_seconds)
             reservation = attempts.LoadReservation(
-                self.fleet, placed.endpoint.id, placed, self.metadata
+                self.fleet, placed.endpoint.id, placed, self.metadata, waiting_request.body_bytes
             )
             try:
                 connection = await self.connect(placed.endpoint)
@@ -479,7 +499,11 @@
         )
         run = self.fleet.run_times.start(self.route.name, self.metadata.output_tokens, now)
         resumes = self.progress.last_event_id is not None
-        return attempts.Attempt(grant, sending, run, now, resumes)
+        attempt = attempts.Attempt(grant, sending, run, now, resumes)
+        attempt.watches_upload = (
+            self.buffer is not None and len(self.request.body) > buffered_bytes.SMALL_BODY_BYTES
+        )
+        return attempt
 
     async def serve(self, attempt: attempts.Attempt) -> bool:
         """Relay the response of an attempt; return False if another attempt should follow."""
@@ -548,6 +572,7 @@
             self.metadata, self.route, self.service, self.team, self.response_deadline
         )
         waiting_request.excluded_endpoint_ids = self.waiting_request.excluded_endpoint_ids
+        waiting_request.body_bytes = self.waiting_request.body_bytes
         try:
             return await self.acquire(waiting_request)
         except RefusalError:
@@ -650,6 +675,7 @@
         headers = self.dependencies.codec.response_headers(response.headers)
         self.overlap.end()
         self.begin_response()
+        self.release_endpoint(attempt, call)
         await self.responder.send(response.status, headers, body)
         if response.status < 500:
             self.record_success(attempt, call)
@@ -681,7 +707,11 @@
         self.progress.response_started = True
         response = failure.call.response
         headers = self.dependencies.codec.response_headers(response.headers)
-        await self.responder.send(response.status, headers, failure.body)
+        try:
+            await self.responder.send(response.status, headers, failure.body)
+        except errors.SlowClientError as error:
+            self.cut_slow_client(error)
+            return
         self.record_answered(failure.call, clocks.boot_time())
 
     def record_answer_begun(self, attempt: attempts.Attempt) -> None:
@@ -701,6 +731,8 @@
             )
         ) is not None:
             self.overlap.end()
+            if self.buffer is not None:
+                await self.buffer.make_room(call, len(data), len(call.body) + len(data))
             call.hold(len(call.body) + len(data))
             call.body += data
             attempt.received_bytes = len(call.body)
@@ -737,6 +769,8 @@
         silent_since = clocks.boot_time()
         # Whether the time since ``silent_since`` is the endpoint's own pause between two events.
         is_pause = False
+        if self.buffer is not None:
+            self.buffer.begin_stream()
         while True:
             waited_seconds = usage.waited_seconds
             data = await self.overlap.wait(
@@ -761,8 +795,13 @@
                 self.record_event_ids(data)
             else:
                 buffer.keep_last(KEPT_EVENT_BYTES)
+            if self.buffer is not None:
+                silent_since += await self.buffer.make_room(
+                    call, len(data), len(data) + len(buffer.incomplete)
+                )
             # What a slow client has not read, and what waits behind it.
-            call.hold(
+            hold = call.hold if self.buffer is None else functools.partial(self.buffer.hold, call)
+            hold(
                 self.responder.unsent_bytes
                 + len(data)
                 + len(buffer.incomplete)
@@ -786,8 +825,15 @@
         if self.route.resumable:
             await self.write_to_client(call, bytes(buffer.incomplete))
         await self.start_response(call)
+        self.release_endpoint(attempt, call)
         await self.responder.end()
 
+    def release_endpoint(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> None:
+        """Release an endpoint whose response was read to its end, before its slow client has it."""
+        if self.buffer is not None:
+            attempt.grant.reservation.release()
+            call.release_connection()
+
     async def write_to_client(self, call: calls.EndpointCall, data: bytes) -> None:
         """Write data of a stream to the client, the response head before the first data."""
         if not data:
