Test a store that is restored from a copy with one real gateway

The stand-in of the store states an era and can be restored from an earlier copy, which answers 410 to watches from revisions that it lacks.

--- a/tests/lib/platform_standins.py
+++ b/tests/lib/platform_standins.py
@@ -300,6 +300,16 @@
     return data
 
 
+class StoreCopy:
+    """A copy of a store's objects, with its revision at that time."""
+
+    def __init__(
+        self, objects: dict[tuple[str, str], dict[str, typing.Any]], revision: int
+    ) -> None:
+        self.objects = objects
+        self.revision = revision
+
+
 class StoreStandin(SocketServer):
     """The platform's store: objects by kind and name, with a revision, listings and watches."""
 
@@ -316,6 +326,23 @@
         self.empty_pages: set[str] = set()
         self.oldest_revision = 0
         self.calls: list[str] = []
+        # Stated in all responses; None leaves the header out, as older versions of the store do.
+        self.era: int | None = None
+        # Objects in one page of a listing.
+        self.page_size = 10_000
+
+    def copy(self) -> StoreCopy:
+        """Return a copy, from which the store can be restored."""
+        return StoreCopy(dict(self.objects), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: a new era begins, and later revisions are given out again."""
+        self.objects = dict(copy.objects)
+        self.history = [item for item in self.history if item[0] <= copy.revision]
+        self.revision = copy.revision
+        self.era = (self.era or 0) + 1
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def put(self, kind: str, name: str, spec: typing.Any) -> None:
         """Create or replace an object, as an operator or an endpoint does."""
@@ -327,7 +354,9 @@
         self.changed = asyncio.Event()
 
     def remove(self, kind: str, name: str) -> None:
-        """Remove an object."""
+        """Remove an object, if there is one."""
+        if (kind, name) not in self.objects:
+            return
         self.revision += 1
         item = self.objects.pop((kind, name))
         self.history.append((self.revision, kind, item, True))
@@ -350,12 +379,13 @@
     async def handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         """Handle one call."""
         self.calls.append(f"{request.method} {request.target}")
-        if self.unavailable:
-            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-            return True
-        status, body = await self.respond(request)
-        data = encode_document(body)
-        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+        status, data = 503, b""
+        if not self.unavailable:
+            status, body = await self.respond(request)
+            data = encode_document(body)
+        era = "" if self.era is None else f"Store-Era: {self.era}\r\n"
+        head = f"HTTP/1.1 {status} X\r\n{era}Content-Length: {len(data)}\r\n\r\n"
+        writer.write(head.encode() + data)
         return True
 
     async def respond(self, request: ReceivedRequest) -> tuple[int, typing.Any]:
@@ -376,8 +406,14 @@
             return await self.watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
         if kind in self.empty_pages:
             return 200, {"items": [], "has_more": True, "current_rev": self.revision}
-        items = [item for (item_kind, _), item in sorted(self.objects.items()) if item_kind == kind]
-        return 200, {"items": items, "has_more": False, "current_rev": self.revision}
+        items = [
+            item
+            for (item_kind, name), item in sorted(self.objects.items())
+            if item_kind == kind and name > query.get("after", "")
+        ]
+        page = items[: self.page_size]
+        has_more = len(items) > len(page)
+        return 200, {"items": page, "has_more": has_more, "current_rev": self.revision}
 
     async def watch(self, kind: str, revision: int, wait: float) -> tuple[int, typing.Any]:
         """Return status and body of a watch: the changes after a revision."""
@@ -385,6 +421,8 @@
             return 410, {}
         deadline = asyncio.get_running_loop().time() + wait
         while True:
+            if revision > self.revision:
+                return 410, {}
             changed = self.changed
             events = [
                 {"object": item, "removed": removed}
