--- a/tests/unit/test_store_readers.py
+++ b/tests/unit/test_store_readers.py
@@ -73,6 +73,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.revision = 100
+        self.era = 0
         self.changes: list[tuple[int, sources.StoredObject]] = []
         self.changed = asyncio.Condition()
 
@@ -80,7 +81,10 @@
         self.calls += 1
         latest = {item.name: item for _, item in self.changes}
         return sources.Listing(
-            tuple(item for item in latest.values() if not item.removed), self.revision, True
+            tuple(item for item in latest.values() if not item.removed),
+            self.revision,
+            True,
+            self.era,
         )
 
     async def watch(
@@ -90,7 +94,7 @@
         async with self.changed:
             await self.changed.wait_for(lambda: self.revision > revision)
         items = tuple(item for number, item in self.changes if number > revision)
-        return sources.Listing(items, self.revision, False)
+        return sources.Listing(items, self.revision, False, self.era)
 
     async def put(self, name: str, endpoint: gateway.Endpoint | None) -> None:
         async with self.changed:
@@ -157,7 +161,7 @@
         return set(self.fleet.table.endpoints)
 
 
-class RelayTest(unittest.IsolatedAsyncioTestCase):
+class RelayCase(unittest.IsolatedAsyncioTestCase):
     """Plays a fleet of gateways with one clock and datagrams that arrive at once or never."""
 
     async def asyncSetUp(self) -> None:
@@ -208,6 +212,8 @@
     def readers(self) -> list[FollowingGateway]:
         return [item for item in self.gateways if item.fleet.reads_store]
 
+
+class RelayTest(RelayCase):
     async def test_a_release_costs_calls_of_the_readers_only(self) -> None:
         for number in range(20):
             await self.change(f"e{number}", None)
