--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -33,7 +33,7 @@
 RUN_TIME_FACTOR = 1.5
 RUN_TIME_MARGIN_SECONDS = 0.25
 # A gateway that starts while the store may list an older configuration than its peers have hears of
-# theirs and fetches it within this time.
+# them and fetches a snapshot within this time. Without an answer it serves what the store lists.
 PEERS_FIRST_SECONDS = 1.5
 LOGGER = logs.get_logger(__name__)
 
@@ -156,13 +156,13 @@
         """Return whether a configuration that the store lists must not be put in force yet.
 
         A store that was restored from a copy may list an older one than the peers of a gateway that
-        starts have in force; their newest one is fetched.
+        starts have in force. It takes over a peer's snapshot first, which also states what the
+        peers hold against the listing.
         """
         if self.configuration is not None or era == 0:
             return False
-        if self.newest_peer_version > 0 and len(self.live_gateways) > 1:
-            # A peer has put no older one in force than those that it heard of.
-            return self.newest_peer_version > version
+        if self.newest_peer_version > version and len(self.live_gateways) > 1:
+            return True
         has_peers = self.known_gateway_count > 1 or any(
             ip != self.settings.ip for ip in self.settings.seed_ips
         )
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -104,6 +104,8 @@
     def wait_seconds(self) -> float:
         """Return how long the store's own changes are waited for before a peer is asked."""
         fleet = self.fleet
+        if fleet.configuration is None and fleet.known_era > 0:
+            return 0.0  # the store's own configuration waits for the peers' one
         listed = fleet.configuration is not None and fleet.endpoints_known
         return 0.0 if listed and not fleet.reads_store else PEER_FALLBACK_SECONDS
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -73,6 +73,16 @@
         self.lost_share = 0.0
         self.busy_share = 0.0
         self.random = random.Random(0)
+        self.era = 0
+        # Whether a copy was taken from which the store will be restored.
+        self.restoring = False
+        # What was removed, also if the store did not have it, since it was restored last.
+        self.removed: set[tuple[str, str]] = set()
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object, if there is one."""
+        self.removed.add((kind, name))
+        super().remove(kind, name)
 
     async def handle(
         self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
