--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -10,6 +10,7 @@
 from masticward.gateway import followers, peering, sources
 from masticward.models import gateway
 from masticward.protocol import gateway_snapshots
+from masticward.state import store_restore
 from masticward.transport import http1, http1_server
 from masticward.utils import clocks
 
@@ -70,6 +71,7 @@
         doubted=dict(fleet.table.departures.doubted),
         doubt_seconds=max(0.0, fleet.table.departures.doubted_until - now),
         held_zones={zone: max(0.0, fleet.held_zones.until - now) for zone in fleet.held_zones.held},
+        left=fleet.table.departures.left_lately(now),
     )
 
 
@@ -234,6 +236,8 @@
     The peer determined the age of its proof after ``requested_at``, so the proof dates at the
     earliest from that time minus the age.
     """
+    if fleet.configuration is None:
+        adopt_former_era(fleet, snapshot)
     fleet.learn_era(snapshot.store_era)
     fleet.apply_configuration(
         snapshot.configuration,
@@ -258,8 +262,35 @@
         fleet.apply_evacuations([(zone, True) for zone in snapshot.out_zones], True)
     for change in fleet.table.adopt_doubts(snapshot.doubted, snapshot.doubt_seconds, now):
         fleet.record_change(change)
-    if snapshot.held_zones:
-        fleet.held_zones.adopt(snapshot.held_zones, now)
+    hold_zones(fleet, snapshot.held_zones, now)
+
+
+def adopt_former_era(fleet: fleet_module.FleetState, snapshot: gateway_snapshots.Snapshot) -> None:
+    """Hold what a peer knows from before the store was restored, in a process that starts.
+
+    This process may have listed the restored store before, or list it before, the peer does.
+    """
+    now = clocks.boot_time()
+    for endpoint_id, born in snapshot.left.items():
+        if endpoint_id not in fleet.table.endpoints:
+            fleet.table.departures.left[endpoint_id] = (born, now)
+    if any(snapshot.eras.get(kind.value, 0) < fleet.listed_era for kind in sources.LISTED_KINDS):
+        draining = {item.id: item.born for item in snapshot.endpoints if item.draining}
+        changes = fleet.table.adopt_doubts(
+            {**snapshot.left, **draining}, store_restore.DOUBT_SECONDS, now
+        )
+        for change in changes:
+            fleet.record_change(change)
+        seconds = store_restore.STABLE_LISTING_SECONDS
+        hold_zones(fleet, dict.fromkeys(snapshot.out_zones, seconds), now)
+
+
+def hold_zones(
+    fleet: fleet_module.FleetState, seconds_by_zone: dict[str, float], now: float
+) -> None:
+    """Hold evacuated zones that a peer holds although the restored store does not list them."""
+    if seconds_by_zone:
+        fleet.held_zones.adopt(seconds_by_zone, now)
         fleet.set_evacuated_zones(fleet.table.evacuated_zones | fleet.held_zones.held, now)
 
 
--- a/src/masticward/protocol/gateway_snapshots.py
+++ b/src/masticward/protocol/gateway_snapshots.py
@@ -29,6 +29,8 @@
     doubted: dict[str, int] = {}
     doubt_seconds: float = 0.0
     held_zones: dict[str, float] = {}
+    # Endpoints (ID and ``born``) that have left lately.
+    left: dict[str, int] = {}
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/masticward/state/store_restore.py
+++ b/src/masticward/state/store_restore.py
@@ -49,14 +49,20 @@
         """Doubt the entries of all endpoints known to have left or to drain."""
         self.rewritten.clear()
         self.withheld.clear()
-        for endpoint_id, (born, left_at) in list(self.left.items()):
-            if now - left_at > DEPARTURE_MEMORY_SECONDS:
-                del self.left[endpoint_id]
-            else:
-                self.doubted[endpoint_id] = born
+        lately = self.left_lately(now)
+        self.left = {key: value for key, value in self.left.items() if key in lately}
+        self.doubted.update(lately)
         self.doubted.update({item.id: item.born for item in draining})
         self.doubted_until = now + DOUBT_SECONDS
 
+    def left_lately(self, now: float) -> dict[str, int]:
+        """Return ``born`` of each endpoint that has left within the time that is remembered."""
+        return {
+            endpoint_id: born
+            for endpoint_id, (born, left_at) in self.left.items()
+            if now - left_at <= DEPARTURE_MEMORY_SECONDS
+        }
+
     def begin_listing(self, now: float) -> None:
         """Prepare for the entries of a complete listing."""
         self.withheld.clear()
--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -317,6 +317,30 @@
         self.assertEqual({"stays"}, set(starting.table.endpoints))
         self.assertEqual({"z2"}, starting.table.evacuated_zones)
 
+    def test_a_gateway_that_starts_learns_departures_from_a_peer_in_the_former_era(self) -> None:
+        """Either of the two listings may come first."""
+        self.fleet.apply_evacuations([("z2", True)], False)
+        former = snapshots.build_snapshot(self.fleet)
+        assert former is not None
+        copy = [builders.make_endpoint(name) for name in ("drains", "leaves", "stays")]
+        for listed_first in (True, False):
+            starting = fleet_module.FleetState(builders.make_settings())
+            by_kind = followers.create_followers(self.source, starting)
+
+            def list_copy(by_kind: dict[sources.ObjectKind, followers.Follower] = by_kind) -> None:
+                for kind, items in ((ENDPOINTS, stored(*copy)), (EVACUATIONS, ())):
+                    by_kind[kind].apply_listing(sources.Listing(items, 61, True, 1), self.now)
+
+            with self.subTest(listed_first=listed_first):
+                if listed_first:
+                    list_copy()
+                snapshots.apply_snapshot(starting, former, self.now, "g2")
+                if not listed_first:
+                    list_copy()
+                usable = [item.id for item in starting.table.usable("llm", self.now)]
+                self.assertEqual(["stays"], usable)
+                self.assertEqual({"z2"}, starting.table.evacuated_zones)
+
     def test_a_peer_that_still_lists_the_former_era_is_not_followed(self) -> None:
         """Guards against listings that are repeated while a peer is cut off from the store."""
         peer = self.peering.put_peer("g2", "127.0.0.2")
