--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -124,10 +124,10 @@
 
     @property
     def listed_era(self) -> int:
-        """The store's era of the listings that are in force."""
+        """The store's era of the endpoints and evacuations that are in force."""
         return min(
             self.revisions[kind].era if kind in self.revisions else 0
-            for kind in sources.LISTED_KINDS
+            for kind in (sources.ObjectKind.ENDPOINTS, sources.ObjectKind.EVACUATIONS)
         )
 
     def enter_era(self, kind: sources.ObjectKind, era: int) -> None:
@@ -277,7 +277,7 @@
         """Apply all changes of a kind after one revision of the store and up to another one.
 
         Return False if this process lacks changes before ``from_revision`` or the listing of the
-        era. Of an earlier era than the present one only departures count.
+        era. Of an earlier era than the present one only departures and new evacuations count.
         """
         position = self.revisions.get(kind)
         if position is None or sources.Position(era, from_revision) > position:
@@ -291,6 +291,10 @@
                 ]
                 for change in self.table.apply_departures(entries, clocks.boot_time()):
                     self.record_change(change)
+            elif kind is sources.ObjectKind.EVACUATIONS:
+                seconds = store_restore.STABLE_LISTING_SECONDS
+                zones = {item.name: seconds for item in items if not item.removed}
+                self.hold_zones(zones, clocks.boot_time())
         elif to_revision > position.revision:
             self.apply_objects(kind, items, False)
             self.revisions[kind] = sources.Position(era, to_revision)
@@ -409,6 +413,12 @@
             zones = self.held_zones.apply_listing(zones, now)
         self.set_evacuated_zones(zones, now)
 
+    def hold_zones(self, seconds_by_zone: dict[str, float], now: float) -> None:
+        """Hold evacuated zones for some time although the restored store does not list them."""
+        if seconds_by_zone:
+            self.held_zones.adopt(seconds_by_zone, now)
+            self.set_evacuated_zones(self.table.evacuated_zones | self.held_zones.held, now)
+
     def set_evacuated_zones(self, zones: set[str], now: float) -> None:
         """Set the zones that count as evacuated."""
         services = self.configuration.services if self.configuration else {}
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -262,7 +262,7 @@
         fleet.apply_evacuations([(zone, True) for zone in snapshot.out_zones], True)
     for change in fleet.table.adopt_doubts(snapshot.doubted, snapshot.doubt_seconds, now):
         fleet.record_change(change)
-    hold_zones(fleet, snapshot.held_zones, now)
+    fleet.hold_zones(snapshot.held_zones, now)
 
 
 def adopt_former_era(fleet: fleet_module.FleetState, snapshot: gateway_snapshots.Snapshot) -> None:
@@ -282,16 +282,7 @@
         for change in changes:
             fleet.record_change(change)
         seconds = store_restore.STABLE_LISTING_SECONDS
-        hold_zones(fleet, dict.fromkeys(snapshot.out_zones, seconds), now)
-
-
-def hold_zones(
-    fleet: fleet_module.FleetState, seconds_by_zone: dict[str, float], now: float
-) -> None:
-    """Hold evacuated zones that a peer holds although the restored store does not list them."""
-    if seconds_by_zone:
-        fleet.held_zones.adopt(seconds_by_zone, now)
-        fleet.set_evacuated_zones(fleet.table.evacuated_zones | fleet.held_zones.held, now)
+        fleet.hold_zones(dict.fromkeys(snapshot.out_zones, seconds), now)
 
 
 def apply_revision(
--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -145,6 +145,12 @@
         self.fleet.apply_evacuations([("z1", False)], False)
         self.assertEqual(set(), self.fleet.table.evacuated_zones)
 
+    def test_one_that_began_in_the_former_era_is_relayed_late(self) -> None:
+        self.list_zones()
+        item = sources.StoredObject("z3", "z3")
+        self.fleet.apply_changes(EVACUATIONS, 80, 81, [item], 0)
+        self.assertEqual({"z1", "z3"}, self.fleet.table.evacuated_zones)
+
     def test_in_an_era_it_ends_with_the_listing_that_lacks_it(self) -> None:
         self.fleet.revisions[EVACUATIONS] = sources.Position(1, 50)
         self.list_zones()
