A watch of a restored store proves nothing while a newer configuration is missing

A gateway with version 7 whose peer had version 8 took the listing of the restored store (7) for no proof, but the next watch without changes proved version 7, so that a key which version 8 removed was accepted again.

--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -194,6 +194,20 @@
         self.list_version(5)
         self.assertFalse(self.is_proven())
 
+    def test_a_watch_without_changes_is_no_proof_while_a_peer_had_a_newer_one(self) -> None:
+        """The newer one, which may have removed a key, is lost with the peer that had it."""
+        follower = self.followers_by_kind[sources.ObjectKind.CONFIGURATION]
+        self.fleet.newest_peer_version = 8
+        self.list_version(7)
+        self.assertFalse(self.is_proven())
+        self.now += 1.0
+        follower.apply_configuration_listing(sources.Listing((), 61, False, 1), self.now)
+        self.assertFalse(self.is_proven())
+        self.list_version(8)
+        self.now += 1.0
+        follower.apply_configuration_listing(sources.Listing((), 62, False, 1), self.now)
+        self.assertTrue(self.is_proven())
+
     def test_no_proof_for_a_gateway_that_was_cut_off_from_peers_and_store(self) -> None:
         """Its peers may have put a newer one in force that the store has lost."""
         self.fleet.known_gateway_count = 3
