--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -19,7 +19,7 @@
     prompt_cache,
     removal_history,
     retry_window,
-    rollout,
+    rollout_table,
     run_times,
     store_readers,
     team_usage,
@@ -81,7 +81,7 @@
         self.pauses = pauses.Pauses(self.started_at)
         self.quarantine = part_quarantine.PartQuarantine(settings.instance_id)
         self.run_times = run_times.RunTimes()
-        self.rollouts = rollout.RolloutTable()
+        self.rollouts = rollout_table.RolloutTable()
         # When the process began to stop; None while it serves.
         self.stopping_at: float | None = None
         # When the process ends and aborts what is not answered; infinite unless it is stopping.
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -206,7 +206,7 @@
             listing_digest=fleet.listing_digest,
             is_shedding=fleet.shedder.is_shedding,
             parts=fleet.quarantine.pop_changed(now),
-            rollouts=fleet.rollouts.pop_changed(now),
+            rollout_reports=fleet.rollouts.pop_changed(now),
         )
         self.prompts_to_repeat += self.unsent_prompts
         self.unsent_prompts = []
@@ -453,7 +453,7 @@
             is_shedding=fleet.shedder.is_shedding,
             parts=fleet.quarantine.build_reports(now),
             leaving=fleet.announcements.build_report(fleet.table.endpoints.values()),
-            rollouts=fleet.rollouts.reports(now),
+            rollout_reports=fleet.rollouts.reports(now),
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
@@ -516,7 +516,9 @@
         self.apply_prompts(changes.prompts)
         for part in changes.parts:
             self.fleet.quarantine.merge(part, peer.instance_id, now)
-        self.fleet.merge_rollouts(changes.rollouts, (peer.instance_id, peer.incarnation), now)
+        self.fleet.merge_rollouts(
+            changes.rollout_reports, (peer.instance_id, peer.incarnation), now
+        )
         if changes.configuration_version > 0:
             self.apply_status(
                 peer,
@@ -608,7 +610,7 @@
         self.apply_prompts(report.prompts)
         for part in report.parts:
             fleet.quarantine.merge(part, peer.instance_id, now)
-        fleet.merge_rollouts(report.rollouts, (peer.instance_id, peer.incarnation), now)
+        fleet.merge_rollouts(report.rollout_reports, (peer.instance_id, peer.incarnation), now)
         for key in report.leaving:
             if fleet.announcements.merge_leaving(key, now):
                 LOGGER.log(
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -142,7 +142,9 @@
         if not self.canary_ids:
             return self.choose_among(request, excess_by_team, is_test, frozenset())
         choice = None
-        if self.fleet.rollouts.may_send(self.service_name, self.fleet.settings.bounds, self.now):
+        if self.fleet.rollouts.may_send(
+            self.service_name, request.metadata.request_id, self.fleet.settings.bounds, self.now
+        ):
             others = frozenset(item.id for item in self.candidates) - self.canary_ids
             choice = self.choose_among(request, excess_by_team, is_test, others)
         if choice is None or not choice.has_capacity:
--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -6,7 +6,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import followers, sources
 from masticward.models import rollouts
-from masticward.state import cold_start, rollout, rollout_evidence
+from masticward.state import cold_start, rollout, rollout_evidence, rollout_table
 from masticward.utils import clocks
 
 CHECK_SECONDS = 0.05
@@ -78,10 +78,12 @@
             table.in_touch = live > 1 or known == 1
         wanted = {}
         for service, item in table.rollouts.items():
-            if item.active and item.judge(False) is rollout_evidence.Verdict.BAD:
+            if item.active and item.judge(False, now) is rollout_evidence.Verdict.BAD:
                 item.stop()
                 self.log_stop(item)
-            if not rollout.chooses_writer(service, fleet.settings.instance_id, fleet.live_gateways):
+            if not rollout_table.chooses_writer(
+                service, fleet.settings.instance_id, fleet.live_gateways
+            ):
                 continue
             usable = fleet.table.usable(service, now)
             was_active, drained_until = item.active, item.drain_until
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -45,7 +45,7 @@
     # Keys (``announcements.key_of``) of listed endpoints that have said that they are leaving.
     leaving: list[str] = []
     # Evidence on the orders of rollouts.
-    rollouts: list[rollouts.RolloutReport] = []
+    rollout_reports: list[rollouts.RolloutReport] = []
 
 
 class PeerChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
@@ -68,7 +68,7 @@
     # As in PeerReport, for the parts whose evidence changed.
     parts: list[part_reports.PartReport] = []
     # As in PeerReport, for the orders whose evidence changed.
-    rollouts: list[rollouts.RolloutReport] = []
+    rollout_reports: list[rollouts.RolloutReport] = []
 
 
 class StoreChanges(msgspec.Struct, array_like=True, frozen=True, tag="store"):
--- a/src/masticward/state/rollout_evidence.py
+++ b/src/masticward/state/rollout_evidence.py
@@ -14,6 +14,8 @@
 # Standard deviations by which the new version has to exceed the old one. The test is repeated with
 # each response and on each route, so that 2 or 3 would condemn good versions.
 DEVIATIONS = 3.5
+# For the latest responses, which are few and judged again and again.
+RECENT_DEVIATIONS = 4.5
 MIN_FAILURES = 5
 # Failure ratio that an old version without failures is taken to have.
 MIN_FAILURE_RATIO = 0.01
@@ -77,16 +79,17 @@
     min_count: int,
     min_ratio: float,
     variance_factor: float,
+    deviations: float,
 ) -> bool:
     """Return whether the new version's ratio is certainly above the old version's."""
     if new_count < min_count:
         return False
     old_ratio = max(min_ratio, old_count / old_total if old_total else 0.0)
     expected = min(1.0, old_ratio) * new_total
-    return new_count > expected + DEVIATIONS * math.sqrt(variance_factor * (expected + 1.0))
+    return new_count > expected + deviations * math.sqrt(variance_factor * (expected + 1.0))
 
 
-def is_bad(counts: rollouts.RouteCounts) -> bool:
+def is_bad(counts: rollouts.RouteCounts, deviations: float = DEVIATIONS) -> bool:
     """Return whether the new version certainly fails more often or is slower."""
     new, old = counts.new, counts.old
     return ratio_exceeds(
@@ -97,11 +100,49 @@
         MIN_FAILURES,
         MIN_FAILURE_RATIO,
         1.0,
+        deviations,
     ) or ratio_exceeds(
-        new.slow, new.timed, old.slow, old.timed, MIN_SLOW, MIN_SLOW_RATIO, SLOW_VARIANCE_FACTOR
+        new.slow,
+        new.timed,
+        old.slow,
+        old.timed,
+        MIN_SLOW,
+        MIN_SLOW_RATIO,
+        SLOW_VARIANCE_FACTOR,
+        deviations,
     )
 
 
+def difference(
+    counts: rollouts.RouteCounts, earlier: rollouts.RouteCounts | None
+) -> rollouts.RouteCounts:
+    """Return what was counted since an earlier time; nothing if it was not counted then."""
+    if earlier is None:
+        return rollouts.RouteCounts()
+
+    def subtract(
+        side: rollouts.VersionCounts, before: rollouts.VersionCounts
+    ) -> rollouts.VersionCounts:
+        return rollouts.VersionCounts(
+            side.answers - before.answers,
+            side.failures - before.failures,
+            side.timed - before.timed,
+            side.slow - before.slow,
+        )
+
+    return rollouts.RouteCounts(
+        subtract(counts.new, earlier.new), subtract(counts.old, earlier.old)
+    )
+
+
+def is_recently_bad(by_route: list[rollouts.RouteCounts]) -> bool:
+    """Return whether the latest responses show that the new version is bad."""
+    total = rollouts.RouteCounts()
+    for counts in by_route:
+        total.add(counts)
+    return any(is_bad(counts, RECENT_DEVIATIONS) for counts in (*by_route, total))
+
+
 def is_finally_bad(counts: rollouts.RouteCounts) -> bool:
     """Return whether few responses, after which no more will come, speak against the version."""
     new, old = counts.new, counts.old
--- /dev/null
+++ b/src/masticward/state/rollout_table.py
@@ -0,0 +1,341 @@
+"""The orders to roll out versions by service, and which endpoints get requests because of them.
+
+Times are in seconds of ``clocks.boot_time``. docs/design/rollouts.md has the reasons.
+"""
+
+import collections.abc
+import math
+
+from masticward.models import gateway, rollouts
+from masticward.state import rollout as rollout_module
+from masticward.state import rollout_evidence
+from masticward.utils import identifiers
+
+# Fractions of the duration: a good version is completed from the first one on; until the second
+# one it waits for as many endpoints as the old version has; from the last one on, what is
+# missing is no longer waited for.
+DECIDE_FRACTION = 0.75
+CAPACITY_FRACTION = 0.88
+LAST_FRACTION = 0.92
+
+
+class RolloutTable:
+    """The orders by service, and the versions that services run."""
+
+    __slots__ = (
+        "completed_targets",
+        "gateway_count",
+        "in_touch",
+        "known",
+        "majority",
+        "rollouts",
+        "running",
+    )
+
+    def __init__(self) -> None:
+        self.rollouts: dict[str, rollout_module.Rollout] = {}
+        # By service; kept after an order was deleted.
+        self.running: dict[str, str] = {}
+        # By service: the target of the latest order that was completed.
+        self.completed_targets: dict[str, str] = {}
+        # Whether the orders were listed.
+        self.known = False
+        # Gateways among which the slack is divided.
+        self.gateway_count = 1
+        # Whether peers are heard, if there are any, and whether it is most of them.
+        self.in_touch = True
+        self.majority = True
+
+    def apply(
+        self, items: list[tuple[str, rollouts.Order | None]], complete: bool, now: float
+    ) -> list[rollout_module.Rollout]:
+        """Apply a listing (``complete``) or changes of the orders; return the new ones."""
+        added = []
+        listed = {order.service if order else name for name, order in items}
+        if complete:
+            for service in [item for item in self.rollouts if item not in listed]:
+                del self.rollouts[service]
+        for name, order in items:
+            if order is None:
+                self.rollouts.pop(name, None)
+                continue
+            rollout = self.rollouts.get(order.service)
+            if rollout is None or not is_same_order(rollout.order, order):
+                # An order of the first listing may be old, and its slack used up by this gateway's
+                # earlier incarnation.
+                rollout = rollout_module.Rollout(order, self.known, now)
+                self.rollouts[order.service] = rollout
+                added.append(rollout)
+            rollout.order = order
+            # An order of what was completed, perhaps one whose status the store has lost.
+            if order.state is None and self.completed_targets.get(order.service) == order.target:
+                self.complete(rollout)
+            if order.state is rollouts.RolloutState.COMPLETED:
+                self.complete(rollout)
+            elif order.state is rollouts.RolloutState.ROLLED_BACK:
+                rollout.stop()
+        self.known = True
+        return added
+
+    def complete(self, rollout: rollout_module.Rollout) -> bool:
+        """Put a completed order in force; return whether that is new."""
+        if rollout.completed:
+            return False
+        # The written status is final, whatever this gateway counted.
+        rollout.stopped = False
+        rollout.completed = rollout.changed = True
+        self.running[rollout.order.service] = rollout.order.target
+        self.completed_targets[rollout.order.service] = rollout.order.target
+        return True
+
+    def running_version(
+        self, service: str, endpoints: collections.abc.Iterable[gateway.Endpoint]
+    ) -> str:
+        """Return the version that a service runs, "" if its endpoints have none.
+
+        It stays while an endpoint has it. Otherwise it is the version of the oldest endpoint, as
+        new versions are started beside the running one.
+        """
+        rollout = self.rollouts.get(service)
+        target = rollout.order.target if rollout is not None and not rollout.completed else None
+        listed = [item for item in endpoints if item.version and item.version != target]
+        current = self.running.get(service, "")
+        if not listed or any(item.version == current for item in listed):
+            return current
+        self.running[service] = min(listed, key=lambda item: (item.born, item.id)).version
+        return self.running[service]
+
+    def select(
+        self,
+        service: str,
+        endpoints: list[gateway.Endpoint],
+        listed: collections.abc.Iterable[gateway.Endpoint],
+        canary_share: float,
+        now: float,
+    ) -> list[gateway.Endpoint]:
+        """Return the usable endpoints that may get requests, canaries among them.
+
+        ``listed`` are all endpoints of the service that are not draining.
+        """
+        running = self.running_version(service, listed)
+        rollout = self.rollouts.get(service)
+        old = [item for item in endpoints if item.version in ("", running)]
+        if rollout is None:
+            return old or endpoints
+        target = rollout.order.target
+        if rollout.completed:
+            return select_completed(rollout, endpoints)
+        old = [item for item in old if item.version != target]
+        new = [item for item in endpoints if item.version == target]
+        others = [item for item in endpoints if item.version != target]
+        if not rollout.active:
+            return old or others
+        rollout.old_incarnations.update(item.incarnation for item in others)
+        if not old:
+            return new or others
+        if not self.in_touch:
+            return old
+        if not rollout.is_draining(now):
+            new = choose_canaries(rollout, new, math.ceil(canary_share * len(old)), now)
+            rollout.canary_part = len(new) / (len(old) + len(new))
+        return old + new
+
+    def canary_ids(
+        self, service: str, endpoints: collections.abc.Sequence[gateway.Endpoint]
+    ) -> frozenset[str]:
+        """Return which of the selected endpoints get requests only within the canary share."""
+        rollout = self.rollouts.get(service)
+        if rollout is None or not rollout.active:
+            return frozenset()
+        target = rollout.order.target
+        canaries = frozenset(item.id for item in endpoints if item.version == target)
+        # Without other endpoints, those of the new version serve all requests.
+        return canaries if len(canaries) < len(endpoints) else frozenset()
+
+    def may_send(self, service: str, request_id: str, bounds: gateway.Bounds, now: float) -> bool:
+        """Return whether a request may go to the new version."""
+        rollout = self.rollouts.get(service)
+        return (
+            rollout is not None
+            and rollout.active
+            and rollout.is_in_phase(request_id, bounds.canary_share or 0.0, now)
+            and rollout.may_send(bounds, self.gateway_count, now)
+        )
+
+    def allows(self, endpoint: gateway.Endpoint) -> bool:
+        """Return whether a request that was placed may still be sent to its endpoint."""
+        rollout = self.rollouts.get(endpoint.service)
+        if rollout is None or rollout.active:
+            return True
+        if rollout.completed:
+            return endpoint.incarnation not in rollout.old_incarnations
+        return endpoint.version != rollout.order.target
+
+    def active(self, service: str) -> rollout_module.Rollout | None:
+        """Return the undecided order of a service."""
+        rollout = self.rollouts.get(service)
+        return rollout if rollout is not None and rollout.active else None
+
+    def record_request(self, service: str) -> None:
+        """Count a request that has arrived."""
+        if (rollout := self.active(service)) is not None:
+            rollout.requests += 1
+
+    def record_send(self, endpoint: gateway.Endpoint, is_cold: bool, now: float) -> None:
+        """Count a request that is assigned to an endpoint."""
+        if (rollout := self.active(endpoint.service)) is None:
+            return
+        rollout.sends += endpoint.version == rollout.order.target
+        if is_cold:
+            rollout.warm_at[endpoint.id] = now + rollout_module.WARM_SECONDS
+
+    def record_end(
+        self, endpoint: gateway.Endpoint, route: str, failed: bool, now: float, broken: bool = False
+    ) -> None:
+        """Count the end of a response."""
+        if (rollout := self.active(endpoint.service)) is not None:
+            rollout.record_end(endpoint, route, failed, broken, now)
+
+    def record_time(
+        self,
+        endpoint: gateway.Endpoint,
+        route: str,
+        seconds: float,
+        expected_seconds: float,
+        now: float,
+        ended: bool = True,
+    ) -> None:
+        """Count the time to a first event or whole response, unless the endpoint was cold."""
+        rollout = self.active(endpoint.service)
+        if rollout is not None and now - seconds > rollout.warm_at.get(endpoint.id, -math.inf):
+            rollout.record_time(endpoint, route, seconds, expected_seconds, ended)
+
+    def merge(
+        self, report: rollouts.RolloutReport, sender: tuple[str, int], now: float
+    ) -> rollout_module.Rollout | None:
+        """Apply a peer's report; return the order if the report decides it."""
+        rollout = self.rollouts.get(report.service)
+        if rollout is None or rollout.order.target != report.target:
+            return None
+        if report.key < rollout.key and not rollout.key_is_certain:
+            rollout.key = report.key
+        if report.key != rollout.key:
+            return None
+        rollout.started_at = min(rollout.started_at, now - report.elapsed_seconds)
+        known = rollout.peer_counts.get(sender, {})
+        if sum_of(report.counts) >= sum_of(known):
+            rollout.peer_counts[sender] = report.counts
+        if report.drain_seconds > 0.0:
+            rollout.drain_until = max(rollout.drain_until, now + report.drain_seconds)
+        if report.completed:
+            return rollout if self.complete(rollout) else None
+        return rollout if report.stopped and rollout.stop() else None
+
+    def decide(
+        self,
+        rollout: rollout_module.Rollout,
+        endpoints: collections.abc.Sequence[gateway.Endpoint],
+        bounds: gateway.Bounds,
+        now: float,
+    ) -> rollouts.RolloutState:
+        """Return the state that an order should have; to be asked by the gateway that writes it.
+
+        ``endpoints`` are the usable ones of the service.
+        """
+        if rollout.completed:
+            return rollouts.RolloutState.COMPLETED
+        if rollout.stopped:
+            return rollouts.RolloutState.ROLLED_BACK
+        target = rollout.order.target
+        new_count = sum(item.version == target for item in endpoints)
+        old_count = len(endpoints) - new_count
+        elapsed = rollout.elapsed_fraction(now)
+        if elapsed < DECIDE_FRACTION:
+            return rollouts.RolloutState.RUNNING
+        if not new_count:
+            if elapsed >= LAST_FRACTION:
+                rollout.stop()
+                return rollouts.RolloutState.ROLLED_BACK
+            return rollouts.RolloutState.RUNNING
+        if (new_count < old_count and elapsed < CAPACITY_FRACTION) or (
+            not self.majority and elapsed < LAST_FRACTION
+        ):
+            return rollouts.RolloutState.RUNNING
+        if rollout.judge(True, now) is rollout_evidence.Verdict.BAD:
+            rollout.stop()
+            return rollouts.RolloutState.ROLLED_BACK
+        if rollout.drain_until == -math.inf:
+            rollout.drain_until = now
+            if old_count and new_count >= old_count:
+                rollout.drain_until += rollout.drain_seconds(bounds, self.gateway_count, now)
+            rollout.changed = True
+        if now < rollout.drain_until:
+            return rollouts.RolloutState.RUNNING
+        return rollouts.RolloutState.COMPLETED
+
+    def reports(self, now: float) -> list[rollouts.RolloutReport]:
+        """Return the reports on all orders."""
+        return [rollout.report(now) for rollout in self.rollouts.values()]
+
+    def pop_changed(self, now: float) -> list[rollouts.RolloutReport]:
+        """Return the reports that peers should get at once."""
+        changed = [rollout for rollout in self.rollouts.values() if rollout.changed]
+        for rollout in changed:
+            rollout.changed = False
+        return [rollout.report(now) for rollout in changed]
+
+    @property
+    def has_changed(self) -> bool:
+        """Whether there are reports that peers should get at once."""
+        return any(rollout.changed for rollout in self.rollouts.values())
+
+    def marks(self) -> list[str]:
+        """Return what the digest of the listing has to cover."""
+        return [f"{name} {item.order.revision}" for name, item in sorted(self.rollouts.items())]
+
+
+def is_same_order(known: rollouts.Order, order: rollouts.Order) -> bool:
+    """Return whether an object still holds the known order, perhaps with another status."""
+    return (
+        known.target == order.target
+        and known.duration_seconds == order.duration_seconds
+        # An order that is written again has no status.
+        and not (known.state and not order.state and order.revision > known.revision)
+    )
+
+
+def choose_canaries(
+    rollout: rollout_module.Rollout, new: list[gateway.Endpoint], count: int, now: float
+) -> list[gateway.Endpoint]:
+    """Return the endpoints of the new version that get requests in the present phase."""
+    warm = [item for item in new if item.cold_until <= now]
+    ranked = sorted(warm or new, key=lambda item: identifiers.stable_hash(item.id))
+    if not ranked:
+        return []
+    first = int((now - rollout.started_at) / rollout.phase_seconds()) * count % len(ranked)
+    return (ranked[first:] + ranked[:first])[:count]
+
+
+def select_completed(
+    rollout: rollout_module.Rollout, endpoints: list[gateway.Endpoint]
+) -> list[gateway.Endpoint]:
+    """Return the endpoints that get requests after an order was completed.
+
+    The old ones get none. Endpoints of a third version have replaced the target's since, if those
+    are gone.
+    """
+    target, old = rollout.order.target, rollout.old_incarnations
+    selected = [item for item in endpoints if item.version == target]
+    if not selected:
+        selected = [item for item in endpoints if item.incarnation not in old]
+    return selected
+
+
+def sum_of(by_route: dict[str, rollouts.RouteCounts]) -> int:
+    """Return the sum of all counts."""
+    return sum(counts.total for counts in by_route.values())
+
+
+def chooses_writer(service: str, instance_id: str, live_ids: list[str]) -> bool:
+    """Return whether a gateway ranks first among the live ones for an order's status."""
+    return instance_id == max(live_ids, key=lambda item: identifiers.stable_hash(service, item))
--- /dev/null
+++ b/tests/unit/test_rollouts.py
@@ -0,0 +1,371 @@
+"""Rollouts of a new version by several gateways: verdict, exposure, status and failures midway."""
+
+import typing
+import unittest
+
+from masticward.gateway import placer
+from masticward.models import gateway, rollouts
+from masticward.state import rollout_table
+from masticward.utils import clocks
+from tests.lib import gateway_builders as builders
+from tests.lib import rollout_model
+from tests.lib.rollout_model import NEW, OLD
+
+COMPLETED = rollouts.RolloutState.COMPLETED
+ROLLED_BACK = rollouts.RolloutState.ROLLED_BACK
+DURATION = 30.0
+
+
+class Version:
+    """Responses of endpoints: usually good, with ordinary failures and slow ones.
+
+    The new version's are bad with ``ratio`` from ``since`` seconds after the model's start on, on
+    ``route`` if there is one.
+    """
+
+    def __init__(
+        self,
+        ratio: float = 0.0,
+        since: float = 0.0,
+        route: str = "",
+        slow: bool = False,
+        ordinary: float = 0.01,
+    ) -> None:
+        self.ratio, self.since, self.route, self.slow = ratio, since, route, slow
+        self.ordinary = ordinary
+        self.fleet: rollout_model.Fleet | None = None
+
+    def __call__(self, endpoint: gateway.Endpoint, route: str, now: float) -> tuple[bool, float]:
+        """Return whether a response fails, and its seconds."""
+        assert self.fleet is not None
+        chance = self.fleet.random.random
+        seconds = self.fleet.random.uniform(0.06, 0.15)
+        if chance() < self.ordinary:
+            return True, seconds
+        if chance() < self.ordinary:
+            return False, 0.5
+        if endpoint.cold_until > now:
+            return False, seconds + 0.8
+        concerned = endpoint.version == NEW and self.route in ("", route)
+        if concerned and now >= 1000.0 + self.since and chance() < self.ratio:
+            return not self.slow, seconds * 6 if self.slow else seconds
+        return False, seconds
+
+
+class RolloutTest(unittest.TestCase):
+    """Guards against exposure above the share, and against wrong or missing decisions."""
+
+    def start(self, version: Version, **options: typing.Any) -> rollout_model.Fleet:
+        """Return a fleet in which an order was just written and the new endpoints started."""
+        fleet = version.fleet = rollout_model.Fleet(version, **options)
+        fleet.start_new()
+        fleet.store.put(duration_seconds=DURATION)
+        return fleet
+
+    def check(self, fleet: rollout_model.Fleet, state: rollouts.RolloutState) -> None:
+        """Check the stored state and, for a bad version, its exposure."""
+        self.assertIs(fleet.state, state)
+        finals = [
+            item for item in fleet.store.written if item[1] is not rollouts.RolloutState.RUNNING
+        ]
+        self.assertEqual(1, len(finals))
+        self.assertEqual(0, fleet.unserved)
+        if state is ROLLED_BACK:
+            limit = 0.1 * fleet.requests + 50
+            self.assertLessEqual(fleet.sent[NEW], limit)
+            self.assertLess(len(fleet.bad_answers_at), 50)
+            self.assertEqual(0, fleet.late_sends())
+
+    def test_good_version_is_completed_in_time(self) -> None:
+        """Completed with a margin, also at low traffic and among ordinary failures."""
+        for rate, ordinary, gateways in (
+            (100.0, 0.01, 4),
+            (1.0, 0.0, 4),
+            (0.0, 0.0, 2),
+            (150.0, 0.06, 8),
+        ):
+            with self.subTest(rate=rate):
+                fleet = self.start(Version(ordinary=ordinary), rate=rate, gateways=gateways)
+                fleet.run(0.70 * DURATION)
+                self.assertIs(fleet.state, rollouts.RolloutState.RUNNING)
+                self.assertLessEqual(fleet.sent[NEW], 0.1 * fleet.requests + 50)
+                fleet.run(0.2 * DURATION)
+                self.check(fleet, COMPLETED)
+                completed_at = fleet.now
+                fleet.run(2.0)
+                self.assertFalse([at for at in fleet.sent_old_at if at > completed_at])
+
+    def test_old_endpoints_are_drained_before_the_status(self) -> None:
+        """Their streams would be cut, because the platform stops them at once."""
+        fleet = self.start(Version(), rate=60.0)
+        while fleet.state is not COMPLETED:
+            fleet.step()
+        recent = [at for at in fleet.sent_old_at if at > fleet.now - 0.8]
+        self.assertEqual([], recent)
+
+    def test_bad_versions_are_rolled_back(self) -> None:
+        """Bad at once, later, on one route, slow, in part, and found with few requests."""
+        patterns = {
+            "at once": (Version(ratio=0.5), 100.0),
+            "in part": (Version(ratio=0.1), 150.0),
+            "later": (Version(ratio=0.6, since=18.0), 100.0),
+            "one route": (Version(ratio=0.8, route="r3"), 150.0),
+            "slow": (Version(ratio=0.5, slow=True), 100.0),
+            "all": (Version(ratio=1.0), 400.0),
+            "few requests": (Version(ratio=1.0, ordinary=0.0), 0.7),
+        }
+        for name, (version, rate) in patterns.items():
+            with self.subTest(name):
+                fleet = self.start(version, rate=rate)
+                fleet.run(DURATION)
+                self.check(fleet, ROLLED_BACK)
+                self.assertIn(NEW, fleet.sent)
+
+    def test_bad_only_under_load(self) -> None:
+        """The canaries have the load of old endpoints, so that it shows before all use them."""
+        fleet = self.start(Version(), rate=100.0)
+        sent: dict[str, list[float]] = {}
+
+        def respond(endpoint: gateway.Endpoint, route: str, now: float) -> tuple[bool, float]:
+            times = sent.setdefault(endpoint.id, [])
+            times[:] = [at for at in times if at > now - 1.0] + [now]
+            return endpoint.version == NEW and len(times) > 15, 0.1
+
+        fleet.behaviour = respond
+        fleet.run(DURATION)
+        self.check(fleet, ROLLED_BACK)
+
+    def test_cold_endpoints_are_not_judged_by_their_time(self) -> None:
+        """The new endpoints are slow for seconds after their start."""
+        version = Version()
+        fleet = version.fleet = rollout_model.Fleet(version)
+        fleet.start_new(cold_until=fleet.now + 8.0)
+        fleet.store.put(duration_seconds=DURATION)
+        fleet.run(DURATION)
+        self.check(fleet, COMPLETED)
+
+    def test_datagrams_are_lost(self) -> None:
+        """Cumulative counts: each report replaces those that were lost."""
+        fleet = self.start(Version(ratio=0.3))
+        fleet.loss = 0.6
+        fleet.run(DURATION)
+        self.check(fleet, ROLLED_BACK)
+
+    def test_gateways_are_killed_and_restarted(self) -> None:
+        """The writer's successor takes over; the order's age and old counts are known to peers."""
+        for ratio, state in ((0.0, COMPLETED), (0.5, ROLLED_BACK)):
+            with self.subTest(state=state):
+                fleet = self.start(Version(ratio=ratio, since=16.0))
+                fleet.run(14.0)
+                writer = max(fleet.gateways, key=lambda name: rollout_rank(name))
+                fleet.gateways[writer].alive = False
+                fleet.run(1.0)
+                other = next(name for name in fleet.gateways if name != writer)
+                fleet.start(other)
+                fleet.run(1.0)
+                fleet.start(writer)
+                restarted = fleet.gateways[writer].fleet.rollouts.rollouts["app"]
+                fleet.run(0.5)
+                self.assertAlmostEqual(16.5, fleet.now - restarted.started_at, delta=0.2)
+                self.assertEqual(101, restarted.key)
+                fleet.run(DURATION - 16.5)
+                self.check(fleet, state)
+
+    def test_counts_of_an_earlier_incarnation_remain(self) -> None:
+        """A restarted gateway's evidence is not lost with it."""
+        fleet = self.start(Version())
+        fleet.run(5.0)
+        held = fleet.gateways["g1"].fleet.rollouts.rollouts["app"]
+        before = sum(item.new.answers for item in held.merged_counts().values())
+        fleet.start("g0")
+        fleet.run(1.0)
+        after = sum(item.new.answers for item in held.merged_counts().values())
+        self.assertGreaterEqual(after, before)
+        self.assertEqual(2, sum(name == "g0" for name, _ in held.peer_counts))
+
+    def test_two_gateways_decide(self) -> None:
+        """Partitioned gateways both rank first; the first write wins everywhere."""
+        fleet = self.start(Version())
+        fleet.run(20.0)
+        for item in fleet.gateways.values():
+            item.cut_off = {name for name in fleet.gateways if (name < "g2") != (item.name < "g2")}
+        fleet.run(10.0)
+        self.check(fleet, COMPLETED)
+        self.assertTrue(all(item.fleet.rollouts.rollouts["app"].completed for item in fleet.live()))
+
+    def test_isolated_gateway_sends_nothing_to_the_new_version(self) -> None:
+        """It cannot know what the others have found."""
+        fleet = self.start(Version())
+        fleet.run(5.0)
+        for item in fleet.gateways.values():
+            item.cut_off = set(fleet.gateways) - {"g0"} if item.name == "g0" else {"g0"}
+        fleet.run(0.1)
+        sends = fleet.gateways["g0"].fleet.rollouts.rollouts["app"].sends
+        fleet.run(5.0)
+        self.assertEqual(sends, fleet.gateways["g0"].fleet.rollouts.rollouts["app"].sends)
+
+    def test_store_is_down(self) -> None:
+        """The decision to stop is immediate; the status is written once the store is back."""
+        for ratio, state in ((0.5, ROLLED_BACK), (0.0, COMPLETED)):
+            with self.subTest(state=state):
+                fleet = self.start(Version(ratio=ratio, since=6.0))
+                fleet.run(5.0)
+                fleet.store.available = False
+                fleet.run(20.0)
+                self.assertIs(fleet.state, rollouts.RolloutState.RUNNING)
+                if state is ROLLED_BACK:
+                    self.assertLess(max(fleet.sent_new_at), fleet.now - 10.0)
+                fleet.store.available = True
+                fleet.run(1.0)
+                self.check(fleet, state)
+
+    def test_response_to_the_write_is_lost(self) -> None:
+        """The written status is found by the next write or the watch, not written again."""
+        fleet = self.start(Version())
+        fleet.run(5.0)
+        fleet.store.loses_responses = True
+        fleet.run(25.0)
+        self.check(fleet, COMPLETED)
+        self.assertTrue(fleet.gateways["g0"].fleet.rollouts.rollouts["app"].completed)
+
+    def test_order_is_replaced(self) -> None:
+        """Counts restart; the replaced target gets nothing."""
+        fleet = self.start(Version())
+        fleet.run(5.0)
+        for number in range(4):
+            fleet.add_endpoint(f"third{number}", "v3")
+        fleet.store.put(target="v3", duration_seconds=DURATION)
+        fleet.run(0.2)
+        sent = fleet.sent[NEW]
+        fleet.run(DURATION)
+        self.assertEqual(sent, fleet.sent[NEW])
+        self.assertIs(fleet.state, COMPLETED)
+        self.assertEqual(("v3", COMPLETED), fleet.store.written[-1])
+
+    def test_order_is_deleted(self) -> None:
+        """No order allows the new version any longer."""
+        fleet = self.start(Version())
+        fleet.run(5.0)
+        fleet.store.order = None
+        fleet.run(0.2)
+        sent = fleet.sent[NEW]
+        self.assertGreater(sent, 0)
+        fleet.run(5.0)
+        self.assertEqual(sent, fleet.sent[NEW])
+        self.assertEqual(0, fleet.unserved)
+
+    def test_same_order_is_written_again(self) -> None:
+        """After a rollback, an operator may try the version again: counts restart."""
+        version = Version(ratio=1.0)
+        fleet = self.start(version)
+        fleet.run(5.0)
+        self.assertIs(fleet.state, ROLLED_BACK)
+        version.ratio = 0.0
+        fleet.store.put(duration_seconds=DURATION)
+        fleet.run(DURATION)
+        self.assertIs(fleet.state, COMPLETED)
+
+    def test_evacuation_beside_a_rollout(self) -> None:
+        """Old endpoints in the zone that is out get nothing; the share holds for the rest."""
+        fleet = self.start(Version(ratio=0.4, since=12.0))
+        fleet.add_endpoint("old9", OLD, availability_zone="z2")
+        fleet.add_endpoint("new9", NEW, availability_zone="z2")
+        fleet.run(10.0)
+        for item in fleet.live():
+            item.fleet.apply_evacuations([("z1", True)], True)
+        fleet.run(20.0)
+        self.check(fleet, ROLLED_BACK)
+
+    def test_new_endpoints_are_gone(self) -> None:
+        """Completing would stop the only endpoints that there are."""
+        fleet = self.start(Version())
+        fleet.run(15.0)
+        fleet.remove_endpoints(NEW)
+        fleet.run(15.0)
+        self.check(fleet, ROLLED_BACK)
+
+    def test_versions_without_an_order(self) -> None:
+        """A new version gets nothing beside the running one, and everything once that is gone."""
+        fleet = self.start(Version())
+        fleet.store.order = None
+        fleet.run(2.0)
+        self.assertEqual(0, fleet.sent[NEW])
+        fleet.add_endpoint("unknown", "")
+        fleet.run(2.0)
+        self.assertGreater(fleet.sent[""], 0)
+        fleet.remove_endpoints(OLD)
+        fleet.remove_endpoints("")
+        fleet.run(2.0)
+        self.assertEqual(0, fleet.unserved)
+        self.assertGreater(fleet.sent[NEW], 0)
+
+    def test_status_that_the_store_has_lost_is_written_again(self) -> None:
+        """A completed order stays in force although a restored store lists it without a status."""
+        fleet = self.start(Version())
+        fleet.run(DURATION)
+        self.check(fleet, COMPLETED)
+        since = fleet.now
+        fleet.store.put(duration_seconds=DURATION)
+        fleet.run(1.0)
+        self.assertIs(fleet.state, COMPLETED)
+        self.assertFalse([at for at in fleet.sent_old_at if at > since])
+
+
+def rollout_rank(name: str) -> bool:
+    """Return whether a gateway of the model writes the status."""
+    return rollout_table.chooses_writer("app", name, [f"g{number}" for number in range(4)])
+
+
+class PlacementTest(unittest.TestCase):
+    """Guards against placements that ignore the canary share, and against changes without it."""
+
+    def make_pool(self, canary_share: float | None) -> placer.CandidatePool:
+        """Return the endpoints of both versions while an order is carried out."""
+        now = clocks.boot_time()
+        fleet = builders.make_fleet(
+            builders.make_endpoint("a", version=OLD, born=1),
+            builders.make_endpoint("b", version=NEW, born=2),
+            now=now,
+        )
+        fleet.settings = builders.make_settings(
+            bounds=rollout_model.msgspec.structs.replace(
+                builders.make_bounds(), canary_share=canary_share
+            )
+        )
+        if canary_share is not None:
+            order = rollouts.Order(service="llm", target=NEW, duration_seconds=30.0, revision=5)
+            fleet.apply_rollouts([("llm", order)], True)
+        self.placer = placer.Placer(fleet, lambda endpoint_id, keys: None)
+        return placer.CandidatePool(self.placer, "llm", clocks.boot_time())
+
+    def choose(self, pool: placer.CandidatePool, number: int) -> str:
+        """Place a request and return its endpoint."""
+        request = placer.WaitingRequest(
+            builders.make_metadata(f"q{number}", shared=f"doc{number}", shared_tokens=100),
+            builders.make_route(),
+            "llm",
+            "a",
+            pool.now + 1.0,
+        )
+        pool.fleet.rollouts.record_request("llm")
+        choice = pool.choose(request, {})
+        assert choice is not None
+        self.placer.reserve(request, choice, pool.now)
+        self.placer.release(request, choice)
+        return choice.endpoint.id
+
+    def test_share_holds_in_placement(self) -> None:
+        """Of an idle new endpoint and a loaded old one, the new one gets no more than its share."""
+        pool = self.make_pool(0.1)
+        chosen = [self.choose(pool, number) for number in range(200)]
+        self.assertTrue(8 <= chosen.count("b") <= 20, chosen.count("b"))
+
+    def test_nothing_changes_without_the_setting(self) -> None:
+        """Versions don't matter to deployments without rollouts."""
+        pool = self.make_pool(None)
+        self.assertEqual({"a", "b"}, {item.id for item in pool.candidates})
+        self.assertEqual(frozenset(), pool.canary_ids)
+
+
+if __name__ == "__main__":
+    unittest.main()
