--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -217,6 +217,23 @@
             "parts of prompts that are suspected or quarantined because endpoints crashed",
             lambda: len(fleet.quarantine.restricted),
         )
+        add(
+            "masticward_gateway_canary_sends",
+            "requests sent to new versions under the present orders",
+            lambda: sum(item.sends for item in fleet.rollouts.rollouts.values()),
+        )
+        self.gateway_metrics.add_labelled_gauge(
+            "masticward_gateway_rollouts",
+            "orders to roll out a version by state here",
+            "state",
+            {
+                "running": lambda: sum(item.active for item in fleet.rollouts.rollouts.values()),
+                "stopped": lambda: sum(item.stopped for item in fleet.rollouts.rollouts.values()),
+                "completed": lambda: sum(
+                    item.completed for item in fleet.rollouts.rollouts.values()
+                ),
+            },
+        )
         self.gateway_metrics.add_labelled_gauge(
             "masticward_gateway_endpoints",
             "endpoints by state",
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -118,16 +118,16 @@
     STORE_READER_CHANGED = (8309, "store_reader_changed", logging.INFO)
     STORE_CHANGES_MISSED = (8310, "store_changes_missed", logging.WARNING)
     QUARANTINES_NOT_STORED = (8311, "quarantines_not_stored", logging.WARNING)
-    ROLLOUT_ORDERED = (8501, "rollout_ordered", logging.INFO)
-    ROLLOUT_STOPPED = (8502, "rollout_stopped", logging.ERROR)
-    ROLLOUT_DRAINS = (8503, "rollout_drains", logging.INFO)
-    ROLLOUT_ENDED = (8504, "rollout_ended", logging.INFO)
-    ROLLOUT_STATUS_NOT_WRITTEN = (8505, "rollout_status_not_written", logging.WARNING)
     PEER_HEARD = (8401, "peer_heard", logging.INFO)
     PEER_LOST = (8402, "peer_lost", logging.WARNING)
     PEER_MESSAGE_UNREADABLE = (8403, "peer_message_unreadable", logging.WARNING)
     MEMBER_LIST_UNAVAILABLE = (8404, "member_list_unavailable", logging.WARNING)
     PEER_SNAPSHOT_FAILED = (8405, "peer_snapshot_failed", logging.WARNING)
+    ROLLOUT_ORDERED = (8501, "rollout_ordered", logging.INFO)
+    ROLLOUT_STOPPED = (8502, "rollout_stopped", logging.ERROR)
+    ROLLOUT_DRAINS = (8503, "rollout_drains", logging.INFO)
+    ROLLOUT_STATUS = (8504, "rollout_status", logging.INFO)
+    ROLLOUT_STATUS_NOT_WRITTEN = (8505, "rollout_status_not_written", logging.WARNING)
 
     @property
     def number(self) -> int:
--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -283,10 +283,11 @@
         for report in reports:
             if self.rollouts.merge(report, sender, now) is not None:
                 LOGGER.log(
-                    events.Event.ROLLOUT_STOPPED if report.stopped else events.Event.ROLLOUT_ENDED,
+                    events.Event.ROLLOUT_STOPPED if report.stopped else events.Event.ROLLOUT_STATUS,
                     service=report.service,
                     target=report.target,
                     source=sender[0],
+                    state=None if report.stopped else rollouts.RolloutState.COMPLETED.value,
                 )
 
     def usable_endpoints(self, service: str, now: float) -> list[gateway.Endpoint]:
--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -81,9 +81,8 @@
             if item.active and item.judge(False, now) is rollout_evidence.Verdict.BAD:
                 item.stop()
                 self.log_stop(item)
-            if not rollout_table.chooses_writer(
-                service, fleet.settings.instance_id, fleet.live_gateways
-            ):
+            own_id = fleet.settings.instance_id
+            if not rollout_table.chooses_writer(service, own_id, fleet.live_gateways):
                 continue
             usable = fleet.table.usable(service, now)
             was_active, drained_until = item.active, item.drain_until
@@ -135,7 +134,7 @@
         self.fleet.apply_rollouts([(service, stored)], False)
         if stored.state is not None:
             LOGGER.log(
-                events.Event.ROLLOUT_ENDED,
+                events.Event.ROLLOUT_STATUS,
                 service=service,
                 target=stored.target,
                 source=self.fleet.settings.instance_id,
--- a/src/masticward/platform/documents.py
+++ b/src/masticward/platform/documents.py
@@ -40,7 +40,7 @@
     slots: WholeNumber = 1
     born: WholeNumber = 0  # start time in Unix milliseconds; grows with each incarnation
     cold_remaining_ms: Milliseconds = 0.0
-    version: typing.Any = None  # a name; anything else counts as unknown
+    version: msgspec.Raw = msgspec.Raw(b"null")  # a name; anything else counts as unknown
 
 
 class RolloutEntry(msgspec.Struct):
@@ -153,9 +153,12 @@
     )
 
 
-def decode_version(value: typing.Any) -> str:
+def decode_version(text: msgspec.Raw) -> str:
     """Return the version of an endpoint, "" without a usable one."""
-    return value if isinstance(value, str) and len(value) <= MAX_NAME_LENGTH else ""
+    try:
+        return msgspec.json.decode(text, type=Name)
+    except UNREADABLE:
+        return ""
 
 
 def decode_order(
--- a/tests/lib/platform_standins.py
+++ b/tests/lib/platform_standins.py
@@ -367,6 +367,8 @@
             document = json.loads(request.body)
             self.put(kind, document["metadata"]["name"], document["spec"])
             return 200, document
+        if request.method == "PUT" and parts.path.endswith("/status"):
+            return self.write_status(kind, parts.path.split("/")[3], json.loads(request.body))
         if request.method == "DELETE":
             self.remove(kind, parts.path.split("/")[3])
             return 200, {}
@@ -379,6 +381,24 @@
         items = [item for (item_kind, _), item in sorted(self.objects.items()) if item_kind == kind]
         return 200, {"items": items, "has_more": False, "current_rev": self.revision}
 
+    def write_status(
+        self, kind: str, name: str, document: dict[str, typing.Any]
+    ) -> tuple[int, typing.Any]:
+        """Write an object's status if the object still has the revision of the document."""
+        item = self.objects.get((kind, name))
+        if item is None:
+            return 404, {}
+        if item["metadata"]["revision"] != document["metadata"]["revision"]:
+            return 409, item
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        written = {**item, "metadata": metadata, "status": document["status"]}
+        self.objects[kind, name] = written
+        self.history.append((self.revision, kind, written, False))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return 200, written
+
     async def watch(self, kind: str, revision: int, wait: float) -> tuple[int, typing.Any]:
         """Return status and body of a watch: the changes after a revision."""
         if revision < self.oldest_revision:
