Rollouts: evidence compared over the same short times, by endpoint and with early times

Failures are now expected at the old version's ratio of the same half second, slowness has to show at other endpoints than the slowest, and early times are judged once there are some to compare with.

--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -78,6 +78,7 @@
             table.in_touch = live > 1 or known == 1
         wanted = {}
         for service, item in table.rollouts.items():
+            item.update_affordable(fleet.settings.bounds, table.gateway_count, now)
             if item.active and item.judge(False, now) is rollout_evidence.Verdict.BAD:
                 item.stop()
                 self.log_stop(item)
@@ -86,7 +87,7 @@
                 continue
             usable = fleet.table.usable(service, now)
             was_active, drained_until = item.active, item.drain_until
-            state = table.decide(item, usable, fleet.settings.bounds, now)
+            state = table.decide(item, usable, fleet.live_gateways, now)
             if was_active and item.stopped:
                 self.log_stop(item)
             if item.drain_until != drained_until:
--- a/src/masticward/models/rollouts.py
+++ b/src/masticward/models/rollouts.py
@@ -38,6 +38,11 @@
     timed: int = 0
     slow: int = 0
 
+    @property
+    def responses(self) -> int:
+        """All responses that have ended."""
+        return self.answers + self.failures
+
     def add(self, other: "VersionCounts") -> None:
         """Add the counts of another gateway or route."""
         self.answers += other.answers
@@ -51,11 +56,20 @@
 
     new: VersionCounts = msgspec.field(default_factory=VersionCounts)
     old: VersionCounts = msgspec.field(default_factory=VersionCounts)
+    # By endpoint of the new version: times and how many of them are slow.
+    endpoints: dict[str, tuple[int, int]] = {}
 
     def add(self, other: "RouteCounts") -> None:
         """Add the counts of another gateway or route."""
         self.new.add(other.new)
         self.old.add(other.old)
+        for endpoint_id, (timed, slow) in other.endpoints.items():
+            self.add_time(endpoint_id, timed, slow)
+
+    def add_time(self, endpoint_id: str, timed: int, slow: int) -> None:
+        """Add times of an endpoint of the new version."""
+        known_timed, known_slow = self.endpoints.get(endpoint_id, (0, 0))
+        self.endpoints[endpoint_id] = (known_timed + timed, known_slow + slow)
 
     @property
     def total(self) -> int:
@@ -79,4 +93,6 @@
     stopped: bool
     completed: bool
     drain_seconds: float
+    # How long the sender could send all requests to the new version within its allowance.
+    affordable_seconds: float
     counts: dict[str, RouteCounts]
--- a/src/masticward/state/rollout.py
+++ b/src/masticward/state/rollout.py
@@ -3,8 +3,6 @@
 Times are in seconds of ``clocks.boot_time``. docs/design/rollouts.md has the reasons.
 """
 
-import collections
-import collections.abc
 import math
 
 from masticward.models import gateway, rollouts
@@ -15,7 +13,8 @@
 # clients give up are counted differently elsewhere.
 SHARE_MARGIN = 0.9
 SLACK_MARGIN = 0.7
-# In the drain, the rates of the gateways differ; it is planned with the margins above.
+# In the drain, the rates of the gateways vary; it is planned with the margins above.
+DRAIN_PLAN_FRACTION = 0.75
 DRAIN_SHARE_MARGIN = 0.98
 DRAIN_SLACK_MARGIN = 0.95
 # Part of the share that is used before the drain, in which the rest is needed.
@@ -29,13 +28,11 @@
 WRITE_SECONDS = 2.0
 # Canary requests are sent in phases, and to few endpoints in turn, so that these have the load that
 # they will have later. The phases are the same at all gateways.
-PHASES = 7
+PHASES = 5
 MIN_PHASE_SECONDS = 3.0
+MIN_CANARIES = 2
 # A gateway with fewer requests a second sends as many to the new version as it may.
 LOW_RATE = 3.0
-# The latest responses are also judged by themselves, because a version may turn bad late.
-WINDOW_STEP_SECONDS = 1.0
-WINDOW_STEPS = 4
 # Responses of an endpoint this soon after its cold start are not judged by their time.
 WARM_SECONDS = 1.0
 MIN_EXPECTED_SECONDS = 0.005
@@ -45,19 +42,21 @@
     """One order, this gateway's counts and those of its peers."""
 
     __slots__ = (
+        "affordable_seconds",
         "canary_part",
         "changed",
         "completed",
         "counts",
         "drain_until",
         "has_slack",
-        "history",
-        "history_at",
         "incidents",
+        "judged",
         "key",
         "key_is_certain",
+        "new_count",
         "old_incarnations",
         "order",
+        "peer_affordable",
         "peer_counts",
         "references",
         "requests",
@@ -77,16 +76,17 @@
         self.counts: dict[str, rollouts.RouteCounts] = {}
         # By gateway and its incarnation: those of an earlier incarnation stay evidence.
         self.peer_counts: dict[tuple[str, int], dict[str, rollouts.RouteCounts]] = {}
+        # How long all requests may go to the new version, here and as gateways have reported it.
+        self.affordable_seconds = 0.0
+        self.peer_affordable: dict[str, float] = {}
         self.references: dict[str, rollout_evidence.TimeReference] = {}
         # By endpoint: when a failure of a connection was last counted.
         self.incidents: dict[str, float] = {}
         # Part of the requests that gives a canary the load of an old endpoint.
         self.canary_part = 1.0
-        # Merged counts at earlier times, the oldest first, and when the latest were added.
-        self.history: collections.deque[dict[str, rollouts.RouteCounts]] = collections.deque(
-            maxlen=WINDOW_STEPS
-        )
-        self.history_at = now
+        self.judged = rollout_evidence.Judge(now)
+        # Endpoints of the new version that are usable.
+        self.new_count = 0
         self.requests = 0
         self.sends = 0
         self.stopped = False
@@ -136,13 +136,21 @@
             part, slack_part = DRAIN_SHARE_MARGIN, DRAIN_SLACK_MARGIN
         return self.sends + 1 <= self.allowance(bounds, gateway_count, now, part, slack_part)
 
-    def drain_seconds(self, bounds: gateway.Bounds, gateway_count: int, now: float) -> float:
-        """Return for how long the new version may get all requests within the allowance."""
+    def update_affordable(self, bounds: gateway.Bounds, gateway_count: int, now: float) -> None:
+        """Set for how long the new version may get all requests within the allowance."""
         allowed = self.allowance(bounds, gateway_count, now, SHARE_MARGIN, SLACK_MARGIN)
         requests_per_second = self.requests / max(0.001, now - self.started_at)
-        affordable = max(0.0, allowed - self.sends) / max(0.001, requests_per_second)
+        self.affordable_seconds = max(0.0, allowed - self.sends) / max(0.001, requests_per_second)
+
+    def drain_seconds(self, live_ids: list[str]) -> float:
+        """Return how long the drain lasts: as long as the allowances of nearly all gateways.
+
+        One that has just started has a small one; its requests then go on to the old version.
+        """
+        affordable = [self.peer_affordable.get(name, math.inf) for name in live_ids]
+        shortest = max(min(affordable, default=math.inf), 0.5 * self.affordable_seconds)
         limit = min(MAX_DRAIN_SECONDS, DRAIN_FRACTION * self.order.duration_seconds)
-        return min(limit, affordable)
+        return min(limit, DRAIN_PLAN_FRACTION * min(self.affordable_seconds, shortest))
 
     def route_counts(self, route: str) -> rollouts.RouteCounts:
         """Return this gateway's counts of a route."""
@@ -178,15 +186,37 @@
         is_new = endpoint.version == self.order.target
         reference = self.references.setdefault(route, rollout_evidence.TimeReference())
         expected_seconds = max(MIN_EXPECTED_SECONDS, expected_seconds)
-        slow = reference.is_slow(seconds, expected_seconds)
-        if reference.known and (slow or ended):
-            counts = self.route_counts(route)
-            side = counts.new if is_new else counts.old
-            side.timed += 1
-            side.slow += slow
-            self.changed |= slow and is_new
         if not is_new and ended:
             reference.record(seconds / expected_seconds)
+        if not reference.known:
+            if ended and len(reference.early) < rollout_evidence.REFERENCE_TIMES:
+                reference.early.append((endpoint.id, is_new, seconds, expected_seconds))
+            return
+        if reference.early:
+            early, reference.early = reference.early, []
+            for time in early:
+                self.count_time(reference, route, *time)
+        if ended or reference.is_slow(seconds, expected_seconds):
+            self.count_time(reference, route, endpoint.id, is_new, seconds, expected_seconds)
+
+    def count_time(
+        self,
+        reference: rollout_evidence.TimeReference,
+        route: str,
+        endpoint_id: str,
+        is_new: bool,
+        seconds: float,
+        expected_seconds: float,
+    ) -> None:
+        """Count a time that can be compared with the old version's."""
+        slow = reference.is_slow(seconds, expected_seconds)
+        counts = self.route_counts(route)
+        side = counts.new if is_new else counts.old
+        side.timed += 1
+        side.slow += slow
+        if is_new:
+            counts.add_time(endpoint_id, 1, int(slow))
+            self.changed |= slow
 
     def merged_counts(self) -> dict[str, rollouts.RouteCounts]:
         """Return the counts of all gateways by route."""
@@ -197,21 +227,8 @@
         return merged
 
     def judge(self, is_final: bool, now: float) -> rollout_evidence.Verdict:
-        """Return the verdict on the counts of all gateways, in total and lately."""
-        merged = self.merged_counts()
-        verdict = rollout_evidence.judge(merged.values(), is_final)
-        if self.history and verdict is not rollout_evidence.Verdict.BAD:
-            earlier = self.history[0]
-            recent = [
-                rollout_evidence.difference(counts, earlier.get(route))
-                for route, counts in merged.items()
-            ]
-            if rollout_evidence.is_recently_bad(recent):
-                verdict = rollout_evidence.Verdict.BAD
-        if now - self.history_at >= WINDOW_STEP_SECONDS:
-            self.history_at = now
-            self.history.append(merged)
-        return verdict
+        """Return the verdict on the counts of all gateways."""
+        return self.judged.judge(self.merged_counts(), self.new_count > 1, is_final, now)
 
     def phase_seconds(self) -> float:
         """Return the time from the start of a phase of canary requests to that of the next."""
@@ -250,5 +267,6 @@
             stopped=self.stopped,
             completed=self.completed,
             drain_seconds=max(0.0, self.drain_until - now),
+            affordable_seconds=self.affordable_seconds,
             counts=self.counts if self.active else {},
         )
--- a/src/masticward/state/rollout_evidence.py
+++ b/src/masticward/state/rollout_evidence.py
@@ -4,11 +4,12 @@
 """
 
 import collections
-import collections.abc
 import enum
 import math
 import statistics
 
+import msgspec
+
 from masticward.models import rollouts
 
 # Standard deviations by which the new version has to exceed the old one. The test is repeated with
@@ -19,20 +20,33 @@
 MIN_FAILURES = 5
 # Failure ratio that an old version without failures is taken to have.
 MIN_FAILURE_RATIO = 0.01
+MIN_OLD_RESPONSES = 30
 MIN_SLOW = 8
 MIN_SLOW_RATIO = 0.05
 # Slow responses come in bursts, because a machine slows all requests that it runs at the time.
 SLOW_VARIANCE_FACTOR = 4.0
 # At the end of an order with few responses, a ratio this far above the old one is enough.
 FINAL_EXCESS_RATIO = 0.3
-MIN_FINAL_FAILURES = 2
-MIN_FINAL_SLOW = 4
+MIN_FINAL_FAILURES = 3
+MIN_FINAL_SLOW = 5
+# With only this many failures, nearly all responses must be.
+MIN_FEW_FAILURES = 2
+FEW_RATIO = 0.8
+# A slow machine slows one endpoint: the others have to be slow, too, though less certainly.
+MIN_SLOW_ELSEWHERE = 3
+DEVIATIONS_ELSEWHERE = 1.5
+# The latest responses are also judged by themselves, because a version may turn bad late.
+STEP_SECONDS = 0.5
+WINDOW_STEPS = 8
+# Fewer responses of the old version don't show that it does worse than usual.
+MIN_STEP_RESPONSES = 10
+ALL_ROUTES = ""
 # Times above this multiple of the old version's median are slow. Machines differ by up to 2.5.
 SLOW_FACTOR = 3.0
 # Differences below this are due to the scheduling of processes.
 MIN_SLOW_SECONDS = 0.02
 REFERENCE_TIMES = 64
-MIN_REFERENCE_TIMES = 8
+MIN_REFERENCE_TIMES = 4
 # Failures of connections of one endpoint within this time may have one cause, such as a crash.
 INCIDENT_SECONDS = 1.0
 
@@ -48,11 +62,14 @@
 class TimeReference:
     """Recent times of the old version on one route, relative to the expected ones."""
 
-    __slots__ = ("median", "times")
+    __slots__ = ("early", "median", "times")
 
     def __init__(self) -> None:
         self.times: collections.deque[float] = collections.deque(maxlen=REFERENCE_TIMES)
         self.median = math.inf
+        # Times that are judged as soon as there are enough to compare with: the endpoint, whether
+        # it has the new version, the seconds and the expected ones.
+        self.early: list[tuple[str, bool, float, float]] = []
 
     def record(self, ratio: float) -> None:
         """Record a time of the old version."""
@@ -71,11 +88,108 @@
         return self.median < math.inf
 
 
-def ratio_exceeds(
+class Expected(msgspec.Struct):
+    """Failures and slow responses of the new version beyond the old one's usual ratio.
+
+    They are expected while the old version does worse than usual, as all endpoints of a zone may.
+    """
+
+    failures: float = 0.0
+    slow: float = 0.0
+
+    def add_step(self, step: rollouts.RouteCounts, total: rollouts.RouteCounts) -> "Expected":
+        """Return the sum with what a short time, in which ``step`` was counted, adds."""
+        return Expected(
+            self.failures
+            + excess(
+                step.new.responses,
+                step.old.failures,
+                step.old.responses,
+                total.old.failures,
+                total.old.responses,
+            ),
+            self.slow
+            + excess(
+                step.new.timed, step.old.slow, step.old.timed, total.old.slow, total.old.timed
+            ),
+        )
+
+    def since(self, earlier: "Expected | None") -> "Expected":
+        """Return what was added since an earlier time."""
+        if earlier is None:
+            return self
+        return Expected(self.failures - earlier.failures, self.slow - earlier.slow)
+
+
+def excess(new_total: int, step_count: int, step_total: int, count: int, total: int) -> float:
+    """Return what the new version is expected to have beyond the old one's usual ratio."""
+    if step_total < MIN_STEP_RESPONSES:
+        return 0.0
+    return new_total * max(0.0, step_count / step_total - count / max(1, total))
+
+
+class Comparison(msgspec.Struct):
+    """Counts of a route, or of all, with what is expected and the strictness of the test."""
+
+    counts: rollouts.RouteCounts
+    expected: Expected
+    deviations: float
+    # Whether there are other endpoints of the new version than the slowest one.
+    several_endpoints: bool
+
+    def is_bad(self) -> bool:
+        """Return whether the new version certainly fails more often or is slower."""
+        new, old = self.counts.new, self.counts.old
+        return exceeds(
+            new.failures,
+            new.responses,
+            old.failures,
+            old.responses,
+            self.expected.failures,
+            MIN_FAILURES,
+            MIN_FAILURE_RATIO,
+            1.0,
+            self.deviations,
+        ) or (
+            exceeds(
+                new.slow,
+                new.timed,
+                old.slow,
+                old.timed,
+                self.expected.slow,
+                MIN_SLOW,
+                MIN_SLOW_RATIO,
+                SLOW_VARIANCE_FACTOR,
+                self.deviations,
+            )
+            and self.is_slow_elsewhere()
+        )
+
+    def is_slow_elsewhere(self) -> bool:
+        """Return whether the version is also slow without its slowest endpoint's machine."""
+        if not self.several_endpoints:
+            return True
+        new, old = self.counts.new, self.counts.old
+        timed, slow = max(self.counts.endpoints.values(), key=lambda item: item[1], default=(0, 0))
+        return exceeds(
+            new.slow - slow,
+            new.timed - timed,
+            old.slow,
+            old.timed,
+            self.expected.slow * (new.timed - timed) / max(1, new.timed),
+            MIN_SLOW_ELSEWHERE,
+            MIN_SLOW_RATIO,
+            1.0,
+            DEVIATIONS_ELSEWHERE,
+        )
+
+
+def exceeds(
     new_count: int,
     new_total: int,
     old_count: int,
     old_total: int,
+    expected_beyond: float,
     min_count: int,
     min_ratio: float,
     variance_factor: float,
@@ -84,41 +198,19 @@
     """Return whether the new version's ratio is certainly above the old version's."""
     if new_count < min_count:
         return False
-    old_ratio = max(min_ratio, old_count / old_total if old_total else 0.0)
-    expected = min(1.0, old_ratio) * new_total
+    # A few responses of the old version without a failure don't show that it has none.
+    smoothed_ratio = (old_count + 1) / (old_total + MIN_OLD_RESPONSES)
+    old_ratio = max(min_ratio, smoothed_ratio)
+    expected = min(1.0, old_ratio) * new_total + expected_beyond
     return new_count > expected + deviations * math.sqrt(variance_factor * (expected + 1.0))
 
 
-def is_bad(counts: rollouts.RouteCounts, deviations: float = DEVIATIONS) -> bool:
-    """Return whether the new version certainly fails more often or is slower."""
-    new, old = counts.new, counts.old
-    return ratio_exceeds(
-        new.failures,
-        new.answers + new.failures,
-        old.failures,
-        old.answers + old.failures,
-        MIN_FAILURES,
-        MIN_FAILURE_RATIO,
-        1.0,
-        deviations,
-    ) or ratio_exceeds(
-        new.slow,
-        new.timed,
-        old.slow,
-        old.timed,
-        MIN_SLOW,
-        MIN_SLOW_RATIO,
-        SLOW_VARIANCE_FACTOR,
-        deviations,
-    )
-
-
 def difference(
     counts: rollouts.RouteCounts, earlier: rollouts.RouteCounts | None
 ) -> rollouts.RouteCounts:
-    """Return what was counted since an earlier time; nothing if it was not counted then."""
+    """Return what was counted since an earlier time."""
     if earlier is None:
-        return rollouts.RouteCounts()
+        return counts
 
     def subtract(
         side: rollouts.VersionCounts, before: rollouts.VersionCounts
@@ -130,45 +222,89 @@
             side.slow - before.slow,
         )
 
-    return rollouts.RouteCounts(
+    result = rollouts.RouteCounts(
         subtract(counts.new, earlier.new), subtract(counts.old, earlier.old)
     )
+    for endpoint_id, (timed, slow) in counts.endpoints.items():
+        known_timed, known_slow = earlier.endpoints.get(endpoint_id, (0, 0))
+        result.endpoints[endpoint_id] = (timed - known_timed, slow - known_slow)
+    return result
 
 
-def is_recently_bad(by_route: list[rollouts.RouteCounts]) -> bool:
-    """Return whether the latest responses show that the new version is bad."""
+def sum_routes(by_route: dict[str, rollouts.RouteCounts]) -> dict[str, rollouts.RouteCounts]:
+    """Return the counts with the sum of all routes as another one, ``ALL_ROUTES``."""
     total = rollouts.RouteCounts()
-    for counts in by_route:
+    for counts in by_route.values():
         total.add(counts)
-    return any(is_bad(counts, RECENT_DEVIATIONS) for counts in (*by_route, total))
+    return {**by_route, ALL_ROUTES: total}
+
+
+class Judge:
+    """Compares the versions in total and over the latest seconds."""
+
+    __slots__ = ("beyond", "history", "stepped_at")
+
+    def __init__(self, now: float) -> None:
+        # By route: what was expected beyond the usual ratio up to the latest step.
+        self.beyond: dict[str, Expected] = {}
+        # Counts and expectations at the latest steps, the oldest first.
+        self.history: collections.deque[
+            tuple[dict[str, rollouts.RouteCounts], dict[str, Expected]]
+        ] = collections.deque(maxlen=WINDOW_STEPS)
+        self.stepped_at = now
 
+    def judge(
+        self,
+        by_route: dict[str, rollouts.RouteCounts],
+        several_endpoints: bool,
+        is_final: bool,
+        now: float,
+    ) -> Verdict:
+        """Return the verdict on cumulative counts; ``is_final`` asks for one with what there is."""
+        counted = sum_routes(by_route)
+        earlier, earlier_beyond = self.history[0] if self.history else ({}, {})
+        latest = self.history[-1][0] if self.history else {}
+        beyond = {
+            route: self.beyond.get(route, Expected()).add_step(
+                difference(counts, latest.get(route)), counts
+            )
+            for route, counts in counted.items()
+        }
+        is_bad = False
+        for route, counts in counted.items():
+            total = Comparison(counts, beyond[route], DEVIATIONS, several_endpoints)
+            recent = Comparison(
+                difference(counts, earlier.get(route)),
+                beyond[route].since(earlier_beyond.get(route)),
+                RECENT_DEVIATIONS,
+                several_endpoints,
+            )
+            is_bad |= total.is_bad() or recent.is_bad()
+            is_bad |= is_final and is_finally_bad(counts, route == ALL_ROUTES)
+        if now - self.stepped_at >= STEP_SECONDS:
+            self.stepped_at = now
+            self.beyond = beyond
+            self.history.append((counted, beyond))
+        if is_bad:
+            return Verdict.BAD
+        return Verdict.GOOD if is_final else Verdict.UNDECIDED
 
-def is_finally_bad(counts: rollouts.RouteCounts) -> bool:
+
+def is_finally_bad(counts: rollouts.RouteCounts, is_total: bool) -> bool:
     """Return whether few responses, after which no more will come, speak against the version."""
     new, old = counts.new, counts.old
+    nearly_all_fail = (
+        new.failures >= max(MIN_FEW_FAILURES, FEW_RATIO * new.responses)
+        and old.failures <= 0.5 * old.responses
+    )
+    if is_total and nearly_all_fail:
+        return True
 
-    def exceeds(new_count: int, new_total: int, old_count: int, old_total: int) -> bool:
+    def is_above(new_count: int, new_total: int, old_count: int, old_total: int) -> bool:
         old_ratio = old_count / old_total if old_total else 0.0
         return new_count > (old_ratio + FINAL_EXCESS_RATIO) * new_total
 
     return (
         new.failures >= MIN_FINAL_FAILURES
-        and exceeds(
-            new.failures,
-            new.answers + new.failures,
-            old.failures,
-            old.answers + old.failures,
-        )
-    ) or (new.slow >= MIN_FINAL_SLOW and exceeds(new.slow, new.timed, old.slow, old.timed))
-
-
-def judge(by_route: collections.abc.Iterable[rollouts.RouteCounts], is_final: bool) -> Verdict:
-    """Return the verdict on counts by route; ``is_final`` asks for one with what there is."""
-    total = rollouts.RouteCounts()
-    judged = list(by_route)
-    for counts in judged:
-        total.add(counts)
-    judged.append(total)
-    if any(is_bad(counts) or (is_final and is_finally_bad(counts)) for counts in judged):
-        return Verdict.BAD
-    return Verdict.GOOD if is_final else Verdict.UNDECIDED
+        and is_above(new.failures, new.responses, old.failures, old.responses)
+    ) or (new.slow >= MIN_FINAL_SLOW and is_above(new.slow, new.timed, old.slow, old.timed))
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -135,8 +135,14 @@
             return new or others
         if not self.in_touch:
             return old
+        rollout.new_count = len(new)
         if not rollout.is_draining(now):
-            new = choose_canaries(rollout, new, math.ceil(canary_share * len(old)), now)
+            new = choose_canaries(
+                rollout,
+                new,
+                max(rollout_module.MIN_CANARIES, math.ceil(canary_share * len(old))),
+                now,
+            )
             rollout.canary_part = len(new) / (len(old) + len(new))
         return old + new
 
@@ -225,6 +231,7 @@
         known = rollout.peer_counts.get(sender, {})
         if sum_of(report.counts) >= sum_of(known):
             rollout.peer_counts[sender] = report.counts
+        rollout.peer_affordable[sender[0]] = report.affordable_seconds
         if report.drain_seconds > 0.0:
             rollout.drain_until = max(rollout.drain_until, now + report.drain_seconds)
         if report.completed:
@@ -235,7 +242,7 @@
         self,
         rollout: rollout_module.Rollout,
         endpoints: collections.abc.Sequence[gateway.Endpoint],
-        bounds: gateway.Bounds,
+        live_ids: list[str],
         now: float,
     ) -> rollouts.RolloutState:
         """Return the state that an order should have; to be asked by the gateway that writes it.
@@ -267,7 +274,7 @@
         if rollout.drain_until == -math.inf:
             rollout.drain_until = now
             if old_count and new_count >= old_count:
-                rollout.drain_until += rollout.drain_seconds(bounds, self.gateway_count, now)
+                rollout.drain_until += rollout.drain_seconds(live_ids)
             rollout.changed = True
         if now < rollout.drain_until:
             return rollouts.RolloutState.RUNNING
