--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -268,7 +268,12 @@
     def record_version(self, attempt: attempts.Attempt, failed: bool, broken: bool = False) -> None:
         """Record a response for the rollout of its endpoint's version, if there is one."""
         self.fleet.rollouts.record_end(
-            attempt.endpoint, self.route.name, failed, clocks.boot_time(), broken
+            attempt.endpoint,
+            self.route.name,
+            failed,
+            attempt.sent_at,
+            clocks.boot_time(),
+            broken,
         )
 
     def record_version_time(self, attempt: attempts.Attempt, ended: bool = True) -> None:
--- a/src/masticward/state/rollout.py
+++ b/src/masticward/state/rollout.py
@@ -157,13 +157,22 @@
         return self.counts.setdefault(route, rollouts.RouteCounts())
 
     def record_end(
-        self, endpoint: gateway.Endpoint, route: str, failed: bool, broken: bool, now: float
+        self,
+        endpoint: gateway.Endpoint,
+        route: str,
+        failed: bool,
+        broken: bool,
+        sent_at: float,
+        now: float,
     ) -> None:
-        """Count a response, or a failure; several broken connections may be one incident."""
+        """Count a response, or a failure.
+
+        A connection that breaks is part of an earlier incident if its request was already open at
+        the endpoint then, because a crash breaks all of them.
+        """
         is_new = endpoint.version == self.order.target
         if broken:
-            previous = self.incidents.get(endpoint.id, -math.inf)
-            if now - previous < rollout_evidence.INCIDENT_SECONDS:
+            if sent_at <= self.incidents.get(endpoint.id, -math.inf):
                 return
             self.incidents[endpoint.id] = now
         counts = self.route_counts(route)
--- a/src/masticward/state/rollout_evidence.py
+++ b/src/masticward/state/rollout_evidence.py
@@ -47,8 +47,6 @@
 MIN_SLOW_SECONDS = 0.02
 REFERENCE_TIMES = 64
 MIN_REFERENCE_TIMES = 4
-# Failures of connections of one endpoint within this time may have one cause, such as a crash.
-INCIDENT_SECONDS = 0.2
 
 
 class Verdict(enum.Enum):
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -196,11 +196,17 @@
             rollout.warm_at[endpoint.id] = now + rollout_module.WARM_SECONDS
 
     def record_end(
-        self, endpoint: gateway.Endpoint, route: str, failed: bool, now: float, broken: bool = False
+        self,
+        endpoint: gateway.Endpoint,
+        route: str,
+        failed: bool,
+        sent_at: float,
+        now: float,
+        broken: bool = False,
     ) -> None:
-        """Count the end of a response."""
+        """Count the end of a response; ``broken`` means that its connection may have broken."""
         if (rollout := self.active(endpoint.service)) is not None:
-            rollout.record_end(endpoint, route, failed, broken, now)
+            rollout.record_end(endpoint, route, failed, broken, sent_at, now)
 
     def record_time(
         self,
--- a/tests/functional/test_rollout.py
+++ b/tests/functional/test_rollout.py
@@ -54,7 +54,9 @@
         bounds = msgspec.structs.replace(self.fleet.settings.bounds, canary_share=0.1)
         self.fleet.apply_settings(msgspec.structs.replace(self.fleet.settings, bounds=bounds))
         for number, version in enumerate(("v1", "v1", "v2", "v2")):
-            endpoint = await self.add_endpoint(f"e{number}", behaviour if version == "v2" else None)
+            endpoint = await self.add_endpoint(
+                f"e{number}", behaviour if behaviour and version == "v2" else send_event
+            )
             self.store.put_endpoint(
                 f"e{number}", endpoint.address, version=version, born=number + 1
             )
--- a/tests/lib/rollout_model.py
+++ b/tests/lib/rollout_model.py
@@ -157,7 +157,7 @@
             self.request()
         while self.responses and self.responses[0][0] <= self.now:
             _, _, item, endpoint, route, failed, sent_at = heapq.heappop(self.responses)
-            item.fleet.rollouts.record_end(endpoint, route, failed, self.now)
+            item.fleet.rollouts.record_end(endpoint, route, failed, sent_at, self.now)
             if not failed:
                 item.fleet.rollouts.record_time(endpoint, route, self.now - sent_at, 0.1, self.now)
         self.watch()
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -99,6 +99,19 @@
                 fleet.run(2.0)
                 self.assertFalse([at for at in fleet.sent_old_at if at > completed_at])
 
+    def test_crash_of_an_endpoint_is_one_failure(self) -> None:
+        """Requests that were open then break together; those that follow are fresh evidence."""
+        order = rollouts.Order(service="app", target=NEW, duration_seconds=30.0, revision=5)
+        table = rollout_table.RolloutTable()
+        table.apply([("app", order)], False, 0.0)
+        endpoint = builders.make_endpoint("e1", service="app", version=NEW)
+        for _ in range(10):
+            table.record_end(endpoint, "r1", True, 1.0, 2.0, broken=True)
+        counts = table.rollouts["app"].route_counts("r1").new
+        self.assertEqual(1, counts.failures)
+        table.record_end(endpoint, "r1", True, 2.1, 2.2, broken=True)
+        self.assertEqual(2, counts.failures)
+
     def test_old_endpoints_are_drained_before_the_status(self) -> None:
         """Their streams would be cut, because the platform stops them at once."""
         fleet = self.start(Version(), rate=60.0)
@@ -407,7 +420,7 @@
             table.pop_changed(0.0)
         self.assertFalse(first.has_changed)
         endpoint = builders.make_endpoint("e1", service="app", version=NEW)
-        first.record_end(endpoint, "r1", True, clocks.boot_time())
+        first.record_end(endpoint, "r1", True, 0.0, clocks.boot_time())
         self.assertTrue(first.has_changed)
         self.peers[0].send_changes()
         counts = second.rollouts["app"].merged_counts()["r1"]
