--- a/src/masticward/state/rollout.py
+++ b/src/masticward/state/rollout.py
@@ -131,6 +131,8 @@
 
     def may_send(self, bounds: gateway.Bounds, gateway_count: int, now: float) -> bool:
         """Return whether another request is within the allowance."""
+        if self.judged.suspected_since is not None:
+            return False
         part, slack_part = SHARE_MARGIN * CANARY_FRACTION, SLACK_MARGIN
         if self.is_draining(now):
             part, slack_part = DRAIN_SHARE_MARGIN, DRAIN_SLACK_MARGIN
--- a/src/masticward/state/rollout_evidence.py
+++ b/src/masticward/state/rollout_evidence.py
@@ -37,6 +37,9 @@
 DEVIATIONS_ELSEWHERE = 1.5
 # The latest responses are also judged by themselves, because a version may turn bad late.
 STEP_SECONDS = 0.5
+# Failures of the new version are reported at once, those of the old one with the next report, so
+# that a fault of both seems to be one of the new version at first. Meanwhile it gets no requests.
+CONFIRMATION_SECONDS = 0.3
 WINDOW_STEPS = 8
 # Fewer responses of the old version don't show that it does worse than usual.
 MIN_STEP_RESPONSES = 10
@@ -240,7 +243,7 @@
 class Judge:
     """Compares the versions in total and over the latest seconds."""
 
-    __slots__ = ("beyond", "history", "stepped_at")
+    __slots__ = ("beyond", "history", "stepped_at", "suspected_since")
 
     def __init__(self, now: float) -> None:
         # By route: what was expected beyond the usual ratio up to the latest step.
@@ -250,6 +253,8 @@
             tuple[dict[str, rollouts.RouteCounts], dict[str, Expected]]
         ] = collections.deque(maxlen=WINDOW_STEPS)
         self.stepped_at = now
+        # Since when the counts speak against the version; None while they don't.
+        self.suspected_since: float | None = None
 
     def judge(
         self,
@@ -268,7 +273,7 @@
             )
             for route, counts in counted.items()
         }
-        is_bad = False
+        is_bad = is_finally = False
         for route, counts in counted.items():
             total = Comparison(counts, beyond[route], DEVIATIONS, several_endpoints)
             recent = Comparison(
@@ -278,13 +283,20 @@
                 several_endpoints,
             )
             is_bad |= total.is_bad() or recent.is_bad()
-            is_bad |= is_final and is_finally_bad(counts, route == ALL_ROUTES)
+            is_finally |= is_final and is_finally_bad(counts, route == ALL_ROUTES)
         if now - self.stepped_at >= STEP_SECONDS:
             self.stepped_at = now
             self.beyond = beyond
             self.history.append((counted, beyond))
-        if is_bad:
+        if not is_bad:
+            self.suspected_since = None
+        elif self.suspected_since is None:
+            self.suspected_since = now
+        if is_finally:
             return Verdict.BAD
+        if self.suspected_since is not None:
+            is_confirmed = now - self.suspected_since >= CONFIRMATION_SECONDS
+            return Verdict.BAD if is_confirmed else Verdict.UNDECIDED
         return Verdict.GOOD if is_final else Verdict.UNDECIDED
 
 
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -274,9 +274,12 @@
             not self.majority and elapsed < LAST_FRACTION
         ):
             return rollouts.RolloutState.RUNNING
-        if rollout.judge(True, now) is rollout_evidence.Verdict.BAD:
+        verdict = rollout.judge(True, now)
+        if verdict is rollout_evidence.Verdict.BAD:
             rollout.stop()
             return rollouts.RolloutState.ROLLED_BACK
+        if verdict is not rollout_evidence.Verdict.GOOD:
+            return rollouts.RolloutState.RUNNING
         if rollout.drain_until == -math.inf:
             rollout.drain_until = now
             if old_count and new_count >= old_count:
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -99,6 +99,30 @@
                 fleet.run(2.0)
                 self.assertFalse([at for at in fleet.sent_old_at if at > completed_at])
 
+    def test_fault_that_hits_both_versions(self) -> None:
+        """Canary requests come in phases: a fault within one concerns more of them."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                version = Version()
+                fleet = self.start(version)
+                fleet.random.seed(seed)
+                usual = fleet.behaviour
+
+                def respond(
+                    endpoint: gateway.Endpoint,
+                    route: str,
+                    now: float,
+                    fleet: rollout_model.Fleet = fleet,
+                    usual: rollout_model.Behaviour = usual,
+                ) -> tuple[bool, float]:
+                    failed, seconds = usual(endpoint, route, now)
+                    in_fault = 1012.0 < now < 1014.0
+                    return failed or (in_fault and fleet.random.random() < 0.4), seconds
+
+                fleet.behaviour = respond
+                fleet.run(DURATION)
+                self.check(fleet, COMPLETED)
+
     def test_crash_of_an_endpoint_is_one_failure(self) -> None:
         """Requests that were open then break together; those that follow are fresh evidence."""
         order = rollouts.Order(service="app", target=NEW, duration_seconds=30.0, revision=5)
@@ -130,6 +154,7 @@
             "slow": (Version(ratio=0.5, slow=True), 100.0),
             "all": (Version(ratio=1.0), 400.0),
             "few requests": (Version(ratio=1.0, ordinary=0.0), 0.7),
+            "slow, few requests": (Version(ratio=1.0, slow=True, ordinary=0.0), 3.0),
         }
         for name, (version, rate) in patterns.items():
             with self.subTest(name):
