--- a/src/masticward/daemons/gateway.py
+++ b/src/masticward/daemons/gateway.py
@@ -22,6 +22,7 @@
     quarantine_keeper,
     request_path,
     response_buffers,
+    rollout_keeper,
     snapshots,
     sources,
 )
@@ -103,6 +104,9 @@
             source, self.fleet, self.followers[sources.ObjectKind.CONFIGURATION], self.send_proof
         )
         self.quarantine_keeper = quarantine_keeper.QuarantineKeeper(source, self.fleet)
+        self.rollout_keeper = rollout_keeper.RolloutKeeper(
+            source, self.fleet, self.followers[sources.ObjectKind.ROLLOUTS]
+        )
         self.snapshots = snapshots.SnapshotFetcher(self.fleet, self.peering, self.followers)
         self.body_memory = body_memory.BodyMemory(body_memory.requests_limit(settings.memory_bytes))
         self.answer_memory = body_memory.AnswerMemory(
@@ -246,6 +250,23 @@
                 "highest": lambda: max(fleet.speeds.time_factors(clocks.boot_time())),
             },
         )
+        add(
+            "masticward_gateway_canary_sends",
+            "requests sent to new versions under the present orders",
+            lambda: sum(item.sends for item in fleet.rollouts.rollouts.values()),
+        )
+        self.gateway_metrics.add_labelled_gauge(
+            "masticward_gateway_rollouts",
+            "orders to roll out a version by state here",
+            "state",
+            {
+                "running": lambda: sum(item.active for item in fleet.rollouts.rollouts.values()),
+                "stopped": lambda: sum(item.stopped for item in fleet.rollouts.rollouts.values()),
+                "completed": lambda: sum(
+                    item.completed for item in fleet.rollouts.rollouts.values()
+                ),
+            },
+        )
         self.gateway_metrics.add_labelled_gauge(
             "masticward_gateway_endpoints",
             "endpoints by state",
@@ -351,7 +372,11 @@
         self.supervise(self.peering.run_changes, "changes for peers")
         self.supervise(self.peering.run_registration, "registration")
         for kind, follower in self.followers.items():
-            self.supervise(follower.run, f"follower of {kind.value}")
+            if kind is not sources.ObjectKind.ROLLOUTS:
+                self.supervise(follower.run, f"follower of {kind.value}")
+        self.supervise(self.rollout_keeper.run_follower, "follower of rollouts")
+        self.supervise(self.rollout_keeper.run_checks, "checks of rollouts")
+        self.supervise(self.rollout_keeper.run_writes, "status of rollouts")
         self.supervise(self.prover.run, "prover")
         self.supervise(self.snapshots.run, "snapshots of peers")
         self.supervise(self.placer.run, "placer")
--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -128,6 +128,11 @@
     PEER_MESSAGE_UNREADABLE = (8403, "peer_message_unreadable", logging.WARNING)
     MEMBER_LIST_UNAVAILABLE = (8404, "member_list_unavailable", logging.WARNING)
     PEER_SNAPSHOT_FAILED = (8405, "peer_snapshot_failed", logging.WARNING)
+    ROLLOUT_ORDERED = (8501, "rollout_ordered", logging.INFO)
+    ROLLOUT_STOPPED = (8502, "rollout_stopped", logging.ERROR)
+    ROLLOUT_DRAINS = (8503, "rollout_drains", logging.INFO)
+    ROLLOUT_STATUS = (8504, "rollout_status", logging.INFO)
+    ROLLOUT_STATUS_NOT_WRITTEN = (8505, "rollout_status_not_written", logging.WARNING)
 
     @property
     def number(self) -> int:
--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -189,7 +189,10 @@
             # Finished requests alone cause no message; the next report or placed request has them.
             due_at = self.changes_sent_at + MAX_CHANGES_INTERVAL_SECONDS
             has_changes = (
-                self.unsent_prompts or self.has_unsent_request or self.fleet.quarantine.changed
+                self.unsent_prompts
+                or self.has_unsent_request
+                or self.fleet.quarantine.changed
+                or self.fleet.rollouts.has_changed
             )
             if has_changes or clocks.boot_time() >= due_at:
                 self.send_changes()
@@ -216,6 +219,7 @@
             speeds=fleet.speeds.pop_evidence(now),
             store_era=fleet.known_era,
             listed_era=fleet.listed_era,
+            rollout_reports=fleet.rollouts.pop_changed(now),
         )
         self.prompts_to_repeat += self.unsent_prompts
         self.unsent_prompts = []
@@ -255,6 +259,9 @@
                 items=items,
                 grace_seconds=max(0.0, self.fleet.table.grace_until - now),
                 era=listing.era,
+                orders=[item.value for item in listing.items]
+                if kind is sources.ObjectKind.ROLLOUTS
+                else [],
             )
         )
 
@@ -480,6 +487,7 @@
             speeds=fleet.speeds.pop_evidence(now),
             store_era=fleet.known_era,
             listed_era=fleet.listed_era,
+            rollout_reports=fleet.rollouts.reports(now),
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str | typing.Any, int]) -> None:
@@ -544,6 +552,9 @@
         for part in changes.parts:
             self.fleet.quarantine.merge(part, peer.instance_id, now)
         self.fleet.merge_speeds(changes.speeds, now)
+        self.fleet.merge_rollouts(
+            changes.rollout_reports, (peer.instance_id, peer.incarnation), now
+        )
         if changes.configuration_version > 0:
             self.apply_status(
                 peer,
@@ -567,6 +578,11 @@
             sources.StoredObject(name, endpoint.to_absolute(now) if endpoint else None, removed)
             for name, removed, endpoint in changes.items
         ]
+        if kind is sources.ObjectKind.ROLLOUTS:
+            items = [
+                sources.StoredObject(name, order, removed)
+                for (name, removed, _), order in zip(changes.items, changes.orders, strict=False)
+            ]
         if changes.grace_seconds > 0.0:
             self.fleet.table.share_relist_grace(changes.grace_seconds, now)
         self.fleet.learn_era(changes.era)
@@ -641,6 +657,7 @@
         for part in report.parts:
             fleet.quarantine.merge(part, peer.instance_id, now)
         fleet.merge_speeds(report.speeds, now)
+        fleet.merge_rollouts(report.rollout_reports, (peer.instance_id, peer.incarnation), now)
         for key in report.leaving:
             if fleet.announcements.merge_leaving(key, now):
                 LOGGER.log(
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -107,6 +107,7 @@
     """The endpoints of a service that may receive requests, during one scan of its queue."""
 
     __slots__ = (
+        "canary_ids",
         "candidates",
         "connected_ids",
         "engine",
@@ -116,13 +117,17 @@
         "now",
         "placer",
         "prefill_utilization",
+        "service_name",
     )
 
     def __init__(self, request_placer: "Placer", service_name: str, now: float) -> None:
         self.placer = request_placer
         self.fleet = request_placer.fleet
         self.now = now
+        self.service_name = service_name
         self.candidates = request_placer.candidates(service_name, now)
+        # Endpoints of a new version, which get requests only within the limits of its rollout.
+        self.canary_ids = self.fleet.rollouts.canary_ids(service_name, self.candidates)
         configuration = self.fleet.configuration
         service = configuration.services.get(service_name) if configuration else None
         self.engine = service.engine if service else None
@@ -147,7 +152,27 @@
         ``excess_by_team`` maps teams above their fair share to the multiple of it they received.
         A test of suspected parts gets no endpoint that has crashed or at which others are tested.
         """
-        excluded_ids = self.unusable_ids(request)
+        if not self.canary_ids:
+            return self.choose_among(request, excess_by_team, is_test, frozenset())
+        choice = None
+        if self.fleet.rollouts.may_send(
+            self.service_name, request.metadata.request_id, self.fleet.settings.bounds, self.now
+        ):
+            others = frozenset(item.id for item in self.candidates) - self.canary_ids
+            choice = self.choose_among(request, excess_by_team, is_test, others)
+        if choice is None or not choice.has_capacity:
+            choice = self.choose_among(request, excess_by_team, is_test, self.canary_ids)
+        return choice
+
+    def choose_among(
+        self,
+        request: WaitingRequest,
+        excess_by_team: dict[str, float],
+        is_test: bool,
+        left_out_ids: frozenset[str],
+    ) -> placement.Choice | None:
+        """Return the best endpoint for a request that is not in ``left_out_ids``."""
+        excluded_ids = self.unusable_ids(request) | left_out_ids
         if is_test:
             avoided = self.fleet.quarantine.endpoints_to_avoid(self.now)
             excluded_ids = excluded_ids | {
@@ -432,7 +457,7 @@
         The load balancer distributes clients unevenly, so the share is the gateway's fraction of
         all arriving tokens, and at least an equal share among the live gateways.
         """
-        usable = self.fleet.table.usable(service, now)
+        usable = self.fleet.usable_endpoints(service, now)
         engines: float = max(1, len(usable))
         if usable and self.fleet.speeds.is_reported(service):
             # Engines of normal speed with the same rate in total.
@@ -482,14 +507,14 @@
         """
         times = [
             self.fleet.announcements.opens_at(endpoint, now)
-            for endpoint in self.fleet.table.usable(service_name, now)
+            for endpoint in self.fleet.usable_endpoints(service_name, now)
         ]
         times = [time for time in times if time < math.inf]
         return min(times, default=now)
 
     def candidates(self, service_name: str, now: float) -> list[gateway.Endpoint]:
         """Return the endpoints of a service that may receive a request now."""
-        usable = self.fleet.table.usable(service_name, now)
+        usable = self.fleet.usable_endpoints(service_name, now)
         configuration = self.fleet.configuration
         service = configuration.services.get(service_name) if configuration else None
         if service is None:
@@ -551,12 +576,14 @@
         service = fleet.configuration.services[request.service] if fleet.configuration else None
         if service is None:
             return
+        is_cold = fleet.table.cold_until(endpoint) > now
+        fleet.rollouts.record_send(endpoint, is_cold, now)
         if service.engine is not None:
             cache = fleet.caches.get(endpoint.id, service.engine.cache_tokens)
             cache.record_prompt(request.prefix_keys)
             self.on_prompt(endpoint.id, request.prefix_keys)
             fleet.usage.record(request.team, team_usage.charged_tokens(metadata), now)
-        if fleet.table.cold_until(endpoint) > now and service.cold_requests_per_second > 0:
+        if is_cold and service.cold_requests_per_second > 0:
             fleet.cold_start_limiter.record_send(
                 endpoint.id, service.cold_requests_per_second, fleet.known_gateway_count, now
             )
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -72,6 +72,7 @@
         doubt_seconds=max(0.0, fleet.table.departures.doubted_until - now),
         held_zones={zone: max(0.0, fleet.held_zones.until - now) for zone in fleet.held_zones.held},
         left=fleet.table.departures.left_lately(now),
+        orders=[rollout.order for rollout in fleet.rollouts.rollouts.values()],
     )
 
 
@@ -283,6 +284,10 @@
             fleet.record_change(change)
         seconds = store_restore.STABLE_LISTING_SECONDS
         fleet.hold_zones(dict.fromkeys(snapshot.out_zones, seconds), now)
+    if sources.ObjectKind.ROLLOUTS.value in snapshot.revisions and apply_revision(
+        fleet, snapshot, sources.ObjectKind.ROLLOUTS
+    ):
+        fleet.apply_rollouts([(order.service, order) for order in snapshot.orders], True)
 
 
 def apply_revision(
--- a/src/masticward/protocol/gateway_peers.py
+++ b/src/masticward/protocol/gateway_peers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from masticward.models import gateway, part_reports
+from masticward.models import gateway, part_reports, rollouts
 
 MAXIMUM_DATAGRAM_BYTES = 60_000
 
@@ -51,6 +51,8 @@
     # a new era when it is restored from a copy. Older senders state 0.
     store_era: int = 0
     listed_era: int = 0
+    # Evidence on the orders of rollouts.
+    rollout_reports: list[rollouts.RolloutReport] = []
 
 
 class PeerChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
@@ -76,6 +78,8 @@
     speeds: dict[str, tuple[int, int, int]] = {}
     store_era: int = 0
     listed_era: int = 0
+    # As in PeerReport, for the orders whose evidence changed.
+    rollout_reports: list[rollouts.RolloutReport] = []
 
 
 class StoreChanges(msgspec.Struct, array_like=True, frozen=True, tag="store"):
@@ -97,6 +101,8 @@
     grace_seconds: float = 0.0
     # The store's era of both revisions.
     era: int = 0
+    # The orders of ``items``, if the objects are rollouts; None where there is none.
+    orders: list[rollouts.Order | None] = []
 
 
 Content = PeerReport | PeerChanges | StoreChanges
--- a/src/masticward/protocol/gateway_snapshots.py
+++ b/src/masticward/protocol/gateway_snapshots.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from masticward.models import gateway
+from masticward.models import gateway, rollouts
 
 
-class Snapshot(msgspec.Struct, frozen=True):
+class Snapshot(msgspec.Struct, frozen=True, omit_defaults=True):
     """The state of a gateway that originates from the store."""
 
     configuration: gateway.FleetConfiguration
@@ -31,6 +31,8 @@
     held_zones: dict[str, float] = {}
     # Endpoints (ID and ``born``) that have left lately.
     left: dict[str, int] = {}
+    # Orders of rollouts.
+    orders: list[rollouts.Order] = []
 
 
 ENCODER = msgspec.msgpack.Encoder()
