Rollouts: the canary limit holds while all old endpoints are closed

The canary endpoints were found among the candidates, which lack endpoints in backoff or whose announcement closes them. With all old ones closed, only canaries remained and the limit was lifted. They are now found among all usable endpoints. test_share_holds_while_the_old_endpoint_is_closed failed before and passes now. A test of relayed orders set a bare revision, which fails since positions have an era; it sets the position.

--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -126,8 +126,13 @@
         self.now = now
         self.service_name = service_name
         self.candidates = request_placer.candidates(service_name, now)
-        # Endpoints of a new version, which get requests only within the limits of its rollout.
-        self.canary_ids = self.fleet.rollouts.canary_ids(service_name, self.candidates)
+        # Endpoints of a new version, which get requests only within the limits of its rollout, also
+        # while all old endpoints are closed for a moment and therefore no candidates.
+        self.canary_ids: frozenset[str] = frozenset()
+        if self.fleet.rollouts.active(service_name) is not None:
+            self.canary_ids = self.fleet.rollouts.canary_ids(
+                service_name, self.fleet.usable_endpoints(service_name, now)
+            )
         configuration = self.fleet.configuration
         service = configuration.services.get(service_name) if configuration else None
         self.engine = service.engine if service else None
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -407,6 +407,15 @@
         chosen = [self.choose(pool, number) for number in range(200)]
         self.assertTrue(8 <= chosen.count("b") <= 20, chosen.count("b"))
 
+    def test_share_holds_while_the_old_endpoint_is_closed(self) -> None:
+        """Else a moment of backoff of the old endpoints sends the whole queue to the new version."""
+        pool = self.make_pool(0.1)
+        pool.fleet.health.record_unreachable("a", pool.now)
+        self.assertTrue(pool.fleet.health.in_backoff("a", pool.now))
+        closed = placer.CandidatePool(self.placer, "llm", pool.now)
+        self.assertEqual(["b"], [item.id for item in closed.candidates])
+        self.assertEqual(frozenset({"b"}), closed.canary_ids)
+
     def test_nothing_changes_without_the_setting(self) -> None:
         """Versions don't matter to deployments without rollouts."""
         pool = self.make_pool(None)
@@ -461,7 +470,7 @@
         for item in self.peers:
             item.fleet.known_gateway_count = 9
             item.fleet.reader_ids = frozenset({"g0"})
-            item.fleet.revisions[sources.ObjectKind.ROLLOUTS] = 4
+            item.fleet.revisions[sources.ObjectKind.ROLLOUTS] = sources.Position(0, 4)
         first, second = (item.fleet for item in self.peers)
         stored = sources.StoredObject("app", self.order)
         first.apply_changes(sources.ObjectKind.ROLLOUTS, 4, 5, [stored])
