--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -261,6 +261,10 @@
         fleet.table.mark_missing({name: now + left for name, left in snapshot.missing.items()})
     if apply_revision(fleet, snapshot, sources.ObjectKind.EVACUATIONS):
         fleet.apply_evacuations([(zone, True) for zone in snapshot.out_zones], True)
+    if sources.ObjectKind.ROLLOUTS.value in snapshot.revisions and apply_revision(
+        fleet, snapshot, sources.ObjectKind.ROLLOUTS
+    ):
+        fleet.apply_rollouts([(order.service, order) for order in snapshot.orders], True)
     for change in fleet.table.adopt_doubts(snapshot.doubted, snapshot.doubt_seconds, now):
         fleet.record_change(change)
     fleet.hold_zones(snapshot.held_zones, now)
@@ -275,7 +279,8 @@
     for endpoint_id, born in snapshot.left.items():
         if endpoint_id not in fleet.table.endpoints:
             fleet.table.departures.left[endpoint_id] = (born, now)
-    if any(snapshot.eras.get(kind.value, 0) < fleet.listed_era for kind in sources.LISTED_KINDS):
+    # Where rollouts are off, the peer has no listing of them.
+    if any(snapshot.eras.get(kind, 0) < fleet.listed_era for kind in snapshot.revisions):
         draining = {item.id: item.born for item in snapshot.endpoints if item.draining}
         changes = fleet.table.adopt_doubts(
             {**snapshot.left, **draining}, store_restore.DOUBT_SECONDS, now
@@ -284,10 +289,6 @@
             fleet.record_change(change)
         seconds = store_restore.STABLE_LISTING_SECONDS
         fleet.hold_zones(dict.fromkeys(snapshot.out_zones, seconds), now)
-    if sources.ObjectKind.ROLLOUTS.value in snapshot.revisions and apply_revision(
-        fleet, snapshot, sources.ObjectKind.ROLLOUTS
-    ):
-        fleet.apply_rollouts([(order.service, order) for order in snapshot.orders], True)
 
 
 def apply_revision(
--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -361,6 +361,19 @@
                 self.assertEqual(["stays"], usable)
                 self.assertEqual({"z2"}, starting.table.evacuated_zones)
 
+    def test_a_peer_without_rollouts_is_not_taken_for_one_of_the_former_era(self) -> None:
+        """Else an evacuation that was taken back in this era comes into force again."""
+        starting = fleet_module.FleetState(builders.make_settings())
+        starting.learn_era(1)
+        by_kind = followers.create_followers(self.source, starting)
+        for kind in (ENDPOINTS, EVACUATIONS):
+            by_kind[kind].apply_listing(sources.Listing((), 61, True, 1), self.now)
+        positions = {kind.value: 60 for kind in (ENDPOINTS, EVACUATIONS)}
+        eras = dict.fromkeys(positions, 1)
+        snapshot = self.snapshot(revisions=positions, eras=eras, out_zones=["z2"])
+        snapshots.apply_snapshot(starting, snapshot, self.now, "g2")
+        self.assertEqual(set(), starting.table.evacuated_zones)
+
     def test_a_peer_that_still_lists_the_former_era_is_not_followed(self) -> None:
         """Guards against listings that are repeated while a peer is cut off from the store."""
         peer = self.peering.put_peer("g2", "127.0.0.2")
