Rollouts: a version without an old one beside it is not condemned without a comparison

An order for the version that runs alone, or old replicas that died early, condemned a service with ordinary failures, and every request was refused then. Such an order is completed at once; without usable old endpoints and with fewer than MIN_OLD_RESPONSES of them there is no bad verdict; and a condemned version serves while no other one is listed. The keeper updates the endpoints that an order knows also without requests. test_order_for_the_running_version, test_old_endpoints_die_early and test_condemned_version_that_is_alone failed before and pass now.

--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -78,6 +78,8 @@
             table.in_touch = live > 1 or known == 1
         wanted = {}
         for service, item in table.rollouts.items():
+            # Also updates what the order has to know of the endpoints.
+            fleet.usable_endpoints(service, now)
             item.update_affordable(fleet.settings.bounds, table.gateway_count, now)
             if item.active and item.judge(False, now) is rollout_evidence.Verdict.BAD:
                 item.stop()
--- a/src/masticward/state/rollout.py
+++ b/src/masticward/state/rollout.py
@@ -48,6 +48,7 @@
         "completed",
         "counts",
         "drain_until",
+        "has_old",
         "has_slack",
         "incidents",
         "judged",
@@ -87,6 +88,8 @@
         self.judged = rollout_evidence.Judge(now)
         # Endpoints of the new version that are usable.
         self.new_count = 0
+        # Whether old endpoints are usable.
+        self.has_old = True
         self.requests = 0
         self.sends = 0
         self.stopped = False
@@ -239,7 +242,19 @@
 
     def judge(self, is_final: bool, now: float) -> rollout_evidence.Verdict:
         """Return the verdict on the counts of all gateways."""
-        return self.judged.judge(self.merged_counts(), self.new_count > 1, is_final, now)
+        counts = self.merged_counts()
+        verdict = self.judged.judge(counts, self.new_count > 1, is_final, now)
+        old_responses = sum(item.old.responses for item in counts.values())
+        # Nothing to compare with, and nothing else that could serve.
+        if (
+            verdict is rollout_evidence.Verdict.BAD
+            and not self.has_old
+            and old_responses < rollout_evidence.MIN_OLD_RESPONSES
+        ):
+            if is_final:
+                return rollout_evidence.Verdict.GOOD
+            return rollout_evidence.Verdict.UNDECIDED
+        return verdict
 
     def phase_seconds(self) -> float:
         """Return the time from the start of a phase of canary requests to that of the next."""
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -117,20 +117,26 @@
 
         ``listed`` are all endpoints of the service that are not draining.
         """
+        listed = list(listed)
         running = self.running_version(service, listed)
         rollout = self.rollouts.get(service)
         old = [item for item in endpoints if item.version in ("", running)]
         if rollout is None:
             return old or endpoints
         target = rollout.order.target
+        has_others = any(item.version != target for item in listed)
+        # An order for the version that runs already, of which nothing is to be moved.
+        if rollout.active and running == target and endpoints and not has_others:
+            self.complete(rollout)
         if rollout.completed:
             return select_completed(rollout, endpoints)
         old = [item for item in old if item.version != target]
         new = [item for item in endpoints if item.version == target]
         others = [item for item in endpoints if item.version != target]
         if not rollout.active:
-            return old or others
+            return old or others or ([] if has_others else endpoints)
         rollout.old_incarnations.update(item.incarnation for item in others)
+        rollout.has_old = bool(old)
         if not old:
             return new or others
         if not self.in_touch:
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -326,6 +326,34 @@
         fleet.run(15.0)
         self.check(fleet, ROLLED_BACK)
 
+    def test_order_for_the_running_version(self) -> None:
+        """Without responses of an old version, ordinary failures would condemn the only one."""
+        version = Version(ordinary=0.08)
+        fleet = version.fleet = rollout_model.Fleet(version)
+        fleet.start_new()
+        fleet.remove_endpoints(OLD)
+        fleet.run(1.0)
+        fleet.store.put(duration_seconds=DURATION)
+        fleet.run(1.0)
+        self.check(fleet, COMPLETED)
+
+    def test_old_endpoints_die_early(self) -> None:
+        """The new version, which serves all requests, isn't condemned without a comparison."""
+        fleet = self.start(Version(ordinary=0.08))
+        fleet.run(0.1)
+        fleet.remove_endpoints(OLD)
+        fleet.run(DURATION)
+        self.check(fleet, COMPLETED)
+
+    def test_condemned_version_that_is_alone(self) -> None:
+        """It serves once no old endpoint is listed, instead of a refusal of every request."""
+        fleet = self.start(Version(ratio=1.0))
+        fleet.run(5.0)
+        self.assertIs(fleet.state, ROLLED_BACK)
+        fleet.remove_endpoints(OLD)
+        fleet.run(1.0)
+        self.assertEqual(0, fleet.unserved)
+
     def test_versions_without_an_order(self) -> None:
         """A new version gets nothing beside the running one, and everything once that is gone."""
         fleet = self.start(Version())
