Rollouts: the next gateway in rank writes a status that stays unwritten

A writer cut off from the store only stays live for its peers, so that nobody wrote the status. Rank k now decides, too, k times 3% of the duration (1 s at most) after the status is due. Two writers are harmless. test_writer_is_cut_off_from_the_store_only failed before and passes now.

--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -84,8 +84,13 @@
             if item.active and item.judge(False, now) is rollout_evidence.Verdict.BAD:
                 item.stop()
                 self.log_stop(item)
-            own_id = fleet.settings.instance_id
-            if not rollout_table.chooses_writer(service, own_id, fleet.live_gateways):
+            if not item.active and item.decided_at is None:
+                item.decided_at = now
+            rank = rollout_table.writer_rank(
+                service, fleet.settings.instance_id, fleet.live_gateways
+            )
+            # The first one may be cut off from the store, which its peers don't notice.
+            if rank and now < item.status_due_at() + rank * item.takeover_seconds():
                 continue
             usable = fleet.table.usable(service, now)
             was_active, drained_until = item.active, item.drain_until
--- a/src/masticward/state/rollout.py
+++ b/src/masticward/state/rollout.py
@@ -24,6 +24,12 @@
 # While the old endpoints get no new requests, their streams end.
 MAX_DRAIN_SECONDS = 3.0
 DRAIN_FRACTION = 0.08
+# Fraction of the duration from which on a good version is completed.
+DECIDE_FRACTION = 0.75
+# A status that is due is written by the next gateway in rank after this time, and this part of the
+# duration at most.
+TAKEOVER_SECONDS = 1.0
+TAKEOVER_FRACTION = 0.03
 # Time for the status to be written, in which the old endpoints still get nothing.
 WRITE_SECONDS = 2.0
 # Canary requests are sent in phases, and to few endpoints in turn, so that these have the load that
@@ -47,6 +53,7 @@
         "changed",
         "completed",
         "counts",
+        "decided_at",
         "drain_until",
         "has_old",
         "has_slack",
@@ -94,6 +101,8 @@
         self.sends = 0
         self.stopped = False
         self.completed = False
+        # When the decision was first seen by this gateway's keeper.
+        self.decided_at: float | None = None
         # End of the time in which the old endpoints get nothing, before the order is completed.
         self.drain_until = -math.inf
         # By endpoint: when responses are judged that it begins then or later.
@@ -115,6 +124,19 @@
         """Return whether the old endpoints get no new requests although nothing is decided."""
         return now < self.drain_until + WRITE_SECONDS
 
+    def status_due_at(self) -> float:
+        """Return since when the object should have another status."""
+        if self.decided_at is not None:
+            return self.decided_at
+        if self.order.state is None:
+            return self.started_at
+        decided_from = self.started_at + DECIDE_FRACTION * self.order.duration_seconds
+        return max(decided_from, self.drain_until)
+
+    def takeover_seconds(self) -> float:
+        """Return how long each gateway in rank waits for the one before it."""
+        return min(TAKEOVER_SECONDS, TAKEOVER_FRACTION * self.order.duration_seconds)
+
     def stop(self) -> bool:
         """Send nothing more to the new version; return whether that is new."""
         if not self.active:
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -11,10 +11,9 @@
 from masticward.state import rollout_evidence
 from masticward.utils import identifiers
 
-# Fractions of the duration: a good version is completed from the first one on; until the second
-# one it waits for as many endpoints as the old version has; from the last one on, what is
-# missing is no longer waited for.
-DECIDE_FRACTION = 0.75
+# Fractions of the duration: from DECIDE_FRACTION until the first one, a good version waits for as
+# many endpoints as the old version has; from the second one on, what is missing is no longer waited
+# for.
 CAPACITY_FRACTION = 0.88
 LAST_FRACTION = 0.92
 
@@ -269,7 +268,7 @@
         new_count = sum(item.version == target for item in endpoints)
         old_count = len(endpoints) - new_count
         elapsed = rollout.elapsed_fraction(now)
-        if elapsed < DECIDE_FRACTION:
+        if elapsed < rollout_module.DECIDE_FRACTION:
             return rollouts.RolloutState.RUNNING
         if not new_count:
             if elapsed >= LAST_FRACTION:
@@ -358,6 +357,12 @@
     return sum(counts.total for counts in by_route.values())
 
 
+def writer_rank(service: str, instance_id: str, live_ids: list[str]) -> int:
+    """Return how many of the live gateways go before one in writing an order's status."""
+    own = identifiers.stable_hash(service, instance_id)
+    return sum(identifiers.stable_hash(service, item) > own for item in live_ids)
+
+
 def chooses_writer(service: str, instance_id: str, live_ids: list[str]) -> bool:
     """Return whether a gateway ranks first among the live ones for an order's status."""
-    return instance_id == max(live_ids, key=lambda item: identifiers.stable_hash(service, item))
+    return writer_rank(service, instance_id, live_ids) == 0
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -261,6 +261,18 @@
                 fleet.run(1.0)
                 self.check(fleet, state)
 
+    def test_writer_is_cut_off_from_the_store_only(self) -> None:
+        """It stays live, because its peers hear it; the next in rank writes the status."""
+        for ratio, state in ((0.5, ROLLED_BACK), (0.0, COMPLETED)):
+            with self.subTest(state=state):
+                fleet = self.start(Version(ratio=ratio, since=6.0))
+                writer = next(name for name in fleet.gateways if rollout_rank(name))
+                other_store = rollout_model.ModelStore()
+                other_store.available = False
+                fleet.gateways[writer].keeper.source = other_store
+                fleet.run(DURATION)
+                self.check(fleet, state)
+
     def test_response_to_the_write_is_lost(self) -> None:
         """The written status is found by the next write or the watch, not written again."""
         fleet = self.start(Version())
