Rollouts: the drain ends by 95% of the duration

Decided at 92%, a drain of 8% ended with the duration, and the status was written too late. test_late_drain_ends_before_the_duration failed before and passes now.

--- a/src/masticward/state/rollout.py
+++ b/src/masticward/state/rollout.py
@@ -24,6 +24,8 @@
 # While the old endpoints get no new requests, their streams end.
 MAX_DRAIN_SECONDS = 3.0
 DRAIN_FRACTION = 0.08
+# The drain ends by this fraction, so that there is time to write the status.
+DRAINED_FRACTION = 0.95
 # Fraction of the duration from which on a good version is completed.
 DECIDE_FRACTION = 0.75
 # A status that is due is written by the next gateway in rank after this time, and this part of the
@@ -169,14 +171,16 @@
         requests_per_second = self.requests / max(0.001, now - self.started_at)
         self.affordable_seconds = max(0.0, allowed - self.sends) / max(0.001, requests_per_second)
 
-    def drain_seconds(self, live_ids: list[str]) -> float:
+    def drain_seconds(self, live_ids: list[str], now: float) -> float:
         """Return how long the drain lasts: as long as the allowances of nearly all gateways.
 
         One that has just started has a small one; its requests then go on to the old version.
         """
         affordable = [self.peer_affordable.get(name, math.inf) for name in live_ids]
         shortest = max(min(affordable, default=math.inf), 0.5 * self.affordable_seconds)
-        limit = min(MAX_DRAIN_SECONDS, DRAIN_FRACTION * self.order.duration_seconds)
+        duration = self.order.duration_seconds
+        left = max(0.0, self.started_at + DRAINED_FRACTION * duration - now)
+        limit = min(MAX_DRAIN_SECONDS, DRAIN_FRACTION * duration, left)
         return min(limit, DRAIN_PLAN_FRACTION * min(self.affordable_seconds, shortest))
 
     def route_counts(self, route: str) -> rollouts.RouteCounts:
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -288,7 +288,7 @@
         if rollout.drain_until == -math.inf:
             rollout.drain_until = now
             if old_count and new_count >= old_count:
-                rollout.drain_until += rollout.drain_seconds(live_ids)
+                rollout.drain_until += rollout.drain_seconds(live_ids, now)
             rollout.changed = True
         if now < rollout.drain_until:
             return rollouts.RolloutState.RUNNING
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -144,6 +144,19 @@
         recent = [at for at in fleet.sent_old_at if at > fleet.now - 0.8]
         self.assertEqual([], recent)
 
+    def test_late_drain_ends_before_the_duration(self) -> None:
+        """Deciding late, for lack of a majority, must leave time to write the status."""
+        order = rollouts.Order(service="app", target=NEW, duration_seconds=30.0, revision=5)
+        for decided_at, drained_until in ((27.7, 28.5), (29.0, 29.0)):
+            table = rollout_table.RolloutTable()
+            table.apply([("app", order)], False, 0.0)
+            table.majority = False
+            rollout = table.rollouts["app"]
+            rollout.affordable_seconds = 100.0
+            endpoints = [builders.make_endpoint(name, version=name) for name in (OLD, NEW)]
+            table.decide(rollout, endpoints, ["g0"], decided_at)
+            self.assertAlmostEqual(drained_until, rollout.drain_until)
+
     def test_bad_versions_are_rolled_back(self) -> None:
         """Bad at once, later, on one route, slow, in part, and found with few requests."""
         patterns = {
