Rollouts: orders and verdicts hold when the store is restored from a copy

Bare revisions were compared, so that an older order of the copy replaced or revived what was in force, and a listing that lacked an order deleted it. Known orders and their verdicts now hold at the first listing of an era; an order that was replaced, deleted or decided needs to be written anew; a missing one is dropped after 2 s of a stable listing; lost final statuses are written again. The four tests of RestoredStoreTest failed before (6 of 6 cases) and pass now.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -142,9 +142,11 @@
         It may have endpoints that have left, and lack endpoints and evacuations.
         """
         position = self.revisions.get(kind)
+        now = clocks.boot_time()
+        if kind is sources.ObjectKind.ROLLOUTS and (position is None or era > position.era):
+            self.rollouts.enter_era(era, position is not None, now)
         if position is None or era <= position.era:
             return
-        now = clocks.boot_time()
         if kind is sources.ObjectKind.ENDPOINTS:
             self.table.begin_era(now)
         elif kind is sources.ObjectKind.EVACUATIONS:
@@ -156,6 +158,8 @@
             return self.table.departures.check_at
         if kind is sources.ObjectKind.EVACUATIONS:
             return self.held_zones.check_at
+        if kind is sources.ObjectKind.ROLLOUTS:
+            return self.rollouts.restored.check_at
         return math.inf
 
     def awaits_peers(self, version: int, era: int, now: float) -> bool:
--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -110,7 +110,9 @@
                 rollouts.RolloutState.COMPLETED,
                 rollouts.RolloutState.ROLLED_BACK,
             )
-            if not final and item.order.state is not state:
+            # The store may have lost the object, which the operator then writes again.
+            is_missing = service in table.restored.missing
+            if not final and not is_missing and item.order.state is not state:
                 wanted[service] = state
         self.wanted = wanted
 
@@ -131,12 +133,17 @@
         item = self.table.rollouts.get(service)
         if item is None or self.wanted.get(service) is not state:
             return
-        order = item.order
+        order, era = item.order, self.table.era
         stored = await self.source.save_rollout_state(order, state)
         self.wanted.pop(service, None)
         current = self.table.rollouts.get(service)
-        if stored is None or (current is not None and stored.revision < current.order.revision):
-            # Deleted or changed meanwhile: the follower has to tell what is in force.
+        if (
+            stored is None
+            or self.table.era != era
+            or (current is not None and stored.revision < current.order.revision)
+        ):
+            # Deleted or changed meanwhile, or the store was restored: the follower has to tell what
+            # is in force.
             self.follower.relist_requested.set()
             return
         self.fleet.apply_rollouts([(service, stored)], False)
--- a/src/masticward/state/rollout.py
+++ b/src/masticward/state/rollout.py
@@ -57,6 +57,7 @@
         "counts",
         "decided_at",
         "drain_until",
+        "era",
         "has_old",
         "has_slack",
         "incidents",
@@ -78,6 +79,8 @@
 
     def __init__(self, order: rollouts.Order, has_slack: bool, now: float) -> None:
         self.order = order
+        # The store's era of the order's revision.
+        self.era = 0
         # The revision at which the order was written. Once it has a status, peers may know better.
         self.key = order.revision
         self.key_is_certain = order.state is None
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -8,7 +8,7 @@
 
 from masticward.models import gateway, rollouts
 from masticward.state import rollout as rollout_module
-from masticward.state import rollout_evidence
+from masticward.state import rollout_evidence, rollout_restore
 from masticward.utils import identifiers
 
 # Fractions of the duration: from DECIDE_FRACTION until the first one, a good version waits for as
@@ -16,6 +16,8 @@
 # for.
 CAPACITY_FRACTION = 0.88
 LAST_FRACTION = 0.92
+# Key of an order whose revision when it was written is unknown; any that a peer knows is lower.
+UNKNOWN_KEY = 2**62
 
 
 class RolloutTable:
@@ -23,10 +25,12 @@
 
     __slots__ = (
         "completed_targets",
+        "era",
         "gateway_count",
         "in_touch",
         "known",
         "majority",
+        "restored",
         "rollouts",
         "running",
     )
@@ -37,6 +41,9 @@
         self.running: dict[str, str] = {}
         # By service: the target of the latest order that was completed.
         self.completed_targets: dict[str, str] = {}
+        # The store's era of the listing, and what holds against a listing of a restored store.
+        self.era = 0
+        self.restored = rollout_restore.RestoredOrders()
         # Whether the orders were listed.
         self.known = False
         # Gateways among which the slack is divided.
@@ -52,22 +59,36 @@
         added = []
         listed = {order.service if order else name for name, order in items}
         if complete:
+            listed -= self.restored.begin_listing(items, self.rollouts, now)
             for service in [item for item in self.rollouts if item not in listed]:
-                del self.rollouts[service]
+                if service not in self.restored.missing:
+                    self.remove(service, now)
         for name, order in items:
             if order is None:
-                self.rollouts.pop(name, None)
+                self.restored.apply_change(name, now)
+                self.remove(name, now)
                 continue
-            rollout = self.rollouts.get(order.service)
-            if rollout is None or not is_same_order(rollout.order, order):
+            service = order.service
+            if complete and service not in listed:
+                continue
+            rollout = self.rollouts.get(service)
+            was_missing = not complete and self.restored.apply_change(service, now)
+            if rollout is None or not self.is_same_order(rollout, order, complete or was_missing):
+                if rollout is not None:
+                    self.remove(service, now)
+                self.restored.accept(service, order.target)
                 # An order of the first listing may be old, and its slack used up by this gateway's
                 # earlier incarnation.
                 rollout = rollout_module.Rollout(order, self.known, now)
-                self.rollouts[order.service] = rollout
+                if not self.known and self.era:
+                    # Peers may know it by a revision of the era in which it was written.
+                    rollout.key, rollout.key_is_certain = UNKNOWN_KEY, False
+                self.rollouts[service] = rollout
                 added.append(rollout)
             rollout.order = order
+            rollout.era = self.era
             # An order of what was completed, perhaps one whose status the store has lost.
-            if order.state is None and self.completed_targets.get(order.service) == order.target:
+            if order.state is None and self.completed_targets.get(service) == order.target:
                 self.complete(rollout)
             if order.state is rollouts.RolloutState.COMPLETED:
                 self.complete(rollout)
@@ -76,6 +97,37 @@
         self.known = True
         return added
 
+    def remove(self, service: str, now: float) -> None:
+        """Forget an order, except that there was one of its target."""
+        rollout = self.rollouts.pop(service, None)
+        if rollout is not None:
+            self.restored.record_past(service, rollout.order.target, now)
+
+    def enter_era(self, era: int, has_listing: bool, now: float) -> None:
+        """Prepare for the first listing in an era; ``has_listing`` tells that there was one."""
+        self.era = era
+        if has_listing:
+            self.restored.begin_era(now)
+
+    def is_same_order(
+        self, rollout: rollout_module.Rollout, order: rollouts.Order, complete: bool
+    ) -> bool:
+        """Return whether an object still holds the known order, perhaps with another status."""
+        known = rollout.order
+        if known.target != order.target or known.duration_seconds != order.duration_seconds:
+            return False
+        if order.state is not None:
+            return True
+        # The listing of a copy may lack the status.
+        if rollout.era < self.era:
+            return complete
+        # An order that is written again has no status. The status of one that was decided before
+        # the store was restored may not be written yet.
+        was_decided = known.state is not None or (
+            self.restored.entered and not complete and not rollout.active
+        )
+        return not (was_decided and order.revision > known.revision)
+
     def complete(self, rollout: rollout_module.Rollout) -> bool:
         """Put a completed order in force; return whether that is new."""
         if rollout.completed:
@@ -315,16 +367,6 @@
         return [f"{name} {item.order.revision}" for name, item in sorted(self.rollouts.items())]
 
 
-def is_same_order(known: rollouts.Order, order: rollouts.Order) -> bool:
-    """Return whether an object still holds the known order, perhaps with another status."""
-    return (
-        known.target == order.target
-        and known.duration_seconds == order.duration_seconds
-        # An order that is written again has no status.
-        and not (known.state and not order.state and order.revision > known.revision)
-    )
-
-
 def choose_canaries(
     rollout: rollout_module.Rollout, new: list[gateway.Endpoint], count: int, now: float
 ) -> list[gateway.Endpoint]:
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -2,10 +2,12 @@
 
 import typing
 import unittest
+import unittest.mock
 
 import msgspec
 
-from masticward.gateway import peering, placer, snapshots, sources
+from masticward.gateway import fleet as fleet_module
+from masticward.gateway import followers, peering, placer, snapshots, sources
 from masticward.models import gateway, rollouts
 from masticward.protocol import gateway_snapshots
 from masticward.state import rollout_table
@@ -413,6 +415,82 @@
         self.assertFalse([at for at in fleet.sent_old_at if at > since])
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """Guards against orders that a copy of the store brings back, or lacks, in a new era."""
+
+    def setUp(self) -> None:
+        bounds = msgspec.structs.replace(builders.make_bounds(), canary_share=0.1)
+        self.fleet = fleet_module.FleetState(builders.make_settings(bounds=bounds))
+        self.table = self.fleet.rollouts
+        self.follower = followers.Follower(
+            builders.UnusedStore(), self.fleet, sources.ObjectKind.ROLLOUTS
+        )
+        self.now = 100.0
+        self.enterContext(unittest.mock.patch.object(clocks, "boot_time", lambda: self.now))
+        self.list(110, 0)
+
+    def list(self, revision: int, era: int, *orders: rollouts.Order, complete: bool = True) -> None:
+        """Apply a listing or the changes of a watch."""
+        items = tuple(sources.StoredObject(item.service, item) for item in orders)
+        self.follower.apply_listing(sources.Listing(items, revision, complete, era), self.now)
+
+    def order(self, revision: int, target: str = NEW, **changes: typing.Any) -> rollouts.Order:
+        """Return an order."""
+        return rollouts.Order(
+            service="app", target=target, duration_seconds=30.0, revision=revision, **changes
+        )
+
+    def test_verdict_holds_until_the_order_is_written_anew(self) -> None:
+        """The copy lists it without its status, with a higher or lower revision."""
+        for revision in (60, 160):
+            with self.subTest(revision=revision):
+                self.setUp()
+                self.list(120, 0, self.order(120, state=ROLLED_BACK))
+                self.list(revision, 1, self.order(revision))
+                self.assertTrue(self.table.rollouts["app"].stopped)
+                self.assertIsNone(self.table.rollouts["app"].order.state)
+                self.list(revision + 5, 1, self.order(revision + 5), complete=False)
+                self.assertTrue(self.table.rollouts["app"].active)
+
+    def test_older_order_of_the_copy_does_not_replace_the_known_one(self) -> None:
+        """Neither while it is undecided nor after it was completed."""
+        for state in (None, COMPLETED):
+            with self.subTest(state=state):
+                self.setUp()
+                self.list(115, 0, self.order(115, state=COMPLETED))
+                self.list(120, 0, self.order(120, "v3", state=state), complete=False)
+                self.list(60, 1, self.order(60, state=COMPLETED))
+                self.assertEqual("v3", self.table.rollouts["app"].order.target)
+                self.assertEqual(state is COMPLETED, self.table.rollouts["app"].completed)
+                self.assertEqual("v3" if state else NEW, self.table.running["app"])
+                self.list(65, 1, self.order(65, "v3"), complete=False)
+                self.assertEqual(state is COMPLETED, self.table.rollouts["app"].completed)
+
+    def test_missing_order_is_dropped_once_the_listing_is_stable(self) -> None:
+        """The operator writes it again within that time."""
+        self.list(120, 0, self.order(120))
+        known = self.table.rollouts["app"]
+        self.list(60, 1)
+        self.assertIs(known, self.table.rollouts["app"])
+        self.assertEqual(102.0, self.fleet.check_at(sources.ObjectKind.ROLLOUTS))
+        self.now = 101.0
+        self.list(70, 1, self.order(70), complete=False)
+        self.assertIs(known, self.table.rollouts["app"])
+        self.list(61, 2)
+        self.now = 103.5
+        self.list(61, 2)
+        self.assertNotIn("app", self.table.rollouts)
+
+    def test_deleted_order_stays_deleted(self) -> None:
+        """Else the copy brings its target back into use."""
+        self.list(120, 0, self.order(120))
+        self.list(125, 0)
+        self.list(60, 1, self.order(60))
+        self.assertEqual({}, self.table.rollouts)
+        self.list(61, 1, self.order(61), complete=False)
+        self.assertIn("app", self.table.rollouts)
+
+
 def rollout_rank(name: str) -> bool:
     """Return whether a gateway of the model writes the status."""
     return rollout_table.chooses_writer("app", name, [f"g{number}" for number in range(4)])
@@ -461,7 +539,7 @@
         self.assertTrue(8 <= chosen.count("b") <= 20, chosen.count("b"))
 
     def test_share_holds_while_the_old_endpoint_is_closed(self) -> None:
-        """Else a moment of backoff of the old endpoints sends the whole queue to the new version."""
+        """Else a moment of backoff of the old ones sends the whole queue to the new version."""
         pool = self.make_pool(0.1)
         pool.fleet.health.record_unreachable("a", pool.now)
         self.assertTrue(pool.fleet.health.in_backoff("a", pool.now))
