Rollouts: a placed request is sent only to a version that may get requests

After the order was replaced or deleted, a request placed at its target was still sent there. test_placed_request_is_not_sent_to_a_version_that_has_no_order failed before and passes now.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -447,6 +447,12 @@
         ]
         return self.rollouts.select(service, usable, listed, canary_share, now)
 
+    def allows_version(self, endpoint: gateway.Endpoint, now: float) -> bool:
+        """Return whether a placed request may still be sent to an endpoint of that version."""
+        if self.settings.bounds.canary_share is None:
+            return True
+        return self.rollouts.allows(endpoint, self.usable_endpoints(endpoint.service, now))
+
     def drop_expired_endpoints(self) -> None:
         """Drop endpoints whose grace period after a store outage has ended."""
         changes: list[endpoint_table.Change] = []
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -367,7 +367,7 @@
             or not self.fleet.quarantine.may_still_send(
                 self.waiting_request.part_keys, self.metadata.request_id
             )
-            or not self.fleet.rollouts.allows(endpoint)
+            or not self.fleet.allows_version(endpoint, now)
         ):
             self.dependencies.endpoint_client.pool.release(endpoint, connection.channel, None)
             return None
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -225,14 +225,22 @@
             and rollout.may_send(bounds, self.gateway_count, now)
         )
 
-    def allows(self, endpoint: gateway.Endpoint) -> bool:
-        """Return whether a request that was placed may still be sent to its endpoint."""
+    def allows(
+        self, endpoint: gateway.Endpoint, selected: collections.abc.Sequence[gateway.Endpoint]
+    ) -> bool:
+        """Return whether a request that was placed may still be sent to its endpoint.
+
+        ``selected`` are the endpoints of the service that requests may be placed at now.
+        """
         rollout = self.rollouts.get(endpoint.service)
-        if rollout is None or rollout.active:
+        if rollout is not None and rollout.completed:
+            if endpoint.incarnation in rollout.old_incarnations:
+                return False
+        elif rollout is not None and rollout.stopped and not selected:
+            return endpoint.version != rollout.order.target
+        if not selected or any(item.version == endpoint.version for item in selected):
             return True
-        if rollout.completed:
-            return endpoint.incarnation not in rollout.old_incarnations
-        return endpoint.version != rollout.order.target
+        return endpoint.version in ("", self.running.get(endpoint.service, ""))
 
     def active(self, service: str) -> rollout_module.Rollout | None:
         """Return the undecided order of a service."""
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -547,6 +547,20 @@
         self.assertEqual(["b"], [item.id for item in closed.candidates])
         self.assertEqual(frozenset({"b"}), closed.canary_ids)
 
+    def test_placed_request_is_not_sent_to_a_version_that_has_no_order(self) -> None:
+        """The order may be replaced or deleted between the placement and the send."""
+        fleet = self.make_pool(0.1).fleet
+        now = clocks.boot_time()
+        old, new = fleet.table.endpoints["a"], fleet.table.endpoints["b"]
+        self.assertTrue(fleet.allows_version(new, now))
+        replaced = rollouts.Order(service="llm", target="v3", duration_seconds=30.0, revision=6)
+        for item in (replaced, None):
+            fleet.apply_rollouts([("llm", item)], False)
+            self.assertFalse(fleet.allows_version(new, now))
+            self.assertTrue(fleet.allows_version(old, now))
+        fleet.apply_endpoints([("a", None)], False)
+        self.assertTrue(fleet.allows_version(new, now))
+
     def test_nothing_changes_without_the_setting(self) -> None:
         """Versions don't matter to deployments without rollouts."""
         pool = self.make_pool(None)
