--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -54,17 +54,25 @@
     async def run_writes(self) -> None:
         """Write decisions until cancelled."""
         while True:
-            try:
-                for service, state in list(self.wanted.items()):
-                    await self.write(service, state)
+            if not await self.write_wanted():
+                await asyncio.sleep(RETRY_SECONDS)
+            else:
                 await asyncio.sleep(WRITE_POLL_SECONDS if self.enabled else OFF_POLL_SECONDS)
+
+    async def write_wanted(self) -> bool:
+        """Write all decisions; return whether none has failed."""
+        written = True
+        for service, state in list(self.wanted.items()):
+            try:
+                await self.write(service, state)
             except errors.StoreError as error:
+                written = False
                 LOGGER.log(
                     events.Event.ROLLOUT_STATUS_NOT_WRITTEN,
-                    wanted={name: state.value for name, state in self.wanted.items()},
+                    wanted={service: state.value},
                     error=str(error),
                 )
-                await asyncio.sleep(RETRY_SECONDS)
+        return written
 
     def check(self, now: float) -> None:
         """Stop the versions that are bad; set the states to be written by this gateway."""
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -1,11 +1,13 @@
 """Rollouts of a new version by several gateways: verdict, exposure, status and failures midway."""
 
+import asyncio
 import typing
 import unittest
 import unittest.mock
 
 import msgspec
 
+from masticward import errors
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import followers, peering, placer, snapshots, sources
 from masticward.models import gateway, rollouts
@@ -415,6 +417,32 @@
         self.assertFalse([at for at in fleet.sent_old_at if at > since])
 
 
+class WritesTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a status that is not written because of another one."""
+
+    async def test_a_failing_write_does_not_hold_up_others(self) -> None:
+        """The store may refuse the write of one object for long."""
+        fleet = rollout_model.Fleet(Version(), gateways=1)
+        keeper = fleet.gateways["g0"].keeper
+        written = []
+
+        async def save(order: rollouts.Order, state: rollouts.RolloutState) -> rollouts.Order:
+            if order.service == "app":
+                raise errors.StoreUnavailableError("rollouts")
+            written.append(order.service)
+            return msgspec.structs.replace(order, state=state)
+
+        for service in ("app", "chat"):
+            order = rollouts.Order(service=service, target=NEW, duration_seconds=30.0, revision=101)
+            keeper.table.apply([(service, order)], False, fleet.now)
+        keeper.check(fleet.now)
+        with unittest.mock.patch.object(keeper.source, "save_rollout_state", save):
+            writing = asyncio.ensure_future(keeper.run_writes())
+            await asyncio.sleep(0.2)
+            writing.cancel()
+        self.assertEqual(["chat"], written)
+
+
 class RestoredStoreTest(unittest.TestCase):
     """Guards against orders that a copy of the store brings back, or lacks, in a new era."""
 
