--- a/src/masticward/state/rollout_evidence.py
+++ b/src/masticward/state/rollout_evidence.py
@@ -283,7 +283,7 @@
                 several_endpoints,
             )
             is_bad |= total.is_bad() or recent.is_bad()
-            is_finally |= is_final and is_finally_bad(counts, route == ALL_ROUTES)
+            is_finally |= is_final and is_finally_bad(total, route == ALL_ROUTES)
         if now - self.stepped_at >= STEP_SECONDS:
             self.stepped_at = now
             self.beyond = beyond
@@ -300,9 +300,9 @@
         return Verdict.GOOD if is_final else Verdict.UNDECIDED
 
 
-def is_finally_bad(counts: rollouts.RouteCounts, is_total: bool) -> bool:
+def is_finally_bad(comparison: Comparison, is_total: bool) -> bool:
     """Return whether few responses, after which no more will come, speak against the version."""
-    new, old = counts.new, counts.old
+    new, old = comparison.counts.new, comparison.counts.old
     nearly_all_fail = (
         new.failures >= max(MIN_FEW_FAILURES, FEW_RATIO * new.responses)
         and old.failures <= 0.5 * old.responses
@@ -317,4 +317,8 @@
     return (
         new.failures >= MIN_FINAL_FAILURES
         and is_above(new.failures, new.responses, old.failures, old.responses)
-    ) or (new.slow >= MIN_FINAL_SLOW and is_above(new.slow, new.timed, old.slow, old.timed))
+    ) or (
+        new.slow >= MIN_FINAL_SLOW
+        and is_above(new.slow, new.timed, old.slow, old.timed)
+        and comparison.is_slow_elsewhere()
+    )
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -12,7 +12,7 @@
 from masticward.gateway import followers, peering, placer, snapshots, sources
 from masticward.models import gateway, rollouts
 from masticward.protocol import gateway_snapshots
-from masticward.state import rollout_table
+from masticward.state import rollout_evidence, rollout_table
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
 from tests.lib import rollout_model
@@ -161,6 +161,19 @@
             table.decide(rollout, endpoints, ["g0"], decided_at)
             self.assertAlmostEqual(drained_until, rollout.drain_until)
 
+    def test_slow_machine_at_the_end(self) -> None:
+        """With few responses, those of one slow machine must not condemn the version."""
+        counts = rollouts.RouteCounts(
+            rollouts.VersionCounts(12, 0, 12, 6), rollouts.VersionCounts(100, 0, 100, 0)
+        )
+        for endpoints, verdict in (
+            ({"e1": (6, 6), "e2": (6, 0)}, rollout_evidence.Verdict.GOOD),
+            ({"e1": (6, 3), "e2": (6, 3)}, rollout_evidence.Verdict.BAD),
+        ):
+            counts.endpoints = endpoints
+            judge = rollout_evidence.Judge(0.0)
+            self.assertIs(verdict, judge.judge({"r1": counts}, True, True, 0.0))
+
     def test_bad_versions_are_rolled_back(self) -> None:
         """Bad at once, later, on one route, slow, in part, and found with few requests."""
         patterns = {
