--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -149,8 +149,12 @@
         """
         rollout = self.rollouts.get(service)
         target = rollout.order.target if rollout is not None and not rollout.completed else None
+        endpoints = list(endpoints)
         listed = [item for item in endpoints if item.version and item.version != target]
         current = self.running.get(service, "")
+        # Beside endpoints without a version, those that have one are new.
+        if not current and any(not item.version for item in endpoints):
+            return ""
         if not listed or any(item.version == current for item in listed):
             return current
         self.running[service] = min(listed, key=lambda item: (item.born, item.id)).version
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -411,6 +411,20 @@
         self.assertEqual(0, fleet.unserved)
         self.assertGreater(fleet.sent[NEW], 0)
 
+    def test_new_version_beside_unlabelled_endpoints(self) -> None:
+        """Without an order it gets nothing, although no other endpoint states a version."""
+        version = Version()
+        fleet = version.fleet = rollout_model.Fleet(version)
+        fleet.remove_endpoints(OLD)
+        fleet.add_endpoint("unlabelled", "")
+        fleet.start_new()
+        fleet.run(2.0)
+        self.assertNotIn(NEW, {name for name, count in fleet.sent.items() if count})
+        self.assertEqual(0, fleet.unserved)
+        fleet.remove_endpoints("")
+        fleet.run(1.0)
+        self.assertGreater(fleet.sent[NEW], 0)
+
     def test_status_that_the_store_has_lost_is_written_again(self) -> None:
         """A completed order stays in force although a restored store lists it without a status."""
         fleet = self.start(Version())
