Rollouts: contact with peers is a deadline, tested at placement and before the send

A flag set every 50 ms let a process that was frozen send queued requests to canaries before its next check. test_canaries_get_nothing_after_a_freeze failed before and passes now.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -424,6 +424,7 @@
         """Apply a peer's evidence and decisions on rollouts."""
         if self.settings.bounds.canary_share is None:
             return
+        self.rollouts.in_touch_until = now + rollout_table.IN_TOUCH_SECONDS
         for report in reports:
             if self.rollouts.merge(report, sender, now) is not None:
                 LOGGER.log(
--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -1,6 +1,7 @@
 """Decides on orders to roll out a version, and writes their status to the store."""
 
 import asyncio
+import math
 
 from masticward import errors, events, logs
 from masticward.gateway import fleet as fleet_module
@@ -84,6 +85,8 @@
             table.in_touch = live > 1
         else:
             table.in_touch = live > 1 or known == 1
+        if known == 1:
+            table.in_touch_until = math.inf
         wanted = {}
         for service, item in table.rollouts.items():
             # Also updates what the order has to know of the endpoints.
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -16,6 +16,8 @@
 # for.
 CAPACITY_FRACTION = 0.88
 LAST_FRACTION = 0.92
+# A gateway that has heard no peer for this time sends nothing more to the new version.
+IN_TOUCH_SECONDS = 1.2
 # Key of an order whose revision when it was written is unknown; any that a peer knows is lower.
 UNKNOWN_KEY = 2**62
 
@@ -28,6 +30,7 @@
         "era",
         "gateway_count",
         "in_touch",
+        "in_touch_until",
         "known",
         "majority",
         "restored",
@@ -50,6 +53,9 @@
         self.gateway_count = 1
         # Whether peers are heard, if there are any, and whether it is most of them.
         self.in_touch = True
+        # When the latest message of a peer is too old; infinite without peers. It also holds in a
+        # process that was frozen, before its next check.
+        self.in_touch_until = math.inf
         self.majority = True
 
     def apply(
@@ -194,7 +200,7 @@
         rollout.has_old = bool(old)
         if not old:
             return new or others
-        if not self.in_touch:
+        if not self.in_touch or now >= self.in_touch_until:
             return old
         rollout.new_count = len(new)
         if not rollout.is_draining(now):
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -9,7 +9,7 @@
 
 from masticward import errors
 from masticward.gateway import fleet as fleet_module
-from masticward.gateway import followers, peering, placer, snapshots, sources
+from masticward.gateway import followers, peering, placer, rollout_keeper, snapshots, sources
 from masticward.models import gateway, rollouts
 from masticward.protocol import gateway_snapshots
 from masticward.state import rollout_evidence, rollout_table
@@ -616,6 +616,21 @@
         fleet.apply_endpoints([("a", None)], False)
         self.assertTrue(fleet.allows_version(new, now))
 
+    def test_canaries_get_nothing_after_a_freeze(self) -> None:
+        """Requests that were queued meanwhile run before the periodic check."""
+        fleet = self.make_pool(0.1).fleet
+        fleet.known_gateway_count, fleet.live_gateways = 2, [fleet.settings.instance_id, "g2"]
+        store = rollout_model.ModelStore()
+        follower = followers.Follower(store, fleet, sources.ObjectKind.ROLLOUTS)
+        now = clocks.boot_time()
+        fleet.merge_rollouts([], ("g2", 1), now)
+        rollout_keeper.RolloutKeeper(store, fleet, follower).check(now)
+        for seconds, expected in ((1.0, {"a", "b"}), (1.3, {"a"})):
+            usable = fleet.usable_endpoints("llm", now + seconds)
+            self.assertEqual(expected, {item.id for item in usable})
+            allowed = fleet.allows_version(fleet.table.endpoints["b"], now + seconds)
+            self.assertEqual("b" in expected, allowed)
+
     def test_nothing_changes_without_the_setting(self) -> None:
         """Versions don't matter to deployments without rollouts."""
         pool = self.make_pool(None)
