--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -503,7 +503,11 @@
                 self.list(120, 0, self.order(120, state=ROLLED_BACK))
                 self.list(revision, 1, self.order(revision))
                 self.assertTrue(self.table.rollouts["app"].stopped)
-                self.assertIsNone(self.table.rollouts["app"].order.state)
+                keeper = rollout_keeper.RolloutKeeper(
+                    rollout_model.ModelStore(), self.fleet, self.follower
+                )
+                keeper.check(self.now)
+                self.assertEqual({"app": ROLLED_BACK}, keeper.wanted)
                 self.list(revision + 5, 1, self.order(revision + 5), complete=False)
                 self.assertTrue(self.table.rollouts["app"].active)
 
