--- a/src/masticward/gateway/rollout_keeper.py
+++ b/src/masticward/gateway/rollout_keeper.py
@@ -7,7 +7,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import followers, sources
 from masticward.models import rollouts
-from masticward.state import cold_start, rollout, rollout_evidence, rollout_table
+from masticward.state import cold_start, rollout, rollout_choice, rollout_evidence
 from masticward.utils import clocks
 
 CHECK_SECONDS = 0.05
@@ -97,7 +97,7 @@
                 self.log_stop(item)
             if not item.active and item.decided_at is None:
                 item.decided_at = now
-            rank = rollout_table.writer_rank(
+            rank = rollout_choice.writer_rank(
                 service, fleet.settings.instance_id, fleet.live_gateways
             )
             # The first one may be cut off from the store, which its peers don't notice.
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -8,8 +8,7 @@
 
 from masticward.models import gateway, rollouts
 from masticward.state import rollout as rollout_module
-from masticward.state import rollout_evidence, rollout_restore
-from masticward.utils import identifiers
+from masticward.state import rollout_choice, rollout_evidence, rollout_restore
 
 # Fractions of the duration: from DECIDE_FRACTION until the first one, a good version waits for as
 # many endpoints as the old version has; from the second one on, what is missing is no longer waited
@@ -190,7 +189,7 @@
         if rollout.active and running == target and endpoints and not has_others:
             self.complete(rollout)
         if rollout.completed:
-            return select_completed(rollout, endpoints)
+            return rollout_choice.select_completed(rollout, endpoints)
         old = [item for item in old if item.version != target]
         new = [item for item in endpoints if item.version == target]
         others = [item for item in endpoints if item.version != target]
@@ -204,7 +203,7 @@
             return old
         rollout.new_count = len(new)
         if not rollout.is_draining(now):
-            new = choose_canaries(
+            new = rollout_choice.choose_canaries(
                 rollout,
                 new,
                 max(rollout_module.MIN_CANARIES, math.ceil(canary_share * len(old))),
@@ -385,44 +384,6 @@
         return [f"{name} {item.order.revision}" for name, item in sorted(self.rollouts.items())]
 
 
-def choose_canaries(
-    rollout: rollout_module.Rollout, new: list[gateway.Endpoint], count: int, now: float
-) -> list[gateway.Endpoint]:
-    """Return the endpoints of the new version that get requests in the present phase."""
-    warm = [item for item in new if item.cold_until <= now]
-    ranked = sorted(warm or new, key=lambda item: identifiers.stable_hash(item.id))
-    if not ranked:
-        return []
-    first = int((now - rollout.started_at) / rollout.phase_seconds()) * count % len(ranked)
-    return (ranked[first:] + ranked[:first])[:count]
-
-
-def select_completed(
-    rollout: rollout_module.Rollout, endpoints: list[gateway.Endpoint]
-) -> list[gateway.Endpoint]:
-    """Return the endpoints that get requests after an order was completed.
-
-    The old ones get none. Endpoints of a third version have replaced the target's since, if those
-    are gone.
-    """
-    target, old = rollout.order.target, rollout.old_incarnations
-    selected = [item for item in endpoints if item.version == target]
-    if not selected:
-        selected = [item for item in endpoints if item.incarnation not in old]
-    return selected
-
-
 def sum_of(by_route: dict[str, rollouts.RouteCounts]) -> int:
     """Return the sum of all counts."""
     return sum(counts.total for counts in by_route.values())
-
-
-def writer_rank(service: str, instance_id: str, live_ids: list[str]) -> int:
-    """Return how many of the live gateways go before one in writing an order's status."""
-    own = identifiers.stable_hash(service, instance_id)
-    return sum(identifiers.stable_hash(service, item) > own for item in live_ids)
-
-
-def chooses_writer(service: str, instance_id: str, live_ids: list[str]) -> bool:
-    """Return whether a gateway ranks first among the live ones for an order's status."""
-    return writer_rank(service, instance_id, live_ids) == 0
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -12,7 +12,7 @@
 from masticward.gateway import followers, peering, placer, rollout_keeper, snapshots, sources
 from masticward.models import gateway, rollouts
 from masticward.protocol import gateway_snapshots
-from masticward.state import rollout_evidence, rollout_table
+from masticward.state import rollout_choice, rollout_evidence, rollout_table
 from masticward.utils import clocks
 from tests.lib import gateway_builders as builders
 from tests.lib import rollout_model
@@ -552,7 +552,7 @@
 
 def rollout_rank(name: str) -> bool:
     """Return whether a gateway of the model writes the status."""
-    return rollout_table.chooses_writer("app", name, [f"g{number}" for number in range(4)])
+    return rollout_choice.chooses_writer("app", name, [f"g{number}" for number in range(4)])
 
 
 class PlacementTest(unittest.TestCase):
