--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -305,12 +305,14 @@
         Unless it has ``ended``, it counts only if the response is late.
         """
         now = clocks.boot_time()
+        choice = attempt.grant.choice
         if not attempt.grant.reservation.prefilled:
+            # A machine that says that it is slow says nothing of the version.
             self.fleet.rollouts.record_time(
                 attempt.endpoint,
                 self.route.name,
                 now - attempt.sent_at,
-                attempt.grant.choice.expected_seconds,
+                choice.expected_seconds * choice.time_factor,
                 now,
                 ended,
             )
--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -252,7 +252,6 @@
         path = f"/objects/{KIND_NAMES[kind]}/{urllib.parse.quote(order.service)}/status"
         document = {
             "metadata": {"name": order.service, "revision": order.revision},
-            "revision": order.revision,
             "status": {"state": state, "target": order.target},
         }
         status, data = await self.call(kind, b"PUT", path, CALL_TIMEOUT_SECONDS, document)
