Large prompts begin at engines that short ones keep busy

Cause: an engine takes a prompt if its backlog and the prompt's unread tokens fit into the prefill window of 0.35 s, 17,500 tokens. A larger prompt got only an engine without any unread token, so that short ones passed it for as long as they came. Change: where the settings or the endpoints' figures say that capacity is short, at most 8,000 tokens of a prompt's own part count against the window; its shared part counts in full. Measured: test_large_prompts fails before (30,000 own tokens behind 6,000 unread ones) and passes now.

--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -315,6 +315,10 @@
             self.revisions[kind] = sources.Position(era, to_revision)
         return True
 
+    def has_limited_capacity(self, service: str) -> bool:
+        """Return whether the settings, or figures of the endpoints, say that capacity is short."""
+        return self.settings.limited_memory or self.speeds.is_reported(service)
+
     def find_route(self, host: str, path: str) -> gateway.Route | None:
         """Return the host's route with the longest prefix of a path, None without one."""
         routes = self.routes_by_host.get(host)
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -113,6 +113,7 @@
         "engine_states",
         "fleet",
         "full_window_seconds",
+        "max_own_tokens",
         "now",
         "placer",
         "prefill_utilization",
@@ -132,6 +133,9 @@
         # Widest prefill window for which no engine has capacity; valid for the whole scan, because
         # a scan only adds load to engines.
         self.full_window_seconds = 0.0
+        self.max_own_tokens = math.inf
+        if self.fleet.has_limited_capacity(service_name):
+            self.max_own_tokens = placement.MAX_COUNTED_OWN_TOKENS
         if self.engine is not None:
             self.connected_ids = request_placer.connected_ids()
             self.engine_states = placement.engine_states(
@@ -186,6 +190,7 @@
             request.metadata,
             placement.recompute_weight(waited_seconds, target_seconds, prefill_utilization),
             placement.prefill_window_seconds(excess_by_team.get(request.team)),
+            self.max_own_tokens,
         )
 
     def excludes_all(self, request: WaitingRequest) -> bool:
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -51,6 +51,10 @@
 # Smallest prefill window of any team: load updates reach a busy gateway up to 60 ms late, and
 # engines must not run idle in the meantime.
 MIN_WINDOW_SECONDS = 0.06
+# Unread tokens of a prompt's own part that count against the prefill window under insufficient
+# capacity. They leave 0.19 s of the window for the backlog ahead, so that a prompt of up to 30,000
+# tokens is in time for a target of 0.8 s.
+MAX_COUNTED_OWN_TOKENS = 8_000
 # Fraction of an engine's cache tokens that running requests may occupy.
 MAX_MEMORY_FRACTION = 0.9
 # Owners are cached because each placement attempt would otherwise hash all endpoints again.
@@ -232,10 +236,12 @@
     metadata: gateway.RequestMetadata,
     recompute_weight: float,
     window_seconds: float,
+    max_own_tokens: float = math.inf,
 ) -> Choice | None:
     """Return the engine with the lowest expected cost; None if there are no engines.
 
-    ``compared`` has the engines that ``engines_to_compare`` returned for ``keys``. The cost is the
+    ``compared`` has the engines that ``engines_to_compare`` returned for ``keys``;
+    ``max_own_tokens`` is that of ``has_capacity``. The cost is the
     expected time to the first event in seconds, plus penalties for failures, for recomputing the
     shared prefix, and for each owner that ranks before the engine.
     """
@@ -266,7 +272,9 @@
         cost_seconds=best_cost,
         expected_seconds=best_expected,
         unread_tokens=best_unread,
-        has_capacity=has_capacity(best, engine, metadata, best_unread, window_seconds),
+        has_capacity=has_capacity(
+            best, engine, metadata, best_unread, window_seconds, max_own_tokens
+        ),
         slowness=best.slowness,
         owner_id=compared[0][1].endpoint.id if shared_tokens else None,
         time_factor=best.time_factor,
@@ -294,8 +302,14 @@
     metadata: gateway.RequestMetadata,
     unread_tokens: int,
     window_seconds: float,
+    max_own_tokens: float = math.inf,
 ) -> bool:
-    """Return whether an engine may be sent a request now; an idle engine takes any request."""
+    """Return whether an engine may be sent a request now; an idle engine takes any request.
+
+    At most ``max_own_tokens`` of the last part of the prompt count, which no other request shares:
+    no engine reads them sooner than another. A shared part counts in full, as other engines cache
+    it.
+    """
     load = state.load
     if load.requests == 0:
         return True
@@ -304,8 +318,10 @@
         return False
     if load.unread_tokens <= 0:
         return True
+    own_tokens = metadata.parts[-1].tokens if metadata.parts else metadata.prompt_tokens
+    counted_tokens = unread_tokens - max(0.0, min(own_tokens, unread_tokens) - max_own_tokens)
     slowness = state.slowness * state.time_factor
-    seconds = (load.unread_tokens + unread_tokens) * slowness / PREFILL_TOKENS_PER_SECOND
+    seconds = (load.unread_tokens + counted_tokens) * slowness / PREFILL_TOKENS_PER_SECOND
     return seconds <= window_seconds
 
 
