Split costs, comparison and random draws off placement

Cause: an explanation of a placement must use the code that places, without its side effects and random draws.

Change: placement.engine_cost and plain_cost return the cost with its terms, CandidatePool.compare_engines the engines that a choice compares, PartQuarantine.mark_tested records a test without a log line; retry delays and samples are drawn through methods that a dry run replaces. No change of behaviour.

Measured: test_gateway_state, test_gateway_waiting, test_scattered_prefixes and test_endpoint_speed, 81 tests, pass as before.

--- a/src/masticward/gateway/front.py
+++ b/src/masticward/gateway/front.py
@@ -146,13 +146,17 @@
         deadline = min(metadata.deadline, metadata.arrived_at + route.timeout_seconds)
         if self.fleet.can_finish(route, metadata.output_tokens, deadline, now, now):
             return
-        delay = STOPPING_RETRY_JITTER_SECONDS * random.random()
+        delay = STOPPING_RETRY_JITTER_SECONDS * self.draw()
         if self.available_peers() < MIN_PEERS_FOR_RETRY:
             delay += self.leave_rotation_seconds(metadata.deadline - now)
         raise request_path.RefusalError(
             503, request_path.STOPPING_REASON, delay, closes_connection=True
         )
 
+    def draw(self) -> float:
+        """Return a random number from 0 to 1, by which retry delays are spread."""
+        return random.random()
+
     def leave_rotation_seconds(self, remaining_seconds: float) -> float:
         """Return how long a client waits until gateways that leave get no new connections.
 
@@ -177,7 +181,7 @@
             remaining_seconds = metadata.deadline - clocks.boot_time()
             # Clients that return before the gateway has left the rotation reach it again.
             delay = min(
-                load_shedding.ROTATION_EXIT_SECONDS + SHED_RETRY_JITTER_SECONDS * random.random(),
+                load_shedding.ROTATION_EXIT_SECONDS + SHED_RETRY_JITTER_SECONDS * self.draw(),
                 SHED_RETRY_DEADLINE_FRACTION * max(0.0, remaining_seconds),
             )
             raise request_path.RefusalError(503, "gateway is late", delay, closes_connection=True)
--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -90,6 +90,14 @@
         self.future: asyncio.Future[placement.Choice | PlacementRefusal] | None = None
 
 
+class EngineComparison(msgspec.Struct, frozen=True):
+    """The engines among which a request is placed, with their ranks, and what it is judged by."""
+
+    compared: list[tuple[int, placement.EngineState]]
+    recompute_weight: float
+    window_seconds: float
+
+
 class CandidatePool:
     """The endpoints of a service that may receive requests, during one scan of its queue."""
 
@@ -134,12 +142,7 @@
         ``excess_by_team`` maps teams above their fair share to the multiple of it they received.
         A test of suspected parts gets no endpoint that has crashed or at which others are tested.
         """
-        excluded_ids = request.excluded_endpoint_ids
-        if is_test:
-            avoided = self.fleet.quarantine.endpoints_to_avoid(self.now)
-            excluded_ids = excluded_ids | {
-                item.id for item in self.candidates if item.incarnation in avoided
-            }
+        excluded_ids = self.excluded_ids(request, is_test)
         if self.engine is None:
             candidates = self.candidates
             if excluded_ids:
@@ -148,6 +151,37 @@
             return placement.choose_plain_endpoint(
                 candidates, zone, self.fleet.view, self.now, request.route.retryable
             )
+        comparison = self.compare_engines(request, excess_by_team, excluded_ids)
+        return placement.choose_engine(
+            comparison.compared,
+            self.engine,
+            request.prefix_keys,
+            request.metadata,
+            comparison.recompute_weight,
+            comparison.window_seconds,
+        )
+
+    def excluded_ids(self, request: WaitingRequest, is_test: bool) -> set[str]:
+        """Return the IDs of the candidates that a request may not use."""
+        excluded_ids = request.excluded_endpoint_ids
+        if is_test:
+            avoided = self.fleet.quarantine.endpoints_to_avoid(self.now)
+            excluded_ids = excluded_ids | {
+                item.id for item in self.candidates if item.incarnation in avoided
+            }
+        return excluded_ids
+
+    def compare_engines(
+        self,
+        request: WaitingRequest,
+        excess_by_team: dict[str, float],
+        excluded_ids: set[str],
+        sample: collections.abc.Callable[[list[str], int], list[str]] | None = None,
+    ) -> EngineComparison:
+        """Return the engines among which a request is placed; ``sample`` draws some of many.
+
+        Without ``sample`` they are drawn as the placer does.
+        """
         states = self.engine_states
         if excluded_ids:
             states = {
@@ -161,16 +195,14 @@
         others_in_excess = bool(excess_by_team) and request.team not in excess_by_team
         prefill_utilization = 0.0 if others_in_excess else self.prefill_utilization
         waited_seconds = self.now - request.arrived_at
-        return placement.choose_engine(
+        return EngineComparison(
             placement.engines_to_compare(
                 states,
                 request.prefix_keys,
                 waited_seconds / target_seconds,
                 self.connected_ids,
+                sample or self.placer.sample,
             ),
-            self.engine,
-            request.prefix_keys,
-            request.metadata,
             placement.recompute_weight(waited_seconds, target_seconds, prefill_utilization),
             placement.prefill_window_seconds(excess_by_team.get(request.team)),
         )
@@ -229,6 +261,8 @@
         self.scanned_at = 0.0
         self.scan_interval_seconds = QUEUE_SCAN_SECONDS
         self.on_prompt = on_prompt
+        # Draws engines to compare; None for the generator of the placement.
+        self.sample: collections.abc.Callable[[list[str], int], list[str]] | None = None
 
     async def run(self) -> None:
         """Scan the queues periodically until cancelled."""
@@ -282,7 +316,7 @@
                 item.arrived_at,
             )
         )
-        pool = CandidatePool(self, service, now)
+        pool = self.build_pool(service, now)
         opens_at = now if pool.candidates else self.opens_at(service, now)
         quarantine = self.fleet.quarantine
         tokens_ahead = 0
@@ -345,6 +379,14 @@
             if delays_others:
                 tokens_ahead += request.unread_tokens
 
+    def build_pool(self, service: str, now: float) -> CandidatePool:
+        """Return the endpoints of a service for one scan of its queue."""
+        return CandidatePool(self, service, now)
+
+    def draw(self) -> float:
+        """Return a random number from 0 to 1, by which retry delays are spread."""
+        return random.random()
+
     def hold_back(
         self,
         request: WaitingRequest,
@@ -358,7 +400,7 @@
         Return False if the request may be sent now.
         """
         reason = ""
-        jitter = RETRY_AFTER_JITTER_FRACTION * random.random()
+        jitter = RETRY_AFTER_JITTER_FRACTION * self.draw()
         retry_after_seconds = MAX_RETRY_AFTER_SECONDS * (1.0 + jitter)
         if verdict is part_quarantine.Verdict.REFUSE:
             reason = "a part of the prompt is quarantined"
@@ -413,7 +455,7 @@
         For ``closed_seconds`` no endpoint of the service wants a request.
         """
         expected_wait_seconds = tokens_ahead / prefill_tokens_per_second
-        jitter = 1.0 + RETRY_AFTER_JITTER_FRACTION * random.random()
+        jitter = 1.0 + RETRY_AFTER_JITTER_FRACTION * self.draw()
         reason = "no capacity in time" if candidates else "no endpoint"
         if closed_seconds > 0.0:
             reason = "no endpoint wants a request yet"
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -154,17 +154,10 @@
         self.service = choose_service(route, metadata.request_id)
         self.deadline = min(metadata.deadline, metadata.arrived_at + route.timeout_seconds)
         # Of the response until its first byte is sent, then ``deadline``.
-        self.response_deadline = min(metadata.deadline - RESPONSE_MARGIN_SECONDS, self.deadline)
+        self.response_deadline = find_response_deadline(metadata, route)
         self.time_limit = asyncio.timeout(None)
-        self.waiting_request = placer.WaitingRequest(
-            metadata,
-            route,
-            self.service,
-            team,
-            min(
-                self.response_deadline,
-                metadata.arrived_at + placer.MAX_WAIT_FRACTION * route.target_latency_seconds,
-            ),
+        self.waiting_request = build_waiting_request(
+            metadata, route, self.service, team, self.response_deadline
         )
 
     async def run(self) -> None:
@@ -834,6 +827,26 @@
             raise errors.EndpointBrokenError(f"event {event_ids[0]} follows {previous_id}")
 
 
+def find_response_deadline(metadata: gateway.RequestMetadata, route: gateway.Route) -> float:
+    """Return until when the first byte of a response must be sent."""
+    return min(
+        metadata.deadline - RESPONSE_MARGIN_SECONDS, metadata.arrived_at + route.timeout_seconds
+    )
+
+
+def build_waiting_request(
+    metadata: gateway.RequestMetadata,
+    route: gateway.Route,
+    service: str,
+    team: str | None,
+    response_deadline: float,
+) -> placer.WaitingRequest:
+    """Return a request as it waits for an endpoint."""
+    target_seconds = route.target_latency_seconds
+    refuse_at = metadata.arrived_at + placer.MAX_WAIT_FRACTION * target_seconds
+    return placer.WaitingRequest(metadata, route, service, team, min(response_deadline, refuse_at))
+
+
 def choose_service(route: gateway.Route, request_id: str) -> str:
     """Return the service of a request by the weights of its route; stable for a request ID."""
     if len(route.shares) == 1:
--- a/src/masticward/state/part_quarantine.py
+++ b/src/masticward/state/part_quarantine.py
@@ -257,16 +257,23 @@
     def start_test(
         self, keys: collections.abc.Sequence[str], endpoint_id: str, request_id: str, now: float
     ) -> None:
-        """Record that a request with suspected parts is sent to an endpoint as their test."""
+        """Record and log that a request with suspected parts is sent to an endpoint as test."""
+        tested = self.mark_tested(keys, endpoint_id, request_id, now)
+        LOGGER.log(
+            events.Event.PART_TESTED, parts=tested, endpoint=endpoint_id, request_id=request_id
+        )
+
+    def mark_tested(
+        self, keys: collections.abc.Sequence[str], endpoint_id: str, request_id: str, now: float
+    ) -> list[str]:
+        """Record the test of suspected parts at an endpoint; return their keys."""
         tested = [key for key in keys if key in self.restricted]
         for key in tested:
             self.restricted[key].own_test = OwnTest(
                 endpoint_id, request_id, now + TEST_TIMEOUT_SECONDS
             )
             self.changed.add(key)
-        LOGGER.log(
-            events.Event.PART_TESTED, parts=tested, endpoint=endpoint_id, request_id=request_id
-        )
+        return tested
 
     def end_test(
         self, keys: collections.abc.Iterable[str], request_id: str, endpoint_id: str
--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -81,6 +81,34 @@
     time_factor: float = 1.0
 
 
+class EngineCost(msgspec.Struct, frozen=True, gc=False):
+    """The expected cost of a request at one engine, with its terms in seconds."""
+
+    cached_tokens: int
+    unread_tokens: int
+    # Expected time to the first event at normal speed.
+    expected_seconds: float
+    # The same at the engine's own speed.
+    work_seconds: float
+    failure_seconds: float
+    recompute_seconds: float
+    rank_seconds: float
+    cost_seconds: float
+
+
+class PlainCost(msgspec.Struct, frozen=True, gc=False):
+    """The expected cost of a request at one plain endpoint, with its terms in seconds."""
+
+    has_slot: bool
+    # Whether endpoints with a free slot that fail less often come first.
+    comes_last: bool
+    expected_seconds: float
+    work_seconds: float
+    failure_seconds: float
+    zone_seconds: float
+    cost_seconds: float
+
+
 class PlacementView(msgspec.Struct, frozen=True):
     """Load, prompt cache, health and speed of endpoints that a choice depends on."""
 
@@ -194,6 +222,7 @@
     keys: list[tuple[int, int]],
     waited_fraction: float,
     connected_ids: collections.abc.Collection[str] = (),
+    sample: collections.abc.Callable[[list[str], int], list[str]] | None = None,
 ) -> list[tuple[int, EngineState]]:
     """Return the engines among which a request is placed, each with its rank for the prefix.
 
@@ -202,14 +231,16 @@
     latency target. From ``AFFINITY_WAIT_FRACTION`` on, a sample of all engines is added.
 
     Without owners, the engines are a sample of those in ``connected_ids``, to which this process
-    has an idle connection, or of all engines if these are few.
+    has an idle connection, or of all engines if these are few. ``sample`` draws a number of IDs;
+    without it they are drawn at random.
     """
+    sample = sample or random.sample
     prefix = owned_prefix(keys)
     if prefix is None:
         sampled = [endpoint_id for endpoint_id in connected_ids if endpoint_id in states]
         if len(sampled) < MIN_CONNECTED_ENGINES:
             sampled = list(states)
-        sampled = random.sample(sampled, min(SAMPLE_SIZE, len(sampled)))
+        sampled = sample(sampled, min(SAMPLE_SIZE, len(sampled)))
         return [(0, states[endpoint_id]) for endpoint_id in sampled]
     key = prefix[0]
     owners = prefix_owners(key, tuple(states))
@@ -220,11 +251,49 @@
         ]
     if waited_fraction >= AFFINITY_WAIT_FRACTION:
         others = [endpoint_id for endpoint_id in states if endpoint_id not in owners]
-        sample = random.sample(others, min(SAMPLE_SIZE, len(others)))
-        compared += [(PREFIX_OWNERS, states[endpoint_id]) for endpoint_id in sample]
+        drawn = sample(others, min(SAMPLE_SIZE, len(others)))
+        compared += [(PREFIX_OWNERS, states[endpoint_id]) for endpoint_id in drawn]
     return compared
 
 
+def engine_cost(
+    rank: int,
+    state: EngineState,
+    keys: list[tuple[int, int]],
+    metadata: gateway.RequestMetadata,
+    recompute_weight: float,
+) -> EngineCost:
+    """Return the expected cost of a request at an engine with a rank for the shared prefix.
+
+    The cost is the expected time to the first event in seconds, plus penalties for failures, for
+    recomputing the shared prefix, and for each owner that ranks before the engine.
+    """
+    prefix = owned_prefix(keys)
+    shared_tokens = prefix[1] if prefix is not None else 0
+    load = state.load
+    cached = state.cache.cached_tokens(keys)
+    unread = max(1, metadata.prompt_tokens - cached)
+    expected = (load.unread_tokens + unread) / PREFILL_TOKENS_PER_SECOND
+    expected += load.requests * REQUEST_OVERHEAD_SECONDS
+    work = expected * (state.slowness * state.time_factor)
+    recompute = 0.0
+    rank_cost = 0.0
+    if shared_tokens:
+        recomputed = recompute_weight * max(0, shared_tokens - cached) * state.time_factor
+        recompute = recomputed / PREFILL_TOKENS_PER_SECOND
+        rank_cost = rank * (OWNER_RANK_FRACTION * shared_tokens / PREFILL_TOKENS_PER_SECOND)
+    return EngineCost(
+        cached_tokens=cached,
+        unread_tokens=unread,
+        expected_seconds=expected,
+        work_seconds=work,
+        failure_seconds=state.failure_penalty_seconds,
+        recompute_seconds=recompute,
+        rank_seconds=rank_cost,
+        cost_seconds=work + state.failure_penalty_seconds + recompute + rank_cost,
+    )
+
+
 def choose_engine(
     compared: collections.abc.Sequence[tuple[int, EngineState]],
     engine: gateway.Engine,
@@ -235,40 +304,25 @@
 ) -> Choice | None:
     """Return the engine with the lowest expected cost; None if there are no engines.
 
-    ``compared`` has the engines that ``engines_to_compare`` returned for ``keys``. The cost is the
-    expected time to the first event in seconds, plus penalties for failures, for recomputing the
-    shared prefix, and for each owner that ranks before the engine.
+    ``compared`` has the engines that ``engines_to_compare`` returned for ``keys``.
     """
-    if not compared:
-        return None
-    prefix = owned_prefix(keys)
-    shared_tokens = prefix[1] if prefix is not None else 0
-    rank_cost = OWNER_RANK_FRACTION * shared_tokens / PREFILL_TOKENS_PER_SECOND
-    best = compared[0][1]
-    best_cost = math.inf
-    best_expected = 0.0
-    best_unread = 0
+    best = None
+    best_cost = None
     for rank, state in compared:
-        load = state.load
-        cached = state.cache.cached_tokens(keys)
-        unread = max(1, metadata.prompt_tokens - cached)
-        expected = (load.unread_tokens + unread) / PREFILL_TOKENS_PER_SECOND
-        expected += load.requests * REQUEST_OVERHEAD_SECONDS
-        cost = expected * (state.slowness * state.time_factor) + state.failure_penalty_seconds
-        if shared_tokens:
-            recomputed = recompute_weight * max(0, shared_tokens - cached) * state.time_factor
-            cost += recomputed / PREFILL_TOKENS_PER_SECOND
-            cost += rank * rank_cost
-        if cost < best_cost:
-            best, best_cost, best_expected, best_unread = state, cost, expected, unread
+        cost = engine_cost(rank, state, keys, metadata, recompute_weight)
+        if best_cost is None or cost.cost_seconds < best_cost.cost_seconds:
+            best, best_cost = state, cost
+    if best is None or best_cost is None:
+        return None
+    unread_tokens = best_cost.unread_tokens
     return Choice(
         endpoint=best.endpoint,
-        cost_seconds=best_cost,
-        expected_seconds=best_expected,
-        unread_tokens=best_unread,
-        has_capacity=has_capacity(best, engine, metadata, best_unread, window_seconds),
+        cost_seconds=best_cost.cost_seconds,
+        expected_seconds=best_cost.expected_seconds,
+        unread_tokens=unread_tokens,
+        has_capacity=has_capacity(best, engine, metadata, unread_tokens, window_seconds),
         slowness=best.slowness,
-        owner_id=compared[0][1].endpoint.id if shared_tokens else None,
+        owner_id=compared[0][1].endpoint.id if owned_prefix(keys) is not None else None,
         time_factor=best.time_factor,
     )
 
@@ -309,6 +363,37 @@
     return seconds <= window_seconds
 
 
+def plain_cost(
+    endpoint: gateway.Endpoint,
+    zone: str,
+    view: PlacementView,
+    now: float,
+    repeatable: bool,
+) -> PlainCost:
+    """Return the expected cost of a request that is or is not ``repeatable``."""
+    max_failure_ratio = MAX_FAILURE_RATIO if repeatable else MAX_UNREPEATABLE_FAILURE_RATIO
+    requests = view.loads.total(endpoint.id).requests
+    slowness = view.health.slowness(endpoint.id)
+    time_factor = view.speeds.time_factor(endpoint.id, now)
+    failure_ratio = view.health.failure_ratio(endpoint.id, now)
+    expected = PLAIN_REQUEST_SECONDS * (requests + 1) / endpoint.slots
+    work = expected * (slowness * time_factor)
+    failure = FAILURE_PENALTY_SECONDS * failure_ratio
+    # Among equally loaded endpoints, those in this gateway's zone are preferred, so that
+    # gateways of different zones choose different ones; then the first candidate.
+    zone_cost = 0.0 if endpoint.availability_zone == zone else 0.002
+    has_slot = requests < endpoint.slots
+    return PlainCost(
+        has_slot=has_slot,
+        comes_last=not has_slot or failure_ratio > max_failure_ratio,
+        expected_seconds=expected,
+        work_seconds=work,
+        failure_seconds=failure,
+        zone_seconds=zone_cost,
+        cost_seconds=work + failure + zone_cost,
+    )
+
+
 def choose_plain_endpoint(
     candidates: collections.abc.Sequence[gateway.Endpoint],
     zone: str,
@@ -321,22 +406,21 @@
     Endpoints with a free slot come first, unless they fail too often for a request that is or is
     not ``repeatable``.
     """
-    max_failure_ratio = MAX_FAILURE_RATIO if repeatable else MAX_UNREPEATABLE_FAILURE_RATIO
     best: Choice | None = None
     best_position = (True, math.inf)
     for endpoint in candidates:
-        requests = view.loads.total(endpoint.id).requests
-        slowness = view.health.slowness(endpoint.id)
-        time_factor = view.speeds.time_factor(endpoint.id, now)
-        failure_ratio = view.health.failure_ratio(endpoint.id, now)
-        expected = PLAIN_REQUEST_SECONDS * (requests + 1) / endpoint.slots
-        cost = expected * (slowness * time_factor) + FAILURE_PENALTY_SECONDS * failure_ratio
-        # Among equally loaded endpoints, those in this gateway's zone are preferred, so that
-        # gateways of different zones choose different ones; then the first candidate.
-        cost += 0.0 if endpoint.availability_zone == zone else 0.002
-        has_slot = requests < endpoint.slots
-        position = (not has_slot or failure_ratio > max_failure_ratio, cost)
+        cost = plain_cost(endpoint, zone, view, now, repeatable)
+        position = (cost.comes_last, cost.cost_seconds)
         if best is None or position < best_position:
             best_position = position
-            best = Choice(endpoint, cost, expected, 0, has_slot, slowness, None, time_factor)
+            best = Choice(
+                endpoint=endpoint,
+                cost_seconds=cost.cost_seconds,
+                expected_seconds=cost.expected_seconds,
+                unread_tokens=0,
+                has_capacity=cost.has_slot,
+                slowness=view.health.slowness(endpoint.id),
+                owner_id=None,
+                time_factor=view.speeds.time_factor(endpoint.id, now),
+            )
     return best
