--- a/src/masticward/state/placement.py
+++ b/src/masticward/state/placement.py
@@ -260,19 +260,20 @@
     rank: int,
     state: EngineState,
     keys: list[tuple[int, int]],
-    metadata: gateway.RequestMetadata,
+    shared_tokens: int,
+    prompt_tokens: int,
     recompute_weight: float,
 ) -> EngineCost:
     """Return the expected cost of a request at an engine with a rank for the shared prefix.
 
+    ``shared_tokens`` are those of the shared prefix if it has owners, else 0.
+
     The cost is the expected time to the first event in seconds, plus penalties for failures, for
     recomputing the shared prefix, and for each owner that ranks before the engine.
     """
-    prefix = owned_prefix(keys)
-    shared_tokens = prefix[1] if prefix is not None else 0
     load = state.load
     cached = state.cache.cached_tokens(keys)
-    unread = max(1, metadata.prompt_tokens - cached)
+    unread = max(1, prompt_tokens - cached)
     expected = (load.unread_tokens + unread) / PREFILL_TOKENS_PER_SECOND
     expected += load.requests * REQUEST_OVERHEAD_SECONDS
     work = expected * (state.slowness * state.time_factor)
@@ -282,16 +283,10 @@
         recomputed = recompute_weight * max(0, shared_tokens - cached) * state.time_factor
         recompute = recomputed / PREFILL_TOKENS_PER_SECOND
         rank_cost = rank * (OWNER_RANK_FRACTION * shared_tokens / PREFILL_TOKENS_PER_SECOND)
-    return EngineCost(
-        cached_tokens=cached,
-        unread_tokens=unread,
-        expected_seconds=expected,
-        work_seconds=work,
-        failure_seconds=state.failure_penalty_seconds,
-        recompute_seconds=recompute,
-        rank_seconds=rank_cost,
-        cost_seconds=work + state.failure_penalty_seconds + recompute + rank_cost,
-    )
+    failure = state.failure_penalty_seconds
+    cost = work + failure + recompute + rank_cost
+    # Positional arguments, because this is the innermost part of each placement.
+    return EngineCost(cached, unread, expected, work, failure, recompute, rank_cost, cost)
 
 
 def choose_engine(
@@ -306,10 +301,13 @@
 
     ``compared`` has the engines that ``engines_to_compare`` returned for ``keys``.
     """
+    prefix = owned_prefix(keys)
+    shared_tokens = prefix[1] if prefix is not None else 0
+    prompt_tokens = metadata.prompt_tokens
     best = None
     best_cost = None
     for rank, state in compared:
-        cost = engine_cost(rank, state, keys, metadata, recompute_weight)
+        cost = engine_cost(rank, state, keys, shared_tokens, prompt_tokens, recompute_weight)
         if best_cost is None or cost.cost_seconds < best_cost.cost_seconds:
             best, best_cost = state, cost
     if best is None or best_cost is None:
@@ -322,7 +320,7 @@
         unread_tokens=unread_tokens,
         has_capacity=has_capacity(best, engine, metadata, unread_tokens, window_seconds),
         slowness=best.slowness,
-        owner_id=compared[0][1].endpoint.id if owned_prefix(keys) is not None else None,
+        owner_id=compared[0][1].endpoint.id if shared_tokens else None,
         time_factor=best.time_factor,
     )
 
--- a/tests/unit/test_placement_explanation.py
+++ b/tests/unit/test_placement_explanation.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 import typing
 import unittest.mock
@@ -218,7 +219,9 @@
     async def test_state_and_random_generator_stay_as_they_are(self) -> None:
         """Guards against reservations and other traces, also of new state of the placer."""
         now = clocks.boot_time()
-        self.fill(1000)
+        self.fill(100)
+        for name in self.fleet.table.endpoints:
+            self.fleet.caches.get(name, 50_000).record_prompt([(1, 3000), (2, 4000)])
         peer_loads = {"e1": load_table.EndpointLoad(500, 1, 900)}
         self.fleet.loads.set_peer_loads("g2", peer_loads, now)
         self.fleet.health.record_failure("e1", now - 1.0)
@@ -226,18 +229,31 @@
         self.fleet.demand.record("b", 90_000, now - 1.0)
         for endpoint_id in ("e1", "e2"):
             self.fleet.quarantine.record_crash(endpoint_id, ["bad"], now - 9.0)
-        self.placer.queues["llm"] = [self.waiting("q1"), self.waiting("q2", shared="bad")]
-        for item in self.placer.queues["llm"]:
-            item.future = asyncio.get_running_loop().create_future()
         cold = builders.make_endpoint("cold", cold_until=now + 60.0)
         self.fleet.apply_endpoints([("cold", cold)], False)
+        self.placer.queues["llm"] = [
+            self.waiting("q1"),
+            self.waiting("q2", shared="bad"),
+            self.waiting("q3", shared_tokens=10, own_tokens=10),
+        ]
+        for item in self.placer.queues["llm"]:
+            item.future = asyncio.get_running_loop().create_future()
+        # Late, so that a part of the streams is refused.
+        self.handler.available_peers = lambda: 1.0
         self.fleet.shedder.lag_seconds = 5.0
-        before = fingerprint([self.fleet, self.placer]), random.getstate()
-        self.explain()
-        self.explain(msgspec.structs.replace(QUERY, parts=(("bad", 2000), ("own", 10))))
-        self.explain(msgspec.structs.replace(QUERY, parts=(("own", 10),)))
-        self.explain(messages.Query(host="api.example", path="/status/x"))
-        self.assertEqual(before, (fingerprint([self.fleet, self.placer]), random.getstate()))
+        self.fleet.shedder.unrefused = 0.99
+        for ends_at in (math.inf, now + 1.0):
+            self.fleet.ends_at = ends_at
+            with self.subTest(ends_at=ends_at):
+                before = fingerprint([self.fleet, self.placer]), random.getstate()
+                refusals = [self.explain().refusal for _ in range(2)]
+                self.explain(msgspec.structs.replace(QUERY, parts=(("bad", 2000), ("own", 10))))
+                self.explain(msgspec.structs.replace(QUERY, parts=(("own", 10),)))
+                self.explain(messages.Query(host="api.example", path="/status/x"))
+                after = fingerprint([self.fleet, self.placer]), random.getstate()
+                self.assertEqual(before, after)
+                self.assertEqual(*refusals)
+                self.assertIsNotNone(refusals[0])
 
 
 class FailureTest(ExplanationCase):
