--- a/src/masticward/gateway/placement_explanation.py
+++ b/src/masticward/gateway/placement_explanation.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from masticward import errors
+from masticward import errors, events, logs
 from masticward.gateway import dry_run, front, placement_report, request_path, sources
 from masticward.models import gateway
 from masticward.protocol import placement_explanations as messages
@@ -14,6 +14,7 @@
 MIN_INTERVAL_SECONDS = 0.25
 # The ID decides on the service of routes with several; a fixed one repeats the same answer.
 DEFAULT_REQUEST_ID = "explain-placement"
+LOGGER = logs.get_logger(__name__)
 
 
 class Explainer:
@@ -42,6 +43,9 @@
             return 400, encode_failure(f"the gateway would answer 400: {error}")
         except errors.PlacementExplanationError as error:
             return 404, encode_failure(str(error))
+        except Exception as error:
+            LOGGER.log(events.Event.TASK_FAILED, task="explain placement", error=f"{error!r}")
+            return 500, encode_failure("internal error; the gateway's log has it")
 
     def explain(self, query: messages.Query, now: float) -> messages.Explanation:
         """Return what would happen to a request that arrives now.
--- a/tests/unit/test_placement_explanation.py
+++ b/tests/unit/test_placement_explanation.py
@@ -295,3 +295,9 @@
         status, text = self.explainer.answer(body)
         self.assertEqual(429, status)
         self.assertIn(b"at most 4 a second", text)
+
+    async def test_an_unexpected_error_is_answered(self) -> None:
+        with unittest.mock.patch.object(self.explainer, "explain", side_effect=KeyError("x")):
+            status, text = self.explainer.answer(msgspec.json.encode(QUERY))
+        self.assertEqual(500, status)
+        self.assertIn(b"internal error", text)
