explain-placement names a suspected part as the cause of a wait

Cause: a request that is held back while another one tests a suspected part was shown as "no endpoint takes it now".

Change: the explanation has held_back, by the verdict after the scan.

Measured: test_a_suspected_part_is_tested_by_one_request is new and passes; test_placement_explanation, 14 tests, pass.

--- a/src/masticward/cli/explain_placement.py
+++ b/src/masticward/cli/explain_placement.py
@@ -126,6 +126,8 @@
         return [f"refused: {refusal.status} {refusal.reason}, Retry-After {after}", queue]
     if explanation.outcome == "sent":
         return [f"sent to {explanation.endpoint_id} at once", queue]
+    if explanation.held_back:
+        return ["waits: a part of the prompt is suspected, and tested by one request", queue]
     return ["waits: no endpoint takes it now", queue]
 
 
--- a/src/masticward/gateway/placement_report.py
+++ b/src/masticward/gateway/placement_report.py
@@ -69,6 +69,10 @@
             )
         else:
             explanation.outcome = "waits"
+            verdict, _ = self.fleet.quarantine.verdict(
+                request.part_keys, self.fleet.live_gateways, now
+            )
+            explanation.held_back = verdict is part_quarantine.Verdict.WAIT
             still = [item for item in self.placer.ahead if item.future and not item.future.done()]
             explanation.place = len(still)
             # Others don't wait for what has no endpoint that it may use.
--- a/src/masticward/protocol/placement_explanations.py
+++ b/src/masticward/protocol/placement_explanations.py
@@ -119,6 +119,8 @@
     # Tokens of the shared part that has owners; 0 without one.
     shared_tokens: int = 0
     outcome: str = ""
+    # Whether the request waits because another one tests a suspected part, or soon will.
+    held_back: bool = False
     endpoint_id: str = ""
     refusal: Refusal | None = None
     # Requests that wait for the service, those before this one, and their unread tokens.
--- a/tests/unit/test_placement_explanation.py
+++ b/tests/unit/test_placement_explanation.py
@@ -148,6 +148,18 @@
             [(item.part, item.state) for item in explanation.restricted_parts],
         )
 
+    async def test_a_suspected_part_is_tested_by_one_request(self) -> None:
+        """Guards against an explanation that lets a held request go, or names another cause."""
+        for endpoint_id in ("x1", "x2"):
+            self.fleet.quarantine.record_crash(endpoint_id, ["doc"], clocks.boot_time() - 9.0)
+        self.assertEqual("sent", self.explain().outcome)
+        first = self.waiting("q1")
+        first.future = asyncio.get_running_loop().create_future()
+        self.placer.queues["llm"] = [first]
+        explanation = self.explain()
+        self.assertEqual(("waits", True), (explanation.outcome, explanation.held_back))
+        self.assertEqual("suspected", explanation.restricted_parts[0].state)
+
 
 class SameDecisionTest(ExplanationCase):
     """Guards against an explanation of something that the placer does not do."""
