--- a/src/masticward/gateway/placement_report.py
+++ b/src/masticward/gateway/placement_report.py
@@ -180,6 +180,7 @@
                     request.metadata,
                     cost.unread_tokens,
                     comparison.window_seconds,
+                    comparison.max_own_tokens,
                 ):
                     with_capacity.add(name)
         for endpoint in pool.first_candidates:
