--- a/src/masticward/gateway/placer.py
+++ b/src/masticward/gateway/placer.py
@@ -39,6 +39,9 @@
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 1.5
 
+# Draws a number of endpoint IDs.
+Sample = collections.abc.Callable[[list[str], int], list[str]]
+
 
 class PlacementRefusal(msgspec.Struct, frozen=True):
     """The outcome for a request that certainly did not run; the client may retry it later."""
@@ -103,6 +106,15 @@
         self.future: asyncio.Future[placement.Choice | PlacementRefusal] | None = None
 
 
+class EngineComparison(msgspec.Struct, frozen=True):
+    """The engines among which a request is placed, with their ranks, and what it is judged by."""
+
+    compared: list[tuple[int, placement.EngineState]]
+    recompute_weight: float
+    window_seconds: float
+    max_own_tokens: float
+
+
 class CandidatePool:
     """The endpoints of a service that may receive requests, during one scan of its queue."""
 
@@ -114,6 +126,7 @@
         "engine_states",
         "fleet",
         "full_window_seconds",
+        "max_own_tokens",
         "now",
         "placer",
         "prefill_utilization",
@@ -142,6 +155,9 @@
         # Widest prefill window for which no engine has capacity; valid for the whole scan, because
         # a scan only adds load to engines.
         self.full_window_seconds = 0.0
+        self.max_own_tokens = math.inf
+        if self.fleet.has_limited_capacity(service_name):
+            self.max_own_tokens = placement.MAX_COUNTED_OWN_TOKENS
         if self.engine is not None:
             self.connected_ids = request_placer.connected_ids()
             self.engine_states = placement.engine_states(
@@ -177,12 +193,7 @@
         left_out_ids: frozenset[str],
     ) -> placement.Choice | None:
         """Return the best endpoint for a request that is not in ``left_out_ids``."""
-        excluded_ids = self.unusable_ids(request) | left_out_ids
-        if is_test:
-            avoided = self.fleet.quarantine.endpoints_to_avoid(self.now)
-            excluded_ids = excluded_ids | {
-                item.id for item in self.candidates if item.incarnation in avoided
-            }
+        excluded_ids = self.excluded_ids(request, is_test) | left_out_ids
         if self.engine is None:
             candidates = self.candidates
             if excluded_ids:
@@ -191,6 +202,38 @@
             return placement.choose_plain_endpoint(
                 candidates, zone, self.fleet.view, self.now, request.route.retryable
             )
+        comparison = self.compare_engines(request, excess_by_team, excluded_ids)
+        return placement.choose_engine(
+            comparison.compared,
+            self.engine,
+            request.prefix_keys,
+            request.metadata,
+            comparison.recompute_weight,
+            comparison.window_seconds,
+            comparison.max_own_tokens,
+        )
+
+    def excluded_ids(self, request: WaitingRequest, is_test: bool) -> set[str]:
+        """Return the IDs of the candidates that a request may not use."""
+        excluded_ids = self.unusable_ids(request)
+        if is_test:
+            avoided = self.fleet.quarantine.endpoints_to_avoid(self.now)
+            excluded_ids = excluded_ids | {
+                item.id for item in self.candidates if item.incarnation in avoided
+            }
+        return excluded_ids
+
+    def compare_engines(
+        self,
+        request: WaitingRequest,
+        excess_by_team: dict[str, float],
+        excluded_ids: set[str],
+        sample: Sample | None = None,
+    ) -> EngineComparison:
+        """Return the engines among which a request is placed; ``sample`` draws some of many.
+
+        Without ``sample`` they are drawn as the placer does.
+        """
         states = self.engine_states
         if excluded_ids:
             states = {
@@ -204,18 +247,17 @@
         others_in_excess = bool(excess_by_team) and request.team not in excess_by_team
         prefill_utilization = 0.0 if others_in_excess else self.prefill_utilization
         waited_seconds = self.now - request.arrived_at
-        return placement.choose_engine(
+        return EngineComparison(
             placement.engines_to_compare(
                 states,
                 request.prefix_keys,
                 waited_seconds / target_seconds,
                 self.connected_ids,
+                sample or self.placer.sample,
             ),
-            self.engine,
-            request.prefix_keys,
-            request.metadata,
             placement.recompute_weight(waited_seconds, target_seconds, prefill_utilization),
             placement.prefill_window_seconds(excess_by_team.get(request.team)),
+            self.max_own_tokens,
         )
 
     def excludes_all(self, request: WaitingRequest) -> bool:
@@ -287,6 +329,8 @@
         self.on_bound: collections.abc.Callable[
             [buffered_bytes.Bound, str, str | None, int], object
         ] = lambda bound, request_id, endpoint_id, size: None
+        # Draws engines to compare; None for the generator of the placement.
+        self.sample: Sample | None = None
 
     async def run(self) -> None:
         """Scan the queues periodically until cancelled."""
@@ -340,7 +384,7 @@
                 item.arrived_at,
             )
         )
-        pool = CandidatePool(self, service, now)
+        pool = self.build_pool(service, now)
         opens_at = now if pool.candidates else self.opens_at(service, now)
         quarantine = self.fleet.quarantine
         tokens_ahead = 0
@@ -418,6 +462,14 @@
             )
         request.waits_for_room = waits
 
+    def build_pool(self, service: str, now: float) -> CandidatePool:
+        """Return the endpoints of a service for one scan of its queue."""
+        return CandidatePool(self, service, now)
+
+    def draw(self) -> float:
+        """Return a random number from 0 to 1, by which retry delays are spread."""
+        return random.random()
+
     def hold_back(
         self,
         request: WaitingRequest,
@@ -431,7 +483,7 @@
         Return False if the request may be sent now.
         """
         reason = ""
-        jitter = RETRY_AFTER_JITTER_FRACTION * random.random()
+        jitter = RETRY_AFTER_JITTER_FRACTION * self.draw()
         retry_after_seconds = MAX_RETRY_AFTER_SECONDS * (1.0 + jitter)
         if verdict is part_quarantine.Verdict.REFUSE:
             reason = "a part of the prompt is quarantined"
@@ -486,7 +538,7 @@
         For ``closed_seconds`` no endpoint of the service wants a request.
         """
         expected_wait_seconds = tokens_ahead / prefill_tokens_per_second
-        jitter = 1.0 + RETRY_AFTER_JITTER_FRACTION * random.random()
+        jitter = 1.0 + RETRY_AFTER_JITTER_FRACTION * self.draw()
         reason = "no capacity in time" if candidates else "no endpoint"
         if request.waits_for_room:
             reason = "no endpoint has room for the body"
