--- a/src/masticward/gateway/fleet.py
+++ b/src/masticward/gateway/fleet.py
@@ -35,8 +35,8 @@
 # route, plus the margin.
 RUN_TIME_FACTOR = 1.5
 RUN_TIME_MARGIN_SECONDS = 0.25
-# A gateway that starts while the store may list an older configuration than its peers have hears of
-# them and fetches a snapshot within this time. Without an answer it serves what the store lists.
+# While the store may list an older configuration than the peers have, a gateway that starts finds
+# its peers and fetches a snapshot within this time. Without an answer it serves what is listed.
 PEERS_FIRST_SECONDS = 1.5
 LOGGER = logs.get_logger(__name__)
 
@@ -166,7 +166,7 @@
         """Return whether a configuration that the store lists must not be put in force yet.
 
         A store that was restored from a copy may list an older one than the peers of a gateway that
-        starts have in force. It takes over a peer's snapshot first, which also states what the
+        starts have in force. It applies a peer's snapshot first, which also states what the
         peers hold against the listing.
         """
         if self.configuration is not None or era == 0:
--- a/src/masticward/state/rollout_table.py
+++ b/src/masticward/state/rollout_table.py
@@ -15,7 +15,7 @@
 # for.
 CAPACITY_FRACTION = 0.88
 LAST_FRACTION = 0.92
-# A gateway that has heard no peer for this time sends nothing more to the new version.
+# A gateway that has received no message for this time sends nothing more to the new version.
 IN_TOUCH_SECONDS = 1.2
 # Key of an order whose revision when it was written is unknown; any that a peer knows is lower.
 UNKNOWN_KEY = 2**62
@@ -50,7 +50,7 @@
         self.known = False
         # Gateways among which the slack is divided.
         self.gateway_count = 1
-        # Whether peers are heard, if there are any, and whether it is most of them.
+        # Whether messages arrive from peers, if there are any, and whether from most of them.
         self.in_touch = True
         # When the latest message of a peer is too old; infinite without peers. It also holds in a
         # process that was frozen, before its next check.
@@ -103,7 +103,7 @@
         return added
 
     def remove(self, service: str, now: float) -> None:
-        """Forget an order, except that there was one of its target."""
+        """Remove an order; that there was one of its target is kept."""
         rollout = self.rollouts.pop(service, None)
         if rollout is not None:
             self.restored.record_past(service, rollout.order.target, now)
--- a/tests/lib/rollout_model.py
+++ b/tests/lib/rollout_model.py
@@ -77,7 +77,7 @@
         follower = followers.Follower(store, self.fleet, sources.ObjectKind.ROLLOUTS)
         self.keeper = rollout_keeper.RolloutKeeper(store, self.fleet, follower)
         self.alive = True
-        # Gateways that it cannot hear and that cannot hear it.
+        # Gateways with which it exchanges no messages.
         self.cut_off: set[str] = set()
 
 
--- a/tests/lib/slow_peers.py
+++ b/tests/lib/slow_peers.py
@@ -11,14 +11,14 @@
 
 
 class ImpatientStream:
-    """Streams events and cuts off a response of which nothing is read for its patience.
+    """Streams events and cuts off a response of which nothing is read for a time.
 
     ``cut`` counts the responses that it cut off, ``left`` those that the gateway closed before.
     """
 
-    def __init__(self, events: int, patience_seconds: float) -> None:
+    def __init__(self, events: int, unread_limit_seconds: float) -> None:
         self.events = events
-        self.patience_seconds = patience_seconds
+        self.unread_limit_seconds = unread_limit_seconds
         self.cut = 0
         self.left = 0
         self.open = 0
@@ -27,7 +27,7 @@
     async def __call__(
         self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
-        """Stream until the end, the limit of the patience or a disconnect."""
+        """Stream until the end, the limit of the unread time or a disconnect."""
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
         writer.transport.set_write_buffer_limits(high=SMALL_BUFFER_BYTES)
@@ -36,7 +36,7 @@
         try:
             for _ in range(self.events):
                 writer.write(EVENT)
-                async with asyncio.timeout(self.patience_seconds):
+                async with asyncio.timeout(self.unread_limit_seconds):
                     await writer.drain()
             writer.write(b"0\r\n\r\n")
             self.whole += 1
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -224,7 +224,7 @@
         self.check(fleet, ROLLED_BACK)
 
     def test_gateways_are_killed_and_restarted(self) -> None:
-        """The writer's successor takes over; the order's age and old counts are known to peers."""
+        """The writer's successor decides; the order's age and old counts are known to peers."""
         for ratio, state in ((0.0, COMPLETED), (0.5, ROLLED_BACK)):
             with self.subTest(state=state):
                 fleet = self.start(Version(ratio=ratio, since=16.0))
@@ -292,7 +292,7 @@
                 self.check(fleet, state)
 
     def test_writer_is_cut_off_from_the_store_only(self) -> None:
-        """It stays live, because its peers hear it; the next in rank writes the status."""
+        """It stays live, as its messages reach its peers; the next in rank writes the status."""
         for ratio, state in ((0.5, ROLLED_BACK), (0.0, COMPLETED)):
             with self.subTest(state=state):
                 fleet = self.start(Version(ratio=ratio, since=6.0))
