--- a/review/standins3/lab.py
+++ b/review/standins3/lab.py
@@ -651,6 +651,8 @@
     """Send one request on a channel of its own and return the answer."""
     answer = Answer()
     writer = None
+    record = gateway.lab.record
+    record.write(f"sent {request_id} to {gateway.name}: {method} {path}, {len(body)} bytes")
     try:
         async with asyncio.timeout(deadline_ms / 1000):
             reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
@@ -671,6 +673,10 @@
     finally:
         if writer is not None:
             writer.close()
+    record.write(
+        f"answered {request_id}: {answer.status}, {len(answer.body)} bytes, "
+        f"{'whole' if answer.whole else 'not whole'} {answer.error}"
+    )
     return answer
 
 
