Keep connections whose peer acknowledges and reads later

Cause: TCP_USER_TIMEOUT, 1.5 s on all connections of transport/http1.py. Linux counts it from the first probe of a closed window, whether or not the peer acknowledges the probes. The contract pressure granted 7 s instead, to clients, and to endpoints up to the head of the response only.

Ruled out: the gateway's time between events (there was no pause), SIGHUP (the time counts from the send), an endpoint that breaks off (it found its connection closed). TCP_INFO shows nothing unacknowledged meanwhile, and acknowledged probes; 0 or 1 of them are open, since Linux answers no second one within 0.5 s.

Change: transport/peer_watch.py looks at connections with unacknowledged bytes every 0.25 s, renews the time-out while probes of a closed window are acknowledged and ends the connection 1.75 s after the last packet of the peer. Probes stay within 1 s of each other, by TCP_RTO_MAX_MS or by the renewed time-out itself. This works because the age of an acknowledgement is looked at only where a probe was due since then. The 7 s are gone, so a peer that is lost under pressure is noticed sooner than before.

The kernel's time-out was also the only bound on a client that takes nothing of a written answer, and closing a socket left the bytes to a kernel that gives up a closed one sooner. A connection now closes once its last answer was acknowledged, or after the idle time without progress, and counts as open for a stop until then; a client that still takes its answer is not idle.

Two tests of test_request_lines took a client that acknowledges and reads nothing for one that is lost. Their clients' packets are now dropped; what they assert is unchanged.

--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -9,7 +9,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.gateway import sources
 from masticward.models import gateway
-from masticward.state import body_memory, buffered_bytes
+from masticward.state import body_memory
 from masticward.transport import http1
 from masticward.utils import addresses, clocks
 
@@ -359,20 +359,12 @@
         headers = self.codec.encode_request(
             metadata, endpoint, team, remaining_ms, len(body), last_event_id
         )
-        long_upload = (
-            self.fleet.settings.limited_memory and len(body) > buffered_bytes.SMALL_BODY_BYTES
-        )
-        if long_upload:
-            # The kernel would give up an endpoint that pauses while it reads.
-            channel.allow_silence(buffered_bytes.KERNEL_SILENCE_MILLISECONDS)
         try:
             await exchange.send(metadata.method, metadata.target, headers, body)
             response, response_metadata = await self.read_matching_head(
                 exchange, endpoint, metadata.request_id, connection.idle_seconds is not None
             )
             self.record_speed(endpoint, response_metadata)
-            if long_upload:
-                channel.allow_silence(http1.SILENCE_MILLISECONDS)
             held_body = body_memory.HeldBody(self.answer_memory)
             call = EndpointCall(
                 self.pool, endpoint, exchange, response, response_metadata, held_body
--- a/src/masticward/state/buffered_bytes.py
+++ b/src/masticward/state/buffered_bytes.py
@@ -25,8 +25,6 @@
 SCARCE_FRACTION = 1 / 2
 # A client is cut for the memory that others need if it has taken nothing for this long.
 EVICTION_STALL_SECONDS = 0.5
-# The kernel gives up a peer whose window stays closed; the limits above have to act before.
-KERNEL_SILENCE_MILLISECONDS = 7000
 # Bodies in flight to one endpoint, of all gateways together. Nothing tells the memory of an
 # endpoint. One that takes the longest body which the configuration allows holds a few of them; the
 # least bound is 64 slots with bodies of 256 KiB, far above what token streams use.
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -23,7 +23,7 @@
 
 from masticward import errors, events, logs
 from masticward.state import body_memory, read_turns
-from masticward.transport import chunked, turn_queue
+from masticward.transport import chunked, peer_watch, turn_queue
 from masticward.utils import clocks
 
 READ_BYTES = 65536
@@ -43,6 +43,7 @@
 # A faulty peer may send informational answers without end and never a final one.
 MAX_INFORMATIONAL_ANSWERS = 32
 # A peer that answers no packet for this long is gone; pages of the platform grant 3 s of contact.
+# ``peer_watch`` renews the time for a peer that answers and does not read.
 SILENCE_MILLISECONDS = 1500
 KEEP_ALIVE_IDLE_SECONDS = 1
 KEEP_ALIVE_INTERVAL_SECONDS = 1
@@ -148,13 +149,22 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MILLISECONDS)
 
 
-class Channel:
+class Channel(peer_watch.WatchedConnection):
     """One TCP connection with its reader, writer and state of the peer.
 
     ``usage`` is what the bytes of the present message have used of the processor's time.
     """
 
-    __slots__ = ("fetched", "protocol", "reader", "transport", "turn_queue", "usage", "writer")
+    __slots__ = (
+        "fetched",
+        "peer_watch",
+        "protocol",
+        "reader",
+        "transport",
+        "turn_queue",
+        "usage",
+        "writer",
+    )
 
     def __init__(
         self,
@@ -167,6 +177,7 @@
         self.protocol = protocol
         self.transport = writer.transport
         self.turn_queue = turn_queue.current()
+        self.peer_watch = peer_watch.current()
         self.usage = read_turns.Reader()
         # Bytes that were read from the stream and wait for their turn.
         self.fetched = b""
@@ -187,6 +198,16 @@
         """Number of written bytes that the transport still holds."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def open_socket(self) -> socket.socket | None:
+        """The socket, None once the connection has ended."""
+        return None if self.transport.is_closing() else self.protocol.socket
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, and notice a peer that is lost before it has acknowledged them."""
+        self.writer.write(data)
+        self.peer_watch.add(self)
+
     async def read(self) -> bytes:
         """Return the next bytes, none at the end of the stream; raise OSError after a reset.
 
@@ -256,11 +277,12 @@
     def pending_bytes(self) -> int:
         """Number of written bytes that the peer's kernel has not acknowledged, as far as known."""
         unsent_bytes = self.unsent_bytes
-        if self.protocol.socket is None or self.transport.is_closing():
+        sock = self.open_socket
+        if sock is None:
             return unsent_bytes
         try:
             # On a socket, TIOCOUTQ is SIOCOUTQ.
-            queued = fcntl.ioctl(self.protocol.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
         except OSError:
             return unsent_bytes
         return unsent_bytes + int(struct.unpack("i", queued)[0])
@@ -272,14 +294,23 @@
             with contextlib.suppress(OSError):
                 self.protocol.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, kernel_bytes)
 
-    def allow_silence(self, milliseconds: int) -> None:
-        """Let the kernel keep a peer that takes nothing for this long."""
-        if self.protocol.socket is not None and not self.transport.is_closing():
+    def allow_silence(self, milliseconds: int | None) -> None:
+        """Let the kernel keep a peer that takes nothing for this long, None for the default."""
+        sock = self.open_socket
+        if sock is not None:
             with contextlib.suppress(OSError):
-                self.protocol.socket.setsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
+                sock.setsockopt(
+                    socket.IPPROTO_TCP,
+                    socket.TCP_USER_TIMEOUT,
+                    SILENCE_MILLISECONDS if milliseconds is None else milliseconds,
                 )
 
+    def end_lost(self, error: OSError) -> None:
+        """End the connection because its peer is lost."""
+        self.reader.set_exception(error)
+        self.protocol.note_gone(str(error), find_end(error.errno))
+        self.transport.abort()
+
     def reset(self) -> None:
         """Reset the connection and drop what the process and the kernel hold for the peer.
 
@@ -488,9 +519,9 @@
             if len(body) > MAX_JOINED_BYTES:
                 # The transport keeps what it has not sent; joining would make another copy.
                 for part in parts:
-                    self.channel.writer.write(part)
+                    self.channel.write(part)
             else:
-                self.channel.writer.write(b"".join(parts))
+                self.channel.write(b"".join(parts))
             # An early answer may come before a long body has been taken, so a full buffer
             # is not waited for here; the transport keeps on writing while the answer is read.
         except OSError as error:
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 import enum
+import errno
 import math
 
 import h11
@@ -20,6 +21,9 @@
 RETRY_AFTER = b"0.2"
 # With fewer unsent bytes, a transport does not let its writers wait.
 MIN_PAUSED_BYTES = 16 * 1024
+# The first waits for a client are short, because most clients take an answer at once.
+FIRST_POLL_SECONDS = 0.002
+MAX_POLL_SECONDS = 0.25
 LOGGER = logs.get_logger(__name__)
 REASONS = {
     200: b"OK",
@@ -161,7 +165,7 @@
         self.sent_bytes += len(data)
         if data and self.chunked:
             # h11 keeps no state of a chunk; each of its events costs as much as the write.
-            self.connection.channel.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            self.connection.channel.write(b"%x\r\n%b\r\n" % (len(data), data))
             await self.drain()
         elif data:
             self.connection.write(h11.Data(data=data))
@@ -202,7 +206,7 @@
         if body and self.connection.method != b"HEAD":
             parts.append(self.connection.machine.send(h11.Data(data=bytes(body))))
         parts.append(self.connection.machine.send(h11.EndOfMessage()))
-        self.connection.channel.writer.write(b"".join(part for part in parts if part))
+        self.connection.channel.write(b"".join(part for part in parts if part))
         await self.drain()
         self.ended = True
 
@@ -306,12 +310,14 @@
     def busy(self) -> int:
         """Number of requests that are being read or answered, or may still arrive after a stop.
 
-        An answer counts until it is written out.
+        An answer counts until it is written out, the last one on a connection until it is taken.
         """
         busy = sum(
             1
             for connection in self.connections
-            if connection.busy or connection.channel.transport.get_write_buffer_size() > 0
+            if connection.busy
+            or connection.closing
+            or connection.channel.transport.get_write_buffer_size() > 0
         )
         if self.stopping and clocks.boot_time() < self.first_requests_until:
             busy += sum(1 for connection in self.connections if connection.awaits_first_request)
@@ -369,6 +375,7 @@
     __slots__ = (
         "busy",
         "channel",
+        "closing",
         "head_bytes",
         "machine",
         "method",
@@ -387,6 +394,8 @@
         self.channel = channel
         self.open_machine(server.handler.limits().head_bytes)
         self.busy = False
+        # Whether the connection ends once the client has taken what was written.
+        self.closing = False
         # Whether pacers bound the writes.
         self.paced = False
         # Why this process has reset the connection, for log lines; empty if it has not.
@@ -424,9 +433,9 @@
         return Stage.UNREAD if not self.busy and self.has_unread_request() else None
 
     def expect_slow_client(self) -> None:
-        """Leave the bounds on what is held for the client, and for how long, to the pacers.
+        """Leave the bounds on what is held for the client to the pacers.
 
-        Those of the transport and the kernel would act before.
+        Those of the transport would act before.
         """
         if self.paced:
             return
@@ -435,13 +444,12 @@
             http1.MAX_BODY_BYTES + buffered_bytes.READ_AHEAD_BYTES,
             buffered_bytes.KERNEL_SEND_BYTES,
         )
-        self.channel.allow_silence(buffered_bytes.KERNEL_SILENCE_MILLISECONDS)
 
     def write(self, event: h11.Event) -> bytes:
         """Write one event and return its bytes."""
         data = self.machine.send(event) or b""
         if data:
-            self.channel.writer.write(data)
+            self.channel.write(data)
         return data
 
     async def drain(self) -> None:
@@ -498,9 +506,13 @@
             self.channel.abort()
 
     def close(self, cause: str) -> None:
-        """Close the connection and log the cause."""
+        """Close the connection once the client has taken its last answer, and log the cause."""
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
-        self.channel.writer.close()
+        if self.reading is not None and self.channel.pending_bytes:
+            self.closing = True
+            self.reading.reschedule(asyncio.get_running_loop().time())
+        else:
+            self.channel.writer.close()
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -529,14 +541,51 @@
             self.channel.abort()
         finally:
             self.channel.protocol.on_peer_gone = None
+            await self.close_when_taken()
+
+    async def close_when_taken(self) -> None:
+        """Close the connection once the client has taken what was written, or is lost.
+
+        The kernel gives up a connection sooner once it is closed.
+        """
+        self.closing = True
+        reason = ""
+        try:
+            await self.wait_taken()
             self.channel.writer.close()
-            try:
-                await self.channel.writer.wait_closed()
-            except OSError as error:
-                if self.unsent_request is not None and not self.server.aborted:
-                    self.server.handler.note_unfinished(
-                        self.unsent_request, Stage.WRITING, str(error), self.channel.end
-                    )
+            await self.channel.writer.wait_closed()
+        except OSError as error:
+            reason = str(error)
+        except asyncio.CancelledError:
+            # The process ends.
+            self.channel.abort()
+        finally:
+            self.channel.writer.close()
+        if self.channel.end is http1.ConnectionEnd.KERNEL:
+            reason = self.channel.protocol.end_reason
+        if reason and self.unsent_request is not None and not self.server.aborted:
+            self.server.handler.note_unfinished(
+                self.unsent_request, Stage.WRITING, reason, self.channel.end
+            )
+
+    async def wait_taken(self) -> None:
+        """Wait until the client has taken what was written, or has left.
+
+        End the connection if it takes nothing for the time for which it may be idle.
+        """
+        limit_seconds = self.server.handler.limits().idle_timeout_seconds
+        pace = buffered_bytes.ClientPace(clocks.boot_time())
+        poll_seconds = FIRST_POLL_SECONDS
+        while not self.channel.peer_gone and self.channel.open_socket is not None:
+            now = clocks.boot_time()
+            pace.record(self.channel.pending_bytes, now)
+            if not pace.pending_bytes:
+                return
+            if pace.stalled_seconds(now) >= limit_seconds:
+                self.channel.end_lost(OSError(errno.ETIMEDOUT, "the client takes nothing"))
+                return
+            await asyncio.sleep(poll_seconds)
+            poll_seconds = min(MAX_POLL_SECONDS, 2.0 * poll_seconds)
 
     async def serve_request(self) -> bool:
         """Serve one request; returns whether another may follow."""
@@ -546,7 +595,12 @@
             await self.refuse(error.error_status_hint, str(error))
             return False
         except TimeoutError:
-            if not self.busy:
+            if self.closing:
+                # ``run`` waits for the client.
+                return False
+            if not self.busy and self.channel.pending_bytes:
+                self.reset("the client takes nothing")
+            elif not self.busy:
                 self.close("idle timeout")
             elif self.server.reading_stopped:
                 await self.refuse(503, "the process stops before the request has arrived")
@@ -628,7 +682,7 @@
             if not self.channel.protocol.unread_bytes:
                 # The client has waited for its last answer.
                 self.channel.usage = read_turns.Reader()
-            data = await self.channel.read_until(clocks.boot_time() + limits.idle_timeout_seconds)
+            data = await self.read_next(limits.idle_timeout_seconds)
             if not data:
                 return None
             self.busy = True
@@ -669,6 +723,22 @@
             raise
         return request
 
+    async def read_next(self, idle_seconds: float) -> bytes:
+        """Return the first bytes of the next request, none if the client leaves instead.
+
+        Raise TimeoutError if the client is idle for too long. One that is still taking its last
+        answer is not idle.
+        """
+        untaken_bytes: float = math.inf
+        while True:
+            try:
+                return await self.channel.read_until(clocks.boot_time() + idle_seconds)
+            except TimeoutError:
+                pending_bytes = self.channel.pending_bytes
+                if not 0 < pending_bytes < untaken_bytes:
+                    raise
+                untaken_bytes = pending_bytes
+
     async def read_body(self, request: Request, limits: gateway.ClientLimits) -> bytes:
         """Return the whole body.
 
--- a/tests/functional/test_request_lines.py
+++ b/tests/functional/test_request_lines.py
@@ -13,7 +13,7 @@
 from masticward.transport import http1_server
 from masticward.utils import clocks
 from tests.functional import test_gateway
-from tests.lib import platform_standins
+from tests.lib import lost_peers, platform_standins
 
 
 class RequestLinesCase(test_gateway.GatewayCase):
@@ -271,6 +271,9 @@
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         client.connect(("127.0.0.1", self.port))
         client.sendall(self.make_request("stream"))
+        server = self.program.client_server
+        await self.wait_until(lambda: any(item.channel.unsent_bytes for item in server.connections))
+        lost_peers.drop_packets(client)
         line = await self.line_of(events.Event.CLIENT_SILENT)
         self.assert_fields(line, stage="answering", reason="[Errno 110] Connection timed out")
 
@@ -290,6 +293,7 @@
         kernel_socket = connection.channel.protocol.socket
         assert kernel_socket is not None
         kernel_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        lost_peers.drop_packets(client)
         self.released.set()
         await self.wait_until(lambda: bool(self.lines_of(events.Event.CLIENT_SILENT)))
         (line,) = self.lines_of(events.Event.CLIENT_SILENT)
