--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -487,6 +487,7 @@
             left_ms=round((self.metadata.deadline - now) * 1000),
             route=self.route.name,
             received_bytes=0 if attempt is None else attempt.received_bytes,
+            connection=None if attempt is None else attempt.grant.connection.channel.number,
             shared_parts=[part.id for part in self.metadata.parts[:-1]],
         )
 
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -11,6 +11,7 @@
 import enum
 import errno
 import fcntl
+import itertools
 import os
 import select
 import socket
@@ -152,11 +153,15 @@
 class Channel(peer_watch.WatchedConnection):
     """One TCP connection with its reader, writer and state of the peer.
 
-    ``usage`` is what the bytes of the present message have used of the processor's time.
+    ``usage`` is what the bytes of the present message have used of the processor's time. ``number``
+    tells the connections of a process apart in log lines.
     """
 
+    numbers = itertools.count(1)
+
     __slots__ = (
         "fetched",
+        "number",
         "peer_watch",
         "protocol",
         "reader",
@@ -181,6 +186,7 @@
         self.usage = read_turns.Reader()
         # Bytes that were read from the stream and wait for their turn.
         self.fetched = b""
+        self.number = next(Channel.numbers)
         set_socket_options(self.transport)
 
     @property
