Send a request at most once over one connection

Cause: a refused request may return to the endpoint after a pause. Its ID is the same for each send, and it went over the connection that was kept after the refusal. A late copy of that refusal, which comes where the next response is expected, then passed for the answer to the second send: the run was taken back, and the connection went back as free while the endpoint worked.

Ruled out: an endpoint that refuses and runs (the second refusal would come over another connection), an overlap of attempts (no 8117), a second gateway (it has not logged the request).

Change: a request keeps the connections over which it was sent, and further sends leave them out. Connection and ID together now name one send. The connection stays open for other requests. Repeats, replacements and resumed streams all get their connection in one place.

--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -1,5 +1,6 @@
 """HTTP calls to endpoints over pooled connections."""
 
+import collections.abc
 import contextlib
 import math
 
@@ -72,12 +73,21 @@
         self.reuse_limits: dict[str, ReuseLimit] = {}
         self.opened = 0
 
-    def acquire(self, endpoint: gateway.Endpoint) -> Connection | None:
-        """Return the most recently used idle connection, None if none is safe to reuse."""
+    def acquire(
+        self,
+        endpoint: gateway.Endpoint,
+        excluded: collections.abc.Collection[http1.Channel] = (),
+    ) -> Connection | None:
+        """Return the most recently used idle connection, None if none is safe to reuse.
+
+        Those over ``excluded`` channels stay idle.
+        """
         idle = self.idle.get(endpoint.id, [])
         now = clocks.boot_time()
-        while idle:
-            connection = idle.pop()
+        for index in range(len(idle) - 1, -1, -1):
+            if idle[index].channel in excluded:
+                continue
+            connection = idle.pop(index)
             idle_seconds = now - connection.idle_since
             if (
                 connection.channel.peer_gone
@@ -321,9 +331,16 @@
         self.answer_memory = answer_memory
         self.pool = ConnectionPool(fleet)
 
-    async def connect(self, endpoint: gateway.Endpoint) -> Connection:
-        """Return an idle or a new connection; raise EndpointNotStartedError if that fails."""
-        idle = self.pool.acquire(endpoint)
+    async def connect(
+        self,
+        endpoint: gateway.Endpoint,
+        excluded: collections.abc.Collection[http1.Channel] = (),
+    ) -> Connection:
+        """Return an idle or a new connection, none over ``excluded`` channels.
+
+        Raise EndpointNotStartedError if that fails.
+        """
+        idle = self.pool.acquire(endpoint, excluded)
         if idle is not None:
             return idle
         self.pool.opened += 1
@@ -348,13 +365,19 @@
         remaining_ms: int,
         last_event_id: str | None,
         connection: Connection,
+        used_channels: set[http1.Channel],
     ) -> EndpointCall:
         """Send a request and read the head of its response.
 
+        ``used_channels`` are those over which the same request was sent before, and gets this one.
+        On them, a late copy of the earlier response would pass for the one to this send: all have
+        the request's ID.
+
         Raise EndpointNotStartedError if the request certainly did not run, EndpointBrokenError
         if it may have run.
         """
         channel = connection.channel
+        used_channels.add(channel)
         exchange = http1.Exchange(channel)
         headers = self.codec.encode_request(
             metadata, endpoint, team, remaining_ms, len(body), last_event_id
--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -20,7 +20,7 @@
 from masticward.gateway import fleet as fleet_module
 from masticward.models import gateway
 from masticward.state import buffered_bytes, placement
-from masticward.transport import http1_server
+from masticward.transport import http1, http1_server
 from masticward.utils import clocks, identifiers
 
 # A response begins at least this long before the client's deadline, to arrive in time.
@@ -76,14 +76,23 @@
 class RequestProgress:
     """Progress of a request over its attempts.
 
-    ``sends`` counts attempts that were sent, ``runs`` those that may have run.
+    ``sends`` counts attempts that were sent, ``runs`` those that may have run. Over the connections
+    of ``used_channels`` the request was sent.
     """
 
-    __slots__ = ("endpoint_id", "last_event_id", "response_started", "runs", "sends")
+    __slots__ = (
+        "endpoint_id",
+        "last_event_id",
+        "response_started",
+        "runs",
+        "sends",
+        "used_channels",
+    )
 
     def __init__(self, last_event_id: str | None) -> None:
         self.runs = 0
         self.sends = 0
+        self.used_channels: set[http1.Channel] = set()
         # The endpoint whose response is awaited or read, or was last.
         self.endpoint_id: str | None = None
         self.response_started = False
@@ -355,7 +364,9 @@
         # Let the event loop process a disconnect of the client that has already arrived, which
         # cancels this request. In a busy process it may be queued behind the request's own bytes.
         await asyncio.sleep(0)
-        connection = await self.dependencies.endpoint_client.connect(endpoint)
+        connection = await self.dependencies.endpoint_client.connect(
+            endpoint, self.progress.used_channels
+        )
         now = clocks.boot_time()
         if (
             not self.fleet.announcements.is_open(endpoint, now)
@@ -527,6 +538,7 @@
             int(remaining_seconds * 1000),
             self.progress.last_event_id,
             grant.connection,
+            self.progress.used_channels,
         )
         run = self.fleet.run_times.start(self.route.name, self.metadata.output_tokens, now)
         resumes = self.progress.last_event_id is not None
--- /dev/null
+++ b/tests/functional/test_late_copies.py
@@ -0,0 +1,76 @@
+"""Guards against a second run of a request whose earlier refusal an endpoint sent once more."""
+
+import asyncio
+import time
+
+from masticward.gateway import overlap
+from tests.functional import test_gateway
+from tests.lib import late_copies, platform_standins
+
+FULL_SECONDS = 0.9 * overlap.SEARCH_PAUSE_SECONDS
+
+
+class RepeatedRequestTest(test_gateway.GatewayCase):
+    """Guards against a copy of a refusal that passes for the answer to a later send."""
+
+    async def start_full(self, *endpoints: late_copies.FullEndpoint) -> None:
+        for number, endpoint in enumerate(endpoints):
+            await self.add_endpoint(f"e{number}", endpoint)
+        document = platform_standins.configuration()
+        for route in document["routes"]:
+            route["target_latency_ms"] = 10_000
+        await self.start(routes=document["routes"])
+
+    async def check(self, route: str, *endpoints: late_copies.FullEndpoint) -> None:
+        # Both endpoints have a connection from before.
+        for endpoint in self.endpoints:
+            endpoint.behaviour = platform_standins.send_complete_response
+        for _ in range(4):
+            self.assertEqual(200, (await self.call("status")).status)
+        for standin, endpoint in zip(self.endpoints, endpoints, strict=True):
+            standin.behaviour = endpoint
+            endpoint.runs.clear()
+            endpoint.full_until = time.monotonic() + FULL_SECONDS
+        before = self.attempts()
+        request_id = f"q-{route}"
+        data = self.request(route).replace(b"Id: q1", b"Id: " + request_id.encode())
+        reader, writer = await self.send(data)
+        response = await self.read(reader)
+        writer.close()
+        self.assertEqual((200, True), (response.status, response.complete))
+        # Each has refused the request, and one of them got it again.
+        self.assertEqual(len(endpoints) + 1, self.attempts() - before)
+        # A second run would follow after the next pause.
+        await asyncio.sleep(0.3)
+        self.assertEqual([request_id], [run for endpoint in endpoints for run in endpoint.runs])
+
+    async def test_a_request_that_was_refused_runs_once_although_a_copy_follows(self) -> None:
+        endpoints = [late_copies.FullEndpoint(copies=True) for _ in range(2)]
+        await self.start_full(*endpoints)
+        for route in ("book", "stream", "status", "resume"):
+            with self.subTest(route):
+                self.fleet.budgets.clear()
+                await self.check(route, *endpoints)
+
+    async def test_a_request_is_never_sent_twice_over_one_connection(self) -> None:
+        endpoint = late_copies.FullEndpoint(copies=False)
+        writers: list[asyncio.StreamWriter] = []
+
+        async def behave(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writers.append(writer)
+            return await endpoint(request, writer)
+
+        await self.start_full(endpoint)
+        self.endpoints[0].behaviour = behave
+        endpoint.full_until = time.monotonic() + FULL_SECONDS
+        self.assertEqual(200, (await self.call("book")).status)
+        self.assertEqual(2, len(writers))
+        self.assertIsNot(writers[0], writers[1])
+        # The connection that was not used a second time serves other requests.
+        other = self.request("book").replace(b"Id: q1", b"Id: q2")
+        reader, writer = await self.send(other)
+        self.assertEqual(200, (await self.read(reader)).status)
+        writer.close()
+        self.assertIn(writers[2], writers[:2])
