Look for unexpected bytes right before a request is written

Callers could get 503, which promises that a request has not run, for one that an endpoint ran.

Cause: bytes on a kept connection were looked for when it was chosen, one or more passes of the event loop before the request was written. What arrived in between was read as the response, and believed if it had the request's ID.

Change: EndpointClient.call looks right before the write, where choosing did, and takes another connection if there are such bytes or the peer has ended this one.

--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -78,9 +78,9 @@
         endpoint: gateway.Endpoint,
         excluded: collections.abc.Collection[http1.Channel] = (),
     ) -> Connection | None:
-        """Return the most recently used idle connection, None if none is safe to reuse.
+        """Return the most recently used idle connection, None if there is none to reuse.
 
-        Those over ``excluded`` channels stay idle.
+        Those over ``excluded`` channels stay idle. ``is_clean`` has to be asked before a send.
         """
         idle = self.idle.get(endpoint.id, [])
         now = clocks.boot_time()
@@ -96,15 +96,6 @@
             ):
                 connection.channel.abort()
                 continue
-            if connection.channel.has_unread_bytes():
-                # They belong to no request; the next answer on this connection may not either.
-                LOGGER.log(
-                    events.Event.UNEXPECTED_BYTES,
-                    endpoint=endpoint.id,
-                    idle_seconds=round(idle_seconds, 3),
-                )
-                connection.channel.abort()
-                continue
             return Connection(connection.channel, idle_seconds)
         return None
 
@@ -185,6 +176,26 @@
                 del self.idle[endpoint_id]
 
 
+def is_clean(endpoint: gateway.Endpoint, connection: Connection) -> bool:
+    """Return whether a connection may take a request; close a kept one otherwise."""
+    channel = connection.channel
+    if connection.idle_seconds is None:
+        return True
+    if channel.peer_gone:
+        channel.abort()
+        return False
+    if not channel.has_unread_bytes():
+        return True
+    # They belong to no request; the next answer on this connection may not either.
+    LOGGER.log(
+        events.Event.UNEXPECTED_BYTES,
+        endpoint=endpoint.id,
+        idle_seconds=round(connection.idle_seconds, 3),
+    )
+    channel.abort()
+    return False
+
+
 class EndpointCall:
     """A request sent to an endpoint, with the head of its response received.
 
@@ -376,6 +387,11 @@
         Raise EndpointNotStartedError if the request certainly did not run, EndpointBrokenError
         if it may have run.
         """
+        while not is_clean(endpoint, connection):
+            # What arrives before the request is written is no response to it.
+            replacement = await self.connect(endpoint, used_channels)
+            connection.channel = replacement.channel
+            connection.idle_seconds = replacement.idle_seconds
         channel = connection.channel
         used_channels.add(channel)
         exchange = http1.Exchange(channel)
--- a/tests/functional/test_late_copies.py
+++ b/tests/functional/test_late_copies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import typing
 
 from masticward.gateway import overlap
 from tests.functional import test_gateway
@@ -74,3 +75,39 @@
         self.assertEqual(200, (await self.read(reader)).status)
         writer.close()
         self.assertIn(writers[2], writers[:2])
+
+
+class ChosenConnectionTest(test_gateway.GatewayCase):
+    """Guards against bytes that arrive after a connection was chosen and before it is used."""
+
+    async def test_bytes_before_the_request_was_written_are_no_answer_to_it(self) -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def behave(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writers.append(writer)
+            return await platform_standins.send_complete_response(request, writer)
+
+        endpoint = await self.add_endpoint("e1", behave)
+        await self.start()
+        self.assertEqual(200, (await self.call("book")).status)
+        client = self.program.endpoint_client
+        connect = client.connect
+
+        async def connect_late(*arguments: typing.Any) -> typing.Any:
+            connection = await connect(*arguments)
+            if connection.idle_seconds is not None:
+                # The answer that the endpoint sends now has the ID of the request that follows.
+                writers[0].write(
+                    b"HTTP/1.1 503 X\r\nX-Masticward-Request-Id: q1\r\n"
+                    b"X-Masticward-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+                await asyncio.sleep(0.05)
+            return connection
+
+        client.connect = connect_late  # type: ignore[method-assign]
+        response = await self.call("book")
+        self.assertEqual((200, b"answer"), (response.status, response.body))
+        self.assertEqual(2, len(endpoint.received))
+        self.assertIsNot(writers[0], writers[1])
