Close connections to the store on which bytes arrived between calls

Cause: bytes that had arrived on a kept connection were read as the answer to the next call; answers of the store name no call. A gateway could take an empty listing that nobody asked for.

Change: such a connection is closed, and the call gets a new one, as one whose peer has gone.

--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -123,7 +123,8 @@
         """
         self.calls += 1
         channel = self.connections.pop(kind, None)
-        if channel is not None and channel.peer_gone:
+        # Bytes that have arrived belong to no call; answers of the store name none.
+        if channel is not None and (channel.peer_gone or channel.has_unread_bytes()):
             channel.abort()
             channel = None
         body = b"" if document is None else msgspec.json.encode(document)
--- a/tests/functional/test_late_copies.py
+++ b/tests/functional/test_late_copies.py
@@ -4,9 +4,10 @@
 import time
 import typing
 
-from masticward.gateway import overlap
+from masticward.gateway import overlap, sources
+from masticward.platform import store
 from tests.functional import test_gateway
-from tests.lib import late_copies, platform_standins
+from tests.lib import late_copies, loops, platform_standins
 
 FULL_SECONDS = 0.9 * overlap.SEARCH_PAUSE_SECONDS
 
@@ -111,3 +112,43 @@
         self.assertEqual((200, b"answer"), (response.status, response.body))
         self.assertEqual(2, len(endpoint.received))
         self.assertIsNot(writers[0], writers[1])
+
+
+class RecordingStore(platform_standins.StoreStandin):
+    """Keeps the connections of its callers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def handle(
+        self, request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Handle one call."""
+        self.writers.append(writer)
+        return await super().handle(request, writer)
+
+
+class StoreCallTest(loops.UvloopTestCase):
+    """Guards against bytes on a kept connection to the store that pass for its next answer."""
+
+    async def test_a_call_does_not_take_bytes_that_were_there_before_it(self) -> None:
+        standin = RecordingStore()
+        await standin.start()
+        self.addAsyncCleanup(standin.stop)
+        standin.put_endpoint("e1", "127.0.0.1:1")
+        source = store.Store(standin.address)
+        kind = sources.ObjectKind.ENDPOINTS
+
+        async def list_names() -> list[str]:
+            return [item.name for item in (await source.list_objects(kind)).items]
+
+        self.assertEqual(["e1"], await list_names())
+        channel = source.connections[kind]
+        stale = b'{"items":[],"has_more":false,"current_rev":9}'
+        head = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(stale)
+        standin.writers[0].write(head + stale)
+        while not channel.has_unread_bytes():
+            await asyncio.sleep(0.01)
+        self.assertEqual(["e1"], await list_names())
+        self.assertIsNot(standin.writers[0], standin.writers[1])
