Free a connection once its peer has the whole request

Cause: after a whole answer a connection was free although its peer had not acknowledged the body of the request; only what the process itself still held was looked at. The next request waited behind the rest.

Change: Exchange.reusable asks the kernel, too.

--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -716,7 +716,8 @@
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection.
 
-        A peer that sent more than the one answer may send more later.
+        A peer that sent more than the one answer may send more later. One that answered before it
+        had received the request would get the next one behind the rest.
         """
         return (
             self.ended
@@ -726,7 +727,7 @@
             and (self.chunked is not None or self.machine.their_state is h11.DONE)
             and not self.trailing_bytes
             and not self.channel.peer_gone
-            and self.channel.transport.get_write_buffer_size() == 0
+            and not self.channel.has_unacknowledged_bytes()
         )
 
 
--- a/tests/functional/test_late_copies.py
+++ b/tests/functional/test_late_copies.py
@@ -1,11 +1,14 @@
 """Guards against a second run of a request whose earlier refusal an endpoint sent once more."""
 
 import asyncio
+import socket
 import time
 import typing
 
 from masticward.gateway import overlap, sources
 from masticward.platform import store
+from masticward.transport import http1
+from masticward.utils import clocks
 from tests.functional import test_gateway
 from tests.lib import late_copies, loops, platform_standins
 
@@ -152,3 +155,37 @@
             await asyncio.sleep(0.01)
         self.assertEqual(["e1"], await list_names())
         self.assertIsNot(standin.writers[0], standin.writers[1])
+
+
+class FreeConnectionTest(loops.UvloopTestCase):
+    """Guards against a request behind the rest of an earlier one that its peer has not received."""
+
+    async def test_a_connection_is_not_free_before_the_peer_has_the_whole_request(self) -> None:
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        channel = await http1.connect(server.getsockname(), 1.0)
+        self.addCleanup(channel.abort)
+        peer, _ = server.accept()
+        self.addCleanup(peer.close)
+        exchange = http1.Exchange(channel)
+        # Too much for the peer's buffer, little enough for the kernel to take it at once.
+        body = bytes(100_000)
+        headers = [(b"host", b"test"), (b"content-length", b"%d" % len(body))]
+        await exchange.send(b"POST", b"/", headers, body)
+        peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+        await exchange.read_head()
+        self.assertEqual(b"hello", await exchange.read_body())
+        deadline = clocks.boot_time() + 5.0
+        while channel.unsent_bytes and clocks.boot_time() < deadline:
+            await asyncio.sleep(0.01)
+        self.assertEqual(0, channel.unsent_bytes)
+        self.assertFalse(exchange.reusable)
+        received = 0
+        loop = asyncio.get_running_loop()
+        peer.setblocking(False)
+        while received < len(body):
+            received += len(await loop.sock_recv(peer, 65536))
+        while not exchange.reusable and clocks.boot_time() < deadline:
+            await asyncio.sleep(0.01)
+        self.assertTrue(exchange.reusable)
