Reset the connection of an attempt that is given up

Cause: attempts end by Channel.abort, which closes the socket in order. An endpoint that has not read a long body learns of the end only behind it.

Change: attempts whose response was not read to its end are reset, and so are calls to the store that are given up, whose unsent rest could be executed after a later call. Connections of clients close as before: what was written before a cut may still reach them.

--- a/src/masticward/gateway/attempts.py
+++ b/src/masticward/gateway/attempts.py
@@ -206,7 +206,7 @@
 
     def abort(self) -> None:
         """Reset the connection; ``close`` has to follow."""
-        self.grant.connection.channel.abort()
+        self.grant.connection.channel.reset()
 
     def close(self) -> None:
         """Release the connection, or reset it if the response was not read to its end."""
--- a/src/masticward/gateway/calls.py
+++ b/src/masticward/gateway/calls.py
@@ -286,7 +286,7 @@
                 self.endpoint, self.exchange.channel, self.response_metadata.keep_alive_seconds
             )
         else:
-            self.exchange.channel.abort()
+            self.exchange.channel.reset()
 
 
 class KeptAnswer:
@@ -413,7 +413,7 @@
                 with contextlib.suppress(errors.EndpointBrokenError):
                     await call.discard_body()
         except BaseException as error:
-            channel.abort()
+            channel.reset()
             unanswered = isinstance(error, errors.EndpointBrokenError) and not exchange.received
             if unanswered and connection.idle_seconds is not None:
                 self.pool.record_drop(endpoint, connection.idle_seconds)
--- a/src/masticward/platform/store.py
+++ b/src/masticward/platform/store.py
@@ -146,11 +146,12 @@
         except (TimeoutError, errors.EndpointError) as error:
             self.failed_calls += 1
             if channel is not None:
-                channel.abort()
+                # What the store has not received of the call is not to be executed later.
+                channel.reset()
             raise errors.StoreUnavailableError(path, f"{type(error).__name__} {error}") from error
         except asyncio.CancelledError:
             if channel is not None:
-                channel.abort()
+                channel.reset()
             raise
         if exchange.reusable:
             self.connections[kind] = channel
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -320,7 +320,8 @@
     def reset(self) -> None:
         """Reset the connection and drop what the process and the kernel hold for the peer.
 
-        A mere ``abort`` lets the kernel go on sending, and ends the stream in order after that.
+        A mere ``abort`` lets the kernel go on sending, and ends the stream in order after that: a
+        peer that has not read everything learns of the end only then.
         """
         if self.protocol.socket is not None and not self.transport.is_closing():
             with contextlib.suppress(OSError):
@@ -340,7 +341,7 @@
         return bool(poll.poll(0))
 
     def abort(self) -> None:
-        """Reset the connection without sending what is buffered."""
+        """Close the connection without sending what the process holds."""
         self.transport.abort()
 
     async def close_after_peer(self) -> None:
