Resume a stream after the last event that its caller gets

Cause: the IDs of events were stored before memory was taken for them. Without memory the events were dropped, and the next attempt went on after them. The attempt broke at all because a part that its caller gets at once needed as much memory as one that waits for a slow caller.

Ruled out: an endpoint that leaves events out (it wrote all), a loss behind the gateway (it wrote none of them).

Change: IDs are stored right before the events are written. If the caller has read all before, what it gets at once counts as a small answer while memory is scarce; it is in memory already.

LostEventsTest fails without each of the two changes.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -1,7 +1,6 @@
 """Forwards a client's request to endpoints and relays the response."""
 
 import asyncio
-import functools
 import typing
 
 from masticward import errors, events, logs
@@ -841,21 +840,16 @@
                 data = complete_events
                 if len(buffer.incomplete) > MAX_EVENT_BYTES:
                     raise errors.EndpointBrokenError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-                self.record_event_ids(data)
             else:
                 buffer.keep_last(KEPT_EVENT_BYTES)
             if self.buffer is not None:
                 silent_since += await self.buffer.make_room(
                     call, len(data), len(data) + len(buffer.incomplete)
                 )
-            # What a slow client has not read, and what waits behind it.
-            hold = call.hold if self.buffer is None else functools.partial(self.buffer.hold, call)
-            hold(
-                self.responder.unsent_bytes
-                + len(data)
-                + len(buffer.incomplete)
-                + call.exchange.channel.protocol.unread_bytes
-            )
+            await self.hold_stream(call, len(data), len(buffer.incomplete))
+            if self.route.resumable:
+                # Another attempt must not go on after events for which there was no memory.
+                self.record_event_ids(data)
             has_event = event_stream.EVENT_FIELD.search(data) is not None
             if has_event:
                 read_at = clocks.boot_time()
@@ -877,6 +871,32 @@
         self.release_endpoint(attempt, call)
         await self.responder.end()
 
+    async def hold_stream(
+        self, call: calls.EndpointCall, data_bytes: int, incomplete_bytes: int
+    ) -> None:
+        """Hold memory for what a slow client has not read, and for what waits behind it.
+
+        Raise EndpointBrokenError if it does not fit. What a client gets at once, which has read all
+        before, is in memory already: it counts as a small answer then.
+        """
+
+        def needed_bytes() -> int:
+            unread_bytes = call.exchange.channel.protocol.unread_bytes
+            return self.responder.unsent_bytes + data_bytes + incomplete_bytes + unread_bytes
+
+        if self.buffer is not None:
+            self.buffer.hold(call, needed_bytes())
+            return
+        size = needed_bytes()
+        held_body = call.held_body
+        if not held_body.memory.fits(held_body.reserved_bytes, size):
+            # The transport writes at the end of a pass of the event loop.
+            await asyncio.sleep(0)
+            size = needed_bytes()
+            if not self.responder.unsent_bytes:
+                size = max(incomplete_bytes, response_buffers.small(size))
+        call.hold(size)
+
     def release_endpoint(self, attempt: attempts.Attempt, call: calls.EndpointCall) -> None:
         """Release an endpoint whose response was read to its end, before its slow client has it."""
         if self.buffer is not None:
@@ -908,7 +928,7 @@
             raise errors.EndpointBrokenError("the stream ended within an event")
 
     def record_event_ids(self, data: bytes) -> None:
-        """Store the ID of the last event in data that is sent to the client.
+        """Store the ID of the last event in data that is about to be sent to the client.
 
         Raise EndpointBrokenError if a resumed stream does not go on after the last event.
         """
--- a/tests/functional/test_faulty_responses.py
+++ b/tests/functional/test_faulty_responses.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import re
 import typing
 
+from masticward.state import body_memory
 from tests.functional import test_gateway
 from tests.lib import platform_standins
 
@@ -196,3 +198,54 @@
                 response = await self.call(route)
                 self.assertEqual((200, b""), (response.status, response.body))
                 self.assertTrue(response.complete)
+
+
+class LostEventsTest(FaultyResponseCase):
+    """Guards against events that found no memory, were dropped and never asked for again."""
+
+    async def test_a_stream_is_resumed_after_the_last_event_that_was_sent(self) -> None:
+        memory = self.program.answer_memory
+        last_ids: list[str | None] = []
+        taken_bytes = 0
+
+        async def stream(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            nonlocal taken_bytes
+            last_ids.append(request.headers.get("last-event-id"))
+            # The other responses end.
+            memory.held_bytes -= taken_bytes
+            taken_bytes = 0
+            head = f"X-Masticward-Request-Id: {request.request_id}\r\n{platform_standins.PROOF}"
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+            for number in range(int(last_ids[-1] or 0) + 1, 5):
+                if number == 2 and len(last_ids) == 1:
+                    # Other responses take the memory.
+                    await asyncio.sleep(0.1)
+                    taken_bytes = int(memory.free_bytes)
+                    memory.held_bytes += taken_bytes
+                event = b"id: %d\ndata: %b\n\n" % (number, b"x" * 100)
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(b"0\r\n\r\n")
+            return True
+
+        self.settings_text += "limits: {memory_mb: 300}\n"
+        self.program.reload()
+        await self.start_with(stream)
+        response = await self.call("patient")
+        self.assertEqual((200, True), (response.status, response.complete))
+        self.assertEqual([b"1", b"2", b"3", b"4"], re.findall(rb"id: (\d)", response.body))
+        self.assertEqual([None, "1"], last_ids)
+
+    async def test_a_stream_that_its_client_reads_needs_little_of_scarce_memory(self) -> None:
+        body = b"".join(b"id: %d\ndata: %b\n\n" % (number, b"x" * 500) for number in range(60))
+        script = platform_standins.ScriptedResponse(body)
+        await self.start_with(script, count=1)
+        memory = self.program.answer_memory
+        # Other responses have taken all but the part for small ones.
+        memory.held_bytes = int(memory.limit_bytes * (1 - body_memory.SMALL_ANSWER_FRACTION))
+        for route in ("stream", "resume"):
+            with self.subTest(route):
+                response = await self.call(route)
+                self.assertEqual((200, True), (response.status, response.complete))
+                self.assertEqual(body, response.body)
