Wait for the client's own end instead of polling a closing connection

A connection that ends with an answer was polled from 2 ms on until the answer was acknowledged, which woke a busy process up to three times for each of them. It now ends its side at once, as before, and the client's end of the connection, which mostly follows, ends the wait; it is polled every 0.05 to 0.25 s.

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections
+import contextlib
 import enum
 import errno
 import math
@@ -21,8 +22,8 @@
 RETRY_AFTER = b"0.2"
 # With fewer unsent bytes, a transport does not let its writers wait.
 MIN_PAUSED_BYTES = 16 * 1024
-# The first waits for a client are short, because most clients take an answer at once.
-FIRST_POLL_SECONDS = 0.002
+# How often it is looked whether a client has taken its last answer.
+FIRST_POLL_SECONDS = 0.05
 MAX_POLL_SECONDS = 0.25
 LOGGER = logs.get_logger(__name__)
 REASONS = {
@@ -573,9 +574,15 @@
 
         End the connection if it takes nothing for the time for which it may be idle.
         """
+        if self.channel.open_socket is None or not self.channel.pending_bytes:
+            return
         limit_seconds = self.server.handler.limits().idle_timeout_seconds
         pace = buffered_bytes.ClientPace(clocks.boot_time())
         poll_seconds = FIRST_POLL_SECONDS
+        left = asyncio.Event()
+        self.channel.protocol.on_peer_gone = left.set
+        # Most clients close their side at once when they have the end.
+        self.channel.writer.write_eof()
         while not self.channel.peer_gone and self.channel.open_socket is not None:
             now = clocks.boot_time()
             pace.record(self.channel.pending_bytes, now)
@@ -584,7 +591,9 @@
             if pace.stalled_seconds(now) >= limit_seconds:
                 self.channel.end_lost(OSError(errno.ETIMEDOUT, "the client takes nothing"))
                 return
-            await asyncio.sleep(poll_seconds)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(poll_seconds):
+                    await left.wait()
             poll_seconds = min(MAX_POLL_SECONDS, 2.0 * poll_seconds)
 
     async def serve_request(self) -> bool:
