--- a/src/masticward/gateway/peering.py
+++ b/src/masticward/gateway/peering.py
@@ -29,6 +29,8 @@
 # Watches deliver changes to all gateways within this time unless a watch hangs. A listing requested
 # after this time is still early enough for the bounds on draining and evacuation.
 LISTING_MISMATCH_SECONDS = 0.8
+# Changes that another reader relays, or that were overtaken, arrive within this time.
+MISSED_CHANGES_SECONDS = 0.3
 # Shortest time between two listings that are requested because of a mismatch.
 MIN_RELIST_INTERVAL_SECONDS = 2.0
 # Shortest time between two snapshots that are requested because of a mismatch.
@@ -70,6 +72,8 @@
         "listing_digest",
         "listing_digest_since",
         "live",
+        "missed",
+        "missed_since",
         "newest_sent_at",
         "received_at",
         "stopping",
@@ -91,6 +95,10 @@
         # The peer's latest listing digest, 0 while unknown, and when it was first received.
         self.listing_digest = 0
         self.listing_digest_since = 0.0
+        # Positions before changes that it has relayed, of the kinds for which this process did not
+        # have the changes up to there, and when the first of these was received.
+        self.missed: dict[sources.ObjectKind, sources.Position] = {}
+        self.missed_since = 0.0
         # The store's era of its listings.
         self.listed_era = 0
         self.stopping = False
@@ -387,7 +395,8 @@
 
         For a gateway that reads the store, that is when the listings of at least half of the live
         peers have differed from its own for ``LISTING_MISMATCH_SECONDS``; fewer may themselves be
-        behind. For another gateway, one peer that reads the store is enough.
+        behind. For another gateway, one peer that reads the store is enough, or changes which a
+        peer has relayed and others before them that are missing here.
         """
         now = clocks.boot_time()
         reads_store = self.fleet.reads_store
@@ -399,6 +408,7 @@
         differing = self.differing_peers()
         if not reads_store:
             differs = any(peer.instance_id in self.fleet.reader_ids for peer in differing)
+            differs = differs or bool(self.leading_peers())
         else:
             live_count = sum(peer.live for peer in self.peers.values())
             differs = bool(differing) and 2 * len(differing) >= live_count
@@ -420,6 +430,29 @@
             and now - peer.listing_digest_since > LISTING_MISMATCH_SECONDS
         ]
 
+    def leading_peers(self) -> list[Peer]:
+        """Return the live peers that have relayed changes which do not follow on the own ones.
+
+        Their listings tell nothing while replicas come and go: they differ all the time, from each
+        other as well.
+        """
+        now = clocks.boot_time()
+        leading = []
+        for peer in self.peers.values():
+            peer.missed = {
+                kind: position
+                for kind, position in peer.missed.items()
+                if not self.has_position(kind, position)
+            }
+            if peer.missed and peer.live and now - peer.missed_since > MISSED_CHANGES_SECONDS:
+                leading.append(peer)
+        return leading
+
+    def has_position(self, kind: sources.ObjectKind, position: sources.Position) -> bool:
+        """Return whether this process has all changes of a kind up to a position."""
+        own = self.fleet.revisions.get(kind)
+        return own is not None and own >= position
+
     def send_reports(self) -> None:
         """Send a report to each live gateway, and periodically to the others and the seeds."""
         transport = self.transport
@@ -597,6 +630,9 @@
                 from_revision=changes.from_revision,
                 era=changes.era,
             )
+            if not peer.missed:
+                peer.missed_since = now
+            peer.missed[kind] = sources.Position(changes.era, changes.from_revision)
 
     def apply_eras(self, peer: Peer, store_era: int, listed_era: int) -> None:
         """Apply what a peer says of the store's era."""
--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -177,9 +177,10 @@
     def best_peer(self) -> peering.Peer | None:
         """Return the live peer to read from.
 
-        If the listing of a peer that reads the store differs, that is one of those. Otherwise it
-        is one with the newest configuration, in the own availability zone if possible, and among
-        those the one with the newest proof.
+        If a peer has relayed changes that do not follow on the own ones, that is one of those, or
+        else one that reads the store and whose listing differs. Otherwise it is one with the
+        newest configuration, in the own availability zone if possible, and among those the one with
+        the newest proof.
         """
         fleet = self.fleet
         later = self.peers_of_later_era()
@@ -190,7 +191,7 @@
         ):
             return random.choice(later)
         if self.listing_differs and not fleet.reads_store:
-            readers = [
+            readers = self.peering.leading_peers() or [
                 peer
                 for peer in self.peering.differing_peers()
                 if peer.instance_id in fleet.reader_ids
--- a/tests/unit/test_store_readers.py
+++ b/tests/unit/test_store_readers.py
@@ -256,6 +256,31 @@
         behind.peering.compare_listings()
         self.assertEqual(1, behind.mismatches)
 
+    async def test_it_notices_it_although_endpoints_come_and_go_all_the_time(self) -> None:
+        # The readers' listings change more often than LISTING_MISMATCH_SECONDS.
+        behind = next(item for item in self.gateways if not item.fleet.reads_store)
+        self.network.cut_ips.add(behind.ip)
+        await self.change("n0", builders.make_endpoint("n0"))
+        self.network.cut_ips.clear()
+        for number in range(1, 6):
+            await self.change(f"n{number}", builders.make_endpoint(f"n{number}"))
+            await self.pass_time(1)
+            behind.peering.compare_listings()
+        self.assertGreaterEqual(behind.mismatches, 1)
+        leading = behind.peering.leading_peers()
+        readers = {item.fleet.settings.instance_id for item in self.readers()}
+        self.assertTrue(leading)
+        self.assertLessEqual({peer.instance_id for peer in leading}, readers)
+        # With a snapshot of one of these it has all changes, and the next ones follow on it.
+        reader = next(item for item in self.readers())
+        snapshot = snapshots.build_snapshot(reader.fleet)
+        assert snapshot is not None
+        snapshots.apply_snapshot(behind.fleet, snapshot, self.now, "g1")
+        self.assertEqual([], behind.peering.leading_peers())
+        await self.change("n6", builders.make_endpoint("n6"))
+        self.assertIn("n6", behind.endpoint_ids)
+        self.assertEqual([], behind.peering.leading_peers())
+
     async def test_a_lost_last_change_is_found_by_the_digest_of_the_readers(self) -> None:
         behind = next(item for item in self.gateways if not item.fleet.reads_store)
         self.network.cut_ips.add(behind.ip)
