Keep later starts of endpoints when the store was restored

Cause: in the listing of a restored store, entries of endpoints that had left or that drain were doubted, but not the entry of an earlier start of an endpoint, which replaced the known one, and with it the time until which it is cold.

Ruled out: gateways that did not know of the cold start (8 requests in a second before), a late entry of the replica.

Two of the four new tests of test_store_eras fail on the code before.

--- a/src/masticward/gateway/snapshots.py
+++ b/src/masticward/gateway/snapshots.py
@@ -295,7 +295,8 @@
         changes = fleet.table.adopt_doubts(
             {**snapshot.left, **draining}, store_restore.DOUBT_SECONDS, now
         )
-        for change in changes:
+        endpoints = [item.to_absolute(now) for item in snapshot.endpoints]
+        for change in [*changes, *fleet.table.adopt_starts(endpoints, now)]:
             fleet.record_change(change)
         seconds = store_restore.STABLE_LISTING_SECONDS
         fleet.hold_zones(dict.fromkeys(snapshot.out_zones, seconds), now)
--- a/src/masticward/state/endpoint_table.py
+++ b/src/masticward/state/endpoint_table.py
@@ -69,8 +69,7 @@
 
         Endpoints that the copy lacks are listed again within the grace period.
         """
-        draining = [item for item in self.endpoints.values() if item.draining]
-        self.departures.begin_era(draining, now)
+        self.departures.begin_era(self.endpoints.values(), now)
         self.start_relist_grace(now)
 
     def apply(
@@ -145,6 +144,25 @@
                 self.discard(endpoint_id, now, changes)
         return changes
 
+    def adopt_starts(
+        self, endpoints: collections.abc.Iterable[gateway.Endpoint], now: float
+    ) -> list[Change]:
+        """Replace entries of a restored copy by those of later starts that a peer knows."""
+        changes: list[Change] = []
+        departures = self.departures
+        for endpoint in endpoints:
+            if not departures.may_have_left(endpoint.id, now):
+                continue
+            known = self.endpoints.get(endpoint.id)
+            departures.latest[endpoint.id] = max(
+                endpoint.born, departures.latest.get(endpoint.id, 0)
+            )
+            if known is not None and known.born < endpoint.born:
+                departures.withheld.add(endpoint.id)
+                self.cached_digest = None
+                self.put(endpoint, changes)
+        return changes
+
     def put(self, endpoint: gateway.Endpoint, changes: list[Change]) -> None:
         """Add or replace an endpoint, and append its state changes to ``changes``."""
         previous = self.endpoints.get(endpoint.id)
--- a/src/masticward/state/store_restore.py
+++ b/src/masticward/state/store_restore.py
@@ -20,12 +20,12 @@
 
 
 class DepartedEndpoints:
-    """Endpoints that are known to have left or to drain, whatever a restored copy lists.
+    """Endpoints that are known to have left, to drain or to have started anew.
 
     Only entries of listings are doubted. A change of a watch was written in the new era.
     """
 
-    __slots__ = ("doubted", "doubted_until", "left", "rewritten", "withheld")
+    __slots__ = ("doubted", "doubted_until", "latest", "left", "rewritten", "withheld")
 
     def __init__(self) -> None:
         # ``born`` of each endpoint that has left lately, and when it left.
@@ -33,6 +33,9 @@
         # ``born`` of each endpoint whose entry in the copy is not accepted before that time.
         self.doubted: dict[str, int] = {}
         self.doubted_until = 0.0
+        # ``born`` of each endpoint that was listed when the store was restored. Until that time, an
+        # entry of an earlier start is not accepted in its place.
+        self.latest: dict[str, int] = {}
         # Endpoints that the latest listing has and that are not accepted.
         self.withheld: set[str] = set()
         # Endpoints whose entries are known to have been written in the present era.
@@ -45,14 +48,19 @@
         if len(self.left) > MAX_DEPARTURES:
             del self.left[next(iter(self.left))]
 
-    def begin_era(self, draining: collections.abc.Iterable[gateway.Endpoint], now: float) -> None:
-        """Doubt the entries of all endpoints known to have left or to drain."""
+    def begin_era(self, listed: collections.abc.Iterable[gateway.Endpoint], now: float) -> None:
+        """Doubt the entries of endpoints known to have left or to drain, and of earlier starts.
+
+        ``listed`` are the endpoints that are known so far.
+        """
+        endpoints = list(listed)
         self.rewritten.clear()
         self.withheld.clear()
         lately = self.left_lately(now)
         self.left = {key: value for key, value in self.left.items() if key in lately}
         self.doubted.update(lately)
-        self.doubted.update({item.id: item.born for item in draining})
+        self.doubted.update({item.id: item.born for item in endpoints if item.draining})
+        self.latest = {item.id: item.born for item in endpoints}
         self.doubted_until = now + DOUBT_SECONDS
 
     def left_lately(self, now: float) -> dict[str, int]:
@@ -66,16 +74,16 @@
     def begin_listing(self, now: float) -> None:
         """Prepare for the entries of a complete listing."""
         self.withheld.clear()
-        if self.doubted and now >= self.doubted_until:
+        if now >= self.doubted_until:
             self.doubted.clear()
+            self.latest.clear()
 
     def rejects(self, endpoint: gateway.Endpoint, now: float) -> bool:
         """Return whether an entry of a listing is taken as one that the copy has brought back."""
-        if (
-            now >= self.doubted_until
-            or endpoint.draining
-            or self.doubted.get(endpoint.id) != endpoint.born
-        ):
+        if now >= self.doubted_until:
+            return False
+        has_left = not endpoint.draining and self.doubted.get(endpoint.id) == endpoint.born
+        if not has_left and endpoint.born >= self.latest.get(endpoint.id, 0):
             return False
         self.withheld.add(endpoint.id)
         return True
@@ -85,6 +93,7 @@
         if now < self.doubted_until:
             self.rewritten.add(endpoint_id)
             self.doubted.pop(endpoint_id, None)
+            self.latest.pop(endpoint_id, None)
             self.withheld.discard(endpoint_id)
 
     def may_have_left(self, endpoint_id: str, now: float) -> bool:
--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -87,6 +87,50 @@
         )
         self.assertEqual({"drains", "leaves", "stays"}, self.usable())
 
+    def start_anew(self) -> None:
+        """Let "stays" have started for the third time before the store was restored."""
+        self.list_endpoints(builders.make_endpoint("stays", born=3), era=2)
+        self.fleet.learn_era(3)
+
+    def listed(self) -> dict[str, int]:
+        return {item.id: item.born for item in self.fleet.table.endpoints.values()}
+
+    def test_an_entry_of_an_earlier_start_does_not_replace_a_later_one(self) -> None:
+        # The later one may be cold, which the copy doesn't know.
+        self.start_anew()
+        for draining in (False, True):
+            earlier = builders.make_endpoint("stays", born=2, draining=draining)
+            self.list_endpoints(earlier, era=3)
+            self.assertEqual({"stays": 3}, self.listed())
+            self.assertEqual({"stays"}, self.usable())
+        self.list_endpoints(builders.make_endpoint("stays", born=4), era=3)
+        self.assertEqual({"stays": 4}, self.listed())
+
+    def test_an_earlier_start_counts_once_it_is_written_in_the_new_era(self) -> None:
+        # The clock of its machine was set back.
+        self.start_anew()
+        self.list_endpoints(builders.make_endpoint("stays", born=2), era=3)
+        self.relay(60, 3, *stored(builders.make_endpoint("stays", born=2)))
+        self.assertEqual({"stays": 2}, self.listed())
+
+    def test_an_earlier_start_that_does_not_expire_is_accepted_by_a_further_listing(self) -> None:
+        self.start_anew()
+        self.list_endpoints(builders.make_endpoint("stays", born=2), era=3)
+        self.assertEqual(self.now + store_restore.DOUBT_SECONDS, self.fleet.check_at(ENDPOINTS))
+        self.now += store_restore.DOUBT_SECONDS
+        self.list_endpoints(builders.make_endpoint("stays", born=2), era=3)
+        self.assertEqual({"stays": 2}, self.listed())
+
+    def test_a_gateway_that_starts_learns_of_later_starts_from_a_peer(self) -> None:
+        self.list_endpoints(builders.make_endpoint("stays", born=2))
+        table = self.fleet.table
+        later = builders.make_endpoint("stays", born=3)
+        table.adopt_doubts({}, store_restore.DOUBT_SECONDS, self.now)
+        self.assertEqual(1, len(table.adopt_starts([later], self.now)))
+        self.assertEqual({"stays": 3}, self.listed())
+        self.list_endpoints(builders.make_endpoint("stays", born=2))
+        self.assertEqual({"stays": 3}, self.listed())
+
     def test_an_entry_that_does_not_expire_is_accepted_by_a_further_listing(self) -> None:
         self.list_copy()
         self.assertEqual(self.now + store_restore.DOUBT_SECONDS, self.fleet.check_at(ENDPOINTS))
