Wait for a client also when its connection is closed between two requests

Cause: closing a connection between two requests still left what the client had not taken to the kernel, which gives up a closed connection sooner. And an error of one socket turned the watch of all connections off.

Change: close() leaves the connection open until its task has waited for the client; a connection whose state cannot be read is no longer watched, and the others are.

Measured: tests/functional/test_peer_watch.py, 17 of 17, with a new test of a stop during which a client takes its answer 3 s late. Found by reading; the new test also passes before this change.

--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -509,11 +509,13 @@
     def close(self, cause: str) -> None:
         """Close the connection once the client has taken its last answer, and log the cause."""
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
-        if self.reading is not None and self.channel.pending_bytes:
-            self.closing = True
-            self.reading.reschedule(asyncio.get_running_loop().time())
-        else:
+        if not self.channel.pending_bytes:
             self.channel.writer.close()
+            return
+        # ``run`` ends and waits for the client.
+        self.closing = True
+        if self.reading is not None:
+            self.reading.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -598,6 +600,8 @@
 
     async def serve_request(self) -> bool:
         """Serve one request; returns whether another may follow."""
+        if self.closing:
+            return False
         try:
             request = await self.read_until_stopped()
         except h11.RemoteProtocolError as error:
@@ -605,7 +609,6 @@
             return False
         except TimeoutError:
             if self.closing:
-                # ``run`` waits for the client.
                 return False
             if not self.busy and self.channel.pending_bytes:
                 self.reset("the client takes nothing")
--- a/src/masticward/transport/peer_watch.py
+++ b/src/masticward/transport/peer_watch.py
@@ -127,7 +127,6 @@
             return False
         state = tcp_state.read(sock)
         if state is None:
-            self.measures_times = False
             return False
         if not pending:
             self.find_measures(state, now - written.written_at)
--- a/tests/functional/test_peer_watch.py
+++ b/tests/functional/test_peer_watch.py
@@ -5,6 +5,7 @@
 import typing
 import unittest.mock
 
+from masticward.state import load_shedding
 from masticward.transport import http1, peer_watch
 from tests.functional import test_endless_bytes
 from tests.lib import loops, lost_peers, platform_standins, slow_peers
@@ -230,6 +231,28 @@
         reader, _ = await asyncio.open_connection(sock=client)
         self.assertEqual(BODY, (await self.read(reader)).body)
 
+    async def test_a_stop_waits_for_a_client_that_takes_its_answer_later(self) -> None:
+        async def answer(
+            request: platform_standins.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(platform_standins.complete_response(request, BODY[:60_000]))
+            return True
+
+        await self.start_with(platform_standins.EndpointStandin(answer))
+        clients = [await slow_peers.connect(self.port, self.request("book")) for _ in range(2)]
+        for client in clients:
+            self.addCleanup(client.close)
+        requests = self.program.gateway_metrics.requests.labels("answered", "200")._value
+        await self.wait_until(lambda: requests.get() == len(clients))
+        with unittest.mock.patch.object(load_shedding, "ROTATION_EXIT_SECONDS", 0.1):
+            stopping = asyncio.ensure_future(self.program.stop())
+            await asyncio.sleep(3.0)
+        self.assertFalse(stopping.done())
+        for client in clients:
+            reader, _ = await asyncio.open_connection(sock=client)
+            self.assertEqual(60_000, len((await self.read(reader)).body))
+        await stopping
+
     async def test_a_client_that_never_reads_is_cut_after_its_idle_time(self) -> None:
         # The kernel has ended such connections so far.
         async def answer(
