--- a/tests/lib/overlap_model.py
+++ b/tests/lib/overlap_model.py
@@ -83,6 +83,7 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
+        self.number = 0
         self.channel = self.protocol = self
         self.usage = read_turns.Reader()
         self.unread_bytes = self.unsent_bytes = 0
@@ -103,6 +104,9 @@
         # What has arrived before may still be read.
         self.arrived.put_nowait(0)
 
+    def reset(self) -> None:
+        self.abort()
+
     def end(self) -> None:
         for timer in self.timers:
             timer.cancel()
@@ -183,7 +187,9 @@
     def release(self, _: gateway.Endpoint, connection: FakeConnection, __: object) -> None:
         connection.released = True
 
-    async def connect(self, endpoint: gateway.Endpoint) -> calls.Connection:
+    async def connect(
+        self, endpoint: gateway.Endpoint, excluded: collections.abc.Collection[object]
+    ) -> calls.Connection:
         self.connections.append(FakeConnection(f"{len(self.connections)} at {endpoint.id}"))
         return calls.Connection(typing.cast(http1.Channel, self.connections[-1]), 0.0)
 
