--- a/review/standins4/replicas.py
+++ b/review/standins4/replicas.py
@@ -62,6 +62,10 @@
             "born": self.born,
         }
 
+    def find(self, request_id: str) -> Arrival:
+        """Return the arrival of a request."""
+        return next(item for item in self.arrivals if item.request_id == request_id)
+
     def end(self) -> None:
         """Exit: close the listener and reset all channels."""
         self.has_ended = True
