--- a/review/standins4/deployment.py
+++ b/review/standins4/deployment.py
@@ -133,7 +133,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
             for replica in self.replicas:
-                if not replica.has_ended:
+                if not replica.has_ended and not self.store.away:
                     self.store.put("servers", replica.id, replica.entry())
 
     async def start_gateways(self, store_address: str) -> None:
--- a/review/standins4/replicas.py
+++ b/review/standins4/replicas.py
@@ -37,6 +37,8 @@
         self.born = int(time.time() * 1000)
         self.address = ""
         self.state = "ready"
+        # Until when it is cold, on the monotonic clock.
+        self.cold_until = 0.0
         self.arrivals: list[Arrival] = []
         self.reply: Reply | None = None
         self.server: asyncio.Server | None = None
@@ -57,7 +59,7 @@
             "version": "v1",
             "slots": 64,
             "state": self.state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": round(1000.0 * max(0.0, self.cold_until - time.monotonic())),
             "seq": 1,
             "born": self.born,
         }
--- a/review/standins4/store.py
+++ b/review/standins4/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import time
 import typing
@@ -13,6 +14,7 @@
 ANSWER_SECONDS = 0.004
 PAGE_OBJECTS = 500
 REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone"}
+AWAY_STATUS = 503
 
 
 class Change:
@@ -25,6 +27,14 @@
         self.removed = removed
 
 
+class Copy:
+    """The objects of a store at one time."""
+
+    def __init__(self, objects: dict[str, dict[str, Document]], revision: int) -> None:
+        self.objects = objects
+        self.revision = revision
+
+
 class Store:
     """Keeps objects in memory; one revision counter numbers all changes."""
 
@@ -33,6 +43,10 @@
         self.objects: dict[str, dict[str, Document]] = {}
         self.history: list[Change] = []
         self.changed = asyncio.Event()
+        # Rises each time the store comes back from a copy; None leaves it out of the answers.
+        self.era: int | None = None
+        # Whether the store turns all calls away.
+        self.away = False
         self.calls: list[tuple[float, str, str]] = []
         self.server: asyncio.Server | None = None
 
@@ -67,9 +81,30 @@
             self.note(Change(self.revision, kind, document, True))
         return time.monotonic()
 
+    def take_copy(self) -> "Copy":
+        """Return a copy of all objects."""
+        return Copy(copy.deepcopy(self.objects), self.revision)
+
+    def leave(self) -> None:
+        """Turn all calls away, and those that wait."""
+        self.away = True
+        self.wake()
+
+    def come_back(self, taken: "Copy") -> None:
+        """Go on from a copy: what was written since is gone, and revisions are given out again."""
+        self.objects = copy.deepcopy(taken.objects)
+        self.revision = taken.revision
+        self.history = [item for item in self.history if item.revision <= taken.revision]
+        self.era = (self.era or 0) + 1
+        self.away = False
+
     def note(self, change: Change) -> None:
         """Keep a change for watches and wake those that wait."""
         self.history.append(change)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the watches that wait look again."""
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -84,6 +119,8 @@
                 await asyncio.sleep(ANSWER_SECONDS)
                 body = json.dumps(answer).encode()
                 headers = [("Content-Type", "application/json")]
+                if self.era is not None:
+                    headers.append(("Store-Era", str(self.era)))
                 start = f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}"
                 writer.write(wire.encode(start, headers, body))
                 await writer.drain()
@@ -96,6 +133,8 @@
         self, method: str, target: str, body: bytes, reader: asyncio.StreamReader
     ) -> tuple[int, Document]:
         """Carry out one call."""
+        if self.away:
+            return AWAY_STATUS, {}
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         _, _, kind, *names = url.path.split("/")
@@ -135,7 +174,7 @@
         if revision > self.revision:
             return 410, {}
         until = time.monotonic() + wait_seconds
-        while True:
+        while not self.away:
             changed = self.changed
             events = [
                 {"object": change.document, "removed": change.removed}
@@ -147,3 +186,4 @@
                 return 200, {"events": events, "current_rev": self.revision}
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), left)
+        return AWAY_STATUS, {}
