--- a/src/masticward/transport/peer_watch.py
+++ b/src/masticward/transport/peer_watch.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import errno
-import os
 import socket
 import weakref
 
@@ -144,7 +143,13 @@
         ):
             renew(connection, written, sock, now)
         else:
-            connection.end_lost(OSError(errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT)))
+            # The kernel's own error has no text of ours.
+            connection.end_lost(
+                OSError(
+                    errno.ETIMEDOUT,
+                    f"no packet from the peer for {state.silent_seconds:.1f} s, window closed",
+                )
+            )
             return False
         return True
 
