Keep connections to peers that read slowly through small windows

Cause: TCP_USER_TIMEOUT was 1.5 s and only set longer while a window was seen closed. Linux counts it from the first probe of a window until the whole next segment fits into it, although the peer acknowledges and takes bytes meanwhile, and the count may even remain from a message that was acknowledged long before. A window that was open by a few bytes set the option back to 1.5 s.

Change: the option is off while bytes wait to be acknowledged, whatever the window. The peer watch ends a connection whose peer owes a packet: after 1.5 s with packets in flight in an open window, after 1.75 s else. TCP_RTO_MAX_MS is set before the first probe, so that probes are at most 1 s apart. A peer that receives nothing and repeats its own data is lost, too. Kernels without TCP_RTO_MAX_MS have their probes limited by a time-out of the connection's age and 1 s. Once nothing is pending, and when a connection is closed, the kernel's time-out holds again.

--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -44,7 +44,7 @@
 # A faulty peer may send informational answers without end and never a final one.
 MAX_INFORMATIONAL_ANSWERS = 32
 # A peer that answers no packet for this long is gone; pages of the platform grant 3 s of contact.
-# ``peer_watch`` renews the time for a peer that answers and does not read.
+# While bytes wait to be acknowledged, ``peer_watch`` tells whether it is.
 SILENCE_MILLISECONDS = 1500
 KEEP_ALIVE_IDLE_SECONDS = 1
 KEEP_ALIVE_INTERVAL_SECONDS = 1
@@ -177,6 +177,7 @@
         writer: asyncio.StreamWriter,
         protocol: WatchedProtocol,
     ) -> None:
+        super().__init__()
         self.reader = reader
         self.writer = writer
         self.protocol = protocol
@@ -301,7 +302,7 @@
                 self.protocol.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, kernel_bytes)
 
     def allow_silence(self, milliseconds: int | None) -> None:
-        """Let the kernel keep a peer that takes nothing for this long, None for the default."""
+        """Set the kernel's time-out, 0 for none, None for the default."""
         sock = self.open_socket
         if sock is not None:
             with contextlib.suppress(OSError):
@@ -315,7 +316,7 @@
         """End the connection because its peer is lost."""
         self.reader.set_exception(error)
         self.protocol.note_gone(str(error), find_end(error.errno))
-        self.transport.abort()
+        self.abort()
 
     def reset(self) -> None:
         """Reset the connection and drop what the process and the kernel hold for the peer.
@@ -341,9 +342,18 @@
         return bool(poll.poll(0))
 
     def abort(self) -> None:
-        """Close the connection without sending what the process holds."""
+        """Close the connection without sending what the process holds.
+
+        The kernel's time-out bounds how long it tries to send the rest.
+        """
+        self.peer_watch.remove(self)
         self.transport.abort()
 
+    def close(self) -> None:
+        """Close the connection once all that was written has been sent."""
+        self.peer_watch.remove(self)
+        self.writer.close()
+
     async def close_after_peer(self) -> None:
         """End this side and drop what the peer still sends, for ``LINGER_SECONDS`` at most.
 
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -510,7 +510,7 @@
         """Close the connection once the client has taken its last answer, and log the cause."""
         LOGGER.log(events.Event.CLIENT_CONNECTION_CLOSED, cause=cause, requests=self.served)
         if not self.channel.pending_bytes:
-            self.channel.writer.close()
+            self.channel.close()
             return
         # ``run`` ends and waits for the client.
         self.closing = True
@@ -555,7 +555,7 @@
         reason = ""
         try:
             await self.wait_taken()
-            self.channel.writer.close()
+            self.channel.close()
             await self.channel.writer.wait_closed()
         except OSError as error:
             reason = str(error)
@@ -563,7 +563,7 @@
             # The process ends.
             self.channel.abort()
         finally:
-            self.channel.writer.close()
+            self.channel.close()
         if self.channel.end is http1.ConnectionEnd.KERNEL:
             reason = self.channel.protocol.end_reason
         if reason and self.unsent_request is not None and not self.server.aborted:
--- a/src/masticward/transport/peer_watch.py
+++ b/src/masticward/transport/peer_watch.py
@@ -1,14 +1,16 @@
-"""Tells peers that read later from those that are lost.
+"""Tells peers that read later or slowly from those that are lost.
 
-While a peer's window is closed, the kernel sends probes, which a sound peer acknowledges (RFC 9293,
-section 3.8.6.1). Under ``TCP_USER_TIMEOUT``, Linux ends the connection nevertheless. So the option
-is renewed while the peer acknowledges. Times are in seconds of ``clocks.boot_time``.
+Linux counts ``TCP_USER_TIMEOUT`` also from the first probe of a window (RFC 9293, section 3.8.6.1)
+until the peer has room for the whole next segment, even if the peer acknowledges and takes bytes
+meanwhile. So the option is off while bytes wait to be acknowledged, and a peer counts as lost if it
+owes a packet and has sent none for some time. Times are in seconds of ``clocks.boot_time``.
 """
 
 import abc
 import asyncio
 import contextlib
 import errno
+import math
 import socket
 import weakref
 
@@ -16,18 +18,21 @@
 from masticward.utils import clocks
 
 CHECK_INTERVAL_SECONDS = 0.25
+MIN_CHECK_INTERVAL_SECONDS = 0.01
+# A peer with room for bytes acknowledges them at once.
+UNACKNOWLEDGED_SECONDS = 1.5
 # Linux answers no second probe within 0.5 s (net.ipv4.tcp_invalid_ratelimit), so that one of a
 # sequence that doubles its interval from 0.2 s may stay unanswered for 1.5 s.
-LOST_SECONDS = 1.75
-# A probe that is sent after the retransmission time-out has this long to be acknowledged.
-PROBE_ANSWER_SECONDS = 0.75
-# Linux 6.15 and later: the longest interval of probes.
+UNANSWERED_PROBE_SECONDS = 1.75
+# A packet that is sent after the retransmission time-out has this long to be acknowledged.
+ANSWER_SECONDS = 0.75
+# Linux 6.15 and later: the longest interval of probes and retransmissions.
 TCP_RTO_MAX_MS = 44
 MAX_PROBE_INTERVAL_MILLISECONDS = 1000
-# How long the kernel keeps the connection without a renewal. Without TCP_RTO_MAX_MS, this is also
-# the longest interval of its probes.
-RENEWAL_MILLISECONDS = 10_000
-SHORT_RENEWAL_MILLISECONDS = 1000
+# Without TCP_RTO_MAX_MS, the kernel's time-out limits the interval of probes: the next one is sent
+# this long after the last renewal at the latest if the first one was sent when the connection was
+# opened.
+RENEWAL_SECONDS = 1.0
 # Shortest time without a write that shows whether the kernel measures times.
 MEASURABLE_SECONDS = 0.1
 WATCHES: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, "PeerWatch"] = (
@@ -36,9 +41,16 @@
 
 
 class WatchedConnection(abc.ABC):
-    """A connection to a peer that may be slow to read."""
+    """A connection to a peer that may be slow to read.
 
-    __slots__ = ()
+    ``limits_probes`` is whether the kernel limits the interval of probes, None if it was not asked.
+    """
+
+    __slots__ = ("limits_probes", "opened_at")
+
+    def __init__(self) -> None:
+        self.opened_at = clocks.boot_time()
+        self.limits_probes: bool | None = None
 
     @property
     @abc.abstractmethod
@@ -52,7 +64,7 @@
 
     @abc.abstractmethod
     def allow_silence(self, milliseconds: int | None) -> None:
-        """Let the kernel keep a peer that takes nothing for this long, None for the default."""
+        """Set the kernel's time-out, 0 for none, None for the default."""
 
     @abc.abstractmethod
     def end_lost(self, error: OSError) -> None:
@@ -60,29 +72,64 @@
 
 
 class Written:
-    """What is known of a connection to which bytes were written.
+    """What is known of a connection while its peer has not acknowledged all that was written.
 
-    ``closed_since`` is the time at which its window was first seen closed, None if it is open.
+    ``written_at`` is the time of the last write as long as it is needed, ``asked_at`` the one since
+    which the peer owes a packet, ``answered_at`` the one at which it was last seen to have sent one
+    that answers others, and ``closed_at`` the one since which it has had no room, None if it has
+    some. ``is_watched`` tells whether the kernel's time-out is off.
     """
 
-    __slots__ = ("closed_since", "renewal_milliseconds", "written_at")
+    __slots__ = (
+        "answered_at",
+        "answers",
+        "asked_at",
+        "closed_at",
+        "is_watched",
+        "written_at",
+    )
 
-    def __init__(self) -> None:
-        self.written_at = 0.0
-        self.closed_since: float | None = None
-        self.renewal_milliseconds = 0
+    def __init__(self, now: float) -> None:
+        self.written_at = now
+        self.asked_at = now
+        self.answered_at = now
+        # Acknowledged bytes and packets without data; one or the other grows with each answer.
+        self.answers = (0, 0)
+        self.closed_at: float | None = None
+        self.is_watched = False
+
+    def record(self, state: tcp_state.TcpState, now: float) -> None:
+        """Record what the kernel states now."""
+        if not (state.unacknowledged_packets or state.unsent_bytes):
+            # The kernel has not been given the bytes so far.
+            self.asked_at = now
+        answers = (state.acknowledged_bytes, state.bare_packets)
+        if answers != self.answers:
+            self.answers = answers
+            self.answered_at = now
+        if not state.window_closed:
+            self.closed_at = None
+        elif self.closed_at is None:
+            self.closed_at = now
+
+    def unanswered_seconds(self, state: tcp_state.TcpState, now: float) -> float:
+        """Return how long the peer has owed a packet."""
+        # A peer that receives nothing may send its unacknowledged data again and again.
+        unanswered_seconds = min(state.silent_data_seconds, now - self.answered_at)
+        return min(max(state.silent_seconds, unanswered_seconds), now - self.asked_at)
 
 
 class PeerWatch:
     """Watches the connections of one event loop to which bytes were written."""
 
-    __slots__ = ("connections", "loop", "measures_times", "timer")
+    __slots__ = ("checked_at", "connections", "loop", "measures_times", "timer")
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         # A reference to the loop would keep its entry in WATCHES.
         self.loop = weakref.ref(loop)
         self.connections: dict[WatchedConnection, Written] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.checked_at = 0.0
         # Whether the kernel states when packets were sent and received; None if not known yet.
         self.measures_times: bool | None = None
 
@@ -92,96 +139,130 @@
             return
         written = self.connections.get(connection)
         if written is None:
-            written = self.connections[connection] = Written()
-            self.schedule()
-        if self.measures_times is None:
+            written = self.connections[connection] = Written(clocks.boot_time())
+            if self.measures_times:
+                take_over(connection, written)
+            if self.timer is None:
+                self.checked_at = written.asked_at
+                self.schedule(CHECK_INTERVAL_SECONDS)
+        elif self.measures_times is None:
             written.written_at = clocks.boot_time()
 
-    def schedule(self) -> None:
-        """Set the timer for the next check unless it is set."""
+    def remove(self, connection: WatchedConnection) -> None:
+        """Leave a connection to the kernel's time-out, as before it is closed."""
+        written = self.connections.pop(connection, None)
+        if written is not None and written.is_watched:
+            connection.allow_silence(None)
+
+    def schedule(self, seconds: float) -> None:
+        """Set the timer for the next check."""
         loop = self.loop()
-        if self.timer is None and loop is not None:
-            self.timer = loop.call_later(CHECK_INTERVAL_SECONDS, self.check)
+        if loop is not None:
+            self.timer = loop.call_later(seconds, self.check)
 
     def check(self) -> None:
         """Look at all connections, and forget those whose peers have acknowledged everything."""
         self.timer = None
         now = clocks.boot_time()
+        # After a long pause, bytes that were just written may follow others that were acknowledged.
+        is_late = now - self.checked_at >= UNACKNOWLEDGED_SECONDS
+        self.checked_at = now
+        next_seconds = CHECK_INTERVAL_SECONDS
         for connection, written in list(self.connections.items()):
-            if not self.goes_on(connection, written, now):
-                del self.connections[connection]
+            if is_late:
+                written.asked_at = written.answered_at = now
+            seconds = self.find_patience(connection, written, now)
+            if seconds is None:
+                self.remove(connection)
+            else:
+                next_seconds = min(next_seconds, seconds)
         if self.measures_times is False:
             self.connections.clear()
         if self.connections:
-            self.schedule()
+            self.schedule(max(next_seconds, MIN_CHECK_INTERVAL_SECONDS))
 
-    def goes_on(self, connection: WatchedConnection, written: Written, now: float) -> bool:
-        """Return whether a connection is to be watched further."""
+    def find_patience(
+        self, connection: WatchedConnection, written: Written, now: float
+    ) -> float | None:
+        """Return the seconds after which a silent peer is lost, None if it is watched no more."""
         sock = connection.open_socket
         if sock is None:
-            return False
+            return None
         pending = connection.pending_bytes > 0
-        if not pending and self.measures_times is not None:
-            self.open_window(connection, written)
-            return False
+        if not pending and self.measures_times:
+            return None
         state = tcp_state.read(sock)
         if state is None:
-            return False
+            return None
+        if self.measures_times is None:
+            self.find_measures(state, pending, now - written.written_at)
         if not pending:
-            self.find_measures(state, now - written.written_at)
-            self.open_window(connection, written)
-            return False
-        if not state.window_closed:
-            self.open_window(connection, written)
-        elif written.closed_since is None:
-            written.closed_since = now
-        elif self.measures_times is None and not state.silent_seconds:
-            # A kernel that states no times shows no loss; its own time-out has to.
-            pass
-        elif state.silent_seconds < max(
-            LOST_SECONDS, state.retransmission_seconds + PROBE_ANSWER_SECONDS
-        ):
-            renew(connection, written, sock, now)
-        else:
-            # The kernel's own error has no text of ours.
-            connection.end_lost(
-                OSError(
-                    errno.ETIMEDOUT,
-                    f"no packet from the peer for {state.silent_seconds:.1f} s, window closed",
-                )
-            )
-            return False
-        return True
-
-    def find_measures(self, state: tcp_state.TcpState, unwritten_seconds: float) -> None:
-        """Find whether the kernel measures times, once all that was written has been sent."""
+            return None
+        if not self.measures_times:
+            # The kernel's own time-out has to show a loss.
+            return CHECK_INTERVAL_SECONDS
+        if not written.is_watched:
+            take_over(connection, written)
+        written.record(state, now)
+        limit_seconds = find_limit(connection, written, state)
+        seconds = written.unanswered_seconds(state, now)
+        if seconds < limit_seconds:
+            if not connection.limits_probes:
+                limit_probes(connection, written, now)
+            return limit_seconds - seconds
+        window = "closed" if state.window_closed else "open"
+        # The kernel's own errors have no such text.
+        text = f"no answer from the peer for {seconds:.1f} s, its window is {window}"
+        connection.end_lost(OSError(errno.ETIMEDOUT, text))
+        return None
+
+    def find_measures(
+        self, state: tcp_state.TcpState, pending: bool, unwritten_seconds: float
+    ) -> None:
+        """Find whether the kernel measures times."""
         if state.unsending_seconds or state.silent_seconds:
             self.measures_times = True
-        elif unwritten_seconds >= MEASURABLE_SECONDS:
+        elif not pending and unwritten_seconds >= MEASURABLE_SECONDS:
             self.measures_times = False
 
-    def open_window(self, connection: WatchedConnection, written: Written) -> None:
-        """Leave a connection to the kernel's own time-out again."""
-        written.closed_since = None
-        if written.renewal_milliseconds:
-            written.renewal_milliseconds = 0
-            connection.allow_silence(None)
 
+def take_over(connection: WatchedConnection, written: Written) -> None:
+    """Turn the kernel's time-out off, and limit the interval of its probes if it can."""
+    written.is_watched = True
+    connection.allow_silence(0)
+    sock = connection.open_socket
+    if connection.limits_probes is None and sock is not None:
+        connection.limits_probes = False
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, MAX_PROBE_INTERVAL_MILLISECONDS)
+            connection.limits_probes = True
 
-def renew(connection: WatchedConnection, written: Written, sock: socket.socket, now: float) -> None:
-    """Let the kernel keep a connection whose peer acknowledges and does not read.
 
-    The kernel counts from the first probe, which came after ``closed_since`` at the latest by one
-    interval of the checks.
+def find_limit(connection: WatchedConnection, written: Written, state: tcp_state.TcpState) -> float:
+    """Return the seconds for which a peer that is not lost may leave packets unanswered."""
+    answer_seconds = state.retransmission_seconds + ANSWER_SECONDS
+    if written.closed_at is None:
+        return max(UNACKNOWLEDGED_SECONDS, answer_seconds)
+    if not connection.limits_probes:
+        interval_seconds = min(
+            math.ldexp(state.retransmission_seconds, state.backoff),
+            RENEWAL_SECONDS + written.closed_at - connection.opened_at,
+        )
+        answer_seconds = max(answer_seconds, interval_seconds + ANSWER_SECONDS)
+    return max(UNANSWERED_PROBE_SECONDS, answer_seconds)
+
+
+def limit_probes(connection: WatchedConnection, written: Written, now: float) -> None:
+    """Limit the interval of probes by the kernel's time-out, which is off unless they are sent.
+
+    The kernel counts from a probe, possibly one for bytes that were acknowledged since then, so
+    that the age of the connection is the bound that is known.
     """
-    if not written.renewal_milliseconds:
-        written.renewal_milliseconds = SHORT_RENEWAL_MILLISECONDS
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, MAX_PROBE_INTERVAL_MILLISECONDS)
-            written.renewal_milliseconds = RENEWAL_MILLISECONDS
-    assert written.closed_since is not None
-    closed_milliseconds = (now - written.closed_since + CHECK_INTERVAL_SECONDS) * 1000
-    connection.allow_silence(int(closed_milliseconds) + written.renewal_milliseconds)
+    if written.closed_at is None:
+        connection.allow_silence(0)
+    else:
+        seconds = now - connection.opened_at + RENEWAL_SECONDS
+        connection.allow_silence(int(seconds * 1000))
 
 
 def current() -> PeerWatch:
--- a/src/masticward/transport/tcp_state.py
+++ b/src/masticward/transport/tcp_state.py
@@ -1,5 +1,6 @@
 """Reads what the kernel knows of a TCP connection (``TCP_INFO``, struct tcp_info of Linux)."""
 
+import math
 import socket
 import struct
 import typing
@@ -8,12 +9,17 @@
 # The structure as of Linux 5.4, which adds the peer's window; 4.6 ends it after the unsent bytes.
 INFO_BYTES = 232
 MIN_INFO_BYTES = 148
+RETRANSMISSIONS_OFFSET = 2
+BACKOFF_OFFSET = 4
 RETRANSMISSION_MICROSECONDS_OFFSET = 8
 UNACKNOWLEDGED_PACKETS_OFFSET = 24
 LAST_DATA_SENT_OFFSET = 44
 LAST_DATA_RECEIVED_OFFSET = 52
 LAST_ACKNOWLEDGEMENT_OFFSET = 56
+ACKNOWLEDGED_BYTES_OFFSET = 120
+RECEIVED_PACKETS_OFFSET = 140
 UNSENT_BYTES_OFFSET = 144
+RECEIVED_DATA_PACKETS_OFFSET = 152
 WINDOW_BYTES_OFFSET = 228
 
 
@@ -30,11 +36,19 @@
 
     ``unsent_bytes`` are those that the kernel holds back, ``window_bytes`` those that the peer has
     room for, None if not known. ``silent_seconds`` is the time since the peer's last packet,
-    ``unsending_seconds`` that since the last packet with data to it.
+    ``silent_data_seconds`` that since its last new data, and ``unsending_seconds`` that since the
+    last packet with data to it. ``acknowledged_bytes`` counts those that the peer has acknowledged,
+    ``bare_packets`` the packets without data that it has sent. ``retransmission_seconds`` is the
+    time-out before the kernel has doubled it, ``backoff`` how often it has, also for probes of a
+    closed window.
     """
 
     __slots__ = (
+        "acknowledged_bytes",
+        "backoff",
+        "bare_packets",
         "retransmission_seconds",
+        "silent_data_seconds",
         "silent_seconds",
         "unacknowledged_packets",
         "unsending_seconds",
@@ -46,17 +60,23 @@
         def field(offset: int) -> int:
             return int(struct.unpack_from("=I", data, offset)[0])
 
-        self.retransmission_seconds = field(RETRANSMISSION_MICROSECONDS_OFFSET) / 1e6
+        self.backoff = data[BACKOFF_OFFSET]
+        # The kernel states the doubled time-out of retransmissions, and that of probes undoubled.
+        doublings = self.backoff if data[RETRANSMISSIONS_OFFSET] else 0
+        timeout_seconds = field(RETRANSMISSION_MICROSECONDS_OFFSET) / 1e6
+        self.retransmission_seconds = math.ldexp(timeout_seconds, -doublings)
         self.unacknowledged_packets = field(UNACKNOWLEDGED_PACKETS_OFFSET)
         self.unsending_seconds = field(LAST_DATA_SENT_OFFSET) / 1e3
+        self.silent_data_seconds = field(LAST_DATA_RECEIVED_OFFSET) / 1e3
         # The kernel doesn't note an acknowledgement that comes with data and is not new.
-        last_packet_milliseconds = min(
-            field(LAST_DATA_RECEIVED_OFFSET), field(LAST_ACKNOWLEDGEMENT_OFFSET)
-        )
-        self.silent_seconds = last_packet_milliseconds / 1e3
+        last_acknowledgement_seconds = field(LAST_ACKNOWLEDGEMENT_OFFSET) / 1e3
+        self.silent_seconds = min(self.silent_data_seconds, last_acknowledgement_seconds)
+        self.acknowledged_bytes = int(struct.unpack_from("=Q", data, ACKNOWLEDGED_BYTES_OFFSET)[0])
         self.unsent_bytes = field(UNSENT_BYTES_OFFSET)
-        has_window = len(data) >= INFO_BYTES
-        self.window_bytes = field(WINDOW_BYTES_OFFSET) if has_window else None
+        is_complete = len(data) >= INFO_BYTES
+        data_packets = field(RECEIVED_DATA_PACKETS_OFFSET) if is_complete else 0
+        self.bare_packets = field(RECEIVED_PACKETS_OFFSET) - data_packets
+        self.window_bytes = field(WINDOW_BYTES_OFFSET) if is_complete else None
 
     @property
     def window_closed(self) -> bool:
