Judge a stalled client by the pace that its deadline asks for

Cause: the gateway sees that a client reads only when its kernel acknowledges more bytes. A kernel that holds many unread bytes takes no others until the client has read most of them.

Change: while memory is not scarce, a client that has taken nothing for CLIENT_STALL_SECONDS is cut only if it has taken less of its response than of its time. A client that reads steadily and fast enough to have the response by its deadline is never below that. One that takes nothing falls below once it would have read what its kernel holds, at its deadline at the latest. The bounds for scarce memory and for unread endpoints are unchanged.

--- a/src/masticward/gateway/request_path.py
+++ b/src/masticward/gateway/request_path.py
@@ -176,7 +176,9 @@
         self.buffer: response_buffers.ResponseBuffer | None = None
         if self.fleet.settings.limited_memory and dependencies.response_buffers is not None:
             self.waiting_request.body_bytes = len(request.body)
-            self.buffer = dependencies.response_buffers.open(responder, metadata.request_id)
+            self.buffer = dependencies.response_buffers.open(
+                responder, metadata.request_id, self.deadline
+            )
 
     async def run(self) -> None:
         """Serve the request; raise RefusalError if it fails before a response was started."""
--- a/src/masticward/gateway/response_buffers.py
+++ b/src/masticward/gateway/response_buffers.py
@@ -29,9 +29,11 @@
         # When the next client may be cut for its memory.
         self.frees_at = 0.0
 
-    def open(self, responder: http1_server.Responder, request_id: str) -> "ResponseBuffer":
+    def open(
+        self, responder: http1_server.Responder, request_id: str, deadline: float
+    ) -> "ResponseBuffer":
         """Return the buffer of a response, which bounds all writes to its client."""
-        buffer = ResponseBuffer(self, responder, request_id)
+        buffer = ResponseBuffer(self, responder, request_id, deadline)
         self.buffers.add(buffer)
         return buffer
 
@@ -90,7 +92,11 @@
     )
 
     def __init__(
-        self, buffers: ResponseBuffers, responder: http1_server.Responder, request_id: str
+        self,
+        buffers: ResponseBuffers,
+        responder: http1_server.Responder,
+        request_id: str,
+        deadline: float,
     ) -> None:
         self.buffers = buffers
         self.responder = responder
@@ -103,7 +109,7 @@
         self.unread_since: float | None = None
         self.read_bytes = 0
         self.pacer = client_pacer.ClientPacer(
-            responder.connection.channel, buffers.memory_is_scarce
+            responder.connection.channel, buffers.memory_is_scarce, deadline
         )
         responder.pacer = self.pacer
         responder.connection.expect_slow_client()
--- a/src/masticward/state/buffered_bytes.py
+++ b/src/masticward/state/buffered_bytes.py
@@ -47,11 +47,12 @@
 class ClientPace:
     """When a client last took bytes of its response."""
 
-    __slots__ = ("pending_bytes", "taken_at")
+    __slots__ = ("pending_bytes", "started_at", "taken_at")
 
     def __init__(self, now: float) -> None:
         # Bytes that were written and not taken so far.
         self.pending_bytes = 0
+        self.started_at = now
         self.taken_at = now
 
     def record(self, pending_bytes: int, now: float) -> None:
@@ -64,6 +65,18 @@
         """Return how long the client has taken nothing although bytes wait for it."""
         return now - self.taken_at if self.pending_bytes else 0.0
 
+    def keeps_up(self, sent_bytes: int, total_bytes: int, deadline: float, now: float) -> bool:
+        """Return whether a client at its pace so far has the response by its deadline.
+
+        Of the ``total_bytes``, ``sent_bytes`` were written. The client's kernel may hold many that
+        the client has not read, and take no others while it reads them.
+        """
+        taken_bytes = sent_bytes - self.pending_bytes
+        share_of_time = (now - self.started_at) / max(
+            deadline - self.started_at, now - self.started_at
+        )
+        return taken_bytes >= share_of_time * total_bytes
+
 
 class EndpointBodies:
     """The bytes of the bodies that this process has in flight to each endpoint.
--- a/src/masticward/transport/client_pacer.py
+++ b/src/masticward/transport/client_pacer.py
@@ -16,12 +16,29 @@
 class ClientPacer:
     """Knows when the client of one response last took bytes, and ends waits for it."""
 
-    __slots__ = ("ahead_bytes", "channel", "memory_is_scarce", "pace", "waiting")
+    __slots__ = (
+        "ahead_bytes",
+        "channel",
+        "deadline",
+        "memory_is_scarce",
+        "pace",
+        "sent_bytes",
+        "total_bytes",
+        "waiting",
+    )
 
     def __init__(
-        self, channel: http1.Channel, memory_is_scarce: collections.abc.Callable[[], bool]
+        self,
+        channel: http1.Channel,
+        memory_is_scarce: collections.abc.Callable[[], bool],
+        deadline: float,
     ) -> None:
         self.channel = channel
+        # When the client no longer needs the response.
+        self.deadline = deadline
+        # Bytes of the body that were written, and those that it has as far as known.
+        self.sent_bytes = 0
+        self.total_bytes = 0
         # Returns whether a client that stalls is cut sooner.
         self.memory_is_scarce = memory_is_scarce
         # Written bytes that the connection may hold after a write.
@@ -39,6 +56,16 @@
         self.pace.record(pending_bytes, now)
         return self.pace.stalled_seconds(now)
 
+    def record_write(self, size: int) -> None:
+        """Record that bytes of the body are written."""
+        self.sent_bytes += size
+        self.total_bytes = max(self.total_bytes, self.sent_bytes)
+
+    def keeps_up(self) -> bool:
+        """Return whether the client is as fast, on average, as it has to be by its deadline."""
+        now = clocks.boot_time()
+        return self.pace.keeps_up(self.sent_bytes, self.total_bytes, self.deadline, now)
+
     def require_pace(self) -> None:
         """Raise SlowClientError if the client has taken nothing for too long."""
         seconds = self.stalled_seconds()
@@ -46,7 +73,7 @@
         limit = (
             buffered_bytes.SCARCE_STALL_SECONDS if scarce else buffered_bytes.CLIENT_STALL_SECONDS
         )
-        if seconds >= limit:
+        if seconds >= limit and (scarce or not self.keeps_up()):
             bound = buffered_bytes.Bound.MEMORY if scarce else buffered_bytes.Bound.CLIENT_STALLED
             raise errors.SlowClientError(
                 bound.value, f"the client took nothing for {seconds:.1f} s"
--- a/src/masticward/transport/http1_server.py
+++ b/src/masticward/transport/http1_server.py
@@ -164,6 +164,8 @@
     async def write(self, data: bytes) -> None:
         """Write a part of the body."""
         self.sent_bytes += len(data)
+        if self.pacer is not None:
+            self.pacer.record_write(len(data))
         if data and self.chunked:
             # h11 keeps no state of a chunk; each of its events costs as much as the write.
             self.connection.channel.write(b"%x\r\n%b\r\n" % (len(data), data))
@@ -196,6 +198,8 @@
         )
         if len(body) > http1.MAX_JOINED_BYTES and self.connection.method != b"HEAD":
             self.connection.write(response)
+            if self.pacer is not None:
+                self.pacer.total_bytes = len(body)
             for start in range(0, len(body), http1.MAX_JOINED_BYTES):
                 await self.write(bytes(body[start : start + http1.MAX_JOINED_BYTES]))
             await self.end()
--- a/tests/functional/test_paced_gateway.py
+++ b/tests/functional/test_paced_gateway.py
@@ -5,7 +5,7 @@
 import socket
 import unittest.mock
 
-from masticward.state import load_shedding
+from masticward.state import buffered_bytes, load_shedding
 from tests.functional import test_endless_bytes, test_peer_watch
 from tests.lib import lost_peers, paced_endpoints, paced_readers, platform_standins
 
@@ -22,6 +22,9 @@
     for buffer_bytes in WINDOWS
     for pauses in (STEADY_PAUSES, UNEVEN_PAUSES)
 ]
+# Takes about 8 s for the long body, and seconds for what a kernel holds of it.
+LONG_BODY = bytes(400_000)
+FAST_PAUSES = (0.02,)
 AT_ONCE = paced_readers.Pace(None, 65_536, (0.0,))
 
 
@@ -165,3 +168,11 @@
     """The same under the contract ``pressure``."""
 
     contracts = '"base", "pressure"'
+
+    async def test_a_client_is_not_stalled_while_it_reads_what_its_kernel_holds(self) -> None:
+        paces = [paced_readers.Pace(size, PIECE_BYTES, FAST_PAUSES) for size in (32_768, None)]
+        await self.start_with(
+            [paced_endpoints.PacedEndpoint(AT_ONCE, answer=LONG_BODY + b"end") for _ in paces]
+        )
+        with unittest.mock.patch.object(buffered_bytes, "CLIENT_STALL_SECONDS", 1.0):
+            await self.call_all([("book", b"hello", pace, b"end") for pace in paces])
