--- a/src/masticward/state/buffered_bytes.py
+++ b/src/masticward/state/buffered_bytes.py
@@ -66,16 +66,15 @@
         return now - self.taken_at if self.pending_bytes else 0.0
 
     def keeps_up(self, sent_bytes: int, total_bytes: int, deadline: float, now: float) -> bool:
-        """Return whether a client at its pace so far has the response by its deadline.
+        """Return whether a client at its pace so far has its response by the deadline.
 
         Of the ``total_bytes``, ``sent_bytes`` were written. The client's kernel may hold many that
         the client has not read, and take no others while it reads them.
         """
         taken_bytes = sent_bytes - self.pending_bytes
-        share_of_time = (now - self.started_at) / max(
-            deadline - self.started_at, now - self.started_at
-        )
-        return taken_bytes >= share_of_time * total_bytes
+        elapsed_seconds = now - self.started_at
+        allowed_seconds = max(deadline - self.started_at, elapsed_seconds)
+        return taken_bytes * allowed_seconds >= total_bytes * elapsed_seconds
 
 
 class EndpointBodies:
--- a/src/masticward/transport/peer_watch.py
+++ b/src/masticward/transport/peer_watch.py
@@ -29,9 +29,8 @@
 # Linux 6.15 and later: the longest interval of probes and retransmissions.
 TCP_RTO_MAX_MS = 44
 MAX_PROBE_INTERVAL_MILLISECONDS = 1000
-# Without TCP_RTO_MAX_MS, the kernel's time-out limits the interval of probes: the next one is sent
-# this long after the last renewal at the latest if the first one was sent when the connection was
-# opened.
+# Without TCP_RTO_MAX_MS, the next probe is sent when the kernel's time-out is over at the latest.
+# The time-out is kept this far above the age of the connection.
 RENEWAL_SECONDS = 1.0
 # Shortest time without a write that shows whether the kernel measures times.
 MEASURABLE_SECONDS = 0.1
@@ -255,8 +254,8 @@
 def limit_probes(connection: WatchedConnection, written: Written, now: float) -> None:
     """Limit the interval of probes by the kernel's time-out, which is off unless they are sent.
 
-    The kernel counts from a probe, possibly one for bytes that were acknowledged since then, so
-    that the age of the connection is the bound that is known.
+    The kernel may count from a probe for bytes that were acknowledged since then, so that only the
+    age of the connection is known to be above its count.
     """
     if written.closed_at is None:
         connection.allow_silence(0)
