Log a peer that the watch takes for lost, and leave the connection's error as it was

Cause: put the details into the error of the connection. Change: event 8011 with the connection's number, the seconds without an answer and the window; the error is ETIMEDOUT again, with the kernel's text.

--- a/src/masticward/events.py
+++ b/src/masticward/events.py
@@ -82,6 +82,7 @@
     CLIENT_CONNECTION_CLOSED = (8008, "client_connection_closed", logging.INFO)
     ROTATION_PAUSED = (8009, "rotation_paused", logging.WARNING)
     CALLBACK_FAILED = (8010, "callback_failed", logging.ERROR)
+    CONNECTION_PEER_LOST = (8011, "connection_peer_lost", logging.INFO)
     ATTEMPT_SENT = (8101, "attempt_sent", logging.INFO)
     GATEWAY_REQUEST_ANSWERED = (8102, "gateway_request_answered", logging.INFO)
     GATEWAY_REQUEST_REFUSED = (8103, "gateway_request_refused", logging.WARNING)
--- a/src/masticward/transport/http1.py
+++ b/src/masticward/transport/http1.py
@@ -161,7 +161,6 @@
 
     __slots__ = (
         "fetched",
-        "number",
         "peer_watch",
         "protocol",
         "reader",
@@ -177,7 +176,7 @@
         writer: asyncio.StreamWriter,
         protocol: WatchedProtocol,
     ) -> None:
-        super().__init__()
+        super().__init__(next(Channel.numbers))
         self.reader = reader
         self.writer = writer
         self.protocol = protocol
@@ -187,7 +186,6 @@
         self.usage = read_turns.Reader()
         # Bytes that were read from the stream and wait for their turn.
         self.fetched = b""
-        self.number = next(Channel.numbers)
         set_socket_options(self.transport)
 
     @property
--- a/src/masticward/transport/peer_watch.py
+++ b/src/masticward/transport/peer_watch.py
@@ -11,9 +11,11 @@
 import contextlib
 import errno
 import math
+import os
 import socket
 import weakref
 
+from masticward import events, logs
 from masticward.transport import tcp_state
 from masticward.utils import clocks
 
@@ -37,17 +39,20 @@
 WATCHES: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, "PeerWatch"] = (
     weakref.WeakKeyDictionary()
 )
+LOGGER = logs.get_logger(__name__)
 
 
 class WatchedConnection(abc.ABC):
     """A connection to a peer that may be slow to read.
 
-    ``limits_probes`` is whether the kernel limits the interval of probes, None if it was not asked.
+    ``number`` names it in log lines. ``limits_probes`` is whether the kernel limits the interval of
+    probes, None if it was not asked.
     """
 
-    __slots__ = ("limits_probes", "opened_at")
+    __slots__ = ("limits_probes", "number", "opened_at")
 
-    def __init__(self) -> None:
+    def __init__(self, number: int) -> None:
+        self.number = number
         self.opened_at = clocks.boot_time()
         self.limits_probes: bool | None = None
 
@@ -209,10 +214,13 @@
             if not connection.limits_probes:
                 limit_probes(connection, written, now)
             return limit_seconds - seconds
-        window = "closed" if state.window_closed else "open"
-        # The kernel's own errors have no such text.
-        text = f"no answer from the peer for {seconds:.1f} s, its window is {window}"
-        connection.end_lost(OSError(errno.ETIMEDOUT, text))
+        LOGGER.log(
+            events.Event.CONNECTION_PEER_LOST,
+            connection=connection.number,
+            silent_seconds=round(seconds, 2),
+            window="closed" if state.window_closed else "open",
+        )
+        connection.end_lost(OSError(errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT)))
         return None
 
     def find_measures(
--- a/tests/unit/test_peer_watch_rules.py
+++ b/tests/unit/test_peer_watch_rules.py
@@ -46,7 +46,7 @@
     """A connection whose peer has never acknowledged everything."""
 
     def __init__(self, limits_probes: bool = True) -> None:
-        super().__init__()
+        super().__init__(1)
         self.opened_at = 0.0
         self.limits_probes = limits_probes
         self.time_outs: list[int | None] = []
