--- a/tests/functional/test_paced_gateway.py
+++ b/tests/functional/test_paced_gateway.py
@@ -75,6 +75,20 @@
         self.assertEqual([], [text for text in await asyncio.gather(*calling) if text])
         self.assertEqual(set(), self.failed_attempts())
 
+    async def call_all_and_stop(
+        self, calls: collections.abc.Iterable[tuple[str, bytes, paced_readers.Pace, bytes]]
+    ) -> None:
+        """Make calls as ``call_all`` does, beside a reload and a stop."""
+        stopping: list[asyncio.Future[None]] = []
+
+        def disturb() -> None:
+            self.program.reload()
+            stopping.append(asyncio.ensure_future(self.program.stop()))
+
+        with unittest.mock.patch.object(load_shedding, "ROTATION_EXIT_SECONDS", 0.1):
+            await self.call_all(calls, disturb)
+            await stopping[0]
+
 
 class PacedEndpointTest(PacedGatewayCase):
     """Guards against requests that are cut while their endpoint reads them slowly."""
@@ -90,15 +104,7 @@
 
     async def test_a_stream_is_whole_beside_a_reload_and_a_stop(self) -> None:
         await self.start_paced(EVENT_SECONDS)
-        stopping: list[asyncio.Future[None]] = []
-
-        def disturb() -> None:
-            self.program.reload()
-            stopping.append(asyncio.ensure_future(self.program.stop()))
-
-        with unittest.mock.patch.object(load_shedding, "ROTATION_EXIT_SECONDS", 0.1):
-            await self.call_all([("stream", BODY, AT_ONCE, b"0\r\n\r\n")] * len(PACES), disturb)
-            await stopping[0]
+        await self.call_all_and_stop([("stream", BODY, AT_ONCE, b"0\r\n\r\n")] * len(PACES))
 
     async def test_an_endpoint_answers_after_it_has_read_a_long_body(self) -> None:
         await self.start_paced(None)
@@ -126,10 +132,10 @@
 class PacedClientTest(PacedGatewayCase):
     """Guards against responses that are cut while their client reads them slowly."""
 
-    async def start_answering(self, event_seconds: float | None = None) -> None:
+    async def start_answering(self) -> None:
         await self.start_with(
             [
-                paced_endpoints.PacedEndpoint(AT_ONCE, event_seconds, BODY + b"end")
+                paced_endpoints.PacedEndpoint(AT_ONCE, answer=BODY + b"end")
                 for _ in range(len(PACES))
             ]
         )
@@ -147,15 +153,7 @@
 
     async def test_it_does_beside_a_reload_and_a_stop(self) -> None:
         await self.start_answering()
-        stopping: list[asyncio.Future[None]] = []
-
-        def disturb() -> None:
-            self.program.reload()
-            stopping.append(asyncio.ensure_future(self.program.stop()))
-
-        with unittest.mock.patch.object(load_shedding, "ROTATION_EXIT_SECONDS", 0.1):
-            await self.call_all([("book", b"hello", pace, b"end") for pace in PACES], disturb)
-            await stopping[0]
+        await self.call_all_and_stop([("book", b"hello", pace, b"end") for pace in PACES])
 
 
 class PacedEndpointUnderPressureTest(PacedEndpointTest):
